--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
