model, counters, protocol: core types, counters and messages

Cause: every later part needs the arena keys, the checked configuration, the counters of the request path and the messages between daemons. Ruled out: serde with spans for YAML, because it stops at the first fault.

--- /dev/null
+++ b/crates/decisions/src/link_meter.rs
@@ -0,0 +1,1 @@
+//! Not built yet.
--- /dev/null
+++ b/crates/model/src/access_table.rs
@@ -0,0 +1,79 @@
+//! Client accounts by the digest of their access keys.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+
+use crate::keys::AccountKey;
+
+/// The SHA-256 digest of an access key. The key itself is never kept.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct AccessDigest([u8; 32]);
+
+impl AccessDigest {
+    /// Digests an access key.
+    #[must_use]
+    pub fn of_key(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Reads a digest from 64 hexadecimal digits.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 64 || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[index * 2..index * 2 + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+}
+
+impl fmt::Display for AccessDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(formatter, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for AccessDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The first digits identify a key in a dump; the whole digest is of no use to a reader.
+        write!(
+            formatter,
+            "AccessDigest({:02x}{:02x}..)",
+            self.0[0], self.0[1]
+        )
+    }
+}
+
+/// The account that an access key belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AccessGrant {
+    /// The account.
+    pub account: AccountKey,
+}
+
+/// All access keys of a configuration.
+#[derive(Debug, Default)]
+pub struct AccessTable {
+    grants: HashMap<AccessDigest, AccessGrant>,
+}
+
+impl AccessTable {
+    /// Adds a key. Returns whether the digest was not yet present.
+    pub fn insert(&mut self, digest: AccessDigest, grant: AccessGrant) -> bool {
+        self.grants.insert(digest, grant).is_none()
+    }
+
+    /// Finds the grant of a key.
+    #[must_use]
+    pub fn find(&self, digest: AccessDigest) -> Option<AccessGrant> {
+        self.grants.get(&digest).copied()
+    }
+}
--- /dev/null
+++ b/crates/model/src/document.rs
@@ -0,0 +1,306 @@
+//! Reads fields of a YAML or JSON document and collects what does not fit, with its place.
+
+use std::ops::RangeInclusive;
+
+use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode, MarkedSequenceNode};
+use marked_yaml::{LoaderOptions, Marker, Node, Span};
+
+use crate::findings::{FindingList, FindingPlace, Located};
+
+/// A parsed document together with the faults found in it so far.
+#[derive(Debug)]
+pub struct DocumentReader<'a> {
+    findings: &'a FindingList,
+    root: MarkedMappingNode,
+}
+
+impl<'a> DocumentReader<'a> {
+    /// Parses `text`. A document that is no mapping is reported and read as an empty one.
+    #[must_use]
+    pub fn new(text: &str, findings: &'a FindingList) -> Self {
+        let options = LoaderOptions::default().error_on_duplicate_keys(true);
+        let root = match marked_yaml::parse_yaml_with_options(0, text, options) {
+            Ok(Node::Mapping(root)) => root,
+            Ok(node) => {
+                findings.report(span_place(node.span()), "document", "expected a mapping");
+                MarkedMappingNode::new_empty(Span::new_blank())
+            }
+            Err(error) => {
+                let place = load_error_place(&error);
+                findings.report(place, "document", format!("expected YAML: {error}"));
+                MarkedMappingNode::new_empty(Span::new_blank())
+            }
+        };
+        Self { findings, root }
+    }
+
+    /// Returns a reader of the outermost mapping.
+    #[must_use]
+    pub fn root(&self) -> MappingReader<'_> {
+        MappingReader {
+            findings: self.findings,
+            node: &self.root,
+            path: String::new(),
+            known: Vec::new(),
+        }
+    }
+}
+
+/// Reads the fields of one mapping. A field that is missing or does not fit is reported and read as its default, so that
+/// the rest of the document is still checked.
+#[derive(Debug)]
+pub struct MappingReader<'a> {
+    findings: &'a FindingList,
+    node: &'a MarkedMappingNode,
+    path: String,
+    known: Vec<&'static str>,
+}
+
+impl<'a> MappingReader<'a> {
+    /// Returns the place of the mapping.
+    #[must_use]
+    pub fn place(&self) -> FindingPlace {
+        span_place(self.node.span())
+    }
+
+    /// Returns the place of a field, or of the mapping if the field is absent.
+    #[must_use]
+    pub fn field_place(&self, field: &str) -> FindingPlace {
+        match self.node.get_node(field) {
+            Some(node) => span_place(node.span()),
+            None => self.place(),
+        }
+    }
+
+    /// Reports a fault of a field of this mapping.
+    pub fn report(&self, place: FindingPlace, field: &str, expected: impl Into<String>) {
+        self.findings
+            .report(place, &self.field_path(field), expected);
+    }
+
+    /// Tells whether the field is present.
+    #[must_use]
+    pub fn has(&self, field: &str) -> bool {
+        self.node.get_node(field).is_some()
+    }
+
+    /// Reads a required text.
+    pub fn text(&mut self, field: &'static str) -> Located<String> {
+        match self.scalar(field) {
+            Some(scalar) => Located {
+                value: scalar.as_str().to_string(),
+                place: span_place(scalar.span()),
+            },
+            None => self.missing(field, "a text"),
+        }
+    }
+
+    /// Reads an optional text.
+    pub fn optional_text(&mut self, field: &'static str) -> Option<Located<String>> {
+        self.remember(field);
+        self.has(field).then(|| self.text(field))
+    }
+
+    /// Reads a required whole number within `range`.
+    pub fn number(&mut self, field: &'static str, range: RangeInclusive<u64>) -> Located<u64> {
+        let expected = format!("a whole number from {} to {}", range.start(), range.end());
+        let Some(scalar) = self.scalar(field) else {
+            return self.missing(field, &expected);
+        };
+        let place = span_place(scalar.span());
+        match scalar.as_str().parse::<u64>() {
+            Ok(value) if range.contains(&value) => Located { value, place },
+            _ => {
+                self.report(place, field, format!("expected {expected}"));
+                Located {
+                    value: *range.start(),
+                    place,
+                }
+            }
+        }
+    }
+
+    /// Reads a whole number within `range`, or takes `default` if the field is absent.
+    pub fn number_or(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Located<u64> {
+        self.remember(field);
+        if self.has(field) {
+            self.number(field, range)
+        } else {
+            Located {
+                value: default,
+                place: self.place(),
+            }
+        }
+    }
+
+    /// Reads `true` or `false`, or takes `default` if the field is absent.
+    pub fn flag_or(&mut self, field: &'static str, default: bool) -> Located<bool> {
+        let choices = [("true", true), ("false", false)];
+        self.choice_or(field, &choices, default)
+    }
+
+    /// Reads one of the texts of `choices`, or takes `default` if the field is absent.
+    pub fn choice_or<T: Copy>(
+        &mut self,
+        field: &'static str,
+        choices: &[(&str, T)],
+        default: T,
+    ) -> Located<T> {
+        self.remember(field);
+        if !self.has(field) {
+            return Located {
+                value: default,
+                place: self.place(),
+            };
+        }
+        let text = self.text(field);
+        if let Some((_, value)) = choices.iter().find(|(name, _)| *name == text.value) {
+            return Located {
+                value: *value,
+                place: text.place,
+            };
+        }
+        let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+        let expected = format!("expected one of: {}", names.join(", "));
+        self.report(text.place, field, expected);
+        Located {
+            value: default,
+            place: text.place,
+        }
+    }
+
+    /// Reads a list of texts. An absent field is an empty list.
+    pub fn texts(&mut self, field: &'static str) -> Vec<Located<String>> {
+        let Some(items) = self.sequence(field) else {
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for item in items.iter() {
+            let place = span_place(item.span());
+            match item.as_scalar() {
+                Some(scalar) => texts.push(Located {
+                    value: scalar.as_str().to_string(),
+                    place,
+                }),
+                None => self.report(place, field, "expected a list of texts"),
+            }
+        }
+        texts
+    }
+
+    /// Reads a list of mappings. An absent field is an empty list.
+    pub fn mappings(&mut self, field: &'static str) -> Vec<MappingReader<'a>> {
+        let Some(items) = self.sequence(field) else {
+            return Vec::new();
+        };
+        let mut readers = Vec::new();
+        for (index, item) in items.iter().enumerate() {
+            match item.as_mapping() {
+                Some(node) => readers.push(self.child(&format!("{field}[{index}]"), node)),
+                None => self.report(
+                    span_place(item.span()),
+                    field,
+                    "expected a list of mappings",
+                ),
+            }
+        }
+        readers
+    }
+
+    /// Reads a mapping if the field is present.
+    pub fn mapping(&mut self, field: &'static str) -> Option<MappingReader<'a>> {
+        self.remember(field);
+        let node = self.node.get_node(field)?;
+        let child = node.as_mapping().map(|node| self.child(field, node));
+        if child.is_none() {
+            self.report(span_place(node.span()), field, "expected a mapping");
+        }
+        child
+    }
+
+    /// Reports the fields that no call has read.
+    pub fn finish(self) {
+        for name in self.node.keys() {
+            if !self.known.contains(&name.as_str()) {
+                let expected = format!("unknown field; expected one of: {}", self.known.join(", "));
+                self.report(span_place(name.span()), name.as_str(), expected);
+            }
+        }
+    }
+
+    fn scalar(&mut self, field: &'static str) -> Option<&'a MarkedScalarNode> {
+        self.remember(field);
+        self.node.get_node(field)?.as_scalar()
+    }
+
+    fn sequence(&mut self, field: &'static str) -> Option<&'a MarkedSequenceNode> {
+        self.remember(field);
+        let node = self.node.get_node(field)?;
+        let items = node.as_sequence();
+        if items.is_none() {
+            self.report(span_place(node.span()), field, "expected a list");
+        }
+        items
+    }
+
+    fn missing<T: Default>(&self, field: &str, expected: &str) -> Located<T> {
+        let place = self.field_place(field);
+        self.report(place, field, format!("expected {expected}"));
+        Located {
+            value: T::default(),
+            place,
+        }
+    }
+
+    fn child(&self, field: &str, node: &'a MarkedMappingNode) -> MappingReader<'a> {
+        MappingReader {
+            findings: self.findings,
+            node,
+            path: self.field_path(field),
+            known: Vec::new(),
+        }
+    }
+
+    fn remember(&mut self, field: &'static str) {
+        if !self.known.contains(&field) {
+            self.known.push(field);
+        }
+    }
+
+    fn field_path(&self, field: &str) -> String {
+        if self.path.is_empty() {
+            field.to_string()
+        } else {
+            format!("{}.{field}", self.path)
+        }
+    }
+}
+
+fn span_place(span: &Span) -> FindingPlace {
+    span.start().map(marker_place).unwrap_or_default()
+}
+
+fn marker_place(marker: &Marker) -> FindingPlace {
+    FindingPlace {
+        line: u32::try_from(marker.line()).unwrap_or(u32::MAX),
+        column: u32::try_from(marker.column()).unwrap_or(u32::MAX),
+    }
+}
+
+fn load_error_place(error: &marked_yaml::LoadError) -> FindingPlace {
+    use marked_yaml::LoadError;
+    match error {
+        LoadError::TopLevelMustBeMapping(marker)
+        | LoadError::TopLevelMustBeSequence(marker)
+        | LoadError::UnexpectedAnchor(marker)
+        | LoadError::MappingKeyMustBeScalar(marker)
+        | LoadError::UnexpectedTag(marker)
+        | LoadError::ScanError(marker, _) => marker_place(marker),
+        LoadError::DuplicateKey(duplicate) => span_place(duplicate.key.span()),
+    }
+}
--- /dev/null
+++ b/crates/model/src/raw_reader.rs
@@ -0,0 +1,243 @@
+//! Reads a [`RawFleet`] from YAML or JSON.
+
+use crate::document::{DocumentReader, MappingReader};
+use crate::findings::{FindingList, Located};
+use crate::fleet::{IsolationMode, ShiftState, WorkClass};
+use crate::raw_fleet::{
+    DrainKind, RawAccess, RawAccount, RawBlock, RawCap, RawDepartment, RawDrain, RawFleet,
+    RawIsolation, RawLink, RawPool, RawRegion, RawRoute, RawSeat, RawShift, RawSite, RawUpstream,
+};
+
+const MAX_RATE_PER_S: u64 = 10_000_000;
+const MAX_BURST: u64 = 10_000_000;
+const MAX_SLOTS: u64 = 100_000;
+const MAX_CONNECTIONS: u64 = 1_000_000;
+const MAX_LINK_MBIT_PER_S: u64 = 10_000_000;
+const MAX_LATENCY_MS: u64 = 10_000;
+const MAX_DEADLINE_MS: u64 = 600_000;
+const MAX_ISOLATION_S: u64 = 86_400;
+
+const DEFAULT_LINK_MBIT_PER_S: u64 = 4_000;
+const DEFAULT_LATENCY_MS: u64 = 50;
+const DEFAULT_CONNECTIONS: u64 = 400;
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+const DEFAULT_ISOLATION_S: u64 = 60;
+
+const CLASSES: [(&str, WorkClass); 4] = [
+    ("urgent", WorkClass::Urgent),
+    ("standard", WorkClass::Standard),
+    ("preview", WorkClass::Preview),
+    ("overnight", WorkClass::Overnight),
+];
+const ISOLATION_MODES: [(&str, IsolationMode); 2] = [
+    ("serve", IsolationMode::Serve),
+    ("refuse", IsolationMode::Refuse),
+];
+const SHIFT_STATES: [(&str, ShiftState); 3] = [
+    ("planned", ShiftState::Planned),
+    ("active", ShiftState::Active),
+    ("paused", ShiftState::Paused),
+];
+const DRAIN_KINDS: [(&str, DrainKind); 4] = [
+    ("upstream", DrainKind::Upstream),
+    ("instance", DrainKind::Instance),
+    ("region", DrainKind::Region),
+    ("department", DrainKind::Department),
+];
+
+impl RawFleet {
+    /// Reads a document. Faults are kept in [`RawFleet::findings`].
+    #[must_use]
+    pub fn read(file: &str, text: &str) -> Self {
+        let findings = FindingList::new(file);
+        let mut fleet = {
+            let document = DocumentReader::new(text, &findings);
+            read_fleet(document.root())
+        };
+        fleet.findings = findings;
+        fleet
+    }
+}
+
+fn read_fleet(mut reader: MappingReader<'_>) -> RawFleet {
+    let seats_place = reader.field_place("seats");
+    let fleet = RawFleet {
+        seats_place,
+        regions: read_all(&mut reader, "regions", read_region),
+        links: read_all(&mut reader, "links", read_link),
+        seats: read_all(&mut reader, "seats", read_seat),
+        departments: read_all(&mut reader, "departments", read_department),
+        client_accounts: read_all(&mut reader, "client_accounts", read_account),
+        pools: read_all(&mut reader, "pools", read_pool),
+        routes: read_all(&mut reader, "routes", read_route),
+        shifts: read_all(&mut reader, "shifts", read_shift),
+        drains: read_all(&mut reader, "drains", read_drain),
+        sites: read_all(&mut reader, "sites", read_site),
+        blocks: read_all(&mut reader, "blocks", read_block),
+        findings: FindingList::default(),
+    };
+    reader.finish();
+    fleet
+}
+
+fn read_all<T>(
+    reader: &mut MappingReader<'_>,
+    field: &'static str,
+    read: impl Fn(&mut MappingReader<'_>) -> T,
+) -> Vec<T> {
+    let mut records = Vec::new();
+    for mut item in reader.mappings(field) {
+        records.push(read(&mut item));
+        item.finish();
+    }
+    records
+}
+
+fn read_region(reader: &mut MappingReader<'_>) -> RawRegion {
+    RawRegion {
+        name: reader.text("name"),
+        failure_domains: reader.texts("failure_domains"),
+    }
+}
+
+fn read_link(reader: &mut MappingReader<'_>) -> RawLink {
+    RawLink {
+        between: reader.texts("between"),
+        capacity_mbit_per_s: reader.number_or(
+            "capacity_mbit_per_s",
+            1..=MAX_LINK_MBIT_PER_S,
+            DEFAULT_LINK_MBIT_PER_S,
+        ),
+        latency_ms: reader.number_or("latency_ms", 0..=MAX_LATENCY_MS, DEFAULT_LATENCY_MS),
+    }
+}
+
+fn read_seat(reader: &mut MappingReader<'_>) -> RawSeat {
+    RawSeat {
+        name: reader.text("name"),
+        failure_domain: reader.text("failure_domain"),
+    }
+}
+
+fn read_department(reader: &mut MappingReader<'_>) -> RawDepartment {
+    RawDepartment {
+        name: reader.text("name"),
+    }
+}
+
+fn read_account(reader: &mut MappingReader<'_>) -> RawAccount {
+    RawAccount {
+        name: reader.text("name"),
+        department: reader.text("department"),
+        rate_per_s: reader.number("rate_per_s", 1..=MAX_RATE_PER_S),
+        burst: reader.number("burst", 1..=MAX_BURST),
+        access_keys: read_all(reader, "access_keys", |reader| RawAccess {
+            label: reader.text("label"),
+            sha256: reader.text("sha256"),
+        }),
+    }
+}
+
+fn read_pool(reader: &mut MappingReader<'_>) -> RawPool {
+    RawPool {
+        name: reader.text("name"),
+        upstreams: read_all(reader, "upstreams", read_upstream),
+    }
+}
+
+fn read_upstream(reader: &mut MappingReader<'_>) -> RawUpstream {
+    RawUpstream {
+        name: reader.text("name"),
+        address: reader.text("address"),
+        failure_domain: reader.text("failure_domain"),
+        slots: reader.number("slots", 1..=MAX_SLOTS),
+        connections: reader.number_or("connections", 1..=MAX_CONNECTIONS, DEFAULT_CONNECTIONS),
+    }
+}
+
+fn read_route(reader: &mut MappingReader<'_>) -> RawRoute {
+    RawRoute {
+        name: reader.text("name"),
+        department: reader.text("department"),
+        path_prefix: reader.text("path_prefix"),
+        pool: reader.text("pool"),
+        class: reader.choice_or("class", &CLASSES, WorkClass::Standard),
+        open: reader.flag_or("open", false),
+        accounts: reader.texts("accounts"),
+        deadline_ms: reader.number_or("deadline_ms", 1..=MAX_DEADLINE_MS, DEFAULT_DEADLINE_MS),
+        idempotent_methods: reader.texts("idempotent_methods"),
+        isolation: read_isolation(reader),
+    }
+}
+
+fn read_isolation(reader: &mut MappingReader<'_>) -> RawIsolation {
+    let Some(mut isolation) = reader.mapping("isolation") else {
+        return RawIsolation {
+            mode: Located::unplaced(IsolationMode::Refuse),
+            limit_s: Located::unplaced(DEFAULT_ISOLATION_S),
+        };
+    };
+    let raw = RawIsolation {
+        mode: isolation.choice_or("mode", &ISOLATION_MODES, IsolationMode::Refuse),
+        limit_s: isolation.number_or("limit_s", 0..=MAX_ISOLATION_S, DEFAULT_ISOLATION_S),
+    };
+    isolation.finish();
+    raw
+}
+
+fn read_shift(reader: &mut MappingReader<'_>) -> RawShift {
+    RawShift {
+        name: reader.text("name"),
+        route: reader.text("route"),
+        from: reader.text("from"),
+        to: reader.text("to"),
+        cap: read_cap(reader),
+        state: reader.choice_or("state", &SHIFT_STATES, ShiftState::Planned),
+    }
+}
+
+fn read_cap(reader: &mut MappingReader<'_>) -> RawCap {
+    let place = reader.place();
+    let Some(mut cap) = reader.mapping("cap") else {
+        return RawCap {
+            share_percent: None,
+            rate_per_s: None,
+            place,
+        };
+    };
+    let share_percent = cap
+        .has("share_percent")
+        .then(|| cap.number("share_percent", 0..=100));
+    let rate_per_s = cap
+        .has("rate_per_s")
+        .then(|| cap.number("rate_per_s", 0..=MAX_RATE_PER_S));
+    let place = cap.place();
+    cap.finish();
+    RawCap {
+        share_percent,
+        rate_per_s,
+        place,
+    }
+}
+
+fn read_drain(reader: &mut MappingReader<'_>) -> RawDrain {
+    let kind = reader.choice_or("kind", &DRAIN_KINDS, DrainKind::Upstream);
+    RawDrain {
+        kind,
+        name: reader.text("name"),
+    }
+}
+
+fn read_site(reader: &mut MappingReader<'_>) -> RawSite {
+    RawSite {
+        name: reader.text("name"),
+        failure_domains: reader.texts("failure_domains"),
+    }
+}
+
+fn read_block(reader: &mut MappingReader<'_>) -> RawBlock {
+    RawBlock {
+        block: reader.text("block"),
+        site: reader.text("site"),
+    }
+}
--- /dev/null
+++ b/crates/process-tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Starts the programs of the workspace as child processes for tests.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,1 +1,28 @@
-//! Placeholder.
+//! The inner protocol: messages between daemons and their framing.
+//!
+//! A connection carries [`PeerFrame`]s, each with a length before it. The first frame in each
+//! direction is a [`HelloMessage`]. Durations are in milliseconds; no message carries a point in
+//! time, because the clocks of two daemons cannot be compared.
+//!
+//! ```
+//! use bytes::BytesMut;
+//! use coltsfootkeel_protocol::{FrameCodec, PeerBody, PeerFrame, SeatProbe};
+//! use tokio_util::codec::{Decoder, Encoder};
+//!
+//! let probe = SeatProbe { seat: "penang-a-1".to_string(), incarnation: 7 };
+//! let frame = PeerFrame::new(1, PeerBody::SeatProbe(probe));
+//! let mut bytes = BytesMut::new();
+//! let mut codec = FrameCodec::new();
+//! codec.encode(frame.clone(), &mut bytes).unwrap();
+//! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
+//! ```
+
+mod frame_codec;
+mod messages;
+
+pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
+pub use messages::{
+    AnswerHeader, ConfigPull, ConfigPush, DrainNotice, HeartbeatMessage, HelloMessage, LimitKind,
+    LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
+    ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectNotice,
+};
