--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -1,6 +1,7 @@
 //! Reads fields of a YAML or JSON document and collects what does not fit, with its place.
 
 use std::ops::RangeInclusive;
+use std::sync::OnceLock;
 
 use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode, MarkedSequenceNode};
 use marked_yaml::{LoaderOptions, Marker, Node, Span};
@@ -40,6 +41,7 @@
         MappingReader {
             findings: self.findings,
             node: &self.root,
+            origin: span_place(self.root.span()),
             path: String::new(),
             known: Vec::new(),
         }
@@ -52,6 +54,7 @@
 pub struct MappingReader<'a> {
     findings: &'a FindingList,
     node: &'a MarkedMappingNode,
+    origin: FindingPlace,
     path: String,
     known: Vec<&'static str>,
 }
@@ -60,7 +63,7 @@
     /// Returns the place of the mapping.
     #[must_use]
     pub fn place(&self) -> FindingPlace {
-        span_place(self.node.span())
+        self.origin
     }
 
     /// Returns the place of a field, or of the mapping if the field is absent.
@@ -223,6 +226,18 @@
         child
     }
 
+    /// Returns a reader of an absent mapping: its required fields are reported at the place of this mapping.
+    #[must_use]
+    pub fn absent(&self, field: &str) -> MappingReader<'a> {
+        MappingReader {
+            findings: self.findings,
+            node: empty_mapping(),
+            origin: self.origin,
+            path: self.field_path(field),
+            known: Vec::new(),
+        }
+    }
+
     /// Reports the fields that no call has read.
     pub fn finish(self) {
         for name in self.node.keys() {
@@ -261,6 +276,7 @@
         MappingReader {
             findings: self.findings,
             node,
+            origin: span_place(node.span()),
             path: self.field_path(field),
             known: Vec::new(),
         }
@@ -281,6 +297,11 @@
     }
 }
 
+fn empty_mapping() -> &'static MarkedMappingNode {
+    static EMPTY: OnceLock<MarkedMappingNode> = OnceLock::new();
+    EMPTY.get_or_init(|| MarkedMappingNode::new_empty(Span::new_blank()))
+}
+
 fn span_place(span: &Span) -> FindingPlace {
     span.start().map(marker_place).unwrap_or_default()
 }
