--- /dev/null
+++ b/crates/daemon/src/answer_body.rs
@@ -0,0 +1,139 @@
+//! The body of an upstream's response on its way to the caller.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time::{Instant, Sleep};
+
+use crate::access_watch::AccessWatch;
+
+/// How often a response that makes no progress checks whether its key was withdrawn.
+const WATCH_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why a body ended before it was complete. The caller's connection is closed without the end of the body, so a part is
+/// never taken for the whole.
+#[derive(Debug, Error)]
+pub enum AnswerError {
+    /// The upstream's connection broke.
+    #[error("upstream broke off its response: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The request's deadline passed.
+    #[error("deadline passed within the response")]
+    Deadline,
+    /// The access key was withdrawn.
+    #[error("access key was withdrawn within the response")]
+    Withdrawn,
+}
+
+/// What happens when the body has ended: called with `true` if it was complete.
+pub type EndHook = Box<dyn FnOnce(bool) + Send + Sync>;
+
+/// A response body that is complete, or visibly broken.
+pub struct AnswerBody {
+    body: Incoming,
+    deadline: Instant,
+    watch: Option<Arc<AccessWatch>>,
+    timer: Pin<Box<Sleep>>,
+    end: Option<EndHook>,
+}
+
+impl AnswerBody {
+    /// Wraps a body. `end` is called once: at the end of the body, at an error, or when the caller leaves.
+    #[must_use]
+    pub fn new(
+        body: Incoming,
+        deadline: Instant,
+        watch: Option<Arc<AccessWatch>>,
+        end: EndHook,
+    ) -> Self {
+        let first_check = deadline.min(Instant::now() + WATCH_PERIOD);
+        Self {
+            body,
+            deadline,
+            watch,
+            timer: Box::pin(tokio::time::sleep_until(first_check)),
+            end: Some(end),
+        }
+    }
+
+    fn finish(&mut self, complete: bool) {
+        if let Some(end) = self.end.take() {
+            end(complete);
+        }
+    }
+
+    fn interruption(&mut self, context: &mut Context<'_>) -> Option<AnswerError> {
+        if self.watch.as_ref().is_some_and(|watch| watch.is_withdrawn()) {
+            return Some(AnswerError::Withdrawn);
+        }
+        while self.timer.as_mut().poll(context).is_ready() {
+            let now = Instant::now();
+            if now >= self.deadline {
+                return Some(AnswerError::Deadline);
+            }
+            let next_check = self.deadline.min(now + WATCH_PERIOD);
+            self.timer.as_mut().reset(next_check);
+        }
+        None
+    }
+}
+
+impl HttpBody for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        if self.end.is_none() {
+            return Poll::Ready(None);
+        }
+        if let Some(error) = self.interruption(context) {
+            self.finish(false);
+            return Poll::Ready(Some(Err(error)));
+        }
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(frame) => frame,
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                // A body with a known length is not polled again after its last frame.
+                if self.body.is_end_stream() {
+                    self.finish(true);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                self.finish(false);
+                Poll::Ready(Some(Err(error.into())))
+            }
+            None => {
+                self.finish(true);
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        let complete = self.body.is_end_stream();
+        self.finish(complete);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller_request.rs
@@ -0,0 +1,187 @@
+//! The parts of a caller's request that decisions need, and its body.
+
+use bytes::Bytes;
+use coltsfootkeel_model::AccessDigest;
+use http::Method;
+use http_body_util::{BodyExt, Limited};
+use sha2::{Digest, Sha256};
+use volo_http::body::Body;
+use volo_http::request::Request;
+
+use coltsfootkeel_decisions::RefusalKind;
+
+use crate::header_rules;
+use crate::prefixed_body::PrefixedBody;
+
+/// Bodies up to this length in bytes are read before the request is sent, so that they can be sent again.
+pub const MAX_REPLAYABLE_BYTES: u64 = 64 * 1024;
+
+/// The longest idempotency key in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+
+/// The number of body bytes that take part in a fingerprint.
+const FINGERPRINT_BYTES: usize = 4 * 1024;
+
+/// The head of a caller's request.
+#[derive(Debug)]
+pub struct CallerHead {
+    /// The method.
+    pub method: Method,
+    /// The path without the query.
+    pub path: String,
+    /// The path with the query.
+    pub path_and_query: String,
+    /// The digest of the access key, if the request carries one.
+    pub access: Option<AccessDigest>,
+    /// The idempotency key, if the request carries one.
+    pub idempotency_key: Option<String>,
+    /// The length of the body, if the head states it.
+    pub content_length: Option<u64>,
+}
+
+impl CallerHead {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is refused.
+    pub fn read(request: &Request, max_body_bytes: u64) -> Result<Self, RefusalKind> {
+        let headers = request.headers();
+        let path_and_query = request.uri().path_and_query().ok_or(RefusalKind::Malformed)?;
+        if request.method() == Method::CONNECT || !path_and_query.path().starts_with('/') {
+            return Err(RefusalKind::Malformed);
+        }
+        if request.version() == http::Version::HTTP_11 && !header_rules::has_host(headers) {
+            return Err(RefusalKind::Malformed);
+        }
+        let content_length = header_rules::content_length(headers);
+        if content_length.is_some_and(|length| length > max_body_bytes) {
+            return Err(RefusalKind::BodyTooLarge);
+        }
+        Ok(Self {
+            method: request.method().clone(),
+            path: path_and_query.path().to_string(),
+            path_and_query: path_and_query.as_str().to_string(),
+            access: header_rules::access_key(headers).map(AccessDigest::of_key),
+            idempotency_key: idempotency_key(headers)?,
+            content_length,
+        })
+    }
+
+    /// Returns a digest of what makes two requests with one idempotency key the same request.
+    #[must_use]
+    pub fn request_digest(&self, body: Option<&Bytes>) -> u64 {
+        let mut hash = Sha256::new();
+        hash.update(self.method.as_str());
+        hash.update([0]);
+        hash.update(&self.path_and_query);
+        hash.update([0]);
+        if let Some(body) = body {
+            hash.update(body);
+        }
+        first_number(&hash.finalize())
+    }
+}
+
+/// A caller's body: small ones are read whole, so that they can be sent again.
+#[derive(Debug)]
+pub enum CallerBody {
+    /// The whole body.
+    Whole(Bytes),
+    /// A body that is passed on while it arrives, and the digest of its first bytes.
+    Streamed {
+        /// The body, until an attempt takes it.
+        body: Option<Body>,
+        /// The digest of its first bytes.
+        start_digest: u64,
+    },
+}
+
+impl CallerBody {
+    /// Reads the body if it is small.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RefusalKind::Malformed`] if the body breaks off.
+    pub async fn read(head: &CallerHead, body: Body, max_body_bytes: u64) -> Result<Self, RefusalKind> {
+        match head.content_length {
+            Some(length) if length <= MAX_REPLAYABLE_BYTES => {}
+            None if http_body::Body::is_end_stream(&body) => return Ok(Self::Whole(Bytes::new())),
+            _ => return Self::read_start(body, max_body_bytes).await,
+        }
+        let collected = body.collect().await.map_err(|_| RefusalKind::Malformed)?;
+        Ok(Self::Whole(collected.to_bytes()))
+    }
+
+    async fn read_start(body: Body, max_body_bytes: u64) -> Result<Self, RefusalKind> {
+        let body = PrefixedBody::read_ahead(body, FINGERPRINT_BYTES)
+            .await
+            .map_err(|_| RefusalKind::Malformed)?;
+        let start = &body.prefix()[..body.prefix().len().min(FINGERPRINT_BYTES)];
+        let start_digest = first_number(&Sha256::digest(start));
+        let limit = usize::try_from(max_body_bytes).unwrap_or(usize::MAX);
+        Ok(Self::Streamed {
+            body: Some(Body::from_body(Limited::new(body, limit))),
+            start_digest,
+        })
+    }
+
+    /// Returns the body for one attempt, or nothing if it was given away already.
+    pub fn take(&mut self) -> Option<Body> {
+        match self {
+            Self::Whole(bytes) => Some(Body::from(bytes.clone())),
+            Self::Streamed { body, .. } => body.take(),
+        }
+    }
+
+    /// Takes back a body that an attempt did not use.
+    pub fn put_back(&mut self, body: Body) {
+        if let Self::Streamed { body: slot, .. } = self {
+            *slot = Some(body);
+        }
+    }
+
+    /// Tells whether the body can be sent again.
+    #[must_use]
+    pub fn is_replayable(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+
+    /// Returns the bytes of a body that was read whole.
+    #[must_use]
+    pub fn bytes(&self) -> Option<&Bytes> {
+        match self {
+            Self::Whole(bytes) => Some(bytes),
+            Self::Streamed { .. } => None,
+        }
+    }
+
+    /// Returns the digest of the body's first bytes, for the fingerprint of a request.
+    #[must_use]
+    pub fn fingerprint_digest(&self) -> u64 {
+        match self {
+            Self::Whole(bytes) => {
+                let start = &bytes[..bytes.len().min(FINGERPRINT_BYTES)];
+                first_number(&Sha256::digest(start))
+            }
+            Self::Streamed { start_digest, .. } => *start_digest,
+        }
+    }
+}
+
+fn idempotency_key(headers: &http::HeaderMap) -> Result<Option<String>, RefusalKind> {
+    let Some(value) = headers.get(header_rules::IDEMPOTENCY_KEY_HEADER) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| RefusalKind::Malformed)?;
+    if text.is_empty() || text.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        return Err(RefusalKind::Malformed);
+    }
+    Ok(Some(text.to_string()))
+}
+
+fn first_number(digest: &[u8]) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(bytes)
+}
--- /dev/null
+++ b/crates/daemon/src/http_listener.rs
@@ -0,0 +1,183 @@
+//! Accepts HTTP connections and serves them with a `volo-http` service.
+//!
+//! `volo-http`'s own `Server::run` is not used: it installs signal handlers and cuts requests that run
+//! longer than about 30 s after SIGTERM, spins when accepting fails, listens with `SO_REUSEPORT`, and sets no limit
+//! to the time a caller takes to send a request's head.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::context::ServerContext;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+/// Time between two attempts to accept after a failure, so that running out of file descriptors does not
+/// keep a processor busy.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// The largest head of a request in bytes; a longer one is answered with 431.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Limits of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerLimits {
+    /// The most connections at once; further callers wait in the operating system's queue.
+    pub max_connections: usize,
+    /// The time a caller has to send the head of a request, and the longest time a connection stays idle.
+    pub header_timeout: Duration,
+}
+
+/// Stops a listener and waits for its connections.
+#[derive(Debug, Clone, Default)]
+pub struct ListenerStop {
+    token: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl ListenerStop {
+    /// Stops accepting, closes idle connections and lets running requests finish.
+    pub fn stop(&self) {
+        self.token.cancel();
+        self.connections.close();
+    }
+
+    /// Waits until every connection is closed. Call [`stop`](Self::stop) first.
+    pub async fn finished(&self) {
+        self.connections.wait().await;
+    }
+}
+
+/// A service for HTTP requests of callers.
+pub trait HttpService: Send + Sync + 'static {
+    /// Answers one request.
+    fn call(&self, peer: SocketAddr, request: Request) -> impl Future<Output = Response> + Send;
+}
+
+/// A `volo-http` router as a service.
+#[derive(Clone)]
+pub struct RouterService {
+    router: Arc<volo_http::server::Router>,
+}
+
+impl RouterService {
+    /// Wraps a router.
+    #[must_use]
+    pub fn new(router: volo_http::server::Router) -> Self {
+        Self {
+            router: Arc::new(router),
+        }
+    }
+}
+
+impl HttpService for RouterService {
+    async fn call(&self, peer: SocketAddr, request: Request) -> Response {
+        let mut context = ServerContext::new(Address::from(peer));
+        let Ok(response) = volo::Service::call(&*self.router, &mut context, request).await;
+        response
+    }
+}
+
+/// Binds a listener. The address is not shared: a port that is taken is an error.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the address cannot be bound.
+pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts connections until the listener is stopped.
+pub async fn serve<S: HttpService>(
+    listener: TcpListener,
+    service: Arc<S>,
+    limits: ListenerLimits,
+    stop: ListenerStop,
+) {
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    loop {
+        let accepted = tokio::select! {
+            () = stop.token.cancelled() => return,
+            accepted = accept(&listener, &permits) => accepted,
+        };
+        let (stream, peer, permit) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("listener: Accepting a connection failed: {error}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        let service = Arc::clone(&service);
+        let token = stop.token.clone();
+        stop.connections.spawn(async move {
+            serve_connection(stream, peer, service, limits, token).await;
+            drop(permit);
+        });
+    }
+}
+
+type AcceptedStream = (TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit);
+
+async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> std::io::Result<AcceptedStream> {
+    let permit = Arc::clone(permits)
+        .acquire_owned()
+        .await
+        .map_err(std::io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    stream.set_nodelay(true)?;
+    Ok((stream, peer, permit))
+}
+
+async fn serve_connection<S: HttpService>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    service: Arc<S>,
+    limits: ListenerLimits,
+    token: CancellationToken,
+) {
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), ConnectionService { service, peer });
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = token.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("listener: Connection of {peer} ended: {error}");
+    }
+}
+
+struct ConnectionService<S> {
+    service: Arc<S>,
+    peer: SocketAddr,
+}
+
+impl<S: HttpService> hyper::service::Service<hyper::Request<Incoming>> for ConnectionService<S> {
+    type Response = Response;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response, Infallible>> + Send>>;
+
+    fn call(&self, request: hyper::Request<Incoming>) -> Self::Future {
+        let service = Arc::clone(&self.service);
+        let peer = self.peer;
+        Box::pin(async move { Ok(service.call(peer, request.map(Body::from_incoming)).await) })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/log_setup.rs
@@ -0,0 +1,89 @@
+//! Log lines by `log` and `fern`: text for people or one JSON object a line.
+
+use std::fmt::Write;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use coltsfootkeel_settings::{LogFormat, LogSettings};
+use log::kv::{Error as FieldError, Key, Value, VisitSource};
+
+use crate::log_limit::LogLimit;
+
+/// Sets up the logger of the process. Lines go to standard error.
+///
+/// # Errors
+///
+/// Returns an error if a logger is already set.
+pub fn set_up(settings: LogSettings) -> Result<(), log::SetLoggerError> {
+    let format = match settings.format {
+        LogFormat::Text => text_line,
+        LogFormat::Json => json_line,
+    };
+    let limit = LogLimit::new();
+    fern::Dispatch::new()
+        .level(settings.level)
+        .level_for("hyper", log::LevelFilter::Warn)
+        .filter(move |metadata| limit.allows(metadata))
+        .format(move |out, message, record| {
+            let fields = LineFields::of(record);
+            out.finish(format_args!("{}", format(&message.to_string(), record.level(), &fields)));
+        })
+        .chain(std::io::stderr())
+        .apply()
+}
+
+/// The key-value fields of a record, in the order in which they were given.
+#[derive(Debug, Default)]
+struct LineFields {
+    fields: Vec<LineField>,
+}
+
+#[derive(Debug)]
+struct LineField {
+    name: String,
+    value: String,
+}
+
+impl LineFields {
+    fn of(record: &log::Record<'_>) -> Self {
+        let mut fields = Self::default();
+        // Visiting cannot fail: the visitor below never returns an error.
+        let _ = record.key_values().visit(&mut fields);
+        fields
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for LineFields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), FieldError> {
+        self.fields.push(LineField {
+            name: key.to_string(),
+            value: value.to_string(),
+        });
+        Ok(())
+    }
+}
+
+fn text_line(message: &str, level: log::Level, fields: &LineFields) -> String {
+    let mut line = format!("{:.3} {level:5} {message}", seconds_since_epoch());
+    for field in &fields.fields {
+        // Writing to a string cannot fail.
+        let _ = write!(line, " {}={}", field.name, field.value);
+    }
+    line
+}
+
+fn json_line(message: &str, level: log::Level, fields: &LineFields) -> String {
+    let mut object = serde_json::Map::new();
+    object.insert("time_s".into(), seconds_since_epoch().into());
+    object.insert("level".into(), level.as_str().into());
+    object.insert("message".into(), message.into());
+    for field in &fields.fields {
+        object.insert(field.name.clone(), field.value.clone().into());
+    }
+    serde_json::Value::Object(object).to_string()
+}
+
+fn seconds_since_epoch() -> f64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0.0, |elapsed| elapsed.as_secs_f64())
+}
--- /dev/null
+++ b/crates/daemon/src/prefixed_body.rs
@@ -0,0 +1,76 @@
+//! A body whose first bytes were read ahead.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body::{Body as HttpBody, Frame, SizeHint};
+use http_body_util::BodyExt;
+use volo_http::body::Body;
+
+type BodyError = <Body as HttpBody>::Error;
+
+/// A body that yields the bytes read ahead before the rest.
+#[derive(Debug)]
+pub struct PrefixedBody {
+    prefix: Option<Bytes>,
+    rest: Body,
+}
+
+impl PrefixedBody {
+    /// Reads ahead until `length` bytes or the end of the body have arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the body if it breaks off.
+    pub async fn read_ahead(mut body: Body, length: usize) -> Result<Self, BodyError> {
+        let mut prefix = BytesMut::new();
+        while prefix.len() < length {
+            let Some(frame) = body.frame().await else { break };
+            // Trailers are dropped: they may not pass a hop unless both sides agreed on them.
+            if let Ok(data) = frame?.into_data() {
+                prefix.extend_from_slice(&data);
+            }
+        }
+        Ok(Self {
+            prefix: Some(prefix.freeze()),
+            rest: body,
+        })
+    }
+
+    /// Returns the bytes read ahead that were not yet yielded.
+    #[must_use]
+    pub fn prefix(&self) -> &[u8] {
+        self.prefix.as_deref().unwrap_or_default()
+    }
+}
+
+impl HttpBody for PrefixedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.prefix.take() {
+            Some(prefix) if !prefix.is_empty() => Poll::Ready(Some(Ok(Frame::data(prefix)))),
+            _ => Pin::new(&mut self.rest).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.prefix().is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let ahead = self.prefix().len() as u64;
+        let rest = self.rest.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + ahead);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + ahead);
+        }
+        hint
+    }
+}
--- a/crates/model/src/access_table.rs
+++ b/crates/model/src/access_table.rs
@@ -71,6 +71,11 @@
         self.grants.insert(digest, grant).is_none()
     }
 
+    /// Iterates over all keys and their grants, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (AccessDigest, AccessGrant)> {
+        self.grants.iter().map(|(digest, grant)| (*digest, *grant))
+    }
+
     /// Finds the grant of a key.
     #[must_use]
     pub fn find(&self, digest: AccessDigest) -> Option<AccessGrant> {
