decisions: types and signatures of the request rules

Cause: the daemon is built against these modules at the same time as they are tested.

`sha2` of the workspace becomes a dependency of the package: rendezvous hashing and fingerprints need a digest that is equal in all processes and that callers cannot steer.

--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -1,1 +1,343 @@
-//! Not built yet.
+//! Requests that may have crashed the upstreams that ran them.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use sha2::{Digest, Sha256};
+
+/// How long a crash counts.
+pub const SUSPECT_LIFE: Duration = Duration::from_mins(10);
+
+/// The number of crashes after which a fingerprint is refused.
+pub const REFUSED_AT: usize = 2;
+
+/// The bytes of the body that a fingerprint covers.
+pub const FINGERPRINT_BODY_BYTES: usize = 4 * 1024;
+
+/// Reports of one upstream within this time are about one crash, because each instance that was
+/// connected to the upstream numbers the crash by itself.
+const SAME_CRASH: Duration = Duration::from_secs(2);
+
+/// The most fingerprints that are remembered.
+const MOST_SUSPECTS: usize = 4_096;
+
+/// The parts of a request that are known before its body.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestHead<'a> {
+    /// The name of the client account; empty on a route open to all.
+    pub account: &'a str,
+    /// The method.
+    pub method: &'a str,
+    /// The path and query.
+    pub target: &'a str,
+    /// The declared length of the body in bytes.
+    pub content_length: Option<u64>,
+}
+
+impl RequestHead<'_> {
+    /// Returns the fingerprint of the head.
+    #[must_use]
+    pub fn fingerprint(&self) -> HeadFingerprint {
+        HeadFingerprint(first_bytes(self.hasher()))
+    }
+
+    /// Returns the fingerprint of a request with this head, from the digest of the first
+    /// [`FINGERPRINT_BODY_BYTES`] of its body.
+    #[must_use]
+    pub fn with_body(&self, body: BodyDigest) -> SuspectFingerprint {
+        let hasher = self.hasher();
+        let head = first_bytes(hasher.clone());
+        let rest = first_bytes(hasher.chain_update(body.0));
+        SuspectFingerprint { head, rest }
+    }
+
+    /// Each text is preceded by its length, so that different heads never hash the same bytes.
+    fn hasher(&self) -> Sha256 {
+        let mut hasher = Sha256::new();
+        for text in [self.account, self.method, self.target] {
+            hasher.update((text.len() as u64).to_be_bytes());
+            hasher.update(text);
+        }
+        hasher.update([u8::from(self.content_length.is_some())]);
+        hasher.update(self.content_length.unwrap_or(0).to_be_bytes());
+        hasher
+    }
+}
+
+fn first_bytes(hasher: Sha256) -> [u8; 8] {
+    let digest = hasher.finalize();
+    std::array::from_fn(|index| digest[index])
+}
+
+/// A digest of the first [`FINGERPRINT_BODY_BYTES`] of a body.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct BodyDigest(pub [u8; 32]);
+
+/// A fingerprint of a request's head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct HeadFingerprint([u8; 8]);
+
+/// A fingerprint of a request. Its first half is that of the head, so that the head can be checked
+/// before the body has arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SuspectFingerprint {
+    head: [u8; 8],
+    rest: [u8; 8],
+}
+
+impl SuspectFingerprint {
+    /// Makes the fingerprint that [`to_bytes`](Self::to_bytes) returned.
+    #[must_use]
+    pub fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self {
+            head: std::array::from_fn(|index| bytes[index]),
+            rest: std::array::from_fn(|index| bytes[index + 8]),
+        }
+    }
+
+    /// Returns the fingerprint as bytes.
+    #[must_use]
+    pub fn to_bytes(self) -> [u8; 16] {
+        std::array::from_fn(|index| {
+            if index < 8 {
+                self.head[index]
+            } else {
+                self.rest[index - 8]
+            }
+        })
+    }
+
+    /// Returns the fingerprint of the head.
+    #[must_use]
+    pub const fn head(self) -> HeadFingerprint {
+        HeadFingerprint(self.head)
+    }
+}
+
+/// One crash of an upstream, as the instance that saw it numbered it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct CrashId {
+    /// The name of the upstream.
+    pub upstream: String,
+    /// The number of the crash, unique among all instances.
+    pub number: u64,
+}
+
+/// The requests that ran on an upstream when it crashed.
+#[derive(Debug, Clone)]
+pub struct CrashReport {
+    /// The crash.
+    pub crash: CrashId,
+    /// The fingerprints of the requests.
+    pub fingerprints: Vec<SuspectFingerprint>,
+}
+
+/// Crashes that a request did not cause, because a request with its fingerprint succeeded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClearReport {
+    /// The fingerprint.
+    pub fingerprint: SuspectFingerprint,
+    /// The crashes.
+    pub crashes: Vec<CrashId>,
+}
+
+/// One crash that counts, or did count, against a fingerprint.
+#[derive(Debug, Clone)]
+struct SuspectCrash {
+    crash: CrashId,
+    seen_at: MonotonicTime,
+    cleared: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct SuspectRecord {
+    crashes: Vec<SuspectCrash>,
+}
+
+impl SuspectRecord {
+    /// Counts the crashes that are not cleared, each upstream once within [`SAME_CRASH`].
+    fn count(&self) -> usize {
+        let open = || self.crashes.iter().filter(|crash| !crash.cleared);
+        open()
+            .enumerate()
+            .filter(|(index, crash)| !open().take(*index).any(|other| is_same(other, crash)))
+            .count()
+    }
+
+    fn is_refused(&self) -> bool {
+        self.count() >= REFUSED_AT
+    }
+
+    fn last_seen(&self) -> Option<MonotonicTime> {
+        self.crashes.iter().map(|crash| crash.seen_at).max()
+    }
+}
+
+fn is_same(one: &SuspectCrash, other: &SuspectCrash) -> bool {
+    let apart = one
+        .seen_at
+        .since(other.seen_at)
+        .max(other.seen_at.since(one.seen_at));
+    one.crash.upstream == other.crash.upstream && apart < SAME_CRASH
+}
+
+/// The suspects that one instance knows; owned by the control thread.
+///
+/// Crashes and clearances are merged as sets, so that reports of peers may arrive late, repeated and
+/// in any order.
+#[derive(Debug, Default)]
+pub struct SuspectList {
+    records: HashMap<SuspectFingerprint, SuspectRecord>,
+}
+
+impl SuspectList {
+    /// Makes an empty list.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a crash that this instance or a peer saw.
+    ///
+    /// Returns whether the published table is out of date.
+    pub fn add_crash(&mut self, now: MonotonicTime, report: &CrashReport) -> bool {
+        for fingerprint in &report.fingerprints {
+            let record = self.records.entry(*fingerprint).or_default();
+            let known = |seen: &SuspectCrash| seen.crash == report.crash;
+            if !record.crashes.iter().any(known) {
+                record.crashes.push(SuspectCrash {
+                    crash: report.crash.clone(),
+                    seen_at: now,
+                    cleared: false,
+                });
+            }
+        }
+        self.evict();
+        !report.fingerprints.is_empty()
+    }
+
+    /// Notes that a request with `fingerprint` was answered in full.
+    ///
+    /// Returns what to tell the peers, or nothing if the fingerprint is no suspect.
+    pub fn add_success(&mut self, fingerprint: SuspectFingerprint) -> Option<ClearReport> {
+        let record = self.records.get_mut(&fingerprint)?;
+        let mut crashes = Vec::new();
+        for crash in record.crashes.iter_mut().filter(|crash| !crash.cleared) {
+            crash.cleared = true;
+            crashes.push(crash.crash.clone());
+        }
+        (!crashes.is_empty()).then_some(ClearReport {
+            fingerprint,
+            crashes,
+        })
+    }
+
+    /// Adds what a peer cleared, including crashes that this instance has not heard of yet.
+    pub fn add_clearance(&mut self, now: MonotonicTime, report: &ClearReport) {
+        let record = self.records.entry(report.fingerprint).or_default();
+        for crash in &report.crashes {
+            match record.crashes.iter_mut().find(|seen| seen.crash == *crash) {
+                Some(seen) => seen.cleared = true,
+                None => record.crashes.push(SuspectCrash {
+                    crash: crash.clone(),
+                    seen_at: now,
+                    cleared: true,
+                }),
+            }
+        }
+        self.evict();
+    }
+
+    /// Forgets the fingerprints whose last crash is [`SUSPECT_LIFE`] ago.
+    ///
+    /// Returns whether the published table is out of date.
+    pub fn expire(&mut self, now: MonotonicTime) -> bool {
+        let before = self.records.len();
+        self.records.retain(|_, record| {
+            record
+                .last_seen()
+                .is_some_and(|seen| now.since(seen) < SUSPECT_LIFE)
+        });
+        self.records.len() != before
+    }
+
+    /// Makes the table for request threads.
+    #[must_use]
+    pub fn table(&self) -> SuspectTable {
+        let mut table = SuspectTable::default();
+        for (fingerprint, record) in &self.records {
+            if record.is_refused() {
+                table.refused_heads.insert(fingerprint.head());
+                table.refused.insert(*fingerprint);
+            }
+            if record.count() > 0 {
+                table.watched.insert(*fingerprint);
+            }
+        }
+        table
+    }
+
+    /// Returns the number of fingerprints.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether there is no fingerprint.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Removes the oldest fingerprints beyond the bound, those that are not refused first.
+    fn evict(&mut self) {
+        while self.records.len() > MOST_SUSPECTS {
+            let oldest = self
+                .records
+                .iter()
+                .min_by_key(|(fingerprint, record)| {
+                    (record.is_refused(), record.last_seen(), **fingerprint)
+                })
+                .map(|(fingerprint, _)| *fingerprint);
+            let Some(oldest) = oldest else {
+                return;
+            };
+            self.records.remove(&oldest);
+        }
+    }
+}
+
+/// The suspects as request threads see them. A published table does not change.
+#[derive(Debug, Clone, Default)]
+pub struct SuspectTable {
+    refused_heads: HashSet<HeadFingerprint>,
+    refused: HashSet<SuspectFingerprint>,
+    watched: HashSet<SuspectFingerprint>,
+}
+
+impl SuspectTable {
+    /// Tells whether no request is under suspicion, so that no fingerprint need be computed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.watched.is_empty()
+    }
+
+    /// Tells whether a request with this head may be refused, so that its body must be read first.
+    #[must_use]
+    pub fn suspects_head(&self, head: impl FnOnce() -> HeadFingerprint) -> bool {
+        !self.refused_heads.is_empty() && self.refused_heads.contains(&head())
+    }
+
+    /// Tells whether a request is refused.
+    #[must_use]
+    pub fn refuses(&self, fingerprint: SuspectFingerprint) -> bool {
+        self.refused.contains(&fingerprint)
+    }
+
+    /// Tells whether a success of a request must be reported to the control thread.
+    #[must_use]
+    pub fn wants_success(&self, fingerprint: SuspectFingerprint) -> bool {
+        self.watched.contains(&fingerprint)
+    }
+}
