decisions: types and first bodies of the steering decisions

Cause: the daemon is built against these types at the same time. Change: upstream health and its judge, upstream selection by tiers, shift and link meters, entry ranking, generation tracker and configuration age. Each has a book or judge owned by the control thread, which is kept by name across generations, and an immutable table or atomics for request threads. Ruled out: arena keys as the identity across generations, because another generation may number its records differently.

--- a/crates/decisions/src/config_age.rs
+++ b/crates/decisions/src/config_age.rs
@@ -1,1 +1,266 @@
-//! Not built yet.
+//! For how long an instance cannot exclude that an access key was withdrawn, and what follows.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{
+    ConfigVersion, DomainKey, FleetConfig, IsolationMode, IsolationRule, RegionKey,
+};
+
+/// A change is in force everywhere within this time, so a younger configuration is not in doubt.
+const AGE_WITHOUT_DOUBT: Duration = Duration::from_secs(5);
+
+/// Three heartbeats missed.
+const HEARD_WITHIN: Duration = Duration::from_secs(3);
+
+/// Heartbeats that waited in the buffers of the system while the process was paused are read in
+/// this time and tell nothing about the present.
+const BACKLOG_TIME: Duration = Duration::from_secs(2);
+
+/// Records of peers that have been silent for this long are dropped.
+const PEER_KEPT: Duration = Duration::from_mins(1);
+
+/// Earlier than any time of this process.
+const NEVER: i64 = i64::MIN;
+
+/// Whether a request with an access key is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IsolationDecision {
+    /// It is served.
+    Serve,
+    /// It is refused, because its key may have been withdrawn.
+    Refuse,
+}
+
+/// The last time at which no withdrawal can have been missed. The control thread writes it, request
+/// threads read it.
+///
+/// A time and not a flag: if the control thread stops, the doubt grows by itself.
+#[derive(Debug)]
+pub struct DoubtGauge {
+    sure_at_ns: AtomicI64,
+}
+
+impl DoubtGauge {
+    /// Makes a gauge that was never sure.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            sure_at_ns: AtomicI64::new(NEVER),
+        }
+    }
+
+    /// Decides about a request with an access key on a route with `rule`.
+    #[must_use]
+    pub fn decide(&self, rule: IsolationRule, now: MonotonicTime) -> IsolationDecision {
+        let may_serve = match rule.mode {
+            IsolationMode::Serve => true,
+            IsolationMode::Refuse => self.is_sure_within(AGE_WITHOUT_DOUBT + rule.limit, now),
+        };
+        if may_serve {
+            IsolationDecision::Serve
+        } else {
+            IsolationDecision::Refuse
+        }
+    }
+
+    /// Returns the time in doubt, or nothing if the instance was never sure.
+    #[must_use]
+    pub fn doubt(&self, now: MonotonicTime) -> Option<Duration> {
+        let sure_at = self.sure_at_ns.load(Ordering::Acquire);
+        (sure_at != NEVER).then(|| elapsed(sure_at, now))
+    }
+
+    fn is_sure_within(&self, limit: Duration, now: MonotonicTime) -> bool {
+        self.doubt(now).is_some_and(|doubt| doubt <= limit)
+    }
+
+    fn raise(&self, sure_at: i64) {
+        self.sure_at_ns.fetch_max(sure_at, Ordering::AcqRel);
+    }
+}
+
+impl Default for DoubtGauge {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What a heartbeat says about its sender's configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct PeerAge {
+    /// The failure domain of the sender.
+    pub domain: DomainKey,
+    /// The version in force there.
+    pub version: ConfigVersion,
+    /// The age it reports, or nothing if it never had contact.
+    pub age: Option<Duration>,
+    /// Whether it reaches the platform itself.
+    pub platform_reached: bool,
+}
+
+/// The age of the configuration, owned by the control thread.
+#[derive(Debug)]
+pub struct ConfigAge {
+    own_domain: DomainKey,
+    reached: bool,
+    confirmed_at: i64,
+    peers: BTreeMap<String, HeardAge>,
+    ignored_until: MonotonicTime,
+}
+
+#[derive(Debug)]
+struct HeardAge {
+    report: PeerAge,
+    heard: MonotonicTime,
+}
+
+impl ConfigAge {
+    /// Makes the age of an instance that has had no contact yet.
+    #[must_use]
+    pub fn new(own_domain: DomainKey) -> Self {
+        Self {
+            own_domain,
+            reached: false,
+            confirmed_at: NEVER,
+            peers: BTreeMap::new(),
+            ignored_until: MonotonicTime::default(),
+        }
+    }
+
+    /// Takes over a new configuration. Keys may be numbered differently, so what peers reported is
+    /// forgotten until their next heartbeat. The time of the last confirmation stays valid: what was
+    /// confirmed as the newest then is not newer than what is in force now.
+    pub fn apply(&mut self, own_domain: DomainKey) {
+        self.own_domain = own_domain;
+        self.peers.clear();
+    }
+
+    /// Records that the platform confirmed the version in force. `asked` is when the request was
+    /// sent, because a withdrawal may have been accepted while the answer was on its way.
+    pub fn note_confirmed(&mut self, asked: MonotonicTime) {
+        self.reached = true;
+        self.confirmed_at = self.confirmed_at.max(signed(asked));
+    }
+
+    /// Records whether this instance reaches the platform.
+    pub fn note_reached(&mut self, reached: bool) {
+        self.reached = reached;
+    }
+
+    /// Takes in a heartbeat.
+    pub fn note_peer(&mut self, instance: &str, report: PeerAge, now: MonotonicTime) {
+        if now < self.ignored_until {
+            return;
+        }
+        let heard = HeardAge { report, heard: now };
+        if self.peers.insert(instance.to_string(), heard).is_none() {
+            self.peers
+                .retain(|_, peer| now.since(peer.heard) <= PEER_KEPT);
+        }
+    }
+
+    /// Records that the process was paused, so that heartbeats from before are not taken as new.
+    pub fn note_pause(&mut self, now: MonotonicTime) {
+        self.peers.clear();
+        self.ignored_until = now + BACKLOG_TIME;
+    }
+
+    /// Tells whether this instance reaches the platform, for its heartbeat.
+    #[must_use]
+    pub fn platform_reached(&self) -> bool {
+        self.reached
+    }
+
+    /// Returns the age for this instance's heartbeat and status, or nothing if the configuration was
+    /// never confirmed. Called each second.
+    ///
+    /// The age of a peer counts only if it runs the same version: a peer that is behind may ask a
+    /// platform that restarted with older data.
+    pub fn age(&mut self, ours: ConfigVersion, now: MonotonicTime) -> Option<Duration> {
+        let best = self
+            .peers
+            .values()
+            .filter(|peer| peer.report.version == ours)
+            .filter_map(|peer| Some(signed(peer.heard) - signed_length(peer.report.age?)))
+            .max();
+        self.confirmed_at = self.confirmed_at.max(best.unwrap_or(NEVER));
+        (self.confirmed_at != NEVER).then(|| elapsed(self.confirmed_at, now))
+    }
+
+    /// Returns since when the platform is known to be down for everyone, if it is.
+    ///
+    /// That is so if an instance in every failure domain of `platform_region` is heard and none of
+    /// them reaches the platform. An instance that runs a newer version than ours proves that a change
+    /// was accepted. The time returned is that of the oldest heartbeat the conclusion rests on.
+    #[must_use]
+    pub fn platform_down_at(
+        &self,
+        config: &FleetConfig,
+        platform_region: RegionKey,
+        ours: ConfigVersion,
+        now: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        if self.reached {
+            return None;
+        }
+        let mut oldest = now;
+        for domain in &config.regions[platform_region].domains {
+            oldest = oldest.min(self.unreached_at(*domain, ours, now)?);
+        }
+        Some(oldest)
+    }
+
+    /// Publishes for request threads until when no withdrawal can have been missed. Called each second.
+    pub fn publish(
+        &mut self,
+        gauge: &DoubtGauge,
+        config: &FleetConfig,
+        platform_region: RegionKey,
+        ours: ConfigVersion,
+        now: MonotonicTime,
+    ) {
+        self.age(ours, now);
+        gauge.raise(self.confirmed_at);
+        if let Some(at) = self.platform_down_at(config, platform_region, ours, now) {
+            gauge.raise(signed(at));
+        }
+    }
+
+    /// Returns when every instance heard in `domain` was last known not to reach the platform.
+    fn unreached_at(
+        &self,
+        domain: DomainKey,
+        ours: ConfigVersion,
+        now: MonotonicTime,
+    ) -> Option<MonotonicTime> {
+        let mut latest = (domain == self.own_domain).then_some(now);
+        for peer in self.peers.values() {
+            let is_heard = now.since(peer.heard) <= HEARD_WITHIN;
+            if peer.report.domain != domain || !is_heard {
+                continue;
+            }
+            let is_newer = peer.report.version.generation > ours.generation;
+            if peer.report.platform_reached || is_newer {
+                return None;
+            }
+            latest = latest.max(Some(peer.heard));
+        }
+        latest
+    }
+}
+
+fn signed(time: MonotonicTime) -> i64 {
+    i64::try_from(time.as_nanos()).unwrap_or(i64::MAX)
+}
+
+fn signed_length(time: Duration) -> i64 {
+    i64::try_from(time.as_nanos()).unwrap_or(i64::MAX)
+}
+
+fn elapsed(since: i64, now: MonotonicTime) -> Duration {
+    let nanoseconds = signed(now).saturating_sub(since);
+    Duration::from_nanos(u64::try_from(nanoseconds).unwrap_or(0))
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,4 +21,22 @@
 mod upstream_choice;
 mod upstream_health;
 
+pub use config_age::{ConfigAge, DoubtGauge, IsolationDecision, PeerAge};
+pub use entry_ranking::{
+    EntryBook, EntryInstance, EntryKey, EntryTable, RANKED_MOST, RankedEntries,
+};
+pub use generation_tracker::{
+    ConfigFault, ConfigSource, DocumentOutcome, FleetView, GenerationTracker, OfferVerdict,
+    ReportedFault,
+};
+pub use link_meter::{LinkBook, LinkMeter};
+pub use shift_meter::{ShiftBook, ShiftMeter, ShiftMove, ShiftTable};
+pub use upstream_choice::{
+    ChoicePolicy, ChoiceRequest, ChoiceStart, TierCandidates, TierTable, UpstreamLane,
+};
+pub use upstream_health::{
+    DrainSource, FULL_RAMP_PERMILLE, HealthChange, HealthChangeKind, HealthJudge, LoadReport,
+    ProbeResult, RampPolicy, UpstreamHealth,
+};
+
 mod admission;
--- a/crates/decisions/src/link_meter.rs
+++ b/crates/decisions/src/link_meter.rs
@@ -1,1 +1,161 @@
-//! Not built yet.
+//! Bytes between regions, charged to this instance's share of each link.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_counters::{MonotonicTime, RateBucket};
+use coltsfootkeel_model::{ArenaKey, FleetConfig, RegionKey};
+
+/// One token is one KiB, so that a milli-token is about one byte.
+const BYTES_PER_TOKEN: u64 = 1_024;
+const MILLI: u64 = 1_000;
+const BITS_PER_MEGABIT: u64 = 1_000_000;
+const BITS_PER_BYTE: u64 = 8;
+
+/// Room for the ticks that a busy control thread may miss, and no more, because it is a burst on the link.
+const LINK_BURST: Duration = Duration::from_millis(100);
+
+/// A bucket for each ordered pair of regions, because a link has its capacity in each direction.
+#[derive(Debug)]
+pub struct LinkMeter {
+    region_count: usize,
+    buckets: Vec<Arc<RateBucket>>,
+}
+
+impl LinkMeter {
+    /// Tells whether a new request may cross from `home` to `other` and its response back.
+    ///
+    /// Within a region there is no link to overload.
+    #[must_use]
+    pub fn may_cross(&self, home: RegionKey, other: RegionKey) -> bool {
+        home == other || (self.has_room(home, other) && self.has_room(other, home))
+    }
+
+    /// Charges bytes that have crossed from one region to another.
+    pub fn charge(&self, from: RegionKey, to: RegionKey, bytes: u64) {
+        if from == to {
+            return;
+        }
+        if let Some(bucket) = self.bucket(from, to) {
+            bucket.charge(milli_tokens(bytes));
+        }
+    }
+
+    /// Returns the level of a direction in milli-KiB; negative while it is in debt.
+    #[must_use]
+    pub fn level(&self, from: RegionKey, to: RegionKey) -> i64 {
+        self.bucket(from, to).map_or(0, RateBucket::level)
+    }
+
+    fn has_room(&self, from: RegionKey, to: RegionKey) -> bool {
+        self.bucket(from, to)
+            .is_some_and(|bucket| bucket.level() >= 0 && bucket.capacity() > 0)
+    }
+
+    fn bucket(&self, from: RegionKey, to: RegionKey) -> Option<&RateBucket> {
+        let index = from.index() * self.region_count + to.index();
+        self.buckets.get(index).map(AsRef::as_ref)
+    }
+}
+
+fn milli_tokens(bytes: u64) -> i64 {
+    let milli = (bytes.saturating_mul(MILLI)).div_ceil(BYTES_PER_TOKEN);
+    i64::try_from(milli).unwrap_or(i64::MAX / 4)
+}
+
+/// The control thread's side: the buckets by name and their refill rates.
+#[derive(Debug, Default)]
+pub struct LinkBook {
+    links: HashMap<(String, String), LinkShare>,
+    last_refill: MonotonicTime,
+}
+
+#[derive(Debug)]
+struct LinkShare {
+    bucket: Arc<RateBucket>,
+    milli_per_s: u64,
+}
+
+impl LinkBook {
+    /// Makes a book without links.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over a configuration and returns the meter for its snapshot.
+    ///
+    /// The capacity of a link is split over the seats of its two regions, since both ends send over
+    /// it. `home` is the region of this instance and `held_seats` the number of seats it holds.
+    pub fn apply(
+        &mut self,
+        config: &FleetConfig,
+        home: RegionKey,
+        held_seats: usize,
+        now: MonotonicTime,
+    ) -> LinkMeter {
+        self.refill(now);
+        let mut before = std::mem::take(&mut self.links);
+        let region_count = config.regions.len();
+        let mut buckets = Vec::with_capacity(region_count * region_count);
+        for (from, from_record) in config.regions.iter() {
+            for (to, to_record) in config.regions.iter() {
+                let name = (from_record.name.clone(), to_record.name.clone());
+                let bucket = before
+                    .remove(&name)
+                    .map_or_else(Arc::default, |share| share.bucket);
+                let is_used = from != to && (from == home || to == home);
+                let milli_per_s = if is_used {
+                    share_milli_per_s(config, from, to, held_seats)
+                } else {
+                    0
+                };
+                bucket.set_capacity(milli_in(milli_per_s, LINK_BURST));
+                buckets.push(Arc::clone(&bucket));
+                let share = LinkShare {
+                    bucket,
+                    milli_per_s,
+                };
+                self.links.insert(name, share);
+            }
+        }
+        LinkMeter {
+            region_count,
+            buckets,
+        }
+    }
+
+    /// Refills the buckets for the time since the last call. Called on each tick.
+    pub fn refill(&mut self, now: MonotonicTime) {
+        let elapsed = now.since(self.last_refill);
+        self.last_refill = now;
+        for share in self.links.values() {
+            share.bucket.refill(milli_in(share.milli_per_s, elapsed));
+        }
+    }
+}
+
+fn share_milli_per_s(
+    config: &FleetConfig,
+    from: RegionKey,
+    to: RegionKey,
+    held_seats: usize,
+) -> u64 {
+    let seats_in = |region: RegionKey| {
+        config
+            .seats
+            .iter()
+            .filter(|(_, seat)| config.domains[seat.domain].region == region)
+            .count()
+    };
+    let seat_count = (seats_in(from) + seats_in(to)).max(1) as u64;
+    let bits = config.links.between(from, to).capacity_mbit_per_s * BITS_PER_MEGABIT;
+    let milli = bits / BITS_PER_BYTE * MILLI / BYTES_PER_TOKEN;
+    milli * (held_seats as u64).min(seat_count) / seat_count
+}
+
+fn milli_in(milli_per_s: u64, time: Duration) -> i64 {
+    let amount = u128::from(milli_per_s) * time.as_nanos() / 1_000_000_000;
+    i64::try_from(amount).unwrap_or(i64::MAX / 4)
+}
--- a/crates/decisions/src/upstream_choice.rs
+++ b/crates/decisions/src/upstream_choice.rs
@@ -1,1 +1,340 @@
-//! Not built yet.
+//! Selection of an upstream for one request, without a lock and without an allocation.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use coltsfootkeel_counters::SlotCounter;
+use coltsfootkeel_model::{
+    Arena, ArenaKey, DomainKey, FleetConfig, PoolKey, RegionKey, UpstreamKey,
+};
+
+use crate::link_meter::LinkMeter;
+use crate::upstream_health::UpstreamHealth;
+
+/// Stands in for the latency of an upstream before the first answer of its pool.
+const LATENCY_FLOOR_NS: u64 = 100_000;
+
+/// An upstream with this many failures in a row is about to be ejected; more do not change its cost.
+const MOST_FAILURES_WEIGHED: u32 = 5;
+
+/// The state of one upstream that request threads use.
+#[derive(Debug, Clone)]
+pub struct UpstreamLane {
+    /// The slots that this instance holds or has borrowed.
+    pub slots: Arc<SlotCounter>,
+    /// The health.
+    pub health: Arc<UpstreamHealth>,
+}
+
+impl UpstreamLane {
+    /// Returns what one more request would cost here, or nothing if none can be sent.
+    #[must_use]
+    pub fn cost(&self) -> Option<u64> {
+        if !self.health.is_usable() {
+            return None;
+        }
+        let allowed = self.health.allowed_slots(self.slots.capacity());
+        let used = self.slots.used();
+        if used >= allowed {
+            return None;
+        }
+        let latency_ns = u64::try_from(self.health.latency().as_nanos()).unwrap_or(u64::MAX);
+        let failures = self.health.failures_in_row().min(MOST_FAILURES_WEIGHED);
+        let weight = u64::from(self.health.load_percent()) * u64::from(1 + failures);
+        let queue = u64::from(used + 1) * weight;
+        Some(queue.saturating_mul(latency_ns.max(LATENCY_FLOOR_NS)) / u64::from(allowed))
+    }
+
+    /// Takes a slot unless the upstream is unusable, full, or at the limit of its ramp.
+    #[must_use]
+    pub fn try_take(&self) -> bool {
+        if !self.health.is_usable() || !self.slots.try_take() {
+            return false;
+        }
+        // The counter knows nothing of the ramp, so a slot beyond it is put back before it is used.
+        let allowed = self.health.allowed_slots(self.slots.capacity());
+        if self.slots.used() > allowed {
+            self.slots.put_back();
+            return false;
+        }
+        true
+    }
+}
+
+/// Where a request looks for an upstream first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChoiceStart {
+    /// The failure domain of this instance, then its region, then other regions.
+    Home,
+    /// One region only: the destination of a shift.
+    Region(RegionKey),
+}
+
+/// Upstreams of one pool that are equally near.
+#[derive(Debug, Clone)]
+struct ChoiceTier {
+    region: RegionKey,
+    upstreams: Vec<UpstreamKey>,
+}
+
+/// For each pool the tiers seen from the failure domain of this instance.
+#[derive(Debug)]
+pub struct TierTable {
+    home: RegionKey,
+    pools: Vec<PoolTiers>,
+}
+
+#[derive(Debug)]
+struct PoolTiers {
+    home: Vec<ChoiceTier>,
+    regions: Vec<ChoiceTier>,
+    cursor: AtomicU64,
+}
+
+impl TierTable {
+    /// Computes the tiers for an instance in the failure domain `home`.
+    #[must_use]
+    pub fn build(config: &FleetConfig, home: DomainKey) -> Self {
+        let pools = config
+            .pools
+            .keys()
+            .map(|pool| PoolTiers {
+                home: home_tiers(config, pool, home),
+                regions: region_tiers(config, pool),
+                cursor: AtomicU64::new(0),
+            })
+            .collect();
+        Self {
+            home: config.domains[home].region,
+            pools,
+        }
+    }
+
+    /// Chooses an upstream and takes one of its slots, which the caller puts back.
+    ///
+    /// Returns nothing if no slot is free in any tier that can be reached. An upstream in `tried`
+    /// is not chosen again. `random` is a number from the whole range of 64 bits.
+    #[must_use]
+    pub fn choose(&self, request: ChoiceRequest<'_>) -> Option<UpstreamKey> {
+        let pool = self.pools.get(request.pool.index())?;
+        let tiers = match request.start {
+            ChoiceStart::Home => pool.home.as_slice(),
+            ChoiceStart::Region(region) => pool.regions.get(region.index()..=region.index())?,
+        };
+        tiers
+            .iter()
+            .filter(|tier| request.links.may_cross(self.home, tier.region))
+            .find_map(|tier| request.choose_in(tier, &pool.cursor))
+    }
+}
+
+/// What a choice depends on besides the tiers.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceRequest<'a> {
+    /// The pool of the route.
+    pub pool: PoolKey,
+    /// Where to look first.
+    pub start: ChoiceStart,
+    /// The upstreams that have already been tried for this request.
+    pub tried: &'a [UpstreamKey],
+    /// A random number from the whole range of 64 bits.
+    pub random: u64,
+    /// The state of all upstreams.
+    pub lanes: &'a Arena<UpstreamKey, UpstreamLane>,
+    /// The links between regions.
+    pub links: &'a LinkMeter,
+    /// How to choose within a tier.
+    pub policy: ChoicePolicy,
+}
+
+impl ChoiceRequest<'_> {
+    fn choose_in(&self, tier: &ChoiceTier, cursor: &AtomicU64) -> Option<UpstreamKey> {
+        let candidates = TierCandidates {
+            upstreams: &tier.upstreams,
+            tried: self.tried,
+            lanes: self.lanes,
+            cursor,
+        };
+        if let Some(position) = (self.policy.pick)(&candidates, self.random)
+            && candidates.try_take(position)
+        {
+            return Some(tier.upstreams[position]);
+        }
+        candidates.take_first_free(self.random)
+    }
+}
+
+/// The upstreams of one tier as a policy sees them.
+#[derive(Debug)]
+pub struct TierCandidates<'a> {
+    upstreams: &'a [UpstreamKey],
+    tried: &'a [UpstreamKey],
+    lanes: &'a Arena<UpstreamKey, UpstreamLane>,
+    cursor: &'a AtomicU64,
+}
+
+impl TierCandidates<'_> {
+    /// Returns the number of upstreams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Tells whether there is no upstream.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    /// Returns the cost of the upstream at `position`, or nothing if it cannot be chosen.
+    #[must_use]
+    pub fn cost(&self, position: usize) -> Option<u64> {
+        let upstream = *self.upstreams.get(position)?;
+        if self.tried.contains(&upstream) {
+            return None;
+        }
+        self.lanes.get(upstream)?.cost()
+    }
+
+    /// Returns the slots in use of the upstream at `position`, or nothing if it cannot be chosen.
+    #[must_use]
+    pub fn used(&self, position: usize) -> Option<u32> {
+        self.cost(position)?;
+        Some(self.lanes[self.upstreams[position]].slots.used())
+    }
+
+    /// Returns the next number of the pool's sequence.
+    #[must_use]
+    pub fn next_turn(&self) -> u64 {
+        self.cursor.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn try_take(&self, position: usize) -> bool {
+        self.cost(position).is_some() && self.lanes[self.upstreams[position]].try_take()
+    }
+
+    /// Takes the first slot that is free, from a random position on, so that a policy that looks at
+    /// two upstreams only refuses no request while a third has a slot.
+    fn take_first_free(&self, random: u64) -> Option<UpstreamKey> {
+        let count = self.len();
+        let start = scaled(random, count);
+        (0..count)
+            .map(|step| (start + step) % count)
+            .find(|position| self.try_take(*position))
+            .map(|position| self.upstreams[position])
+    }
+}
+
+/// How to choose among the upstreams of a tier.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoicePolicy {
+    /// The name for measurements.
+    pub name: &'static str,
+    /// Returns the position of a candidate, or nothing if it found none that can be chosen.
+    pub pick: fn(&TierCandidates<'_>, u64) -> Option<usize>,
+}
+
+impl ChoicePolicy {
+    /// The cheaper of two random upstreams.
+    pub const TWO_CHOICES: Self = Self {
+        name: "two random choices",
+        pick: pick_of_two,
+    };
+
+    /// Each upstream in turn, kept for comparison.
+    pub const ROUND_ROBIN: Self = Self {
+        name: "round robin",
+        pick: pick_in_turn,
+    };
+
+    /// The upstream with the fewest slots in use, kept for comparison.
+    pub const LEAST_LOADED: Self = Self {
+        name: "least loaded",
+        pick: pick_least_loaded,
+    };
+}
+
+fn pick_of_two(candidates: &TierCandidates<'_>, random: u64) -> Option<usize> {
+    let count = candidates.len();
+    if count < 2 {
+        return (count == 1).then_some(0);
+    }
+    let first = scaled(random, count);
+    let offset = 1 + scaled(random << 32, count - 1);
+    let second = (first + offset) % count;
+    match (candidates.cost(first), candidates.cost(second)) {
+        (Some(one), Some(other)) if other < one => Some(second),
+        (Some(_), _) => Some(first),
+        (None, Some(_)) => Some(second),
+        (None, None) => None,
+    }
+}
+
+fn pick_in_turn(candidates: &TierCandidates<'_>, _random: u64) -> Option<usize> {
+    let count = candidates.len();
+    (0..count)
+        .map(|_| candidates.next_turn())
+        .filter_map(|turn| usize::try_from(turn % count as u64).ok())
+        .find(|position| candidates.cost(*position).is_some())
+}
+
+fn pick_least_loaded(candidates: &TierCandidates<'_>, _random: u64) -> Option<usize> {
+    (0..candidates.len())
+        .filter_map(|position| Some((candidates.used(position)?, position)))
+        .min()
+        .map(|(_, position)| position)
+}
+
+/// Scales the upper half of `random` to a position below `count`, without a division.
+fn scaled(random: u64, count: usize) -> usize {
+    let scaled = ((random >> 32) * count as u64) >> 32;
+    usize::try_from(scaled).unwrap_or(0)
+}
+
+fn home_tiers(config: &FleetConfig, pool: PoolKey, home: DomainKey) -> Vec<ChoiceTier> {
+    let home_region = config.domains[home].region;
+    let in_pool = &config.pools[pool].upstreams;
+    let select = |test: &dyn Fn(UpstreamKey) -> bool| -> Vec<UpstreamKey> {
+        in_pool.iter().copied().filter(|key| test(*key)).collect()
+    };
+    let domain_of = |key: UpstreamKey| config.upstreams[key].domain;
+    let region_of = |key: UpstreamKey| config.upstreams[key].region;
+    let mut tiers = vec![
+        ChoiceTier {
+            region: home_region,
+            upstreams: select(&|key| domain_of(key) == home),
+        },
+        ChoiceTier {
+            region: home_region,
+            upstreams: select(&|key| region_of(key) == home_region && domain_of(key) != home),
+        },
+    ];
+    let mut others: Vec<RegionKey> = config.regions.keys().collect();
+    others.retain(|region| *region != home_region);
+    others.sort_by_key(|region| config.links.between(home_region, *region).latency);
+    for region in others {
+        let upstreams = select(&|key| region_of(key) == region);
+        tiers.push(ChoiceTier { region, upstreams });
+    }
+    tiers.retain(|tier| !tier.upstreams.is_empty());
+    tiers
+}
+
+fn region_tiers(config: &FleetConfig, pool: PoolKey) -> Vec<ChoiceTier> {
+    let in_region = |region: RegionKey| {
+        config.pools[pool]
+            .upstreams
+            .iter()
+            .copied()
+            .filter(|key| config.upstreams[*key].region == region)
+            .collect()
+    };
+    config
+        .regions
+        .keys()
+        .map(|region| ChoiceTier {
+            region,
+            upstreams: in_region(region),
+        })
+        .collect()
+}
