platform: client of the object API, configuration commits and seats

Cause: configuration, seats and audit are stored in the platform's object API, which can lose an answer after a write has taken effect. Ruled out: the client of volo-http. Its pool limits only idle connections, goes on connecting after a call has ended, and does not tell an unsent request from one with an unknown outcome, which the typed errors need. CallError states whether a write has certainly not taken effect. resolved_write reads an object back after a lost answer and repeats only the same conditional write. ConfigStore and SeatStore build on it.

--- /dev/null
+++ b/crates/platform/src/connection_set.rs
@@ -0,0 +1,174 @@
+//! A bounded set of connections to one address.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
+
+use crate::object_types::{AnswerFailure, CallError, SendFailure};
+
+/// The longest answer in bytes. Values hold up to 1 MB; lists of names are longer.
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// An answer whose body has been read completely.
+#[derive(Debug)]
+pub(crate) struct CallAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// One connection and the task that drives it.
+#[derive(Debug)]
+struct CallConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for CallConnection {
+    fn drop(&mut self) {
+        // Closes the socket also while an exchange is unfinished.
+        self.driver.abort();
+    }
+}
+
+/// Connections to one address, at most a fixed number at a time.
+///
+/// It uses the connection API of `hyper`, the library under `volo-http`, because the pool of
+/// `volo-http`'s client limits only idle connections, goes on connecting after a call has ended,
+/// and does not tell a request that was never sent from one whose outcome is unknown.
+#[derive(Debug)]
+pub(crate) struct ConnectionSet {
+    address: SocketAddr,
+    permits: Semaphore,
+    idle: Mutex<Vec<CallConnection>>,
+}
+
+impl ConnectionSet {
+    /// Makes a set that opens at most `limit` connections.
+    pub fn new(address: SocketAddr, limit: usize) -> Self {
+        Self {
+            address,
+            permits: Semaphore::new(limit),
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// A connection returns to the set only after a complete exchange.
+    pub async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<CallAnswer, CallError> {
+        let _permit = self.acquire(deadline).await?;
+        loop {
+            let idle = self.take_idle(deadline).await;
+            let reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(deadline).await?,
+            };
+            let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+            let mut error = match sent {
+                Err(_) => return Err(CallError::Unknown(AnswerFailure::Timeout)),
+                Ok(Ok(response)) => {
+                    let (parts, body) = response.into_parts();
+                    let body = read_body(body, deadline).await?;
+                    self.put_idle(connection);
+                    return Ok(CallAnswer {
+                        status: parts.status,
+                        headers: parts.headers,
+                        body,
+                    });
+                }
+                Ok(Err(error)) => error,
+            };
+            match error.take_message() {
+                // Each round uses up an idle connection, so the loop ends.
+                Some(unsent) if reused => request = unsent,
+                Some(_) => {
+                    let failure = SendFailure::Closed(error.into_error());
+                    return Err(CallError::NotSent(failure));
+                }
+                None => {
+                    let failure = AnswerFailure::Connection(error.into_error().into());
+                    return Err(CallError::Unknown(failure));
+                }
+            }
+        }
+    }
+
+    async fn acquire(&self, deadline: Instant) -> Result<SemaphorePermit<'_>, CallError> {
+        match timeout_at(deadline, self.permits.acquire()).await {
+            Ok(Ok(permit)) => Ok(permit),
+            _ => Err(CallError::NotSent(SendFailure::NoConnection)),
+        }
+    }
+
+    async fn connect(&self, deadline: Instant) -> Result<CallConnection, CallError> {
+        let connecting = async {
+            let stream = TcpStream::connect(self.address)
+                .await
+                .map_err(SendFailure::Connect)?;
+            // Small requests must not wait for the acknowledgement of earlier ones.
+            stream.set_nodelay(true).map_err(SendFailure::Connect)?;
+            handshake(TokioIo::new(stream))
+                .await
+                .map_err(SendFailure::Closed)
+        };
+        let (sender, connection) = timeout_at(deadline, connecting)
+            .await
+            .unwrap_or(Err(SendFailure::ConnectTimeout))
+            .map_err(CallError::NotSent)?;
+        let driver = tokio::spawn(async move {
+            // An error reaches the caller through the exchange it breaks.
+            let _ = connection.await;
+        });
+        Ok(CallConnection { sender, driver })
+    }
+
+    /// Returns an idle connection that is still open.
+    async fn take_idle(&self, deadline: Instant) -> Option<CallConnection> {
+        loop {
+            let mut connection = self.lock_idle().pop()?;
+            let ready = timeout_at(deadline, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Some(connection);
+            }
+        }
+    }
+
+    fn put_idle(&self, connection: CallConnection) {
+        if !connection.sender.is_closed() {
+            self.lock_idle().push(connection);
+        }
+    }
+
+    fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<CallConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, CallError> {
+    let collecting = Limited::new(body, ANSWER_LIMIT_BYTES).collect();
+    let failure = match timeout_at(deadline, collecting).await {
+        Err(_) => AnswerFailure::Timeout,
+        Ok(Ok(collected)) => return Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => AnswerFailure::TooLong {
+            limit_bytes: ANSWER_LIMIT_BYTES,
+        },
+        Ok(Err(error)) => AnswerFailure::Connection(error),
+    };
+    Err(CallError::Unknown(failure))
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,43 @@
-//! Placeholder.
+//! Client of the platform's object API, with the configuration and the seats built on top.
+//!
+//! Each error tells whether a write has certainly not taken effect. [`ConfigStore`] and
+//! [`SeatStore`] resolve a lost answer by reading the object back, and report an outcome as unknown
+//! only if that fails too.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! use coltsfootkeel_platform::{ConfigStore, ObjectClient, SeatStore};
+//!
+//! let address = "127.0.0.1:9100".parse().unwrap();
+//! let client = Arc::new(ObjectClient::new(address, Duration::from_secs(1)));
+//! let config = ConfigStore::new(Arc::clone(&client));
+//! let seats = SeatStore::new(client);
+//! # drop((config, seats));
+//! ```
+
+mod config_manifest;
+mod config_store;
+mod connection_set;
+mod object_client;
+mod object_types;
+mod resolved_write;
+mod seat_store;
+
+pub use config_manifest::{
+    COMMIT_HISTORY, CommitRecord, ConfigManifest, ContentHash, ManifestFault, RawManifest,
+};
+pub use config_store::{
+    CHUNK_LIMIT_BYTES, CommitOutcome, CommitRequest, ConfigError, ConfigStore, LoadedConfig,
+    MANIFEST_NAME, RestoreOutcome, SUMMARY_LIMIT_BYTES, StoredManifest,
+};
+pub use object_client::ObjectClient;
+pub use object_types::{
+    AnswerFailure, CallError, InstanceEntry, ObjectChange, ObjectEntry, ObjectVersion, SendFailure,
+    StoreRevision, StoredObject, WatchReport, WriteCondition,
+};
+pub use seat_store::{
+    ClaimOutcome, ReleaseOutcome, SEAT_PREFIX, SeatError, SeatHolder, SeatOccupancy, SeatStore,
+    StoredSeat,
+};
--- /dev/null
+++ b/crates/platform/src/seat_store.rs
@@ -0,0 +1,216 @@
+//! The seats in the platform's object API.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::object_client::ObjectClient;
+use crate::object_types::{CallError, ObjectVersion, StoredObject, WriteCondition};
+use crate::resolved_write::{WriteOutcome, read_object, write_object};
+
+/// The start of the names of seat objects.
+pub const SEAT_PREFIX: &str = "seats/";
+
+/// The instance that holds a seat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatHolder {
+    /// The name of the instance.
+    pub instance: String,
+    /// The incarnation of the instance, which is new after each start.
+    pub incarnation: u64,
+    /// The address of the instance's peer listener.
+    pub peer_address: SocketAddr,
+}
+
+/// Who holds a seat.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeatOccupancy {
+    /// The holder, or `None` if the seat is free.
+    pub holder: Option<SeatHolder>,
+    /// How often the seat has been claimed.
+    pub epoch: u64,
+}
+
+/// A seat as it was read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoredSeat {
+    /// The version of the seat's object, or `None` if the seat was never claimed.
+    pub version: Option<ObjectVersion>,
+    /// Who holds the seat.
+    pub occupancy: SeatOccupancy,
+}
+
+/// The outcome of a claim.
+#[derive(Debug)]
+pub enum ClaimOutcome {
+    /// The claimant holds the seat.
+    Claimed(StoredSeat),
+    /// The seat changed since it was read, and the claimant does not hold it.
+    Lost(StoredSeat),
+    /// The claim may have taken effect, or may do so later. The claimant spends nothing and reads
+    /// the seat again.
+    Unknown,
+}
+
+/// The outcome of a release.
+#[derive(Debug)]
+pub enum ReleaseOutcome {
+    /// The seat is free.
+    Released,
+    /// The seat changed since it was read, and the former holder does not hold it.
+    NotHeld(StoredSeat),
+    /// The release may have taken effect, or may do so later.
+    Unknown,
+}
+
+/// Why a seat could not be read, or why a claim or release has certainly not taken effect.
+#[derive(Debug, Error)]
+pub enum SeatError {
+    /// The call failed.
+    #[error("seat {seat}: {source}")]
+    Call {
+        /// The name of the seat.
+        seat: String,
+        /// The cause.
+        source: CallError,
+    },
+    /// The object of the seat is malformed.
+    #[error("seat {seat} is malformed: {source}")]
+    Format {
+        /// The name of the seat.
+        seat: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
+}
+
+/// Reads, claims and releases seats.
+#[derive(Debug, Clone)]
+pub struct SeatStore {
+    client: Arc<ObjectClient>,
+}
+
+impl SeatStore {
+    /// Makes a store that uses a client.
+    #[must_use]
+    pub fn new(client: Arc<ObjectClient>) -> Self {
+        Self { client }
+    }
+
+    /// Reads a seat. A seat that was never claimed is free at epoch 0.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the seat cannot be read or is malformed.
+    pub async fn read(&self, seat: &str) -> Result<StoredSeat, SeatError> {
+        let object = read_object(&self.client, &object_name(seat))
+            .await
+            .map_err(|source| call_error(seat, source))?;
+        parse_seat(seat, object.as_ref())
+    }
+
+    /// Claims a seat if it is still as it was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error only if the claim has certainly not taken effect.
+    pub async fn claim(
+        &self,
+        seat: &str,
+        seen: &StoredSeat,
+        holder: SeatHolder,
+    ) -> Result<ClaimOutcome, SeatError> {
+        let occupancy = SeatOccupancy {
+            holder: Some(holder),
+            epoch: seen.occupancy.epoch + 1,
+        };
+        match self.write(seat, seen, &occupancy).await? {
+            WriteOutcome::Written(version) => Ok(ClaimOutcome::Claimed(StoredSeat {
+                version: Some(version),
+                occupancy,
+            })),
+            WriteOutcome::Superseded { current, .. } => {
+                Ok(ClaimOutcome::Lost(parse_seat(seat, current.as_ref())?))
+            }
+            WriteOutcome::Uncertain(_) => Ok(ClaimOutcome::Unknown),
+        }
+    }
+
+    /// Frees a seat if it is still as its holder read or claimed it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error only if the release has certainly not taken effect.
+    pub async fn release(
+        &self,
+        seat: &str,
+        held: &StoredSeat,
+    ) -> Result<ReleaseOutcome, SeatError> {
+        let occupancy = SeatOccupancy {
+            holder: None,
+            epoch: held.occupancy.epoch,
+        };
+        match self.write(seat, held, &occupancy).await? {
+            WriteOutcome::Written(_) => Ok(ReleaseOutcome::Released),
+            WriteOutcome::Superseded { current, .. } => {
+                Ok(ReleaseOutcome::NotHeld(parse_seat(seat, current.as_ref())?))
+            }
+            WriteOutcome::Uncertain(_) => Ok(ReleaseOutcome::Unknown),
+        }
+    }
+
+    /// Writes who holds a seat. The holder's incarnation and the epoch identify the write when its
+    /// answer is lost.
+    async fn write(
+        &self,
+        seat: &str,
+        seen: &StoredSeat,
+        occupancy: &SeatOccupancy,
+    ) -> Result<WriteOutcome, SeatError> {
+        let body = serde_json::to_vec(occupancy).map_err(|source| SeatError::Format {
+            seat: seat.to_string(),
+            source,
+        })?;
+        let carries_write = |object: &StoredObject| {
+            serde_json::from_slice::<SeatOccupancy>(&object.body)
+                .is_ok_and(|stored| stored == *occupancy)
+        };
+        write_object(
+            &self.client,
+            &object_name(seat),
+            &Bytes::from(body),
+            WriteCondition::unchanged(seen.version),
+            carries_write,
+        )
+        .await
+        .map_err(|source| call_error(seat, source))
+    }
+}
+
+fn object_name(seat: &str) -> String {
+    format!("{SEAT_PREFIX}{seat}")
+}
+
+fn call_error(seat: &str, source: CallError) -> SeatError {
+    SeatError::Call {
+        seat: seat.to_string(),
+        source,
+    }
+}
+
+fn parse_seat(seat: &str, object: Option<&StoredObject>) -> Result<StoredSeat, SeatError> {
+    let Some(object) = object else {
+        return Ok(StoredSeat::default());
+    };
+    let occupancy = serde_json::from_slice(&object.body).map_err(|source| SeatError::Format {
+        seat: seat.to_string(),
+        source,
+    })?;
+    Ok(StoredSeat {
+        version: Some(object.version),
+        occupancy,
+    })
+}
