standins: upstream stand-in, HTTP calls and a relay

Tests of the daemon need upstreams whose runs can be counted exactly and whose faults happen on order.

Each upstream runs a volo-http server on a thread and runtime of its own, so that a soft crash drops the listener and all connections by dropping the runtime. Ruled out: one runtime for all upstreams, because the connections of volo-http's server are concrete TCP streams that cannot be closed from outside. Ruled out: the daemon's SlotCounter for the slots, because the oracle should not share a fault with what it checks.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,26 @@
 //! Stand-ins for the systems around the daemons, for tests, measurements and the first run.
+//!
+//! [`UpstreamHandle`] runs an upstream with slots, faults on order and a record of what it ran. [`call_once`] and
+//! [`KeptConnection`] send one HTTP request and tell how far a failed one came. [`CutRelay`] stands between two
+//! processes and cuts, holds or delays what passes.
+
+mod cut_relay;
+mod fault_plan;
+mod http_call;
+mod paced_incoming;
+mod run_record;
+mod upstream_bodies;
+mod upstream_crash;
+mod upstream_server;
+mod upstream_service;
+mod upstream_state;
+
+pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
+pub use fault_plan::ControlChange;
+pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
+pub use paced_incoming::PacedIncoming;
+pub use run_record::{RunEnd, RunEntry, RunOutcome, RunRecord, RunStart, RunTotals};
+pub use upstream_crash::{CRASH_EXIT_CODE, CrashMode};
+pub use upstream_server::{UpstreamError, UpstreamHandle, UpstreamOptions};
+pub use upstream_service::{HealthAnswer, LoadAnswer, RecordAnswer, WorkAnswer};
+pub use upstream_state::{OrderCounter, UpstreamState, UpstreamTraits};
