--- /dev/null
+++ b/crates/decisions/src/ledger_answers.rs
@@ -0,0 +1,206 @@
+//! How a ledger handles the messages of other instances.
+
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+
+use crate::limit_keys::{LimitKey, RateLimitKey, SlotLimitKey};
+use crate::loan_ledger::LoanLedger;
+use crate::loan_requests::SentAsk;
+use crate::loan_terms::{
+    GivenLoan, Incarnation, LOAN_LIFE, LoanAmount, LoanAsk, LoanGrant, LoanReturn, RateAmount,
+    SPEND_LEASE, TakenLoan, with_drift_margin,
+};
+use crate::peer_memory::LendOutcome;
+
+/// What became of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GrantOutcome {
+    /// The instance holds more than before.
+    Accepted,
+    /// The lender had nothing to lend.
+    Empty,
+    /// No ask with this number waits for an answer of this lender.
+    Unasked,
+    /// The loan would be over.
+    Late,
+    /// The grant is of another kind than the ask.
+    Mismatched,
+}
+
+impl LoanLedger {
+    /// Answers an ask of `borrower`, or drops it if it is a repetition or malformed.
+    pub fn answer_ask(
+        &mut self,
+        borrower: Incarnation,
+        ask: LoanAsk,
+        now: MonotonicTime,
+    ) -> Option<LoanGrant> {
+        let is_valid = ask.life <= LOAN_LIFE && ask.line <= ask.loan;
+        if !is_valid || !self.seen.is_new(borrower, ask.loan, now) {
+            return None;
+        }
+        let (amount, tokens) = match (ask.limit, ask.amount) {
+            (LimitKey::Rate(key), LoanAmount::Rate(asked)) => {
+                let loan = given(borrower, ask, asked, ask.life, now);
+                let (amount, tokens) = self.answer_rate(key, ask, loan, now);
+                (LoanAmount::Rate(amount), tokens)
+            }
+            (LimitKey::Slots(key), LoanAmount::Slots(asked)) => {
+                // A request may start at the end of the loan and then run for the longest deadline.
+                let held_for = ask.life + self.settings.longest_deadline;
+                let loan = given(borrower, ask, asked, held_for, now);
+                (LoanAmount::Slots(self.answer_slots(key, ask, loan, now)), 0)
+            }
+            _ => return None,
+        };
+        Some(LoanGrant {
+            loan: ask.loan,
+            amount,
+            tokens,
+        })
+    }
+
+    /// Takes the answer of `lender` to an ask of this instance.
+    pub fn take_grant(
+        &mut self,
+        lender: Incarnation,
+        grant: LoanGrant,
+        now: MonotonicTime,
+    ) -> GrantOutcome {
+        let Some(ask) = self.requests.answer(grant.loan, lender) else {
+            return GrantOutcome::Unasked;
+        };
+        if now + SPEND_LEASE >= ask.sent + LOAN_LIFE {
+            return GrantOutcome::Late;
+        }
+        match (ask.limit, ask.amount, grant.amount) {
+            (LimitKey::Rate(key), LoanAmount::Rate(asked), LoanAmount::Rate(amount)) => {
+                let amount = amount.at_most(asked);
+                self.take_rate(key, ask, asked, amount, grant.tokens, now)
+            }
+            (LimitKey::Slots(key), LoanAmount::Slots(asked), LoanAmount::Slots(amount)) => {
+                self.take_slots(key, ask, asked, amount.min(asked), now)
+            }
+            _ => GrantOutcome::Mismatched,
+        }
+    }
+
+    /// Ends a loan that `borrower` returns.
+    pub fn take_return(&mut self, borrower: Incarnation, end: LoanReturn, now: MonotonicTime) {
+        match end.limit {
+            LimitKey::Rate(key) => self.rates[key].take_back(borrower, end.line, now),
+            LimitKey::Slots(key) => self.slots[key].take_back(borrower, end.line, now),
+        }
+    }
+
+    fn answer_rate(
+        &mut self,
+        key: RateLimitKey,
+        ask: LoanAsk,
+        loan: GivenLoan<RateAmount>,
+        now: MonotonicTime,
+    ) -> (RateAmount, i64) {
+        if !self.is_ticking(now) {
+            return (RateAmount::default(), 0);
+        }
+        let limit = &mut self.rates[key];
+        if ask.line < ask.loan {
+            return (limit.renew(loan, now), 0);
+        }
+        limit.lend(loan, now)
+    }
+
+    fn answer_slots(
+        &mut self,
+        key: SlotLimitKey,
+        ask: LoanAsk,
+        loan: GivenLoan<u32>,
+        now: MonotonicTime,
+    ) -> u32 {
+        if !self.is_ticking(now) {
+            return 0;
+        }
+        let limit = &mut self.slots[key];
+        if ask.line < ask.loan {
+            return limit.renew(loan, now);
+        }
+        limit.lend(loan, now)
+    }
+
+    fn take_rate(
+        &mut self,
+        key: RateLimitKey,
+        ask: SentAsk,
+        asked: RateAmount,
+        amount: RateAmount,
+        tokens: i64,
+        now: MonotonicTime,
+    ) -> GrantOutcome {
+        let outcome = if amount.is_zero() {
+            LendOutcome::Nothing
+        } else if amount == asked {
+            LendOutcome::Whole
+        } else {
+            LendOutcome::Part
+        };
+        let limit = &mut self.rates[key];
+        limit.peers.answered(ask.lender, outcome, now);
+        limit.accept(taken(ask, amount), tokens, now);
+        grant_outcome(outcome)
+    }
+
+    fn take_slots(
+        &mut self,
+        key: SlotLimitKey,
+        ask: SentAsk,
+        asked: u32,
+        amount: u32,
+        now: MonotonicTime,
+    ) -> GrantOutcome {
+        let outcome = match amount {
+            0 => LendOutcome::Nothing,
+            _ if amount == asked => LendOutcome::Whole,
+            _ => LendOutcome::Part,
+        };
+        let limit = &mut self.slots[key];
+        limit.peers.answered(ask.lender, outcome, now);
+        limit.accept(taken(ask, amount), now);
+        grant_outcome(outcome)
+    }
+}
+
+fn given<A>(
+    borrower: Incarnation,
+    ask: LoanAsk,
+    amount: A,
+    held_for: Duration,
+    now: MonotonicTime,
+) -> GivenLoan<A> {
+    GivenLoan {
+        borrower,
+        line: ask.line,
+        amount,
+        until: now + with_drift_margin(held_for),
+        renewable: true,
+    }
+}
+
+fn taken<A>(ask: SentAsk, amount: A) -> TakenLoan<A> {
+    TakenLoan {
+        lender: ask.lender,
+        line: ask.line,
+        amount,
+        start: ask.sent,
+        end: ask.sent + LOAN_LIFE,
+        renewable: true,
+    }
+}
+
+fn grant_outcome(outcome: LendOutcome) -> GrantOutcome {
+    if outcome == LendOutcome::Nothing {
+        GrantOutcome::Empty
+    } else {
+        GrantOutcome::Accepted
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/ledger_asks.rs
@@ -0,0 +1,165 @@
+//! How a ledger asks other instances for loans, renews them and returns them.
+
+use coltsfootkeel_counters::MonotonicTime;
+
+use crate::limit_keys::{LimitKey, RateLimitKey, SlotLimitKey};
+use crate::loan_ledger::{Addressed, LedgerOutput, LoanLedger};
+use crate::loan_requests::SentAsk;
+use crate::loan_terms::{Incarnation, LOAN_LIFE, LoanAmount, LoanAsk, LoanReturn, RateAmount};
+use crate::share_split::MILLI_PER_TOKEN;
+
+impl LoanLedger {
+    pub(crate) fn return_rate(
+        &mut self,
+        key: RateLimitKey,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) {
+        let loan = self.rates[key].give_back(&self.settings.policy, now);
+        if let Some(loan) = loan {
+            self.send_return(loan.lender, loan.line, LimitKey::Rate(key), output);
+        }
+    }
+
+    pub(crate) fn return_slots(
+        &mut self,
+        key: SlotLimitKey,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) {
+        self.slots[key].release_unneeded(&self.settings.policy, now);
+        for loan in self.slots[key].finished() {
+            self.send_return(loan.lender, loan.line, LimitKey::Slots(key), output);
+        }
+    }
+
+    pub(crate) fn renew_rate(
+        &mut self,
+        key: RateLimitKey,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) {
+        for loan in self.rates[key].renewals(&self.settings.policy, now) {
+            if !self.requests.is_renewing(loan.line, now) {
+                let amount = LoanAmount::Rate(loan.amount);
+                let line = Some(loan.line);
+                self.send_ask(loan.lender, LimitKey::Rate(key), line, amount, output, now);
+            }
+        }
+    }
+
+    pub(crate) fn renew_slots(
+        &mut self,
+        key: SlotLimitKey,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) {
+        for loan in self.slots[key].renewals(&self.settings.policy, now) {
+            if !self.requests.is_renewing(loan.line, now) {
+                let amount = LoanAmount::Slots(loan.amount);
+                let line = Some(loan.line);
+                self.send_ask(loan.lender, LimitKey::Slots(key), line, amount, output, now);
+            }
+        }
+    }
+
+    /// Asks several peers for equal parts of what is missing.
+    pub(crate) fn ask_rate(
+        &mut self,
+        key: RateLimitKey,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) {
+        let limit = LimitKey::Rate(key);
+        if self.requests.is_waiting(limit, now) {
+            return;
+        }
+        let need = self.rates[key].need(&self.settings.policy);
+        if need.is_zero() {
+            return;
+        }
+        let lenders = self.rates[key].peers.choose(&self.rate_lenders, now);
+        let count = i64::try_from(lenders.len()).unwrap_or(1).max(1);
+        let part = RateAmount {
+            rate: (need.rate + count - 1) / count,
+            // Less than a token from each peer would often leave the sum short of a token.
+            burst: (need.burst / count).max(need.burst.min(MILLI_PER_TOKEN)),
+        };
+        for lender in lenders {
+            if self.send_ask(lender, limit, None, LoanAmount::Rate(part), output, now) {
+                self.rates[key].peers.asked(lender, now);
+            }
+        }
+    }
+
+    /// Asks the peer that last had free slots for what is missing.
+    pub(crate) fn ask_slots(
+        &mut self,
+        key: SlotLimitKey,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) {
+        let limit = LimitKey::Slots(key);
+        if self.requests.is_waiting(limit, now) {
+            return;
+        }
+        let slot_limit = &mut self.slots[key];
+        let need = slot_limit.need(&self.settings.policy);
+        if need == 0 {
+            return;
+        }
+        let lenders = slot_limit.peers.choose(&slot_limit.lenders, now);
+        if let Some(&lender) = lenders.first()
+            && self.send_ask(lender, limit, None, LoanAmount::Slots(need), output, now)
+        {
+            self.slots[key].peers.asked(lender, now);
+        }
+    }
+
+    /// Sends an ask unless the budget is spent, and tells whether it did.
+    fn send_ask(
+        &mut self,
+        lender: Incarnation,
+        limit: LimitKey,
+        line: Option<u64>,
+        amount: LoanAmount,
+        output: &mut LedgerOutput,
+        now: MonotonicTime,
+    ) -> bool {
+        let ask = SentAsk {
+            lender,
+            limit,
+            line: 0,
+            amount,
+            sent: now,
+        };
+        let Some((loan, line)) = self.requests.send(line, ask) else {
+            return false;
+        };
+        output.asks.push(Addressed {
+            to: lender,
+            message: LoanAsk {
+                loan,
+                line,
+                limit,
+                amount,
+                life: LOAN_LIFE,
+            },
+        });
+        true
+    }
+
+    fn send_return(
+        &mut self,
+        lender: Incarnation,
+        line: u64,
+        limit: LimitKey,
+        output: &mut LedgerOutput,
+    ) {
+        self.requests.forget_line(line);
+        output.returns.push(Addressed {
+            to: lender,
+            message: LoanReturn { line, limit },
+        });
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,9 +3,35 @@
 //! Nothing here does I/O, reads a clock or knows how a message is encoded, so the same code runs
 //! under the daemon and under the state-machine tests.
 
+mod demand_estimate;
+mod ledger_answers;
+mod ledger_asks;
+mod limit_keys;
 mod loan_ledger;
+mod loan_policy;
+mod loan_requests;
+mod loan_terms;
+mod peer_memory;
+mod rate_limit;
+mod refill_account;
 mod seat_claim;
+mod seen_asks;
 mod share_split;
+mod slot_limit;
+
+pub use demand_estimate::ShortCounter;
+pub use ledger_answers::GrantOutcome;
+pub use limit_keys::{LimitKey, RateLimitKey, SlotLimitKey};
+pub use loan_ledger::{
+    Addressed, LedgerOutput, LedgerSettings, LoanLedger, RateHandle, SlotHandle,
+};
+pub use loan_policy::{DemandView, LoanPolicy, SlotDemandView};
+pub use loan_terms::{
+    Incarnation, LOAN_LIFE, LoanAmount, LoanAsk, LoanGrant, LoanReturn, RateAmount, SPEND_LEASE,
+    with_drift_margin,
+};
+pub use peer_memory::LoanPeer;
+pub use share_split::{MILLI_PER_TOKEN, split_rate, split_slots};
 
 mod attempt_state;
 mod crash_suspects;
--- a/crates/decisions/src/loan_ledger.rs
+++ b/crates/decisions/src/loan_ledger.rs
@@ -1,1 +1,261 @@
-//! Not built yet.
+//! What one instance may spend of each limit: base shares, loans given and loans taken.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_counters::{MonotonicTime, RateBucket, SlotCounter};
+use coltsfootkeel_model::Arena;
+
+use crate::demand_estimate::ShortCounter;
+use crate::limit_keys::{RateLimitKey, SlotLimitKey};
+use crate::loan_policy::LoanPolicy;
+use crate::loan_requests::LoanRequests;
+use crate::loan_terms::{
+    Incarnation, LOAN_LIFE, LoanAsk, LoanReturn, RateAmount, SPEND_LEASE, with_drift_margin,
+};
+use crate::peer_memory::LoanPeer;
+use crate::rate_limit::RateLimit;
+use crate::seen_asks::SeenAsks;
+use crate::slot_limit::SlotLimit;
+
+/// What does not change while a ledger lives.
+#[derive(Debug, Clone, Copy)]
+pub struct LedgerSettings {
+    /// When to ask.
+    pub policy: LoanPolicy,
+    /// The most asks sent per second, renewals included.
+    pub asks_per_s: u32,
+    /// The longest deadline of any request on any instance.
+    pub longest_deadline: Duration,
+}
+
+/// What request threads use of a rate limit.
+#[derive(Debug, Clone)]
+pub struct RateHandle {
+    /// The tokens.
+    pub bucket: Arc<RateBucket>,
+    /// To be incremented by a request that found too few.
+    pub short: Arc<ShortCounter>,
+}
+
+/// What request threads use of a slot limit.
+#[derive(Debug, Clone)]
+pub struct SlotHandle {
+    /// The slots.
+    pub counter: Arc<SlotCounter>,
+    /// To be incremented by a request that found none.
+    pub short: Arc<ShortCounter>,
+}
+
+/// A message that the daemon must send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addressed<T> {
+    /// The receiver.
+    pub to: Incarnation,
+    /// The message.
+    pub message: T,
+}
+
+/// The messages that follow from a tick.
+#[derive(Debug, Default)]
+pub struct LedgerOutput {
+    /// Asks for loans and renewals.
+    pub asks: Vec<Addressed<LoanAsk>>,
+    /// Early ends of loans.
+    pub returns: Vec<Addressed<LoanReturn>>,
+}
+
+/// What the seat allows.
+#[derive(Debug, Clone, Copy)]
+enum SeatUse {
+    /// The instance has no seat, or must not use the one it has. The times hold for a reopened seat.
+    Closed {
+        rates_from: MonotonicTime,
+        slots_from: MonotonicTime,
+    },
+    /// The instance uses the shares of its seat from these times on.
+    Open {
+        rates_from: MonotonicTime,
+        slots_from: MonotonicTime,
+    },
+}
+
+/// Owns the limits of one instance. Only the control thread calls it.
+///
+/// Every call must be given a time that was read after the message it handles had arrived.
+#[derive(Debug)]
+pub struct LoanLedger {
+    pub(crate) settings: LedgerSettings,
+    pub(crate) rates: Arena<RateLimitKey, RateLimit>,
+    pub(crate) slots: Arena<SlotLimitKey, SlotLimit>,
+    seat: SeatUse,
+    pub(crate) rate_lenders: Vec<LoanPeer>,
+    pub(crate) requests: LoanRequests,
+    pub(crate) seen: SeenAsks,
+    ticked: MonotonicTime,
+}
+
+impl LoanLedger {
+    /// Makes a ledger without limits and without a seat.
+    #[must_use]
+    pub fn new(settings: LedgerSettings, now: MonotonicTime) -> Self {
+        Self {
+            settings,
+            rates: Arena::new(),
+            slots: Arena::new(),
+            seat: SeatUse::Closed {
+                rates_from: now,
+                slots_from: now,
+            },
+            rate_lenders: Vec::new(),
+            requests: LoanRequests::new(settings.asks_per_s, now),
+            seen: SeenAsks::default(),
+            ticked: now,
+        }
+    }
+
+    /// Adds a rate limit without a share.
+    pub fn add_rate_limit(&mut self, now: MonotonicTime) -> RateLimitKey {
+        self.rates.push(RateLimit::new(now))
+    }
+
+    /// Adds a slot limit without a share.
+    pub fn add_slot_limit(&mut self, now: MonotonicTime) -> SlotLimitKey {
+        self.slots.push(SlotLimit::new(now))
+    }
+
+    /// Returns what request threads use of a rate limit.
+    #[must_use]
+    pub fn rate_handle(&self, key: RateLimitKey) -> RateHandle {
+        RateHandle {
+            bucket: self.rates[key].bucket(),
+            short: self.rates[key].short(),
+        }
+    }
+
+    /// Returns what request threads use of a slot limit.
+    #[must_use]
+    pub fn slot_handle(&self, key: SlotLimitKey) -> SlotHandle {
+        SlotHandle {
+            counter: self.slots[key].counter(),
+            short: self.slots[key].short(),
+        }
+    }
+
+    /// Sets a rate limit's total and the share of this instance's seat, from the next tick on.
+    pub fn set_rate_share(&mut self, key: RateLimitKey, total: RateAmount, share: RateAmount) {
+        self.rates[key].set_share(total, share);
+    }
+
+    /// Sets an upstream's slots and the share of this instance's seat, from the next tick on.
+    pub fn set_slot_share(&mut self, key: SlotLimitKey, total: u32, share: u32) {
+        self.slots[key].set_share(total, share);
+    }
+
+    /// Sets the instances to ask for a loan of a rate.
+    pub fn set_rate_lenders(&mut self, peers: Vec<LoanPeer>) {
+        self.rate_lenders = peers;
+    }
+
+    /// Sets the instances to ask for slots of an upstream.
+    pub fn set_slot_lenders(&mut self, key: SlotLimitKey, peers: Vec<LoanPeer>) {
+        self.slots[key].lenders = peers;
+    }
+
+    /// Uses the shares of a seat that this instance claimed. Its former holder, if there was one, did
+    /// nothing after `idle_since`.
+    ///
+    /// Loans that the former holder gave may still be in use, and its requests may still run, so
+    /// each share is used only when these must have ended. Buckets start empty.
+    pub fn open_new_seat(&mut self, idle_since: Option<MonotonicTime>) {
+        let slot_time = LOAN_LIFE + self.settings.longest_deadline;
+        let after = |length| {
+            idle_since.map_or_else(MonotonicTime::default, |idle| {
+                idle + with_drift_margin(length)
+            })
+        };
+        self.seat = SeatUse::Open {
+            rates_from: after(LOAN_LIFE),
+            slots_from: after(slot_time),
+        };
+    }
+
+    /// Stops using the shares of the seat, because it is lost or must be confirmed.
+    pub fn close_seat(&mut self, now: MonotonicTime) {
+        if let SeatUse::Open {
+            rates_from,
+            slots_from,
+        } = self.seat
+        {
+            self.seat = SeatUse::Closed {
+                rates_from,
+                slots_from,
+            };
+        }
+        self.use_shares(now);
+    }
+
+    /// Uses the shares again after the seat was confirmed.
+    pub fn reopen_seat(&mut self) {
+        if let SeatUse::Closed {
+            rates_from,
+            slots_from,
+        } = self.seat
+        {
+            self.seat = SeatUse::Open {
+                rates_from,
+                slots_from,
+            };
+        }
+    }
+
+    /// Brings all limits to `now` and returns the messages to send.
+    ///
+    /// The daemon checks its seat before it calls this, and renews its `TimeLease` by
+    /// [`SPEND_LEASE`] from the same `now` afterwards: a loan is dropped at the tick whose lease would
+    /// outlast it.
+    pub fn tick(&mut self, now: MonotonicTime) -> LedgerOutput {
+        self.ticked = now;
+        self.requests.advance(now);
+        self.seen.advance(now);
+        self.use_shares(now);
+        let mut output = LedgerOutput::default();
+        for key in self.rates.keys() {
+            self.return_rate(key, &mut output, now);
+            self.renew_rate(key, &mut output, now);
+        }
+        for key in self.slots.keys() {
+            self.return_slots(key, &mut output, now);
+            self.renew_slots(key, &mut output, now);
+        }
+        for key in self.rates.keys() {
+            self.ask_rate(key, &mut output, now);
+        }
+        for key in self.slots.keys() {
+            self.ask_slots(key, &mut output, now);
+        }
+        output
+    }
+
+    fn use_shares(&mut self, now: MonotonicTime) {
+        let (rates_open, slots_open) = match self.seat {
+            SeatUse::Closed { .. } => (false, false),
+            SeatUse::Open {
+                rates_from,
+                slots_from,
+            } => (now >= rates_from, now >= slots_from),
+        };
+        for key in self.rates.keys() {
+            self.rates[key].use_share(rates_open, now);
+        }
+        for key in self.slots.keys() {
+            self.slots[key].use_share(slots_open, now);
+        }
+    }
+
+    /// Tells whether ticks come in time. After a gap the seat may be lost, so nothing may be lent
+    /// until the daemon has checked it and ticked.
+    pub(crate) fn is_ticking(&self, now: MonotonicTime) -> bool {
+        now.since(self.ticked) < SPEND_LEASE
+    }
+}
