--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -221,6 +221,7 @@
     pub async fn commit(&self, request: &CommitRequest) -> Result<CommitOutcome, ConfigError> {
         check_lengths(request)?;
         let current = self.read_manifest().await?;
+        // An earlier call with this write id may have taken effect.
         let found = current
             .as_ref()
             .and_then(|stored| stored.manifest.find_commit(&request.write_id));
@@ -360,9 +361,10 @@
     ) -> Result<WriteOutcome, ConfigError> {
         let body = encode_json(manifest);
         let condition = WriteCondition::unchanged(replaced.map(|stored| stored.version));
+        let commit = manifest.commits.last();
         let carries_write = |object: &StoredObject| {
             parse_manifest(object)
-                .is_ok_and(|stored| stored.manifest.find_commit(&manifest.write_id).is_some())
+                .is_ok_and(|stored| stored.manifest.find_commit(&manifest.write_id) == commit)
         };
         write_object(&self.client, MANIFEST_NAME, &body, condition, carries_write)
             .await
--- /dev/null
+++ b/crates/platform/tests/config_commits.rs
@@ -0,0 +1,547 @@
+//! Commits of the configuration: conflicts, lost answers, chunks and damaged objects.
+
+mod support;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use coltsfootkeel_platform::{
+    CHUNK_LIMIT_BYTES, COMMIT_HISTORY, CommitOutcome, CommitRecord, ConfigError, ConfigStore,
+    MANIFEST_NAME, ObjectClient, SUMMARY_LIMIT_BYTES, WriteCondition,
+};
+use support::cut_relay::start_relay;
+use support::{LONG_TIMEOUT, NO_FAULT, SHORT_TIMEOUT, SLOW_FAULT, TestPlatform, commit_request};
+
+/// Commits `count` changes by `writer` after `generation`.
+async fn commit_many(store: &ConfigStore, generation: u64, count: usize, writer: &str) {
+    let mut generation = generation;
+    for _ in 0..count {
+        let outcome = store.commit(&commit_request(generation, writer)).await;
+        generation += 1;
+        assert!(matches!(outcome, Ok(CommitOutcome::Committed(made)) if made == generation));
+    }
+}
+
+async fn read_commits(store: &ConfigStore) -> Vec<CommitRecord> {
+    let stored = store.read_manifest().await.unwrap();
+    stored.map_or(Vec::new(), |stored| stored.manifest.commits)
+}
+
+struct LostCase {
+    name: &'static str,
+    faults: &'static str,
+    /// One chunk, the manifest and the audit object, each written once.
+    writes: u64,
+}
+
+/// Guards against a write that is repeated although only its answer was lost.
+#[tokio::test]
+async fn a_lost_answer_is_resolved_without_a_second_write() {
+    let cases = [
+        LostCase {
+            name: "none",
+            faults: NO_FAULT,
+            writes: 3,
+        },
+        LostCase {
+            name: "chunk",
+            faults: r#"{"lose_answers": 1, "lose_answer_prefix": "config/chunk/"}"#,
+            writes: 3,
+        },
+        LostCase {
+            name: "manifest",
+            faults: r#"{"lose_answers": 1, "lose_answer_prefix": "config/manifest"}"#,
+            writes: 3,
+        },
+        LostCase {
+            name: "audit object",
+            faults: r#"{"lose_answers": 1, "lose_answer_prefix": "audit/"}"#,
+            writes: 3,
+        },
+        LostCase {
+            name: "all",
+            faults: r#"{"lose_answers": 3}"#,
+            writes: 3,
+        },
+    ];
+    for case in cases {
+        let platform = TestPlatform::start().await;
+        platform.set_faults(case.faults).await;
+        let store = platform.config();
+        let request = commit_request(0, "operator");
+        let outcome = store.commit(&request).await.unwrap();
+        assert!(
+            matches!(outcome, CommitOutcome::Committed(1)),
+            "{}: {outcome:?}",
+            case.name
+        );
+        assert_eq!(platform.counts().await.writes, case.writes, "{}", case.name);
+        let loaded = store.load_newest().await.unwrap().unwrap();
+        assert_eq!(loaded.document, request.document, "{}", case.name);
+        assert_eq!(loaded.manifest.commits.len(), 1, "{}", case.name);
+        let audit = platform.client(LONG_TIMEOUT).get("audit/1").await.unwrap();
+        let audit: CommitRecord = serde_json::from_slice(&audit.unwrap().body).unwrap();
+        assert_eq!(audit, loaded.manifest.commits[0], "{}", case.name);
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Meanwhile {
+    Nothing,
+    Commits(usize),
+    Revert,
+    Down,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum Outcome {
+    Committed(u64),
+    Conflict,
+    Unknown,
+}
+
+struct CutCase {
+    name: &'static str,
+    /// Whether the manifest write reaches the platform before its connection is cut.
+    forward: bool,
+    meanwhile: Meanwhile,
+    expected: Outcome,
+    /// How often the write id is listed at the end.
+    listed: usize,
+}
+
+const CUT_CASES: [CutCase; 9] = [
+    CutCase {
+        name: "answer lost",
+        forward: true,
+        meanwhile: Meanwhile::Nothing,
+        expected: Outcome::Committed(2),
+        listed: 1,
+    },
+    CutCase {
+        name: "answer lost, another commit on top",
+        forward: true,
+        meanwhile: Meanwhile::Commits(1),
+        expected: Outcome::Committed(2),
+        listed: 1,
+    },
+    CutCase {
+        name: "answer lost, as many commits on top as the history still shows",
+        forward: true,
+        meanwhile: Meanwhile::Commits(COMMIT_HISTORY - 1),
+        expected: Outcome::Committed(2),
+        listed: 1,
+    },
+    CutCase {
+        name: "answer lost, more commits on top than the history shows",
+        forward: true,
+        meanwhile: Meanwhile::Commits(COMMIT_HISTORY),
+        expected: Outcome::Unknown,
+        listed: 0,
+    },
+    CutCase {
+        name: "answer lost, then older data",
+        forward: true,
+        meanwhile: Meanwhile::Revert,
+        expected: Outcome::Unknown,
+        listed: 0,
+    },
+    CutCase {
+        name: "answer lost, then an outage",
+        forward: true,
+        meanwhile: Meanwhile::Down,
+        expected: Outcome::Unknown,
+        listed: 1,
+    },
+    CutCase {
+        name: "write lost",
+        forward: false,
+        meanwhile: Meanwhile::Nothing,
+        expected: Outcome::Committed(2),
+        listed: 1,
+    },
+    CutCase {
+        name: "write lost, another commit first",
+        forward: false,
+        meanwhile: Meanwhile::Commits(1),
+        expected: Outcome::Conflict,
+        listed: 0,
+    },
+    CutCase {
+        name: "write lost, then an outage",
+        forward: false,
+        meanwhile: Meanwhile::Down,
+        expected: Outcome::Unknown,
+        listed: 0,
+    },
+];
+
+/// Guards against a commit that is reported as done, not done or unknown against the facts when
+/// other writers, an outage or older data come between the write and reading it back.
+#[tokio::test]
+async fn a_cut_commit_is_judged_by_its_write_id() {
+    for case in CUT_CASES {
+        let platform = TestPlatform::start().await;
+        let direct = platform.config();
+        // The saved state has no manifest, so a revert removes the one that the commit expects.
+        platform.save().await;
+        commit_many(&direct, 0, 1, "first").await;
+        let meanwhile = {
+            let platform = TestPlatform {
+                address: platform.address,
+            };
+            let direct = direct.clone();
+            async move {
+                match case.meanwhile {
+                    Meanwhile::Nothing => {}
+                    Meanwhile::Commits(count) => {
+                        let before = if case.forward { 2 } else { 1 };
+                        commit_many(&direct, before, count, "other").await;
+                    }
+                    Meanwhile::Revert => platform.revert().await,
+                    Meanwhile::Down => {
+                        platform.set_faults(r#"{"down": "unavailable"}"#).await;
+                    }
+                }
+            }
+        };
+        let relay = start_relay(platform.address, case.forward, meanwhile).await;
+        let client = Arc::new(ObjectClient::new(relay, LONG_TIMEOUT));
+        let request = commit_request(1, "operator");
+        let outcome = match ConfigStore::new(client).commit(&request).await.unwrap() {
+            CommitOutcome::Committed(generation) => Outcome::Committed(generation),
+            CommitOutcome::Conflict { current } => {
+                let commits = current.unwrap().manifest.commits;
+                assert_eq!(commits.last().unwrap().operator, "other", "{}", case.name);
+                Outcome::Conflict
+            }
+            CommitOutcome::Unknown => Outcome::Unknown,
+        };
+        assert_eq!(outcome, case.expected, "{}", case.name);
+        platform.set_faults(NO_FAULT).await;
+        let commits = read_commits(&direct).await;
+        let listed = commits
+            .iter()
+            .filter(|commit| commit.write_id == request.write_id)
+            .count();
+        assert_eq!(listed, case.listed, "{}", case.name);
+    }
+}
+
+/// Guards against a repeated commit that makes a second generation.
+#[tokio::test]
+async fn a_repeated_write_id_commits_once() {
+    let platform = TestPlatform::start().await;
+    let store = platform.config();
+    let request = commit_request(0, "operator");
+    for _ in 0..3 {
+        let outcome = store.commit(&request).await.unwrap();
+        assert!(
+            matches!(outcome, CommitOutcome::Committed(1)),
+            "{outcome:?}"
+        );
+    }
+    assert_eq!(read_commits(&store).await.len(), 1);
+}
+
+/// Guards against operators whose concurrent changes replace each other.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_race_of_two_commits_has_one_winner() {
+    const ROUNDS: u64 = 20;
+    let platform = TestPlatform::start().await;
+    for generation in 0..ROUNDS {
+        let commits: Vec<_> = ["left", "right"]
+            .into_iter()
+            .map(|writer| {
+                let store = platform.config();
+                let request = commit_request(generation, writer);
+                tokio::spawn(async move { store.commit(&request).await.unwrap() })
+            })
+            .collect();
+        let (mut committed, mut conflicts) = (0, Vec::new());
+        for commit in commits {
+            match commit.await.unwrap() {
+                CommitOutcome::Committed(made) => {
+                    assert_eq!(made, generation + 1);
+                    committed += 1;
+                }
+                CommitOutcome::Conflict { current } => conflicts.push(current.unwrap()),
+                CommitOutcome::Unknown => panic!("no answer was lost"),
+            }
+        }
+        assert_eq!((committed, conflicts.len()), (1, 1));
+        let stored = platform.config().read_manifest().await.unwrap();
+        assert_eq!(stored.as_ref(), Some(&conflicts[0]));
+        assert_eq!(conflicts[0].manifest.generation, generation + 1);
+    }
+}
+
+/// Guards against a document that is too large for one value of the platform.
+#[tokio::test]
+async fn a_large_document_is_split_into_chunks() {
+    const LENGTH: usize = 3_000_000;
+    let platform = TestPlatform::start().await;
+    let store = platform.config();
+    let mut request = commit_request(0, "operator");
+    let lines = (0_u64..).map(|line| format!("# line {line}\n"));
+    request.document = lines
+        .scan(0, |length, line| {
+            *length += line.len();
+            (*length <= LENGTH).then_some(line)
+        })
+        .collect();
+    let outcome = store.commit(&request).await.unwrap();
+    assert!(
+        matches!(outcome, CommitOutcome::Committed(1)),
+        "{outcome:?}"
+    );
+    let loaded = store.load_newest().await.unwrap().unwrap();
+    assert!(loaded.document == request.document);
+    let expected = request.document.len().div_ceil(CHUNK_LIMIT_BYTES);
+    assert_eq!(expected, 6);
+    assert_eq!(loaded.manifest.chunks.len(), expected);
+    let client = platform.client(LONG_TIMEOUT);
+    for chunk in &loaded.manifest.chunks {
+        let object = client.get(&chunk.chunk_name()).await.unwrap().unwrap();
+        assert!(object.body.len() <= CHUNK_LIMIT_BYTES);
+    }
+}
+
+async fn overwrite(client: &ObjectClient, name: &str, body: Bytes) {
+    let version = client.get(name).await.unwrap().unwrap().version;
+    let condition = WriteCondition::Version(version);
+    client.put(name, body, condition).await.unwrap();
+}
+
+struct DamageCase {
+    name: &'static str,
+    chunk: Option<&'static [u8]>,
+    delete_chunk: bool,
+    manifest: fn(&str) -> String,
+    expected: fn(&ConfigError) -> bool,
+}
+
+/// Guards against a damaged document that is put in force.
+#[tokio::test]
+async fn a_damaged_document_is_refused() {
+    let unchanged: fn(&str) -> String = str::to_string;
+    let cases = [
+        DamageCase {
+            name: "chunk with other content",
+            chunk: Some(b"regions: [other]"),
+            delete_chunk: false,
+            manifest: unchanged,
+            expected: |error| matches!(error, ConfigError::ChunkDigest { .. }),
+        },
+        DamageCase {
+            name: "truncated chunk",
+            chunk: Some(b"regions"),
+            delete_chunk: false,
+            manifest: unchanged,
+            expected: |error| matches!(error, ConfigError::ChunkDigest { .. }),
+        },
+        DamageCase {
+            name: "absent chunk",
+            chunk: None,
+            delete_chunk: true,
+            manifest: unchanged,
+            expected: |error| matches!(error, ConfigError::ChunkAbsent { .. }),
+        },
+        DamageCase {
+            name: "missing chunk name",
+            chunk: None,
+            delete_chunk: false,
+            manifest: |text| {
+                let mut value: serde_json::Value = serde_json::from_str(text).unwrap();
+                value["chunks"] = serde_json::json!([]);
+                value.to_string()
+            },
+            expected: |error| matches!(error, ConfigError::DocumentDigest { generation: 1 }),
+        },
+        DamageCase {
+            name: "chunk name outside the chunks",
+            chunk: None,
+            delete_chunk: false,
+            manifest: |text| text.replace("config/chunk/", "seats/"),
+            expected: |error| matches!(error, ConfigError::ManifestFormat(_)),
+        },
+        DamageCase {
+            name: "last commit of another generation",
+            chunk: None,
+            delete_chunk: false,
+            manifest: |text| text.replacen("\"generation\":1", "\"generation\":2", 1),
+            expected: |error| matches!(error, ConfigError::ManifestFormat(_)),
+        },
+        DamageCase {
+            name: "truncated manifest",
+            chunk: None,
+            delete_chunk: false,
+            manifest: |text| text[..text.len() / 2].to_string(),
+            expected: |error| matches!(error, ConfigError::ManifestFormat(_)),
+        },
+    ];
+    for case in cases {
+        let platform = TestPlatform::start().await;
+        let (store, client) = (platform.config(), platform.client(LONG_TIMEOUT));
+        commit_many(&store, 0, 1, "operator").await;
+        let chunk = &client.list("config/chunk/").await.unwrap()[0];
+        if let Some(content) = case.chunk {
+            overwrite(&client, &chunk.name, Bytes::from_static(content)).await;
+        }
+        if case.delete_chunk {
+            client.delete(&chunk.name, chunk.version).await.unwrap();
+        }
+        let manifest = client.get(MANIFEST_NAME).await.unwrap().unwrap();
+        let manifest = std::str::from_utf8(&manifest.body).unwrap();
+        let manifest = (case.manifest)(manifest);
+        overwrite(&client, MANIFEST_NAME, Bytes::from(manifest)).await;
+        let error = store.load_newest().await.expect_err(case.name);
+        assert!((case.expected)(&error), "{}: {error:?}", case.name);
+    }
+}
+
+/// Guards against a commit that relies on a chunk whose stored content is damaged.
+#[tokio::test]
+async fn a_commit_replaces_a_damaged_chunk() {
+    let platform = TestPlatform::start().await;
+    let (store, client) = (platform.config(), platform.client(LONG_TIMEOUT));
+    commit_many(&store, 0, 1, "operator").await;
+    let chunk = &client.list("config/chunk/").await.unwrap()[0];
+    overwrite(&client, &chunk.name, Bytes::from_static(b"damaged")).await;
+    let mut request = commit_request(1, "operator");
+    request.document = commit_request(0, "operator").document;
+    let outcome = store.commit(&request).await.unwrap();
+    assert!(
+        matches!(outcome, CommitOutcome::Committed(2)),
+        "{outcome:?}"
+    );
+    let loaded = store.load_newest().await.unwrap().unwrap();
+    assert_eq!(loaded.document, request.document);
+}
+
+struct RefusedCase {
+    name: &'static str,
+    faults: &'static str,
+    expected_generation: u64,
+    summary_length: usize,
+    expected: fn(&Result<CommitOutcome, ConfigError>) -> bool,
+}
+
+/// Guards against a change that is accepted, or reported as unknown, although nothing was written.
+#[tokio::test]
+async fn a_commit_that_cannot_start_changes_nothing() {
+    let cases = [
+        RefusedCase {
+            name: "answered with 503",
+            faults: r#"{"down": "unavailable"}"#,
+            expected_generation: 1,
+            summary_length: 10,
+            expected: |result| matches!(result, Err(ConfigError::ManifestRead(_))),
+        },
+        RefusedCase {
+            name: "closed connections",
+            faults: r#"{"down": "closed"}"#,
+            expected_generation: 1,
+            summary_length: 10,
+            expected: |result| matches!(result, Err(ConfigError::ManifestRead(_))),
+        },
+        RefusedCase {
+            name: "slow",
+            faults: SLOW_FAULT,
+            expected_generation: 1,
+            summary_length: 10,
+            expected: |result| matches!(result, Err(ConfigError::ManifestRead(_))),
+        },
+        RefusedCase {
+            name: "based on an older generation",
+            faults: NO_FAULT,
+            expected_generation: 0,
+            summary_length: 10,
+            expected: |result| matches!(result, Ok(CommitOutcome::Conflict { current: Some(_) })),
+        },
+        RefusedCase {
+            name: "based on a newer generation",
+            faults: NO_FAULT,
+            expected_generation: 2,
+            summary_length: 10,
+            expected: |result| matches!(result, Ok(CommitOutcome::Conflict { current: Some(_) })),
+        },
+        RefusedCase {
+            name: "summary too long",
+            faults: NO_FAULT,
+            expected_generation: 1,
+            summary_length: SUMMARY_LIMIT_BYTES + 1,
+            expected: |result| {
+                matches!(
+                    result,
+                    Err(ConfigError::FieldLength {
+                        field: "summary",
+                        ..
+                    })
+                )
+            },
+        },
+    ];
+    for case in cases {
+        let platform = TestPlatform::start().await;
+        commit_many(&platform.config(), 0, 1, "first").await;
+        platform.set_faults(case.faults).await;
+        let timeout = if case.faults == SLOW_FAULT {
+            SHORT_TIMEOUT
+        } else {
+            LONG_TIMEOUT
+        };
+        let store = ConfigStore::new(platform.client(timeout));
+        let mut request = commit_request(case.expected_generation, "operator");
+        request.summary = "x".repeat(case.summary_length);
+        let result = store.commit(&request).await;
+        assert!((case.expected)(&result), "{}: {result:?}", case.name);
+        platform.set_faults(NO_FAULT).await;
+        let commits = read_commits(&platform.config()).await;
+        assert_eq!(commits.len(), 1, "{}", case.name);
+        assert_eq!(commits[0].operator, "first", "{}", case.name);
+    }
+}
+
+/// Guards against a manifest whose history of commits outgrows one value of the platform.
+#[tokio::test]
+async fn a_full_history_with_long_fields_fits_into_one_value() {
+    let platform = TestPlatform::start().await;
+    let store = platform.config();
+    for generation in 0..=COMMIT_HISTORY as u64 {
+        let mut request = commit_request(generation, "operator");
+        // JSON writes this byte as six.
+        request.summary = "\u{1}".repeat(SUMMARY_LIMIT_BYTES);
+        request.operator = "\u{1}".repeat(128);
+        let outcome = store.commit(&request).await.unwrap();
+        assert!(
+            matches!(outcome, CommitOutcome::Committed(_)),
+            "{outcome:?}"
+        );
+    }
+    let commits = read_commits(&store).await;
+    assert_eq!(commits.len(), COMMIT_HISTORY);
+    assert_eq!(commits[0].generation, 2);
+}
+
+/// Guards against audit objects that stay missing after one could not be written.
+#[tokio::test]
+async fn a_missing_audit_object_is_written_by_the_next_commit() {
+    let platform = TestPlatform::start().await;
+    let (store, client) = (platform.config(), platform.client(LONG_TIMEOUT));
+    commit_many(&store, 0, 3, "operator").await;
+    for name in ["audit/2", "audit/3"] {
+        let version = client.get(name).await.unwrap().unwrap().version;
+        client.delete(name, version).await.unwrap();
+    }
+    commit_many(&store, 3, 1, "operator").await;
+    let mut names: Vec<String> = client
+        .list("audit/")
+        .await
+        .unwrap()
+        .into_iter()
+        .map(|entry| entry.name)
+        .collect();
+    names.sort();
+    assert_eq!(names, ["audit/1", "audit/2", "audit/3", "audit/4"]);
+}
--- /dev/null
+++ b/crates/platform/tests/seat_claims.rs
@@ -0,0 +1,223 @@
+//! Claims and releases of seats.
+
+mod support;
+
+use coltsfootkeel_platform::{ClaimOutcome, ReleaseOutcome, SeatHolder, SeatStore, StoredSeat};
+use support::{LONG_TIMEOUT, NO_FAULT, SHORT_TIMEOUT, SLOW_FAULT, TestPlatform};
+
+const SEAT: &str = "penang-a-1";
+
+fn holder(number: u64) -> SeatHolder {
+    SeatHolder {
+        instance: format!("i-{number}"),
+        incarnation: number,
+        peer_address: "127.0.0.1:9301".parse().unwrap(),
+    }
+}
+
+async fn claim(seats: &SeatStore, seen: &StoredSeat, number: u64) -> StoredSeat {
+    match seats.claim(SEAT, seen, holder(number)).await.unwrap() {
+        ClaimOutcome::Claimed(seat) => seat,
+        outcome => panic!("claim of {number}: {outcome:?}"),
+    }
+}
+
+/// Guards against two claimants that both believe they hold a seat.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_race_of_claims_has_one_winner() {
+    const CLAIMANTS: u64 = 8;
+    const ROUNDS: u64 = 20;
+    let platform = TestPlatform::start().await;
+    for round in 0..ROUNDS {
+        let seen = platform.seats().read(SEAT).await.unwrap();
+        let claims: Vec<_> = (0..CLAIMANTS)
+            .map(|number| {
+                let (seats, seen) = (platform.seats(), seen.clone());
+                tokio::spawn(async move { seats.claim(SEAT, &seen, holder(number)).await.unwrap() })
+            })
+            .collect();
+        let (mut claimed, mut lost) = (Vec::new(), Vec::new());
+        for claim in claims {
+            match claim.await.unwrap() {
+                ClaimOutcome::Claimed(seat) => claimed.push(seat),
+                ClaimOutcome::Lost(seat) => lost.push(seat),
+                ClaimOutcome::Unknown => panic!("no answer was lost"),
+            }
+        }
+        let stored = platform.seats().read(SEAT).await.unwrap();
+        assert_eq!(claimed.len(), 1, "round {round}");
+        assert_eq!(claimed[0], stored, "round {round}");
+        assert_eq!(lost.len() as u64, CLAIMANTS - 1);
+        assert!(lost.iter().all(|seat| *seat == stored), "round {round}");
+        assert_eq!(stored.occupancy.epoch, round + 1);
+    }
+}
+
+struct ClaimCase {
+    name: &'static str,
+    faults: &'static str,
+    /// Whether another instance claims the seat after it was read.
+    claimed_meanwhile: bool,
+    expected: fn(&ClaimOutcome) -> bool,
+    epoch: u64,
+    holder: u64,
+}
+
+/// Guards against a claim that is lost or made twice because its answer was lost, and against a
+/// claim of a seat that changed hands since it was read.
+#[tokio::test]
+async fn claims_depend_on_the_seat_as_it_was_read() {
+    let cases = [
+        ClaimCase {
+            name: "unchanged",
+            faults: NO_FAULT,
+            claimed_meanwhile: false,
+            expected: |outcome| matches!(outcome, ClaimOutcome::Claimed(_)),
+            epoch: 2,
+            holder: 9,
+        },
+        ClaimCase {
+            name: "answer lost",
+            faults: r#"{"lose_answers": 1, "lose_answer_prefix": "seats/"}"#,
+            claimed_meanwhile: false,
+            expected: |outcome| matches!(outcome, ClaimOutcome::Claimed(_)),
+            epoch: 2,
+            holder: 9,
+        },
+        ClaimCase {
+            name: "changed hands",
+            faults: NO_FAULT,
+            claimed_meanwhile: true,
+            expected: |outcome| matches!(outcome, ClaimOutcome::Lost(_)),
+            epoch: 2,
+            holder: 5,
+        },
+    ];
+    for case in cases {
+        let platform = TestPlatform::start().await;
+        let seats = platform.seats();
+        let seen = claim(&seats, &StoredSeat::default(), 1).await;
+        if case.claimed_meanwhile {
+            claim(&seats, &seen, 5).await;
+        }
+        platform.set_faults(case.faults).await;
+        let outcome = seats.claim(SEAT, &seen, holder(9)).await.unwrap();
+        assert!((case.expected)(&outcome), "{}: {outcome:?}", case.name);
+        let stored = seats.read(SEAT).await.unwrap();
+        assert_eq!(stored.occupancy.epoch, case.epoch, "{}", case.name);
+        assert_eq!(
+            stored.occupancy.holder,
+            Some(holder(case.holder)),
+            "{}",
+            case.name
+        );
+        if let ClaimOutcome::Claimed(seat) | ClaimOutcome::Lost(seat) = outcome {
+            assert_eq!(seat, stored, "{}", case.name);
+        }
+    }
+}
+
+struct ReleaseCase {
+    name: &'static str,
+    faults: &'static str,
+    claimed_meanwhile: bool,
+    expected: fn(&ReleaseOutcome) -> bool,
+    holder: Option<u64>,
+}
+
+/// Guards against a release that frees the seat of the next holder.
+#[tokio::test]
+async fn a_release_frees_only_the_own_seat() {
+    let cases = [
+        ReleaseCase {
+            name: "held",
+            faults: NO_FAULT,
+            claimed_meanwhile: false,
+            expected: |outcome| matches!(outcome, ReleaseOutcome::Released),
+            holder: None,
+        },
+        ReleaseCase {
+            name: "answer lost",
+            faults: r#"{"lose_answers": 1, "lose_answer_prefix": "seats/"}"#,
+            claimed_meanwhile: false,
+            expected: |outcome| matches!(outcome, ReleaseOutcome::Released),
+            holder: None,
+        },
+        ReleaseCase {
+            name: "claimed by another",
+            faults: NO_FAULT,
+            claimed_meanwhile: true,
+            expected: |outcome| matches!(outcome, ReleaseOutcome::NotHeld(_)),
+            holder: Some(5),
+        },
+    ];
+    for case in cases {
+        let platform = TestPlatform::start().await;
+        let seats = platform.seats();
+        let held = claim(&seats, &StoredSeat::default(), 1).await;
+        if case.claimed_meanwhile {
+            claim(&seats, &held, 5).await;
+        }
+        platform.set_faults(case.faults).await;
+        let outcome = seats.release(SEAT, &held).await.unwrap();
+        assert!((case.expected)(&outcome), "{}: {outcome:?}", case.name);
+        let stored = seats.read(SEAT).await.unwrap();
+        assert_eq!(
+            stored.occupancy.holder,
+            case.holder.map(holder),
+            "{}",
+            case.name
+        );
+        let next = claim(&seats, &stored, 7).await;
+        assert_eq!(
+            next.occupancy.epoch,
+            stored.occupancy.epoch + 1,
+            "{}",
+            case.name
+        );
+    }
+}
+
+struct OutageCase {
+    name: &'static str,
+    faults: &'static str,
+    known_undone: bool,
+}
+
+/// Guards against a claimant that takes an unanswered claim for a failed one.
+#[tokio::test]
+async fn an_outage_leaves_a_claim_undone_or_unknown() {
+    let cases = [
+        OutageCase {
+            name: "answered with 503",
+            faults: r#"{"down": "unavailable"}"#,
+            known_undone: true,
+        },
+        OutageCase {
+            name: "closed connections",
+            faults: r#"{"down": "closed"}"#,
+            known_undone: false,
+        },
+        OutageCase {
+            name: "slow",
+            faults: SLOW_FAULT,
+            known_undone: false,
+        },
+    ];
+    for case in cases {
+        let platform = TestPlatform::start().await;
+        platform.set_faults(case.faults).await;
+        let timeout = if case.faults == SLOW_FAULT {
+            SHORT_TIMEOUT
+        } else {
+            LONG_TIMEOUT
+        };
+        let seats = SeatStore::new(platform.client(timeout));
+        let result = seats.claim(SEAT, &StoredSeat::default(), holder(1)).await;
+        match result {
+            Err(_) => assert!(case.known_undone, "{}", case.name),
+            Ok(ClaimOutcome::Unknown) => assert!(!case.known_undone, "{}", case.name),
+            Ok(outcome) => panic!("{}: {outcome:?}", case.name),
+        }
+    }
+}
