platform: plainer names for outcomes of writes

Cause: 'undone' reads as 'reverted', while the errors mean 'not applied'. Change: is_known_not_applied, contains_write, resolve_superseded, and the test relay interrupts instead of cutting. No behaviour changes.

--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -242,7 +242,7 @@
             WriteOutcome::Superseded {
                 current,
                 perhaps_written,
-            } => judge_superseded(current.as_ref(), perhaps_written, manifest.generation),
+            } => resolve_superseded(current.as_ref(), perhaps_written, manifest.generation),
             WriteOutcome::Uncertain(_) => Ok(CommitOutcome::Unknown),
         }
     }
@@ -362,18 +362,24 @@
         let body = encode_json(manifest);
         let condition = WriteCondition::unchanged(replaced.map(|stored| stored.version));
         let commit = manifest.commits.last();
-        let carries_write = |object: &StoredObject| {
+        let contains_write = |object: &StoredObject| {
             parse_manifest(object)
                 .is_ok_and(|stored| stored.manifest.find_commit(&manifest.write_id) == commit)
         };
-        write_object(&self.client, MANIFEST_NAME, &body, condition, carries_write)
-            .await
-            .map_err(ConfigError::ManifestWrite)
+        write_object(
+            &self.client,
+            MANIFEST_NAME,
+            &body,
+            condition,
+            contains_write,
+        )
+        .await
+        .map_err(ConfigError::ManifestWrite)
     }
 }
 
 /// Decides about a commit whose write id is not in the manifest that is stored now.
-fn judge_superseded(
+fn resolve_superseded(
     current: Option<&StoredObject>,
     perhaps_written: bool,
     generation: u64,
--- a/crates/platform/src/object_types.rs
+++ b/crates/platform/src/object_types.rs
@@ -138,7 +138,7 @@
 impl CallError {
     /// Tells whether a write has certainly not taken effect.
     #[must_use]
-    pub fn is_known_undone(&self) -> bool {
+    pub fn is_known_not_applied(&self) -> bool {
         !matches!(self, Self::Unknown(_))
     }
 
--- a/crates/platform/src/resolved_write.rs
+++ b/crates/platform/src/resolved_write.rs
@@ -19,7 +19,7 @@
     /// The write has taken effect. The version is that of the object now, which another writer may
     /// have changed on top.
     Written(ObjectVersion),
-    /// The object is not as the condition demands and does not carry the write.
+    /// The object is not as the condition demands and does not contain the write.
     Superseded {
         /// The object now.
         current: Option<StoredObject>,
@@ -49,7 +49,7 @@
 
 /// Writes an object if `condition` holds, with bounded retries.
 ///
-/// After a lost answer the object is read back. If `carries_write` holds for it, the write has
+/// After a lost answer the object is read back. If `contains_write` holds for it, the write has
 /// taken effect. If the object is unchanged, the same conditional write is repeated: it and the
 /// earlier one cannot both take effect, because the first changes the version.
 ///
@@ -61,7 +61,7 @@
     name: &str,
     body: &Bytes,
     condition: WriteCondition,
-    carries_write: impl Fn(&StoredObject) -> bool,
+    contains_write: impl Fn(&StoredObject) -> bool,
 ) -> Result<WriteOutcome, CallError> {
     let mut perhaps_written = false;
     let mut attempt = 1;
@@ -70,11 +70,11 @@
             Ok(version) => return Ok(WriteOutcome::Written(version)),
             Err(error) => error,
         };
-        perhaps_written |= !error.is_known_undone();
+        perhaps_written |= !error.is_known_not_applied();
         if matches!(error, CallError::Conflict | CallError::Unknown(_)) {
             // A failed read leaves the question open for the next attempt.
             if let Ok(current) = client.get(name).await {
-                if let Some(object) = current.as_ref().filter(|object| carries_write(object)) {
+                if let Some(object) = current.as_ref().filter(|object| contains_write(object)) {
                     return Ok(WriteOutcome::Written(object.version));
                 }
                 if !condition.holds_for(current.as_ref().map(|object| object.version)) {
--- a/crates/platform/src/seat_store.rs
+++ b/crates/platform/src/seat_store.rs
@@ -174,7 +174,7 @@
             seat: seat.to_string(),
             source,
         })?;
-        let carries_write = |object: &StoredObject| {
+        let contains_write = |object: &StoredObject| {
             serde_json::from_slice::<SeatOccupancy>(&object.body)
                 .is_ok_and(|stored| stored == *occupancy)
         };
@@ -183,7 +183,7 @@
             &object_name(seat),
             &Bytes::from(body),
             WriteCondition::unchanged(seen.version),
-            carries_write,
+            contains_write,
         )
         .await
         .map_err(|source| call_error(seat, source))
--- a/crates/platform/tests/config_commits.rs
+++ b/crates/platform/tests/config_commits.rs
@@ -9,7 +9,7 @@
     CHUNK_LIMIT_BYTES, COMMIT_HISTORY, CommitOutcome, CommitRecord, ConfigError, ConfigStore,
     MANIFEST_NAME, ObjectClient, SUMMARY_LIMIT_BYTES, WriteCondition,
 };
-use support::cut_relay::start_relay;
+use support::interrupt_relay::start_relay;
 use support::{LONG_TIMEOUT, NO_FAULT, SHORT_TIMEOUT, SLOW_FAULT, TestPlatform, commit_request};
 
 /// Commits `count` changes by `writer` after `generation`.
@@ -100,7 +100,7 @@
     Unknown,
 }
 
-struct CutCase {
+struct InterruptCase {
     name: &'static str,
     /// Whether the manifest write reaches the platform before its connection is cut.
     forward: bool,
@@ -110,64 +110,64 @@
     listed: usize,
 }
 
-const CUT_CASES: [CutCase; 9] = [
-    CutCase {
+const INTERRUPT_CASES: [InterruptCase; 9] = [
+    InterruptCase {
         name: "answer lost",
         forward: true,
         meanwhile: Meanwhile::Nothing,
         expected: Outcome::Committed(2),
         listed: 1,
     },
-    CutCase {
+    InterruptCase {
         name: "answer lost, another commit on top",
         forward: true,
         meanwhile: Meanwhile::Commits(1),
         expected: Outcome::Committed(2),
         listed: 1,
     },
-    CutCase {
+    InterruptCase {
         name: "answer lost, as many commits on top as the history still shows",
         forward: true,
         meanwhile: Meanwhile::Commits(COMMIT_HISTORY - 1),
         expected: Outcome::Committed(2),
         listed: 1,
     },
-    CutCase {
+    InterruptCase {
         name: "answer lost, more commits on top than the history shows",
         forward: true,
         meanwhile: Meanwhile::Commits(COMMIT_HISTORY),
         expected: Outcome::Unknown,
         listed: 0,
     },
-    CutCase {
+    InterruptCase {
         name: "answer lost, then older data",
         forward: true,
         meanwhile: Meanwhile::Revert,
         expected: Outcome::Unknown,
         listed: 0,
     },
-    CutCase {
+    InterruptCase {
         name: "answer lost, then an outage",
         forward: true,
         meanwhile: Meanwhile::Down,
         expected: Outcome::Unknown,
         listed: 1,
     },
-    CutCase {
+    InterruptCase {
         name: "write lost",
         forward: false,
         meanwhile: Meanwhile::Nothing,
         expected: Outcome::Committed(2),
         listed: 1,
     },
-    CutCase {
+    InterruptCase {
         name: "write lost, another commit first",
         forward: false,
         meanwhile: Meanwhile::Commits(1),
         expected: Outcome::Conflict,
         listed: 0,
     },
-    CutCase {
+    InterruptCase {
         name: "write lost, then an outage",
         forward: false,
         meanwhile: Meanwhile::Down,
@@ -179,8 +179,8 @@
 /// Guards against a commit that is reported as done, not done or unknown against the facts when
 /// other writers, an outage or older data come between the write and reading it back.
 #[tokio::test]
-async fn a_cut_commit_is_judged_by_its_write_id() {
-    for case in CUT_CASES {
+async fn an_interrupted_commit_is_resolved_by_its_write_id() {
+    for case in INTERRUPT_CASES {
         let platform = TestPlatform::start().await;
         let direct = platform.config();
         // The saved state has no manifest, so a revert removes the one that the commit expects.
--- a/crates/platform/tests/object_calls.rs
+++ b/crates/platform/tests/object_calls.rs
@@ -22,7 +22,7 @@
     object: &'static str,
     length: usize,
     expected: fn(&CallError) -> bool,
-    known_undone: bool,
+    known_not_applied: bool,
     written: bool,
 }
 
@@ -36,7 +36,7 @@
             object: "a/b",
             length: 5,
             expected: |error| matches!(error, CallError::Refused { status: 503 }),
-            known_undone: true,
+            known_not_applied: true,
             written: false,
         },
         FailedWrite {
@@ -45,7 +45,7 @@
             object: "a/b",
             length: 5,
             expected: |error| matches!(error, CallError::Unknown(AnswerFailure::Connection(_))),
-            known_undone: false,
+            known_not_applied: false,
             written: false,
         },
         FailedWrite {
@@ -54,7 +54,7 @@
             object: "a/b",
             length: 5,
             expected: |error| matches!(error, CallError::Unknown(AnswerFailure::Timeout)),
-            known_undone: false,
+            known_not_applied: false,
             written: false,
         },
         FailedWrite {
@@ -63,7 +63,7 @@
             object: "a/b",
             length: 5,
             expected: |error| matches!(error, CallError::Unknown(AnswerFailure::Connection(_))),
-            known_undone: false,
+            known_not_applied: false,
             written: true,
         },
         FailedWrite {
@@ -72,7 +72,7 @@
             object: "a/b",
             length: 1_000_001,
             expected: |error| matches!(error, CallError::Refused { status: 413 }),
-            known_undone: true,
+            known_not_applied: true,
             written: false,
         },
         FailedWrite {
@@ -81,7 +81,7 @@
             object: "",
             length: 5,
             expected: |error| matches!(error, CallError::NotSent(SendFailure::Request(_))),
-            known_undone: true,
+            known_not_applied: true,
             written: false,
         },
     ];
@@ -100,12 +100,12 @@
             .await;
         let error = result.expect_err(case.name);
         assert!((case.expected)(&error), "{}: {error:?}", case.name);
-        let known_undone = error.is_known_undone();
-        assert_eq!(known_undone, case.known_undone, "{}", case.name);
+        let known_not_applied = error.is_known_not_applied();
+        assert_eq!(known_not_applied, case.known_not_applied, "{}", case.name);
         platform.set_faults(NO_FAULT).await;
         let listed = platform.client(LONG_TIMEOUT).list("").await.unwrap();
         assert_eq!(!listed.is_empty(), case.written, "{}", case.name);
-        assert!(!(case.written && known_undone), "{}", case.name);
+        assert!(!(case.written && known_not_applied), "{}", case.name);
     }
 }
 
--- a/crates/platform/tests/seat_claims.rs
+++ b/crates/platform/tests/seat_claims.rs
@@ -181,27 +181,27 @@
 struct OutageCase {
     name: &'static str,
     faults: &'static str,
-    known_undone: bool,
+    known_not_applied: bool,
 }
 
 /// Guards against a claimant that takes an unanswered claim for a failed one.
 #[tokio::test]
-async fn an_outage_leaves_a_claim_undone_or_unknown() {
+async fn an_outage_leaves_a_claim_not_applied_or_unknown() {
     let cases = [
         OutageCase {
             name: "answered with 503",
             faults: r#"{"down": "unavailable"}"#,
-            known_undone: true,
+            known_not_applied: true,
         },
         OutageCase {
             name: "closed connections",
             faults: r#"{"down": "closed"}"#,
-            known_undone: false,
+            known_not_applied: false,
         },
         OutageCase {
             name: "slow",
             faults: SLOW_FAULT,
-            known_undone: false,
+            known_not_applied: false,
         },
     ];
     for case in cases {
@@ -215,8 +215,8 @@
         let seats = SeatStore::new(platform.client(timeout));
         let result = seats.claim(SEAT, &StoredSeat::default(), holder(1)).await;
         match result {
-            Err(_) => assert!(case.known_undone, "{}", case.name),
-            Ok(ClaimOutcome::Unknown) => assert!(!case.known_undone, "{}", case.name),
+            Err(_) => assert!(case.known_not_applied, "{}", case.name),
+            Ok(ClaimOutcome::Unknown) => assert!(!case.known_not_applied, "{}", case.name),
             Ok(outcome) => panic!("{}: {outcome:?}", case.name),
         }
     }
--- a/crates/platform/tests/support/cut_relay.rs
+++ b/crates/platform/tests/support/interrupt_relay.rs
@@ -25,8 +25,9 @@
         loop {
             let (mut client, _) = listener.accept().await.unwrap();
             let mut server = TcpStream::connect(platform).await.unwrap();
-            let cut = relay_connection(&mut client, &mut server, meanwhile.is_some(), forward);
-            if cut.await {
+            let interrupted =
+                relay_connection(&mut client, &mut server, meanwhile.is_some(), forward);
+            if interrupted.await {
                 drop((client, server));
                 if let Some(meanwhile) = meanwhile.take() {
                     meanwhile.await;
@@ -53,12 +54,12 @@
                 if request.is_empty() {
                     return false;
                 }
-                let cut = armed && request.starts_with(MANIFEST_WRITE);
-                if cut && !forward {
+                let selected = armed && request.starts_with(MANIFEST_WRITE);
+                if selected && !forward {
                     return true;
                 }
                 server.write_all(request).await.unwrap();
-                if cut {
+                if selected {
                     finish_write(client, server).await;
                     return true;
                 }
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -1,7 +1,7 @@
 //! The platform stand-in in the test process, and short ways to use it.
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
-pub mod cut_relay;
+pub mod interrupt_relay;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
