--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -221,6 +221,7 @@
     pub async fn commit(&self, request: &CommitRequest) -> Result<CommitOutcome, ConfigError> {
         check_lengths(request)?;
         let current = self.read_manifest().await?;
+        // An earlier call with this write id may have taken effect.
         let found = current
             .as_ref()
             .and_then(|stored| stored.manifest.find_commit(&request.write_id));
@@ -241,7 +242,7 @@
             WriteOutcome::Superseded {
                 current,
                 perhaps_written,
-            } => judge_superseded(current.as_ref(), perhaps_written, manifest.generation),
+            } => resolve_superseded(current.as_ref(), perhaps_written, manifest.generation),
             WriteOutcome::Uncertain(_) => Ok(CommitOutcome::Unknown),
         }
     }
@@ -360,18 +361,25 @@
     ) -> Result<WriteOutcome, ConfigError> {
         let body = encode_json(manifest);
         let condition = WriteCondition::unchanged(replaced.map(|stored| stored.version));
-        let carries_write = |object: &StoredObject| {
+        let commit = manifest.commits.last();
+        let contains_write = |object: &StoredObject| {
             parse_manifest(object)
-                .is_ok_and(|stored| stored.manifest.find_commit(&manifest.write_id).is_some())
+                .is_ok_and(|stored| stored.manifest.find_commit(&manifest.write_id) == commit)
         };
-        write_object(&self.client, MANIFEST_NAME, &body, condition, carries_write)
-            .await
-            .map_err(ConfigError::ManifestWrite)
+        write_object(
+            &self.client,
+            MANIFEST_NAME,
+            &body,
+            condition,
+            contains_write,
+        )
+        .await
+        .map_err(ConfigError::ManifestWrite)
     }
 }
 
 /// Decides about a commit whose write id is not in the manifest that is stored now.
-fn judge_superseded(
+fn resolve_superseded(
     current: Option<&StoredObject>,
     perhaps_written: bool,
     generation: u64,
