--- a/crates/daemon/src/access_watch.rs
+++ b/crates/daemon/src/access_watch.rs
@@ -45,7 +45,10 @@
             watches.insert(digest, kept.unwrap_or_default());
         }
         for (digest, watch) in &self.watches {
-            if !watches.get(digest).is_some_and(|kept| Arc::ptr_eq(kept, watch)) {
+            if !watches
+                .get(digest)
+                .is_some_and(|kept| Arc::ptr_eq(kept, watch))
+            {
                 watch.withdraw();
             }
         }
--- a/crates/daemon/src/answer_body.rs
+++ b/crates/daemon/src/answer_body.rs
@@ -31,8 +31,17 @@
     Withdrawn,
 }
 
-/// What happens when the body has ended: called with `true` if it was complete.
-pub type EndHook = Box<dyn FnOnce(bool) + Send + Sync>;
+/// How a body ended.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerEnd {
+    /// Whether it was complete.
+    pub complete: bool,
+    /// The bytes that passed.
+    pub bytes: u64,
+}
+
+/// What happens when the body has ended.
+pub type EndHook = Box<dyn FnOnce(AnswerEnd) + Send + Sync>;
 
 /// A response body that is complete, or visibly broken.
 pub struct AnswerBody {
@@ -40,6 +49,7 @@
     deadline: Instant,
     watch: Option<Arc<AccessWatch>>,
     timer: Pin<Box<Sleep>>,
+    bytes: u64,
     end: Option<EndHook>,
 }
 
@@ -58,18 +68,26 @@
             deadline,
             watch,
             timer: Box::pin(tokio::time::sleep_until(first_check)),
+            bytes: 0,
             end: Some(end),
         }
     }
 
     fn finish(&mut self, complete: bool) {
         if let Some(end) = self.end.take() {
-            end(complete);
+            end(AnswerEnd {
+                complete,
+                bytes: self.bytes,
+            });
         }
     }
 
     fn interruption(&mut self, context: &mut Context<'_>) -> Option<AnswerError> {
-        if self.watch.as_ref().is_some_and(|watch| watch.is_withdrawn()) {
+        if self
+            .watch
+            .as_ref()
+            .is_some_and(|watch| watch.is_withdrawn())
+        {
             return Some(AnswerError::Withdrawn);
         }
         while self.timer.as_mut().poll(context).is_ready() {
@@ -105,6 +123,7 @@
         };
         match frame {
             Some(Ok(frame)) => {
+                self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
                 // A body with a known length is not polled again after its last frame.
                 if self.body.is_end_stream() {
                     self.finish(true);
--- /dev/null
+++ b/crates/daemon/src/answer_relay.rs
@@ -0,0 +1,181 @@
+//! Passes an upstream's response on to the caller.
+
+use std::sync::Arc;
+
+use coltsfootkeel_decisions::{AttemptEnd, SuspectFingerprint};
+use coltsfootkeel_model::UpstreamKey;
+use http::HeaderMap;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use tokio::time::Instant;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use crate::answer_body::{AnswerBody, AnswerEnd};
+use crate::caller_request::{CallerBody, MAX_REPLAYABLE_BYTES};
+use crate::control_event::ControlEvent;
+use crate::header_rules;
+use crate::kept_answer::KeptAnswer;
+use crate::request_context::RequestContext;
+use crate::slot_wait::SlotGuard;
+use crate::upstream_link::LinkExchange;
+
+/// An answer on its way to the caller.
+#[derive(Debug)]
+pub enum RelayedAnswer {
+    /// A small answer that has arrived whole.
+    Whole(KeptAnswer),
+    /// An answer that is passed on while it arrives.
+    Streamed(Response),
+}
+
+impl RelayedAnswer {
+    /// Makes the response for the caller.
+    #[must_use]
+    pub fn into_response(self) -> Response {
+        match self {
+            Self::Whole(answer) => answer.to_response(),
+            Self::Streamed(response) => response,
+        }
+    }
+}
+
+/// Passes a response on. Small ones are read whole first, so that a request can still be retried if one breaks off.
+///
+/// # Errors
+///
+/// Returns how the attempt ended if the answer broke off before the caller got any of it.
+pub async fn relay_answer(
+    context: &RequestContext,
+    body: &CallerBody,
+    upstream: UpstreamKey,
+    slot: SlotGuard,
+    exchange: LinkExchange,
+    is_retryable: bool,
+) -> Result<RelayedAnswer, AttemptEnd> {
+    let LinkExchange {
+        response,
+        connection,
+    } = exchange;
+    let (parts, incoming) = response.into_parts();
+    let mut headers = parts.headers;
+    let is_small = incoming
+        .size_hint()
+        .exact()
+        .is_some_and(|length| length <= MAX_REPLAYABLE_BYTES);
+    header_rules::clean_response(&mut headers);
+    header_rules::set_text(
+        &mut headers,
+        header_rules::REQUEST_ID_HEADER,
+        &context.request_id,
+    );
+    let name = &context.snapshot.config.upstreams[upstream].name;
+    header_rules::set_text(&mut headers, header_rules::UPSTREAM_HEADER, name);
+    let link = Arc::clone(&context.snapshot.upstreams[upstream].link);
+    let finish = AnswerFinish {
+        success: suspect_success(context, body),
+        region: context.snapshot.config.upstreams[upstream].region,
+        started: context.deadline - context.route().deadline,
+        context_snapshot: Arc::clone(&context.snapshot),
+        shared: Arc::clone(&context.shared),
+        sent_bytes: context.head.content_length.unwrap_or(0),
+        link,
+        connection,
+        slot,
+    };
+    if is_small {
+        return relay_whole(
+            context,
+            parts.status,
+            headers,
+            incoming,
+            finish,
+            is_retryable,
+        )
+        .await;
+    }
+    let deadline = Instant::from_std(context.shared.clock.instant_of(context.deadline));
+    let hook = Box::new(move |end: AnswerEnd| finish.run(end));
+    let body = AnswerBody::new(incoming, deadline, context.watch.clone(), hook);
+    let mut response = Response::new(Body::from_body(body));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = headers;
+    Ok(RelayedAnswer::Streamed(response))
+}
+
+async fn relay_whole(
+    context: &RequestContext,
+    status: http::StatusCode,
+    headers: HeaderMap,
+    incoming: Incoming,
+    finish: AnswerFinish,
+    is_retryable: bool,
+) -> Result<RelayedAnswer, AttemptEnd> {
+    let deadline = Instant::from_std(context.shared.clock.instant_of(context.deadline));
+    let collected = tokio::time::timeout_at(deadline, incoming.collect()).await;
+    if let Ok(Ok(collected)) = collected {
+        let body = collected.to_bytes();
+        let end = AnswerEnd {
+            complete: true,
+            bytes: body.len() as u64,
+        };
+        finish.run(end);
+        return Ok(RelayedAnswer::Whole(KeptAnswer {
+            status,
+            headers,
+            body,
+        }));
+    }
+    finish.slot.lane().health.record_failure();
+    finish.run(AnswerEnd {
+        complete: false,
+        bytes: 0,
+    });
+    log::debug!(
+        "entry: Response to request {} broke off, retryable: {is_retryable}",
+        context.request_id
+    );
+    Err(AttemptEnd::AnswerTruncated)
+}
+
+fn suspect_success(context: &RequestContext, body: &CallerBody) -> Option<SuspectFingerprint> {
+    let suspects = context.shared.suspects.load();
+    if !suspects.suspects_head(|| context.suspect_head().fingerprint()) {
+        return None;
+    }
+    let fingerprint = context.fingerprint(body.fingerprint_digest());
+    suspects.wants_success(fingerprint).then_some(fingerprint)
+}
+
+/// What happens when an answer has ended.
+struct AnswerFinish {
+    shared: Arc<crate::shared_state::SharedState>,
+    context_snapshot: Arc<crate::fleet_snapshot::FleetSnapshot>,
+    link: Arc<crate::upstream_link::UpstreamLink>,
+    connection: crate::upstream_link::LinkConnection,
+    slot: SlotGuard,
+    region: coltsfootkeel_model::RegionKey,
+    started: coltsfootkeel_counters::MonotonicTime,
+    sent_bytes: u64,
+    success: Option<SuspectFingerprint>,
+}
+
+impl AnswerFinish {
+    fn run(self, end: AnswerEnd) {
+        let now = self.shared.clock.now();
+        let home = self.context_snapshot.home.region;
+        let links = &self.context_snapshot.links;
+        links.charge(home, self.region, self.sent_bytes);
+        links.charge(self.region, home, end.bytes);
+        if !end.complete {
+            self.connection.close();
+            return;
+        }
+        self.link.put_back(now, self.connection);
+        self.shared.metrics.count_answer(now.since(self.started));
+        if let Some(fingerprint) = self.success {
+            self.shared.report(ControlEvent::Success(fingerprint));
+        }
+        drop(self.slot);
+    }
+}
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -8,7 +8,7 @@
 use volo_http::body::Body;
 use volo_http::request::Request;
 
-use coltsfootkeel_decisions::RefusalKind;
+use coltsfootkeel_decisions::{BodyDigest, FINGERPRINT_BODY_BYTES, RefusalKind};
 
 use crate::header_rules;
 use crate::prefixed_body::PrefixedBody;
@@ -19,9 +19,6 @@
 /// The longest idempotency key in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
-/// The number of body bytes that take part in a fingerprint.
-const FINGERPRINT_BYTES: usize = 4 * 1024;
-
 /// The head of a caller's request.
 #[derive(Debug)]
 pub struct CallerHead {
@@ -47,7 +44,10 @@
     /// Returns why the request is refused.
     pub fn read(request: &Request, max_body_bytes: u64) -> Result<Self, RefusalKind> {
         let headers = request.headers();
-        let path_and_query = request.uri().path_and_query().ok_or(RefusalKind::Malformed)?;
+        let path_and_query = request
+            .uri()
+            .path_and_query()
+            .ok_or(RefusalKind::Malformed)?;
         if request.method() == Method::CONNECT || !path_and_query.path().starts_with('/') {
             return Err(RefusalKind::Malformed);
         }
@@ -93,7 +93,7 @@
         /// The body, until an attempt takes it.
         body: Option<Body>,
         /// The digest of its first bytes.
-        start_digest: u64,
+        start_digest: BodyDigest,
     },
 }
 
@@ -103,7 +103,11 @@
     /// # Errors
     ///
     /// Returns [`RefusalKind::Malformed`] if the body breaks off.
-    pub async fn read(head: &CallerHead, body: Body, max_body_bytes: u64) -> Result<Self, RefusalKind> {
+    pub async fn read(
+        head: &CallerHead,
+        body: Body,
+        max_body_bytes: u64,
+    ) -> Result<Self, RefusalKind> {
         match head.content_length {
             Some(length) if length <= MAX_REPLAYABLE_BYTES => {}
             None if http_body::Body::is_end_stream(&body) => return Ok(Self::Whole(Bytes::new())),
@@ -114,11 +118,11 @@
     }
 
     async fn read_start(body: Body, max_body_bytes: u64) -> Result<Self, RefusalKind> {
-        let body = PrefixedBody::read_ahead(body, FINGERPRINT_BYTES)
+        let body = PrefixedBody::read_ahead(body, FINGERPRINT_BODY_BYTES)
             .await
             .map_err(|_| RefusalKind::Malformed)?;
-        let start = &body.prefix()[..body.prefix().len().min(FINGERPRINT_BYTES)];
-        let start_digest = first_number(&Sha256::digest(start));
+        let start = &body.prefix()[..body.prefix().len().min(FINGERPRINT_BODY_BYTES)];
+        let start_digest = BodyDigest(Sha256::digest(start).into());
         let limit = usize::try_from(max_body_bytes).unwrap_or(usize::MAX);
         Ok(Self::Streamed {
             body: Some(Body::from_body(Limited::new(body, limit))),
@@ -158,11 +162,11 @@
 
     /// Returns the digest of the body's first bytes, for the fingerprint of a request.
     #[must_use]
-    pub fn fingerprint_digest(&self) -> u64 {
+    pub fn fingerprint_digest(&self) -> BodyDigest {
         match self {
             Self::Whole(bytes) => {
-                let start = &bytes[..bytes.len().min(FINGERPRINT_BYTES)];
-                first_number(&Sha256::digest(start))
+                let start = &bytes[..bytes.len().min(FINGERPRINT_BODY_BYTES)];
+                BodyDigest(Sha256::digest(start).into())
             }
             Self::Streamed { start_digest, .. } => *start_digest,
         }
--- /dev/null
+++ b/crates/daemon/src/config_pull.rs
@@ -0,0 +1,104 @@
+//! Takes a configuration from a peer, part by part.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_decisions::ConfigSource;
+use coltsfootkeel_model::ConfigVersion;
+use coltsfootkeel_platform::{ConfigManifest, LoadedConfig, RawManifest};
+use coltsfootkeel_protocol::{ConfigPull, ConfigPush, PeerBody};
+use thiserror::Error;
+
+use crate::control_event::ControlEvent;
+use crate::peer_handle::{CallError, PeerHandle};
+use crate::platform_task::{check_document, version_of};
+use crate::shared_state::SharedState;
+
+/// The bytes of one part; a frame holds it with room to spare.
+pub const PART_BYTES: usize = 512 * 1024;
+
+/// Time a peer has to send one part.
+const PART_TIMEOUT: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Error)]
+enum PullError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("the peer no longer has this generation")]
+    Gone,
+    #[error("the peer sent something else than was asked for")]
+    Malformed,
+}
+
+/// Pulls a version from a peer and has it checked.
+pub async fn pull_config(shared: Arc<SharedState>, peer: PeerHandle, version: ConfigVersion) {
+    match pull_parts(&peer, version).await {
+        Ok(loaded) => check_document(&shared, ConfigSource::Peer, loaded).await,
+        Err(error) => {
+            log::info!(
+                "config: Taking generation {} from a peer failed: {error}",
+                version.generation
+            );
+            shared.report(ControlEvent::FetchFailed(version));
+        }
+    }
+}
+
+async fn pull_parts(peer: &PeerHandle, version: ConfigVersion) -> Result<LoadedConfig, PullError> {
+    let first = pull_part(peer, version, 0).await?;
+    let manifest = read_manifest(&first.manifest).ok_or(PullError::Malformed)?;
+    if version_of(&manifest) != version {
+        return Err(PullError::Gone);
+    }
+    let mut bytes = first.bytes;
+    for part in 1..first.parts {
+        bytes.extend(pull_part(peer, version, part).await?.bytes);
+    }
+    let document = String::from_utf8(bytes).map_err(|_| PullError::Malformed)?;
+    Ok(LoadedConfig { manifest, document })
+}
+
+async fn pull_part(
+    peer: &PeerHandle,
+    version: ConfigVersion,
+    part: u32,
+) -> Result<ConfigPush, PullError> {
+    let generation = version.generation.0;
+    let question = PeerBody::ConfigPull(ConfigPull { generation, part });
+    match peer.call(question, PART_TIMEOUT).await? {
+        PeerBody::ConfigPush(push) if push.generation != generation => Err(PullError::Gone),
+        PeerBody::ConfigPush(push) if push.part == part && !push.bytes.is_empty() => Ok(push),
+        _ => Err(PullError::Malformed),
+    }
+}
+
+/// Answers a pull from the configuration in force.
+#[must_use]
+pub fn answer_pull(pull: &ConfigPull, loaded: Option<&LoadedConfig>) -> ConfigPush {
+    let Some(loaded) = loaded else {
+        return ConfigPush::default();
+    };
+    let mut push = ConfigPush {
+        generation: loaded.manifest.generation,
+        part: pull.part,
+        ..ConfigPush::default()
+    };
+    if pull.generation != push.generation {
+        return push;
+    }
+    let parts: Vec<&[u8]> = loaded.document.as_bytes().chunks(PART_BYTES).collect();
+    push.parts = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    if let Some(bytes) = parts.get(pull.part as usize) {
+        push.bytes = bytes.to_vec();
+    }
+    if pull.part == 0 {
+        let raw = RawManifest::from(loaded.manifest.clone());
+        push.manifest = serde_json::to_string(&raw).unwrap_or_default();
+    }
+    push
+}
+
+fn read_manifest(text: &str) -> Option<ConfigManifest> {
+    let raw: RawManifest = serde_json::from_str(text).ok()?;
+    ConfigManifest::try_from(raw).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/control_dump.rs
@@ -0,0 +1,126 @@
+//! Fills the dump of the state.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+
+use crate::control_loop::ControlLoop;
+use crate::fleet_snapshot::FleetSnapshot;
+use crate::state_dump::{AccountDump, ConfigDump, PeerDump, ShiftDump, StateDump, UpstreamDump};
+
+impl ControlLoop {
+    /// Makes a dump of the state. It reads atomics and the state of this thread, so it cannot hold up a request.
+    pub(crate) fn dump(&mut self, now: MonotonicTime) -> StateDump {
+        let snapshot = self.shared.snapshot.load_full();
+        let mut dump = StateDump {
+            instance: self.shared.settings.instance.clone(),
+            incarnation: self.shared.incarnation,
+            uptime_s: now.since(MonotonicTime::default()).as_secs(),
+            leaving: self.shared.is_leaving(),
+            config: self.dump_config(now),
+            seat: self.seat.held().map(|held| held.name.clone()),
+            requests_in_flight: self.shared.in_flight.load(Ordering::Acquire),
+            peers: self.dump_peers(now),
+            idempotency_keys: self.shared.replays.len(),
+            kept_answer_bytes: self.shared.replays.answer_bytes(),
+            suspects: self.suspects.len(),
+            ..StateDump::default()
+        };
+        if let Some(snapshot) = snapshot {
+            dump.accounts = dump_accounts(&snapshot);
+            dump.upstreams = dump_upstreams(&snapshot);
+            dump.shifts = dump_shifts(&snapshot);
+        }
+        dump
+    }
+
+    fn dump_config(&mut self, now: MonotonicTime) -> ConfigDump {
+        let Some(version) = self.tracker.in_force() else {
+            return ConfigDump::default();
+        };
+        let own = &self.shared.settings.instance;
+        let view = self
+            .tracker
+            .fleet_view(own, &self.listed, version.generation, now);
+        ConfigDump {
+            generation: version.generation.0,
+            digest: version.digest.to_string(),
+            age_ms: self
+                .age
+                .as_mut()
+                .and_then(|age| age.age(version, now))
+                .map(millis),
+            platform_reached: self.age.as_ref().is_some_and(|age| age.platform_reached()),
+            in_force: view.in_force,
+            known: view.known,
+            behind: view.behind,
+            unheard: view.unheard,
+            faults: self
+                .tracker
+                .faults()
+                .map(|fault| format!("{:?}", fault.fault))
+                .collect(),
+        }
+    }
+
+    fn dump_peers(&self, now: MonotonicTime) -> Vec<PeerDump> {
+        let peers = self.peers.iter();
+        peers
+            .map(|record| PeerDump {
+                instance: record.peer.instance.clone(),
+                failure_domain: record.peer.failure_domain.clone(),
+                heard_ms_ago: record.heard.map(|heard| millis(now.since(heard))),
+                seats: record.seats.clone(),
+                leaving: record.leaving,
+            })
+            .collect()
+    }
+}
+
+fn dump_accounts(snapshot: &FleetSnapshot) -> Vec<AccountDump> {
+    let accounts = snapshot.config.accounts.iter();
+    accounts
+        .map(|(key, account)| AccountDump {
+            name: account.name.clone(),
+            level_milli_tokens: snapshot.accounts[key].bucket.level(),
+            capacity_milli_tokens: snapshot.accounts[key].bucket.capacity(),
+        })
+        .collect()
+}
+
+fn dump_upstreams(snapshot: &FleetSnapshot) -> Vec<UpstreamDump> {
+    let upstreams = snapshot.config.upstreams.iter();
+    upstreams
+        .map(|(key, upstream)| {
+            let lane = &snapshot.lanes[key];
+            UpstreamDump {
+                name: upstream.name.clone(),
+                slots_held: lane.slots.capacity(),
+                slots_used: lane.slots.used(),
+                latency_us: u64::try_from(lane.health.latency().as_micros()).unwrap_or(u64::MAX),
+                ejected: lane.health.is_ejected(),
+                draining: lane.health.is_draining(),
+                ramp_permille: lane.health.ramp_permille(),
+            }
+        })
+        .collect()
+}
+
+fn dump_shifts(snapshot: &FleetSnapshot) -> Vec<ShiftDump> {
+    let shifts = snapshot.config.shifts.iter();
+    shifts
+        .filter_map(|(key, shift)| {
+            let meter = snapshot.shifts.meter(key)?;
+            Some(ShiftDump {
+                name: shift.name.clone(),
+                seen: meter.seen(),
+                moved: meter.moved(),
+            })
+        })
+        .collect()
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/control_messages.rs
@@ -0,0 +1,327 @@
+//! Messages of the control thread to and from peers.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{
+    ClearReport, CrashId, CrashReport, Incarnation, LedgerOutput, PeerAge, SuspectFingerprint,
+};
+use coltsfootkeel_model::{ConfigVersion, ContentDigest, GenerationNumber};
+use coltsfootkeel_protocol::{
+    CrashNumber, DrainNotice, HeartbeatMessage, LoanGrant, LoanRequest, LoanReturn, PeerBody,
+    SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
+};
+
+use crate::config_pull::answer_pull;
+use crate::control_event::ControlEvent;
+use crate::control_loop::ControlLoop;
+use crate::loan_messages;
+use crate::peer_server::PeerSender;
+use crate::peer_table::{HeartbeatFacts, domain_named};
+
+/// Time a lender has to answer. A later grant would be worth little: a loan lives for 2 s.
+const GRANT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Means in a heartbeat that the platform never confirmed the configuration.
+const AGE_UNKNOWN: u64 = u64::MAX;
+
+impl ControlLoop {
+    /// Handles a message of a peer and returns the answer, if it has one.
+    pub(crate) fn handle_message(
+        &mut self,
+        sender: &PeerSender,
+        body: PeerBody,
+        now: MonotonicTime,
+    ) -> Option<PeerBody> {
+        match body {
+            PeerBody::Heartbeat(message) => self.handle_heartbeat(sender, message, now),
+            PeerBody::LoanRequest(message) => {
+                let grant = self.answer_loan(sender, &message, now)?;
+                return Some(PeerBody::LoanGrant(grant));
+            }
+            PeerBody::LoanReturn(message) => self.handle_return(sender, &message, now),
+            PeerBody::ConfigPull(pull) => {
+                let push = answer_pull(&pull, self.loaded.as_deref());
+                return Some(PeerBody::ConfigPush(push));
+            }
+            PeerBody::SeatProbe(probe) => {
+                return Some(PeerBody::SeatAnswer(self.answer_probe(&probe)));
+            }
+            PeerBody::SuspectNotice(notice) => {
+                if let Some(report) = read_notice(notice)
+                    && self.suspects.add_crash(now, &report)
+                {
+                    self.publish_suspects();
+                }
+            }
+            PeerBody::SuspectClearance(clearance) => {
+                if let Some(report) = read_clearance(clearance) {
+                    self.suspects.add_clearance(now, &report);
+                    self.publish_suspects();
+                }
+            }
+            PeerBody::DrainNotice(notice) => {
+                self.builder
+                    .judge
+                    .note_peer_drain(&notice.upstream, notice.leaving);
+            }
+            _ => log::debug!(
+                "peers: {} sent a message that is no question.",
+                sender.instance
+            ),
+        }
+        None
+    }
+
+    fn handle_heartbeat(
+        &mut self,
+        sender: &PeerSender,
+        message: HeartbeatMessage,
+        now: MonotonicTime,
+    ) {
+        self.learn_addresses(&message.known_peers);
+        let Some(version) = version_of(&message) else {
+            return;
+        };
+        self.tracker.note_heartbeat(
+            &sender.instance,
+            message.incarnation,
+            version,
+            &message.seats,
+            now,
+        );
+        if let (Some(config), Some(age)) = (&self.config, &mut self.age)
+            && let Some(domain) = domain_named(config, &sender.failure_domain)
+        {
+            let reported = message.config_age_ms;
+            let report = PeerAge {
+                domain,
+                version,
+                age: (reported != AGE_UNKNOWN).then(|| Duration::from_millis(reported)),
+                platform_reached: message.platform_reached,
+            };
+            age.note_peer(&sender.instance, report, now);
+        }
+        let facts = HeartbeatFacts {
+            incarnation: message.incarnation,
+            seats: message.seats,
+            leaving: message.leaving,
+            headroom_percent: message.headroom_percent,
+        };
+        let was_leaving = self
+            .peers
+            .find(&sender.instance)
+            .is_some_and(|record| record.leaving);
+        let leaving = facts.leaving;
+        self.peers.note_heartbeat(&sender.instance, facts, now);
+        if leaving != was_leaving {
+            self.publish_entries(now);
+        }
+        self.publish_replay_place(now);
+        if version.generation > GenerationNumber(0) {
+            self.consider_peer_version(&sender.instance, version, now);
+        }
+    }
+
+    /// Tells all peers the state of this instance.
+    pub(crate) fn send_heartbeats(&mut self, now: MonotonicTime) {
+        let message = self.heartbeat(now);
+        for record in self.peers.iter() {
+            // A peer whose queue is full is as good as cut off; the next heartbeat replaces this one.
+            let _ = record
+                .peer
+                .handle
+                .notify(PeerBody::Heartbeat(message.clone()));
+        }
+    }
+
+    fn heartbeat(&mut self, now: MonotonicTime) -> HeartbeatMessage {
+        let version = self.tracker.in_force().unwrap_or_default();
+        let age = self.age.as_mut().and_then(|age| age.age(version, now));
+        let in_flight = self.shared.in_flight.load(Ordering::Acquire);
+        HeartbeatMessage {
+            generation: version.generation.0,
+            digest: version.digest.0.to_vec(),
+            seats: self
+                .seat
+                .held()
+                .map(|held| held.name.clone())
+                .into_iter()
+                .collect(),
+            leaving: self.shared.is_leaving(),
+            config_age_ms: age.map_or(AGE_UNKNOWN, millis),
+            platform_reached: self.age.as_ref().is_some_and(|age| age.platform_reached()),
+            in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+            headroom_percent: self.headroom_percent(),
+            known_peers: self
+                .peers
+                .addresses()
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+            incarnation: self.shared.incarnation,
+        }
+    }
+
+    fn answer_loan(
+        &mut self,
+        sender: &PeerSender,
+        message: &LoanRequest,
+        now: MonotonicTime,
+    ) -> Option<LoanGrant> {
+        let ask = loan_messages::read_ask(message, &self.builder.limits)?;
+        let borrower = Incarnation(sender.incarnation);
+        let grant = self.builder.ledger.answer_ask(borrower, ask, now)?;
+        Some(loan_messages::grant_message(&grant, message.kind))
+    }
+
+    fn handle_return(&mut self, sender: &PeerSender, message: &LoanReturn, now: MonotonicTime) {
+        if let Some(end) = loan_messages::read_return(message, &self.builder.limits) {
+            let borrower = Incarnation(sender.incarnation);
+            self.builder.ledger.take_return(borrower, end, now);
+        }
+    }
+
+    /// Takes in a grant of a lender.
+    pub(crate) fn handle_grant(&mut self, lender: u64, grant: &LoanGrant, now: MonotonicTime) {
+        if let Some(grant) = loan_messages::read_grant(grant) {
+            self.builder
+                .ledger
+                .take_grant(Incarnation(lender), grant, now);
+        }
+    }
+
+    /// Sends the asks and returns of a tick.
+    pub(crate) fn send_loans(&self, output: LedgerOutput) {
+        for addressed in output.asks {
+            let message = loan_messages::ask_message(&addressed.message, &self.builder.limits);
+            let handle = self.peers.handle_of(addressed.to).cloned();
+            let (Some(message), Some(handle)) = (message, handle) else {
+                continue;
+            };
+            let shared = std::sync::Arc::clone(&self.shared);
+            let lender = addressed.to.0;
+            tokio::spawn(async move {
+                let answer = handle
+                    .call(PeerBody::LoanRequest(message), GRANT_TIMEOUT)
+                    .await;
+                if let Ok(PeerBody::LoanGrant(grant)) = answer {
+                    shared.report(ControlEvent::Granted { lender, grant });
+                }
+            });
+        }
+        for addressed in output.returns {
+            let message = loan_messages::return_message(&addressed.message, &self.builder.limits);
+            if let (Some(message), Some(handle)) = (message, self.peers.handle_of(addressed.to)) {
+                // A lost return only delays the lender until the loan has run out.
+                let _ = handle.notify(PeerBody::LoanReturn(message));
+            }
+        }
+    }
+
+    fn answer_probe(&self, probe: &SeatProbe) -> SeatAnswer {
+        let held = self.seat.held().is_some_and(|held| held.name == probe.seat);
+        SeatAnswer {
+            seat: probe.seat.clone(),
+            held,
+            claimed: held && self.shared.incarnation != probe.incarnation,
+        }
+    }
+
+    /// Takes in a crash that this instance saw, and tells the peers.
+    pub(crate) fn handle_crash(&mut self, report: &CrashReport, now: MonotonicTime) {
+        log::warn!(
+            "health: Upstream {} closed a connection in the middle of a request and accepts no new one.",
+            report.crash.upstream
+        );
+        if self.suspects.add_crash(now, report) {
+            self.publish_suspects();
+        }
+        let notice = SuspectNotice {
+            crash: Some(crash_number(&report.crash)),
+            fingerprints: report
+                .fingerprints
+                .iter()
+                .map(|print| print.to_bytes().to_vec())
+                .collect(),
+        };
+        self.tell_peers(&PeerBody::SuspectNotice(notice));
+    }
+
+    /// Takes in that a request like a suspect succeeded, and tells the peers.
+    pub(crate) fn handle_success(&mut self, fingerprint: SuspectFingerprint) {
+        let Some(report) = self.suspects.add_success(fingerprint) else {
+            return;
+        };
+        self.publish_suspects();
+        let clearance = SuspectClearance {
+            fingerprint: report.fingerprint.to_bytes().to_vec(),
+            crashes: report.crashes.iter().map(crash_number).collect(),
+        };
+        self.tell_peers(&PeerBody::SuspectClearance(clearance));
+    }
+
+    /// Tells all peers that an upstream is leaving or has come back.
+    pub(crate) fn tell_draining(&self, upstream: &str, leaving: bool) {
+        log::info!("drain: Upstream {upstream} is leaving: {leaving}.");
+        self.tell_peers(&PeerBody::DrainNotice(DrainNotice {
+            upstream: upstream.to_string(),
+            leaving,
+        }));
+    }
+
+    fn tell_peers(&self, body: &PeerBody) {
+        for record in self.peers.iter() {
+            let _ = record.peer.handle.notify(body.clone());
+        }
+    }
+}
+
+fn version_of(message: &HeartbeatMessage) -> Option<ConfigVersion> {
+    let digest: [u8; 32] = message.digest.as_slice().try_into().ok()?;
+    Some(ConfigVersion {
+        generation: GenerationNumber(message.generation),
+        digest: ContentDigest(digest),
+    })
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn crash_number(crash: &CrashId) -> CrashNumber {
+    CrashNumber {
+        upstream: crash.upstream.clone(),
+        number: crash.number,
+    }
+}
+
+fn crash_id(number: CrashNumber) -> CrashId {
+    CrashId {
+        upstream: number.upstream,
+        number: number.number,
+    }
+}
+
+fn fingerprint(bytes: &[u8]) -> Option<SuspectFingerprint> {
+    Some(SuspectFingerprint::from_bytes(bytes.try_into().ok()?))
+}
+
+fn read_notice(notice: SuspectNotice) -> Option<CrashReport> {
+    let fingerprints = notice
+        .fingerprints
+        .iter()
+        .filter_map(|bytes| fingerprint(bytes));
+    Some(CrashReport {
+        fingerprints: fingerprints.collect(),
+        crash: crash_id(notice.crash?),
+    })
+}
+
+fn read_clearance(clearance: SuspectClearance) -> Option<ClearReport> {
+    Some(ClearReport {
+        fingerprint: fingerprint(&clearance.fingerprint)?,
+        crashes: clearance.crashes.into_iter().map(crash_id).collect(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,216 @@
+//! Assembles the parts of the process and stops them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use coltsfootkeel_protocol::HelloMessage;
+use coltsfootkeel_settings::DaemonSettings;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::admin_service::AdminService;
+use crate::control_event::ControlEvent;
+use crate::control_loop::ControlLoop;
+use crate::daemon_metrics::DaemonMetrics;
+use crate::entry_service::EntryService;
+use crate::http_listener::{ListenerLimits, ListenerStop, serve};
+use crate::peer_messages::PeerMessages;
+use crate::peer_server::serve_peers;
+use crate::shared_state::{LOOKUP_LIFE, SharedState};
+
+/// Callers may hold a look-up for its life, and their last request may still be on its way.
+const LEAVE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time the platform has to take the release of a seat. Without it, the seat is claimed after its lease.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Connections of operators and of tools.
+const MAX_ADMIN_CONNECTIONS: usize = 256;
+
+/// Why the process could not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A listener could not be bound.
+    #[error(
+        "cannot listen on {address} for {purpose}: {source}; free the address or change '{field}' in the settings"
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the listener is for.
+        purpose: &'static str,
+        /// The field of the settings.
+        field: &'static str,
+        /// The error of the operating system.
+        source: std::io::Error,
+    },
+    /// Threads, signals or sockets could not be set up.
+    #[error("cannot set up the process: {0}")]
+    Setup(#[from] std::io::Error),
+}
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns why it could not start.
+pub fn run_daemon(settings: DaemonSettings) -> Result<(), StartError> {
+    let requests = runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .thread_name("request")
+        .enable_all()
+        .build()?;
+    requests.block_on(run(settings))
+}
+
+async fn run(settings: DaemonSettings) -> Result<(), StartError> {
+    let entry = listen(settings.entry.listen, "callers", "entry.listen").await?;
+    let peer = listen(settings.peer.listen, "peers", "peer.listen").await?;
+    let admin = listen(settings.admin.listen, "operators", "admin.listen").await?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (events, event_queue) = mpsc::unbounded_channel();
+    let metrics = DaemonMetrics::new(settings.statsd)?;
+    // Nonzero, because zero would look like "no incarnation" in messages.
+    let incarnation = fastrand::u64(1..);
+    let shared = Arc::new(SharedState::new(settings, incarnation, metrics, events));
+    let stop = CancellationToken::new();
+    let control = start_control(&shared, peer, event_queue, stop.clone())?;
+    let entry_stop = ListenerStop::default();
+    let admin_stop = ListenerStop::default();
+    start_listeners(&shared, entry, admin, &entry_stop, &admin_stop);
+    log::info!(
+        instance = shared.settings.instance.as_str(), entry:% = shared.settings.entry.listen;
+        "entry: Listening for callers."
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    leave(&shared, &entry_stop).await;
+    admin_stop.stop();
+    stop.cancel();
+    // The control thread has nothing left to do; a panic of it was logged by the panic handler.
+    let _ = tokio::task::spawn_blocking(move || control.join()).await;
+    log::info!("drain: Stopped.");
+    Ok(())
+}
+
+async fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+    field: &'static str,
+) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen {
+            address,
+            purpose,
+            field,
+            source,
+        })
+}
+
+fn start_listeners(
+    shared: &Arc<SharedState>,
+    entry: TcpListener,
+    admin: TcpListener,
+    entry_stop: &ListenerStop,
+    admin_stop: &ListenerStop,
+) {
+    let limits = ListenerLimits {
+        max_connections: shared.settings.entry.max_connections,
+        header_timeout: shared.settings.entry.header_timeout,
+    };
+    let admin_limits = ListenerLimits {
+        max_connections: MAX_ADMIN_CONNECTIONS,
+        ..limits
+    };
+    let entry_service = Arc::new(EntryService::new(Arc::clone(shared)));
+    let admin_service = Arc::new(AdminService::new(Arc::clone(shared)));
+    tokio::spawn(serve(entry, entry_service, limits, entry_stop.clone()));
+    tokio::spawn(serve(
+        admin,
+        admin_service,
+        admin_limits,
+        admin_stop.clone(),
+    ));
+}
+
+fn start_control(
+    shared: &Arc<SharedState>,
+    peer_listener: TcpListener,
+    events: mpsc::UnboundedReceiver<ControlEvent>,
+    stop: CancellationToken,
+) -> Result<thread::JoinHandle<()>, StartError> {
+    let hello = hello_message(shared);
+    let shared = Arc::clone(shared);
+    let peer_listener = peer_listener.into_std()?;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let work = move || {
+        runtime.block_on(async move {
+            let Ok(listener) = TcpListener::from_std(peer_listener) else {
+                log::error!("peers: The listener for peers cannot be used.");
+                return;
+            };
+            let messages = Arc::new(PeerMessages::new(Arc::clone(&shared)));
+            tokio::spawn(serve_peers(listener, hello.clone(), messages, stop.clone()));
+            ControlLoop::new(shared, hello, stop).run(events).await;
+        });
+    };
+    let thread = thread::Builder::new()
+        .name("control".to_string())
+        .spawn(work)?;
+    Ok(thread)
+}
+
+fn hello_message(shared: &SharedState) -> HelloMessage {
+    let settings = &shared.settings;
+    HelloMessage {
+        token_digest: settings.peer.token_digest.to_string().into_bytes(),
+        instance: settings.instance.clone(),
+        incarnation: shared.incarnation,
+        failure_domain: settings.failure_domain.clone(),
+        entry_address: settings.entry.advertise.to_string(),
+        peer_address: settings.peer.advertise.to_string(),
+    }
+}
+
+/// Leaves the fleet without cutting a request: callers are told first, and stop coming before the listener closes.
+async fn leave(shared: &Arc<SharedState>, entry_stop: &ListenerStop) {
+    log::info!("drain: Leaving.");
+    shared.leaving.store(true, Ordering::Release);
+    shared.report(ControlEvent::Leave);
+    tokio::time::sleep(LOOKUP_LIFE + LEAVE_MARGIN).await;
+    entry_stop.stop();
+    let longest = longest_deadline(shared);
+    if tokio::time::timeout(longest + LEAVE_MARGIN, entry_stop.finished())
+        .await
+        .is_err()
+    {
+        log::warn!("drain: Connections are still open after the longest deadline.");
+    }
+    let (done, released) = oneshot::channel();
+    shared.report(ControlEvent::Release(done));
+    let _ = tokio::time::timeout(RELEASE_TIMEOUT, released).await;
+}
+
+fn longest_deadline(shared: &SharedState) -> Duration {
+    let snapshot = shared.snapshot.load();
+    let routes = snapshot
+        .iter()
+        .flat_map(|snapshot| snapshot.config.routes.iter());
+    routes
+        .map(|(_, route)| route.deadline)
+        .max()
+        .unwrap_or_default()
+}
--- a/crates/daemon/src/header_rules.rs
+++ b/crates/daemon/src/header_rules.rs
@@ -1,8 +1,8 @@
 //! Which headers pass between caller and upstream, and the headers the system adds.
 
 use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 /// Tells whether a request ran: `not-run`, `unknown` or `run`. Sent by upstreams and to callers.
--- a/crates/daemon/src/http_listener.rs
+++ b/crates/daemon/src/http_listener.rs
@@ -130,7 +130,10 @@
 
 type AcceptedStream = (TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit);
 
-async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> std::io::Result<AcceptedStream> {
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> std::io::Result<AcceptedStream> {
     let permit = Arc::clone(permits)
         .acquire_owned()
         .await
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,51 @@
+//! The daemon: answers look-ups, carries requests of callers to upstreams, and shares limits with its peers.
+//!
+//! Request threads load the published snapshot, resolve keys into arenas and take atomics. The control
+//! thread owns all decision state and publishes whole snapshots. [`run_daemon`] assembles both.
+
+mod access_watch;
+mod admin_service;
+mod answer_body;
+mod answer_relay;
+mod caller_request;
+mod config_pull;
+mod control_dump;
+mod control_event;
+mod control_loop;
+mod control_messages;
+mod daemon;
+mod daemon_metrics;
+mod entry_service;
+mod fleet_snapshot;
+mod header_rules;
+mod http_listener;
+mod kept_answer;
+mod limit_book;
+mod loan_messages;
+mod log_limit;
+mod log_setup;
+mod lookup_answer;
+mod peer_client;
+mod peer_handle;
+mod peer_messages;
+mod peer_server;
+mod peer_table;
+mod platform_task;
+mod prefixed_body;
+mod process_clock;
+mod refusal_answer;
+mod replay_flow;
+mod replay_messages;
+mod request_context;
+mod request_flow;
+mod seat_keeper;
+mod shared_state;
+mod slot_wait;
+mod snapshot_builder;
+mod state_dump;
+mod upstream_attempt;
+mod upstream_link;
+mod upstream_probe;
+
+pub use daemon::{StartError, run_daemon};
+pub use log_setup::set_up as set_up_logs;
--- a/crates/daemon/src/log_limit.rs
+++ b/crates/daemon/src/log_limit.rs
@@ -32,10 +32,16 @@
     }
 
     fn count_line(&self, second: u64) -> bool {
-        let counted = self.word.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |word| {
-            let count = if word >> COUNT_BITS == second { word & COUNT_MASK } else { 0 };
-            (count < MAX_LINES_PER_S).then_some(second << COUNT_BITS | (count + 1))
-        });
+        let counted = self
+            .word
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |word| {
+                let count = if word >> COUNT_BITS == second {
+                    word & COUNT_MASK
+                } else {
+                    0
+                };
+                (count < MAX_LINES_PER_S).then_some(second << COUNT_BITS | (count + 1))
+            });
         counted.is_ok()
     }
 }
--- a/crates/daemon/src/log_setup.rs
+++ b/crates/daemon/src/log_setup.rs
@@ -25,7 +25,10 @@
         .filter(move |metadata| limit.allows(metadata))
         .format(move |out, message, record| {
             let fields = LineFields::of(record);
-            out.finish(format_args!("{}", format(&message.to_string(), record.level(), &fields)));
+            out.finish(format_args!(
+                "{}",
+                format(&message.to_string(), record.level(), &fields)
+            ));
         })
         .chain(std::io::stderr())
         .apply()
--- /dev/null
+++ b/crates/daemon/src/lookup_answer.rs
@@ -0,0 +1,74 @@
+//! The answer of a look-up.
+
+use std::net::{IpAddr, SocketAddr};
+
+use coltsfootkeel_decisions::KeyOwner;
+use serde::Serialize;
+
+use crate::shared_state::{LOOKUP_LIFE, SharedState};
+
+/// Which entry instances a caller should use.
+#[derive(Debug, Serialize)]
+pub struct LookupAnswer {
+    /// The instances, best first.
+    pub entries: Vec<RankedEntry>,
+    /// How long the answer may be cached, in milliseconds.
+    pub life_ms: u64,
+    /// The start of idempotency keys that the first instance owns, or nothing if it holds no seat.
+    pub idempotency_prefix: Option<String>,
+}
+
+/// One entry instance.
+#[derive(Debug, Serialize)]
+pub struct RankedEntry {
+    /// The name of the instance.
+    pub instance: String,
+    /// The address to send requests to.
+    pub address: SocketAddr,
+    /// The region it stands in.
+    pub region: String,
+    /// The failure domain it stands in.
+    pub failure_domain: String,
+}
+
+/// Ranks the entry instances for a client. Returns nothing while there is no configuration.
+#[must_use]
+pub fn lookup_answer(shared: &SharedState, client: IpAddr) -> Option<LookupAnswer> {
+    let snapshot = shared.snapshot.load();
+    let snapshot = snapshot.as_ref()?;
+    let table = shared.entries.load();
+    let table = table.as_ref()?;
+    let ranked = table.rank(&snapshot.config, client);
+    let entries = ranked.as_slice().iter().filter_map(|key| {
+        let entry = table.entry(*key)?;
+        let domain = &snapshot.config.domains[entry.domain];
+        Some(RankedEntry {
+            instance: entry.name.clone(),
+            address: entry.address,
+            region: snapshot.config.regions[domain.region].name.clone(),
+            failure_domain: domain.name.clone(),
+        })
+    });
+    let entries: Vec<RankedEntry> = entries.collect();
+    let owner = entries.first().map(|entry| entry.instance.as_str());
+    Some(LookupAnswer {
+        life_ms: u64::try_from(LOOKUP_LIFE.as_millis()).unwrap_or(u64::MAX),
+        idempotency_prefix: owner.and_then(|instance| key_prefix(shared, instance)),
+        entries,
+    })
+}
+
+/// Returns the prefix of keys that `instance` owns, so that the owner is the instance the caller uses first.
+fn key_prefix(shared: &SharedState, instance: &str) -> Option<String> {
+    let place = shared.replay_place.load();
+    if instance == shared.settings.instance {
+        let tenure = place.tenure.as_ref()?;
+        return Some(KeyOwner::prefix(tenure.seat(), shared.incarnation));
+    }
+    let (seat, _) = place
+        .holders
+        .iter()
+        .find(|(_, holder)| *holder == instance)?;
+    let peer = shared.peers.find(instance)?;
+    Some(KeyOwner::prefix(seat, peer.incarnation))
+}
--- a/crates/daemon/src/peer_client.rs
+++ b/crates/daemon/src/peer_client.rs
@@ -85,14 +85,18 @@
     hello: &HelloMessage,
     events: &mpsc::UnboundedSender<PeerEvent>,
 ) -> Result<(), PeerConnectionError> {
-    let (mut stream, answer) = tokio::time::timeout(CONNECT_TIMEOUT, open(address, hello)).await??;
+    let (mut stream, answer) =
+        tokio::time::timeout(CONNECT_TIMEOUT, open(address, hello)).await??;
     let (handle, mut queue) = PeerHandle::new();
     let peer = known_peer(answer, handle).ok_or(PeerConnectionError::BadHello)?;
     let instance = peer.instance.clone();
     let incarnation = peer.incarnation;
     let _ = events.send(PeerEvent::Connected(peer));
     let ended = exchange(&mut stream, &mut queue).await;
-    let _ = events.send(PeerEvent::Disconnected { instance, incarnation });
+    let _ = events.send(PeerEvent::Disconnected {
+        instance,
+        incarnation,
+    });
     ended
 }
 
--- a/crates/daemon/src/peer_handle.rs
+++ b/crates/daemon/src/peer_handle.rs
@@ -124,7 +124,10 @@
     pub fn remove(&self, instance: &str, incarnation: u64) {
         self.peers.rcu(|peers| {
             let mut peers = HashMap::clone(peers);
-            if peers.get(instance).is_some_and(|peer| peer.incarnation == incarnation) {
+            if peers
+                .get(instance)
+                .is_some_and(|peer| peer.incarnation == incarnation)
+            {
                 peers.remove(instance);
             }
             Arc::new(peers)
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -87,7 +87,10 @@
         return Err(PeerConnectionError::BadHello);
     };
     if theirs.token_digest != hello.token_digest {
-        log::warn!("peers: Refused '{}': its fleet token differs.", theirs.instance);
+        log::warn!(
+            "peers: Refused '{}': its fleet token differs.",
+            theirs.instance
+        );
         return Err(PeerConnectionError::BadHello);
     }
     let sender = PeerSender {
@@ -95,7 +98,9 @@
         incarnation: theirs.incarnation,
         failure_domain: theirs.failure_domain,
     };
-    stream.send(PeerFrame::new(0, PeerBody::Hello(hello))).await?;
+    stream
+        .send(PeerFrame::new(0, PeerBody::Hello(hello)))
+        .await?;
     while let Some(frame) = stream.next().await {
         let PeerFrame { request, body } = frame?;
         let Some(body) = body else { continue };
--- /dev/null
+++ b/crates/daemon/src/platform_task.rs
@@ -0,0 +1,228 @@
+//! Calls to the platform on behalf of the control thread. Each ends in an event.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_decisions::ConfigSource;
+use coltsfootkeel_model::{ConfigVersion, ContentDigest, FleetConfig, GenerationNumber};
+use coltsfootkeel_platform::{
+    CallError, ClaimOutcome, ConfigManifest, ConfigStore, LoadedConfig, MANIFEST_NAME,
+    ObjectClient, ReleaseOutcome, RestoreOutcome, SeatHolder, SeatStore, StoreRevision,
+    StoredManifest, StoredSeat,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::control_event::{ControlEvent, FetchedDocument, SeatNews};
+use crate::shared_state::SharedState;
+
+/// How long a watch waits. A watch that ends without a change confirms the configuration, so this bounds its age.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Time between two attempts while the platform does not answer.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Time between two reads of the list of instances.
+const INSTANCE_PERIOD: Duration = Duration::from_secs(5);
+
+/// Makes calls to the platform.
+#[derive(Debug, Clone)]
+pub struct PlatformCaller {
+    shared: Arc<SharedState>,
+    client: Arc<ObjectClient>,
+    configs: ConfigStore,
+    seats: SeatStore,
+}
+
+impl PlatformCaller {
+    /// Makes a caller.
+    #[must_use]
+    pub fn new(shared: Arc<SharedState>) -> Self {
+        let platform = &shared.settings.platform;
+        let client = Arc::new(ObjectClient::new(platform.address, platform.timeout));
+        Self {
+            configs: ConfigStore::new(Arc::clone(&client)),
+            seats: SeatStore::new(Arc::clone(&client)),
+            client,
+            shared,
+        }
+    }
+
+    /// Returns the store of configurations.
+    #[must_use]
+    pub fn configs(&self) -> &ConfigStore {
+        &self.configs
+    }
+
+    /// Watches the manifest until `stop` is cancelled.
+    pub async fn watch_manifest(self, stop: CancellationToken) {
+        let mut revision = StoreRevision::NOW;
+        let mut known: Option<StoredManifest> = None;
+        while !stop.is_cancelled() {
+            let watched = tokio::select! {
+                () = stop.cancelled() => return,
+                watched = self.watch_once(revision, &mut known) => watched,
+            };
+            match watched {
+                Ok(next) => revision = next,
+                Err(error) => {
+                    log::debug!("config: Watching the platform failed: {error}");
+                    self.shared.report(ControlEvent::PlatformFailed);
+                    revision = StoreRevision::NOW;
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    async fn watch_once(
+        &self,
+        after: StoreRevision,
+        known: &mut Option<StoredManifest>,
+    ) -> Result<StoreRevision, WatchError> {
+        let mut asked = self.shared.clock.now();
+        let report = self.client.watch(MANIFEST_NAME, after, WATCH_WAIT).await?;
+        let is_current =
+            after != StoreRevision::NOW && report.changed.is_empty() && !report.went_back(after);
+        if !is_current {
+            asked = self.shared.clock.now();
+            *known = self.configs.read_manifest().await?;
+        }
+        self.shared.report(ControlEvent::Manifest {
+            asked,
+            stored: known.clone().map(Box::new),
+        });
+        Ok(report.revision)
+    }
+
+    /// Reads the list of instances now and then until `stop` is cancelled.
+    pub async fn watch_instances(self, stop: CancellationToken) {
+        loop {
+            if let Ok(instances) = self.client.instances().await {
+                self.shared.report(ControlEvent::Instances(instances));
+            }
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(INSTANCE_PERIOD) => {}
+            }
+        }
+    }
+
+    /// Fetches and checks the document of a manifest.
+    pub async fn fetch_document(self, manifest: ConfigManifest) {
+        let version = version_of(&manifest);
+        match self.configs.load_document(&manifest).await {
+            Ok(document) => {
+                let loaded = LoadedConfig { manifest, document };
+                check_document(&self.shared, ConfigSource::Platform, loaded).await;
+            }
+            Err(error) => {
+                log::warn!(
+                    "config: Fetching generation {} failed: {error}",
+                    version.generation
+                );
+                self.shared.report(ControlEvent::FetchFailed(version));
+            }
+        }
+    }
+
+    /// Writes a newer configuration back over a stale manifest.
+    pub async fn restore(self, newer: Arc<LoadedConfig>, stale: Option<StoredManifest>) {
+        let generation = newer.manifest.generation;
+        match self.configs.restore(&newer, stale.as_ref()).await {
+            Ok(RestoreOutcome::Restored) => {
+                log::warn!(
+                    "config: Wrote generation {generation} back over older data of the platform."
+                );
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!("config: Writing generation {generation} back failed: {error}")
+            }
+        }
+    }
+
+    /// Reads a seat.
+    pub async fn read_seat(self, seat: String) {
+        let asked = self.shared.clock.now();
+        let news = match self.seats.read(&seat).await {
+            Ok(stored) => SeatNews::Read {
+                seat,
+                asked,
+                stored,
+            },
+            Err(_) => SeatNews::Failed { seat },
+        };
+        self.shared.report(ControlEvent::Seat(news));
+    }
+
+    /// Claims a seat that is still as it was read.
+    pub async fn claim_seat(self, seat: String, seen: StoredSeat) {
+        let holder = SeatHolder {
+            instance: self.shared.settings.instance.clone(),
+            incarnation: self.shared.incarnation,
+            peer_address: self.shared.settings.peer.advertise,
+        };
+        let news = match self.seats.claim(&seat, &seen, holder).await {
+            Ok(ClaimOutcome::Claimed(stored)) => SeatNews::Claimed {
+                seat,
+                before: seen,
+                stored,
+            },
+            Ok(_) | Err(_) => SeatNews::Failed { seat },
+        };
+        self.shared.report(ControlEvent::Seat(news));
+    }
+
+    /// Releases a seat.
+    pub async fn release_seat(self, seat: String, held: StoredSeat) {
+        match self.seats.release(&seat, &held).await {
+            Ok(ReleaseOutcome::Released) => log::info!("seat: Released {seat}."),
+            Ok(_) => log::warn!("seat: {seat} was no longer held when it was to be released."),
+            Err(error) => log::warn!("seat: Releasing {seat} failed: {error}"),
+        }
+        self.shared.report(ControlEvent::Seat(SeatNews::Released));
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("{0}")]
+    Config(#[from] coltsfootkeel_platform::ConfigError),
+}
+
+/// Checks a document on a thread for long work and reports it.
+pub async fn check_document(shared: &Arc<SharedState>, source: ConfigSource, loaded: LoadedConfig) {
+    let version = version_of(&loaded.manifest);
+    let checked = tokio::task::spawn_blocking(move || {
+        let file = format!("generation-{}", version.generation);
+        let checked = FleetConfig::parse(&file, &loaded.document);
+        (loaded, checked)
+    });
+    match checked.await {
+        Ok((loaded, checked)) => shared.report(ControlEvent::Document(Box::new(FetchedDocument {
+            source,
+            version,
+            loaded: Arc::new(loaded),
+            checked,
+        }))),
+        Err(_) => shared.report(ControlEvent::FetchFailed(version)),
+    }
+}
+
+/// Returns the version that a manifest names.
+#[must_use]
+pub fn version_of(manifest: &ConfigManifest) -> ConfigVersion {
+    ConfigVersion {
+        generation: GenerationNumber(manifest.generation),
+        digest: ContentDigest(*manifest.content.as_bytes()),
+    }
+}
+
+/// Returns the addresses of peers on the platform's list.
+#[must_use]
+pub fn listed_addresses(instances: &[coltsfootkeel_platform::InstanceEntry]) -> Vec<SocketAddr> {
+    instances.iter().map(|instance| instance.address).collect()
+}
--- a/crates/daemon/src/prefixed_body.rs
+++ b/crates/daemon/src/prefixed_body.rs
@@ -26,7 +26,9 @@
     pub async fn read_ahead(mut body: Body, length: usize) -> Result<Self, BodyError> {
         let mut prefix = BytesMut::new();
         while prefix.len() < length {
-            let Some(frame) = body.frame().await else { break };
+            let Some(frame) = body.frame().await else {
+                break;
+            };
             // Trailers are dropped: they may not pass a hop unless both sides agreed on them.
             if let Ok(data) = frame?.into_data() {
                 prefix.extend_from_slice(&data);
--- /dev/null
+++ b/crates/daemon/src/request_flow.rs
@@ -0,0 +1,312 @@
+//! Carries one request: admission, rate, slot, attempts and the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_decisions::{
+    AttemptEnd, ChoicePolicy, ChoiceRequest, ChoiceStart, CrashId, CrashReport, NextStep, Refusal,
+    RefusalKind, RetryFacts, RunHistory, ShiftMove, next_step,
+};
+use coltsfootkeel_model::UpstreamKey;
+use http::HeaderMap;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::answer_relay::{RelayedAnswer, relay_answer};
+use crate::caller_request::{CallerBody, CallerHead};
+use crate::control_event::ControlEvent;
+use crate::header_rules;
+use crate::refusal_answer::refusal_response;
+use crate::replay_flow;
+use crate::request_context::RequestContext;
+use crate::shared_state::{InFlightGuard, SharedState};
+use crate::slot_wait::{SlotGuard, WaitFailure};
+use crate::upstream_attempt::{AttemptResult, run_attempt};
+
+/// Time to find out whether an upstream that broke a connection still accepts new ones.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Carries a caller's request and returns what the caller gets.
+pub async fn carry_request(shared: &Arc<SharedState>, request: Request) -> Response {
+    let _counted = InFlightGuard::new(shared);
+    let request_id = shared.next_request_id();
+    shared.retries.count_request();
+    let mut response = match try_carry(shared, request, request_id.clone()).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            shared.metrics.count_refusal(refusal.kind());
+            log::debug!(request_id = request_id.as_str(), run = refusal.mark().code(); "entry: Refused a request: {}.", refusal.kind().code());
+            refusal_response(&refusal, &request_id)
+        }
+    };
+    if shared.is_leaving() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
+
+async fn try_carry(
+    shared: &Arc<SharedState>,
+    request: Request,
+    request_id: String,
+) -> Result<Response, Refusal> {
+    let max_body_bytes = shared.settings.entry.max_body_bytes;
+    let head = CallerHead::read(&request, max_body_bytes).map_err(Refusal::before_attempt)?;
+    let context =
+        RequestContext::admit(shared, head, request_id).map_err(Refusal::before_attempt)?;
+    context
+        .take_token()
+        .await
+        .map_err(Refusal::before_attempt)?;
+    let (parts, body) = request.into_parts();
+    let mut headers = parts.headers;
+    header_rules::clean_request(&mut headers);
+    let body = CallerBody::read(&context.head, body, max_body_bytes)
+        .await
+        .map_err(Refusal::before_attempt)?;
+    check_suspect(&context, &body)?;
+    let run = RequestRun {
+        context,
+        headers,
+        body,
+    };
+    if run.context.head.idempotency_key.is_some() && !run.context.idempotent {
+        return replay_flow::run_once(run).await;
+    }
+    run.carry().await.map(RelayedAnswer::into_response)
+}
+
+fn check_suspect(context: &RequestContext, body: &CallerBody) -> Result<(), Refusal> {
+    let suspects = context.shared.suspects.load();
+    let is_refused = suspects.suspects_head(|| context.suspect_head().fingerprint())
+        && suspects.refuses(context.fingerprint(body.fingerprint_digest()));
+    if is_refused {
+        return Err(Refusal::before_attempt(RefusalKind::CrashSuspect));
+    }
+    Ok(())
+}
+
+/// A request that is ready to be sent.
+#[derive(Debug)]
+pub struct RequestRun {
+    /// What its steps share.
+    pub context: RequestContext,
+    /// The headers for the upstream.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: CallerBody,
+}
+
+/// An upstream whose slot the request holds.
+#[derive(Debug)]
+struct ChosenUpstream {
+    key: UpstreamKey,
+    slot: SlotGuard,
+}
+
+impl RequestRun {
+    /// Sends the request to upstreams until one answers or no further attempt is allowed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, which tells truly whether the request ran.
+    pub async fn carry(mut self) -> Result<RelayedAnswer, Refusal> {
+        let mut history = RunHistory::new();
+        let mut tried = Vec::new();
+        let mut shift = self.decide_shift();
+        loop {
+            let chosen = match self.find_upstream(&tried, &mut shift).await {
+                Ok(chosen) => chosen,
+                Err(kind) => return Err(Refusal::new(kind, history, self.is_repeat_safe())),
+            };
+            let Some(body) = self.body.take() else {
+                return Err(Refusal::new(
+                    RefusalKind::UpstreamFailed,
+                    history,
+                    self.is_repeat_safe(),
+                ));
+            };
+            tried.push(chosen.key);
+            let attempt = history.start_attempt();
+            let result =
+                run_attempt(&self.context, &self.headers, chosen.key, &chosen.slot, body).await;
+            let end = match result {
+                AttemptResult::Answered(exchange) => {
+                    let is_retryable = self.context.idempotent && self.body.is_replayable();
+                    match relay_answer(
+                        &self.context,
+                        &self.body,
+                        chosen.key,
+                        chosen.slot,
+                        exchange,
+                        is_retryable,
+                    )
+                    .await
+                    {
+                        Ok(answer) => {
+                            let _ = attempt.finish(AttemptEnd::Answered);
+                            return Ok(answer);
+                        }
+                        Err(end) => end,
+                    }
+                }
+                AttemptResult::Failed { end, body } => {
+                    if let Some(body) = body {
+                        self.body.put_back(body);
+                    }
+                    drop(chosen.slot);
+                    end
+                }
+            };
+            if matches!(
+                end,
+                AttemptEnd::ConnectionBroken | AttemptEnd::AnswerTruncated
+            ) {
+                self.report_crash(chosen.key).await;
+            }
+            let facts = self.retry_facts();
+            let retries = &self.context.shared.retries;
+            match next_step(attempt, end, &facts, || retries.try_retry()) {
+                NextStep::Retry {
+                    history: so_far,
+                    wait,
+                } => {
+                    self.context.shared.metrics.count_retry();
+                    history = so_far;
+                    tokio::time::sleep(wait).await;
+                }
+                NextStep::Refuse(refusal) => return Err(refusal),
+                NextStep::Deliver(history) => {
+                    return Err(Refusal::new(
+                        RefusalKind::UpstreamFailed,
+                        history,
+                        self.is_repeat_safe(),
+                    ));
+                }
+            }
+        }
+    }
+
+    fn is_repeat_safe(&self) -> bool {
+        self.context.idempotent || self.context.head.idempotency_key.is_some()
+    }
+
+    fn retry_facts(&self) -> RetryFacts {
+        RetryFacts {
+            idempotent: self.context.idempotent,
+            keyed: self.context.head.idempotency_key.is_some(),
+            body_replayable: self.body.is_replayable(),
+            remaining: self.context.remaining(),
+            random: fastrand::u64(..),
+        }
+    }
+
+    fn decide_shift(&self) -> Option<ShiftMove> {
+        let snapshot = &self.context.snapshot;
+        let route = self.context.admitted.route;
+        let now = self.context.now();
+        snapshot
+            .shifts
+            .decide(route, snapshot.home.region, &self.context.shared.lease, now)
+    }
+
+    async fn find_upstream(
+        &self,
+        tried: &[UpstreamKey],
+        shift: &mut Option<ShiftMove>,
+    ) -> Result<ChosenUpstream, RefusalKind> {
+        let route = self.context.route();
+        let wait = &self.context.snapshot.waits[route.pool];
+        if !wait.has_waiters()
+            && let Some(chosen) = self.choose_upstream(tried, shift)
+        {
+            return Ok(chosen);
+        }
+        loop {
+            self.record_shortage();
+            let account = self.context.admitted.account;
+            let now = self.context.now();
+            let waited = wait
+                .wait(now, route.class, account, self.context.deadline)
+                .await;
+            if let Some(chosen) = self.choose_upstream(tried, shift) {
+                return Ok(chosen);
+            }
+            match waited {
+                Ok(()) => {}
+                Err(WaitFailure::Expired) => return Err(RefusalKind::NoFreeSlot),
+                Err(WaitFailure::Shed) => return Err(RefusalKind::QueueShed),
+            }
+        }
+    }
+
+    fn choose_upstream(
+        &self,
+        tried: &[UpstreamKey],
+        shift: &mut Option<ShiftMove>,
+    ) -> Option<ChosenUpstream> {
+        if !self.context.shared.lease.is_valid(self.context.now()) {
+            return None;
+        }
+        if let Some(shift_move) = *shift {
+            let chosen = self.choose_from(tried, ChoiceStart::Region(shift_move.to));
+            if chosen.is_some() {
+                return chosen;
+            }
+            // The destination has no room: the request stays and is not counted as moved.
+            self.context.snapshot.shifts.give_back(shift_move);
+            *shift = None;
+        }
+        self.choose_from(tried, ChoiceStart::Home)
+    }
+
+    fn choose_from(&self, tried: &[UpstreamKey], start: ChoiceStart) -> Option<ChosenUpstream> {
+        let snapshot = &self.context.snapshot;
+        let pool = self.context.route().pool;
+        let key = snapshot.tiers.choose(ChoiceRequest {
+            pool,
+            start,
+            tried,
+            random: fastrand::u64(..),
+            lanes: &snapshot.lanes,
+            links: &snapshot.links,
+            policy: ChoicePolicy::TWO_CHOICES,
+        })?;
+        let lane = snapshot.lanes[key].clone();
+        let wait = Arc::clone(&snapshot.waits[pool]);
+        let slot = SlotGuard::new(lane, wait, self.context.shared.clock);
+        Some(ChosenUpstream { key, slot })
+    }
+
+    /// Tells the control thread that slots of this pool are wanted, so that it borrows some.
+    fn record_shortage(&self) {
+        let snapshot = &self.context.snapshot;
+        for upstream in &snapshot.config.pools[self.context.route().pool].upstreams {
+            snapshot.upstreams[*upstream].short.record();
+        }
+    }
+
+    /// Reports the request as a suspect if its upstream no longer accepts connections.
+    async fn report_crash(&self, upstream: UpstreamKey) {
+        let record = &self.context.snapshot.config.upstreams[upstream];
+        let connect = tokio::net::TcpStream::connect(record.address);
+        let is_alive = matches!(
+            tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect).await,
+            Ok(Ok(_))
+        );
+        if is_alive {
+            return;
+        }
+        let digest = self.body.fingerprint_digest();
+        self.context.shared.report(ControlEvent::Crash(CrashReport {
+            crash: CrashId {
+                upstream: record.name.clone(),
+                number: fastrand::u64(..),
+            },
+            fingerprints: vec![self.context.fingerprint(digest)],
+        }));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/snapshot_builder.rs
@@ -0,0 +1,184 @@
+//! Builds the snapshot of a generation from the configuration and the books that outlive generations.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{
+    HealthJudge, LimitKey, LinkBook, LoanLedger, RampPolicy, RateHandle, ShiftBook, TierTable,
+    UpstreamLane,
+};
+use coltsfootkeel_model::{ConfigVersion, FleetConfig, SeatKey};
+use coltsfootkeel_protocol::LimitKind;
+
+use crate::access_watch::WatchTable;
+use crate::fleet_snapshot::{FleetSnapshot, HomePlace, UpstreamState};
+use crate::limit_book::{LimitBook, LimitName};
+use crate::slot_wait::SlotWait;
+use crate::upstream_link::UpstreamLink;
+
+/// State of request threads that must survive a change of the configuration, by name.
+#[derive(Debug)]
+pub struct SnapshotBuilder {
+    /// The limits.
+    pub ledger: LoanLedger,
+    /// Their names.
+    pub limits: LimitBook,
+    /// The health of upstreams.
+    pub judge: HealthJudge,
+    /// The counts of shifts.
+    pub shifts: ShiftBook,
+    /// The links between regions.
+    pub links: LinkBook,
+    watches: WatchTable,
+    upstream_links: HashMap<SocketAddr, Arc<UpstreamLink>>,
+    waits: HashMap<String, Arc<SlotWait>>,
+}
+
+impl SnapshotBuilder {
+    /// Makes a builder without state.
+    #[must_use]
+    pub fn new(ledger: LoanLedger) -> Self {
+        Self {
+            ledger,
+            limits: LimitBook::default(),
+            judge: HealthJudge::new(RampPolicy::LINEAR),
+            shifts: ShiftBook::new(),
+            links: LinkBook::new(),
+            watches: WatchTable::default(),
+            upstream_links: HashMap::new(),
+            waits: HashMap::new(),
+        }
+    }
+
+    /// Builds the snapshot of a generation. Access keys that are gone are withdrawn.
+    pub fn build(
+        &mut self,
+        config: Arc<FleetConfig>,
+        version: ConfigVersion,
+        home: HomePlace,
+        seat: Option<SeatKey>,
+        before: Option<&FleetConfig>,
+        now: MonotonicTime,
+    ) -> FleetSnapshot {
+        self.ledger.set_longest_deadline(longest_deadline(&config));
+        self.limits.set_shares(&config, seat, &mut self.ledger, now);
+        self.watches = self.watches.advance(before, &config);
+        self.keep_links(&config);
+        let accounts = config
+            .accounts
+            .iter()
+            .map(|(_, account)| self.rate_handle(LimitKind::AccountRate, &account.name, now))
+            .collect();
+        let health = self.judge.apply(&config, now);
+        let mut lanes = coltsfootkeel_model::Arena::new();
+        let mut upstreams = coltsfootkeel_model::Arena::new();
+        for (key, upstream) in config.upstreams.iter() {
+            let name = LimitName::new(LimitKind::UpstreamSlots, &upstream.name);
+            let limit = self.limits.slots(name, &mut self.ledger, now);
+            let handle = self.ledger.slot_handle(limit);
+            lanes.push(UpstreamLane {
+                slots: handle.counter,
+                health: Arc::clone(&health[key]),
+            });
+            upstreams.push(UpstreamState {
+                link: Arc::clone(&self.upstream_links[&upstream.address]),
+                short: handle.short,
+            });
+        }
+        let buckets: Vec<RateHandle> = config
+            .shifts
+            .iter()
+            .map(|(_, shift)| self.rate_handle(LimitKind::ShiftRate, &shift.name, now))
+            .collect();
+        let bucket_of =
+            |shift| Arc::clone(&buckets[coltsfootkeel_model::ArenaKey::index(shift)].bucket);
+        let shifts = self.shifts.apply(&config, version.generation, bucket_of);
+        let links = self
+            .links
+            .apply(&config, home.region, usize::from(seat.is_some()), now);
+        FleetSnapshot {
+            version,
+            home,
+            accounts,
+            lanes,
+            upstreams,
+            waits: self.pool_waits(&config),
+            tiers: TierTable::build(&config, home.domain),
+            shifts,
+            links,
+            watches: self.watches.clone(),
+            config,
+        }
+    }
+
+    /// Changes the shares after a seat was claimed or lost.
+    pub fn use_seat(
+        &mut self,
+        config: &FleetConfig,
+        home: HomePlace,
+        seat: Option<SeatKey>,
+        now: MonotonicTime,
+    ) {
+        self.limits.set_shares(config, seat, &mut self.ledger, now);
+        // The buckets of the links are shared with the published snapshot, so the meter made here is not needed.
+        let _ = self
+            .links
+            .apply(config, home.region, usize::from(seat.is_some()), now);
+    }
+
+    /// Wakes one waiting request in each pool, because slots also become free by loans and by ramps.
+    pub fn wake_waiters(&self, now: MonotonicTime) {
+        for wait in self.waits.values() {
+            wait.wake(now);
+        }
+    }
+
+    fn rate_handle(&mut self, kind: LimitKind, name: &str, now: MonotonicTime) -> RateHandle {
+        let key = self
+            .limits
+            .rate(LimitName::new(kind, name), &mut self.ledger, now);
+        self.ledger.rate_handle(key)
+    }
+
+    fn pool_waits(
+        &mut self,
+        config: &FleetConfig,
+    ) -> coltsfootkeel_model::Arena<coltsfootkeel_model::PoolKey, Arc<SlotWait>> {
+        let mut waits = HashMap::new();
+        let mut arena = coltsfootkeel_model::Arena::new();
+        for (_, pool) in config.pools.iter() {
+            let wait = self.waits.remove(&pool.name).unwrap_or_default();
+            arena.push(Arc::clone(&wait));
+            waits.insert(pool.name.clone(), wait);
+        }
+        self.waits = waits;
+        arena
+    }
+
+    fn keep_links(&mut self, config: &FleetConfig) {
+        let mut before = std::mem::take(&mut self.upstream_links);
+        for (_, upstream) in config.upstreams.iter() {
+            let link = before.remove(&upstream.address).unwrap_or_else(|| {
+                Arc::new(UpstreamLink::new(upstream.address, upstream.slots as usize))
+            });
+            self.upstream_links.insert(upstream.address, link);
+        }
+        for link in before.values() {
+            link.close_idle();
+        }
+    }
+
+    /// Returns the limit of a name, for messages.
+    #[must_use]
+    pub fn limit(&self, name: &LimitName) -> Option<LimitKey> {
+        self.limits.key(name)
+    }
+}
+
+fn longest_deadline(config: &FleetConfig) -> Duration {
+    let deadlines = config.routes.iter().map(|(_, route)| route.deadline);
+    deadlines.max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/daemon/src/upstream_attempt.rs
@@ -0,0 +1,177 @@
+//! One attempt to run a request on an upstream.
+
+use std::time::Duration;
+
+use coltsfootkeel_decisions::AttemptEnd;
+use coltsfootkeel_model::UpstreamKey;
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri};
+use tokio::time::Instant;
+use volo_http::body::Body;
+
+use crate::control_event::ControlEvent;
+use crate::header_rules;
+use crate::request_context::RequestContext;
+use crate::slot_wait::SlotGuard;
+use crate::upstream_link::{LinkExchange, SendFailure};
+
+/// How often a request that waits for its upstream checks whether its access key was withdrawn.
+const WATCH_PERIOD: Duration = Duration::from_secs(1);
+
+/// How an attempt ended and what it left.
+#[derive(Debug)]
+pub enum AttemptResult {
+    /// The upstream answered.
+    Answered(LinkExchange),
+    /// It did not.
+    Failed {
+        /// How the attempt ended.
+        end: AttemptEnd,
+        /// The body if it was certainly not used.
+        body: Option<Body>,
+    },
+}
+
+impl AttemptResult {
+    fn failed(end: AttemptEnd) -> Self {
+        Self::Failed { end, body: None }
+    }
+}
+
+/// Sends the request to an upstream whose slot is held, and waits for the head of its response.
+pub async fn run_attempt(
+    context: &RequestContext,
+    headers: &HeaderMap,
+    upstream: UpstreamKey,
+    slot: &SlotGuard,
+    body: Body,
+) -> AttemptResult {
+    let started = context.now();
+    let request = upstream_request(context, headers, body);
+    let link = &context.snapshot.upstreams[upstream].link;
+    let send = link.send(started, request, !context.idempotent);
+    let sent = match until_deadline(context, send).await {
+        Ok(sent) => sent,
+        Err(end) => {
+            slot.lane().health.record_failure();
+            return AttemptResult::failed(end);
+        }
+    };
+    match sent {
+        Ok(exchange) => judge_response(
+            context,
+            upstream,
+            slot,
+            exchange,
+            context.now().since(started),
+        ),
+        Err(SendFailure::ConnectFailed(request)) => {
+            slot.lane().health.record_connect_error();
+            AttemptResult::Failed {
+                end: AttemptEnd::ConnectFailed,
+                body: Some(request.into_body()),
+            }
+        }
+        Err(SendFailure::NotSent(request)) => AttemptResult::Failed {
+            end: AttemptEnd::NeverSent,
+            body: Some(request.into_body()),
+        },
+        Err(SendFailure::Broken(error)) => {
+            log::debug!(
+                "entry: Upstream broke the connection of request {}: {error}",
+                context.request_id
+            );
+            slot.lane().health.record_failure();
+            AttemptResult::failed(AttemptEnd::ConnectionBroken)
+        }
+    }
+}
+
+fn judge_response(
+    context: &RequestContext,
+    upstream: UpstreamKey,
+    slot: &SlotGuard,
+    exchange: LinkExchange,
+    latency: Duration,
+) -> AttemptResult {
+    let status = exchange.response.status();
+    let headers = exchange.response.headers();
+    if header_rules::has_value(headers, &header_rules::RUN_HEADER, "not-run") {
+        let draining = header_rules::has_value(headers, &header_rules::DRAINING_HEADER, "yes");
+        exchange.connection.close();
+        if !draining {
+            return AttemptResult::failed(AttemptEnd::Shed);
+        }
+        if slot.lane().health.record_draining() {
+            let name = context.snapshot.config.upstreams[upstream].name.clone();
+            context.shared.report(ControlEvent::UpstreamDraining(name));
+        }
+        return AttemptResult::failed(AttemptEnd::Draining);
+    }
+    let is_framed = header_rules::has_framed_body(headers)
+        || context.head.method == Method::HEAD
+        || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if !is_framed {
+        // Without a length or chunks, a truncated body looks like a whole one.
+        exchange.connection.close();
+        slot.lane().health.record_failure();
+        return AttemptResult::failed(AttemptEnd::AnswerTruncated);
+    }
+    if status.is_server_error() {
+        slot.lane().health.record_failure();
+    } else {
+        slot.lane().health.record_success(latency);
+    }
+    AttemptResult::Answered(exchange)
+}
+
+fn upstream_request(
+    context: &RequestContext,
+    headers: &HeaderMap,
+    body: Body,
+) -> hyper::Request<Body> {
+    let mut request = hyper::Request::new(body);
+    *request.method_mut() = context.head.method.clone();
+    // The path was taken from a parsed URI, so it parses again.
+    *request.uri_mut() = Uri::try_from(&context.head.path_and_query).unwrap_or_default();
+    *request.headers_mut() = headers.clone();
+    let headers = request.headers_mut();
+    header_rules::set_text(
+        headers,
+        header_rules::REQUEST_ID_HEADER,
+        &context.request_id,
+    );
+    if context.admitted.account.is_some() {
+        header_rules::set_text(
+            headers,
+            header_rules::ACCOUNT_HEADER,
+            context.account_name(),
+        );
+    }
+    let remaining_ms = u64::try_from(context.remaining().as_millis()).unwrap_or(u64::MAX);
+    headers.insert(
+        header_rules::DEADLINE_HEADER,
+        HeaderValue::from(remaining_ms),
+    );
+    request
+}
+
+/// Waits for `work` until the deadline, and checks now and then whether the access key was withdrawn.
+async fn until_deadline<T>(
+    context: &RequestContext,
+    work: impl Future<Output = T>,
+) -> Result<T, AttemptEnd> {
+    let mut work = std::pin::pin!(work);
+    let deadline = Instant::from_std(context.shared.clock.instant_of(context.deadline));
+    loop {
+        let next_check = deadline.min(Instant::now() + WATCH_PERIOD);
+        if let Ok(done) = tokio::time::timeout_at(next_check, work.as_mut()).await {
+            return Ok(done);
+        }
+        if context.is_withdrawn() {
+            return Err(AttemptEnd::Cancelled);
+        }
+        if Instant::now() >= deadline {
+            return Err(AttemptEnd::TimedOut);
+        }
+    }
+}
--- a/crates/daemon/src/upstream_link.rs
+++ b/crates/daemon/src/upstream_link.rs
@@ -85,7 +85,11 @@
         request: hyper::Request<Body>,
         once_only: bool,
     ) -> Result<LinkExchange, SendFailure> {
-        let max_idle = if once_only { MAX_IDLE_ONCE_ONLY } else { MAX_IDLE };
+        let max_idle = if once_only {
+            MAX_IDLE_ONCE_ONLY
+        } else {
+            MAX_IDLE
+        };
         let mut connection = match self.reuse(now, max_idle).await {
             Some(connection) => connection,
             None => match self.connect().await {
@@ -101,7 +105,10 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 guard.keep();
-                Ok(LinkExchange { response, connection })
+                Ok(LinkExchange {
+                    response,
+                    connection,
+                })
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(request) => SendFailure::NotSent(Box::new(request)),
@@ -137,7 +144,8 @@
     }
 
     async fn connect(&self) -> Result<LinkConnection, ConnectError> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
+        let stream =
+            tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(async move {
--- /dev/null
+++ b/crates/daemon/src/upstream_probe.rs
@@ -0,0 +1,100 @@
+//! Asks upstreams for their health and load.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_decisions::{LoadReport, ProbeResult};
+use http::{HeaderValue, Uri, header::HOST};
+use http_body_util::BodyExt;
+use serde::Deserialize;
+use volo_http::body::Body;
+
+use crate::control_event::ControlEvent;
+use crate::shared_state::SharedState;
+use crate::upstream_link::{LinkExchange, UpstreamLink};
+
+/// Time a probe may take. It usually takes about 6 ms.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The most bytes read of an answer.
+const MAX_ANSWER_BYTES: usize = 4 * 1024;
+
+/// One upstream to probe.
+#[derive(Debug, Clone)]
+pub struct ProbeTarget {
+    /// The name.
+    pub upstream: String,
+    /// The address.
+    pub address: SocketAddr,
+    /// The path of the health endpoint.
+    pub health_path: String,
+    /// The path of the load endpoint.
+    pub load_path: String,
+    /// The slots of the upstream.
+    pub slots: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct HealthAnswer {
+    state: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct LoadAnswer {
+    slots_in_use: u32,
+}
+
+/// Probes one upstream and reports the result.
+pub async fn probe_upstream(shared: Arc<SharedState>, target: ProbeTarget) {
+    let link = UpstreamLink::new(target.address, 1);
+    let health: Option<HealthAnswer> = ask(&shared, &link, &target, &target.health_path).await;
+    let load: Option<LoadAnswer> = match health {
+        Some(_) => ask(&shared, &link, &target, &target.load_path).await,
+        None => None,
+    };
+    link.close_idle();
+    let result = match health {
+        Some(answer) => ProbeResult::Answered {
+            draining: answer.state == "draining",
+        },
+        None => ProbeResult::Failed,
+    };
+    shared.report(ControlEvent::Probe {
+        load: load.map(|answer| LoadReport {
+            busy_percent: answer.slots_in_use.saturating_mul(100) / target.slots.max(1),
+        }),
+        upstream: target.upstream,
+        result,
+    });
+}
+
+async fn ask<T: for<'de> Deserialize<'de>>(
+    shared: &SharedState,
+    link: &UpstreamLink,
+    target: &ProbeTarget,
+    path: &str,
+) -> Option<T> {
+    let mut request = hyper::Request::new(Body::empty());
+    *request.uri_mut() = Uri::try_from(path).ok()?;
+    let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
+    request.headers_mut().insert(HOST, host);
+    let answer = async {
+        let LinkExchange {
+            response,
+            connection,
+        } = link.send(shared.clock.now(), request, false).await.ok()?;
+        if !response.status().is_success() {
+            connection.close();
+            return None;
+        }
+        let body = http_body_util::Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let bytes = body.collect().await.ok()?.to_bytes();
+        link.put_back(shared.clock.now(), connection);
+        serde_json::from_slice(&bytes).ok()
+    };
+    tokio::time::timeout(PROBE_TIMEOUT, answer)
+        .await
+        .ok()
+        .flatten()
+}
--- a/crates/decisions/src/key_owner.rs
+++ b/crates/decisions/src/key_owner.rs
@@ -276,6 +276,12 @@
         self
     }
 
+    /// Returns the name of the seat.
+    #[must_use]
+    pub fn seat(&self) -> &str {
+        &self.seat
+    }
+
     /// Returns the incarnations whose keys this instance remembers.
     #[must_use]
     pub fn incarnations(&self) -> Vec<u64> {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -88,3 +88,5 @@
 };
 
 mod admission;
+
+pub use admission::{AdmittedRequest, admit_request};
--- a/crates/decisions/src/loan_ledger.rs
+++ b/crates/decisions/src/loan_ledger.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Changes the longest deadline of any request. A new configuration may allow longer ones.
+    pub fn set_longest_deadline(&mut self, longest_deadline: Duration) {
+        self.settings.longest_deadline = longest_deadline;
+    }
+
     /// Adds a rate limit without a share.
     pub fn add_rate_limit(&mut self, now: MonotonicTime) -> RateLimitKey {
         self.rates.push(RateLimit::new(now))
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -104,6 +104,14 @@
         self.has(field).then(|| self.text(field))
     }
 
+    /// Reads a text, or takes `default` if the field is absent.
+    pub fn text_or(&mut self, field: &'static str, default: &str) -> Located<String> {
+        self.optional_text(field).unwrap_or_else(|| Located {
+            value: default.to_string(),
+            place: self.place(),
+        })
+    }
+
     /// Reads a required whole number within `range`.
     pub fn number(&mut self, field: &'static str, range: RangeInclusive<u64>) -> Located<u64> {
         let expected = format!("a whole number from {} to {}", range.start(), range.end());
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -119,6 +119,10 @@
     pub name: String,
     /// Its upstreams.
     pub upstreams: Vec<UpstreamKey>,
+    /// The path of the upstreams' health endpoint.
+    pub health_path: String,
+    /// The path of the upstreams' load endpoint.
+    pub load_path: String,
 }
 
 /// An upstream.
--- a/crates/model/src/fleet_check.rs
+++ b/crates/model/src/fleet_check.rs
@@ -296,11 +296,20 @@
             pools.push(PoolRecord {
                 name: raw.name.value.clone(),
                 upstreams: members,
+                health_path: self.path("pools.health_path", &raw.health_path),
+                load_path: self.path("pools.load_path", &raw.load_path),
             });
         }
         (pools, upstreams)
     }
 
+    fn path(&self, field: &str, path: &Located<String>) -> String {
+        if !path.value.starts_with('/') {
+            self.report(path, field, "expected a path that starts with '/'");
+        }
+        path.value.clone()
+    }
+
     fn upstream(
         &self,
         raw: &RawUpstream,
--- a/crates/model/src/raw_fleet.rs
+++ b/crates/model/src/raw_fleet.rs
@@ -118,6 +118,10 @@
 pub struct RawPool {
     /// The name, unique among pools.
     pub name: Located<String>,
+    /// The path of the upstreams' health endpoint.
+    pub health_path: Located<String>,
+    /// The path of the upstreams' load endpoint.
+    pub load_path: Located<String>,
     /// The upstreams.
     pub upstreams: Vec<RawUpstream>,
 }
--- a/crates/model/src/raw_reader.rs
+++ b/crates/model/src/raw_reader.rs
@@ -23,6 +23,9 @@
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 const DEFAULT_ISOLATION_S: u64 = 60;
 
+const DEFAULT_HEALTH_PATH: &str = "/health";
+const DEFAULT_LOAD_PATH: &str = "/load";
+
 const CLASSES: [(&str, WorkClass); 4] = [
     ("urgent", WorkClass::Urgent),
     ("standard", WorkClass::Standard),
@@ -141,6 +144,8 @@
 fn read_pool(reader: &mut MappingReader<'_>) -> RawPool {
     RawPool {
         name: reader.text("name"),
+        health_path: reader.text_or("health_path", DEFAULT_HEALTH_PATH),
+        load_path: reader.text_or("load_path", DEFAULT_LOAD_PATH),
         upstreams: read_all(reader, "upstreams", read_upstream),
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 pub use messages::{
-    AnswerHeader, ConfigPull, ConfigPush, DrainNotice, HeartbeatMessage, HelloMessage, LimitKind,
-    LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
-    ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectNotice,
+    AnswerHeader, ConfigPull, ConfigPush, CrashNumber, DrainNotice, HeartbeatMessage, HelloMessage,
+    LimitKind, LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
+    ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
 };
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -14,7 +14,7 @@
     /// The message.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub body: Option<PeerBody>,
 }
@@ -75,6 +75,9 @@
     /// Reports an upstream that is leaving.
     #[prost(message, tag = "15")]
     DrainNotice(DrainNotice),
+    /// Reports that a request did not cause crashes.
+    #[prost(message, tag = "16")]
+    SuspectClearance(SuspectClearance),
 }
 
 /// Who is at the other end of a connection.
@@ -150,83 +153,92 @@
 /// Asks for a loan.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoanRequest {
-    /// The number of the loan, unique for the borrower's incarnation.
+    /// The number of the ask, unique for the borrower's incarnation.
     #[prost(uint64, tag = "1")]
     pub loan: u64,
+    /// The number of the first ask of the loan that this ask renews, or its own number.
+    #[prost(uint64, tag = "2")]
+    pub line: u64,
     /// What is asked for.
-    #[prost(enumeration = "LimitKind", tag = "2")]
+    #[prost(enumeration = "LimitKind", tag = "3")]
     pub kind: i32,
     /// The name of the account, upstream or shift.
-    #[prost(string, tag = "3")]
+    #[prost(string, tag = "4")]
     pub name: String,
     /// The rate wanted in milli-tokens per second, or the slots wanted.
-    #[prost(uint64, tag = "4")]
-    pub amount: u64,
+    #[prost(int64, tag = "5")]
+    pub amount: i64,
     /// The burst wanted in milli-tokens.
-    #[prost(uint64, tag = "5")]
-    pub burst: u64,
+    #[prost(int64, tag = "6")]
+    pub burst: i64,
     /// The life of the loan in milliseconds, counted from when this request was sent.
-    #[prost(uint64, tag = "6")]
-    pub life_ms: u64,
-    /// The generation the borrower runs.
     #[prost(uint64, tag = "7")]
-    pub generation: u64,
+    pub life_ms: u64,
 }
 
 /// Grants a loan.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoanGrant {
-    /// The number of the loan from the request.
+    /// The number of the ask.
     #[prost(uint64, tag = "1")]
     pub loan: u64,
+    /// What is granted.
+    #[prost(enumeration = "LimitKind", tag = "2")]
+    pub kind: i32,
     /// The rate granted in milli-tokens per second, or the slots granted.
-    #[prost(uint64, tag = "2")]
-    pub amount: u64,
+    #[prost(int64, tag = "3")]
+    pub amount: i64,
     /// The burst granted in milli-tokens.
-    #[prost(uint64, tag = "3")]
-    pub burst: u64,
+    #[prost(int64, tag = "4")]
+    pub burst: i64,
     /// The tokens handed over at once, in milli-tokens.
-    #[prost(uint64, tag = "4")]
-    pub tokens: u64,
+    #[prost(int64, tag = "5")]
+    pub tokens: i64,
 }
 
 /// Ends a loan early.
 #[derive(Clone, PartialEq, Message)]
 pub struct LoanReturn {
-    /// The number of the loan.
+    /// The number of the first ask of the loan.
     #[prost(uint64, tag = "1")]
-    pub loan: u64,
-    /// The slots returned.
-    #[prost(uint64, tag = "2")]
-    pub amount: u64,
+    pub line: u64,
+    /// What is returned.
+    #[prost(enumeration = "LimitKind", tag = "2")]
+    pub kind: i32,
+    /// The name of the account, upstream or shift.
+    #[prost(string, tag = "3")]
+    pub name: String,
 }
 
-/// Asks for a configuration newer than the one in force.
+/// Asks for one part of the configuration in force at the receiver.
 #[derive(Clone, PartialEq, Message)]
 pub struct ConfigPull {
-    /// The generation in force at the sender.
+    /// The generation wanted.
     #[prost(uint64, tag = "1")]
     pub generation: u64,
+    /// The position of the part wanted, from zero.
+    #[prost(uint32, tag = "2")]
+    pub part: u32,
 }
 
 /// Carries a part of a configuration.
 #[derive(Clone, PartialEq, Message)]
 pub struct ConfigPush {
-    /// The generation.
+    /// The generation in force at the sender; the part is empty if it is not the one wanted.
     #[prost(uint64, tag = "1")]
     pub generation: u64,
-    /// The digest of the whole document.
-    #[prost(bytes = "vec", tag = "2")]
-    pub digest: Vec<u8>,
     /// The position of this part, from zero.
-    #[prost(uint32, tag = "3")]
+    #[prost(uint32, tag = "2")]
     pub part: u32,
     /// The number of parts.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "3")]
     pub parts: u32,
-    /// The text of this part.
+    /// The bytes of this part. A part may end within a character.
+    #[prost(bytes = "vec", tag = "4")]
+    pub bytes: Vec<u8>,
+    /// The manifest of the generation as the platform stores it, with the first part only.
     #[prost(string, tag = "5")]
-    pub text: String,
+    pub manifest: String,
 }
 
 /// Asks whether a seat's holder is alive.
@@ -266,6 +278,9 @@
     /// A digest of method and path, so that one key is not used for two requests.
     #[prost(uint64, tag = "3")]
     pub request_digest: u64,
+    /// The milliseconds until the request's deadline.
+    #[prost(uint64, tag = "4")]
+    pub remaining_ms: u64,
 }
 
 /// Whether a request with an idempotency key may run.
@@ -284,6 +299,10 @@
     AnswerNotKept = 4,
     /// The key was used for a different request.
     Mismatch = 5,
+    /// The owner has no room to remember the key.
+    Full = 6,
+    /// The owner has handed its memory over and takes no new key.
+    HandedOver = 7,
 }
 
 /// A header of a kept answer.
@@ -312,6 +331,12 @@
     /// The body of the kept answer.
     #[prost(bytes = "vec", tag = "4")]
     pub body: Vec<u8>,
+    /// The incarnation that permits the run.
+    #[prost(uint64, tag = "5")]
+    pub ticket_incarnation: u64,
+    /// The number of the permission within that incarnation.
+    #[prost(uint64, tag = "6")]
+    pub ticket_number: u64,
 }
 
 /// Tells the owner of an idempotency key how its request ended.
@@ -335,20 +360,45 @@
     /// The body of the answer.
     #[prost(bytes = "vec", tag = "6")]
     pub body: Vec<u8>,
+    /// The incarnation that permitted the run.
+    #[prost(uint64, tag = "7")]
+    pub ticket_incarnation: u64,
+    /// The number of the permission within that incarnation.
+    #[prost(uint64, tag = "8")]
+    pub ticket_number: u64,
 }
 
 /// Reports requests that ran on an upstream when it crashed.
 #[derive(Clone, PartialEq, Message)]
 pub struct SuspectNotice {
-    /// The upstream.
+    /// The crash.
+    #[prost(message, optional, tag = "1")]
+    pub crash: Option<CrashNumber>,
+    /// The fingerprints of the requests, 16 bytes each.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub fingerprints: Vec<Vec<u8>>,
+}
+
+/// One crash of an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashNumber {
+    /// The name of the upstream.
     #[prost(string, tag = "1")]
     pub upstream: String,
-    /// A number for the crash, so that a repeated notice is counted once.
+    /// A number for the crash, unique among all instances.
     #[prost(uint64, tag = "2")]
-    pub crash: u64,
-    /// The fingerprints of the requests, 16 bytes each.
-    #[prost(bytes = "vec", repeated, tag = "3")]
-    pub fingerprints: Vec<Vec<u8>>,
+    pub number: u64,
+}
+
+/// Reports that a request did not cause crashes, because one like it succeeded.
+#[derive(Clone, PartialEq, Message)]
+pub struct SuspectClearance {
+    /// The fingerprint of the request, 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// The crashes.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<CrashNumber>,
 }
 
 /// Reports an upstream that is leaving.
