standins: load generator, comparison and fleet launcher

Measurements need the same machine state on both sides, and the first run needs all programs at once.

--- /dev/null
+++ b/crates/standins/src/child_process.rs
@@ -0,0 +1,79 @@
+//! Child processes of the small fleet, ended by the ids they were started with.
+
+use std::ffi::OsStr;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A child process that is killed and waited for when the value is dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts `program` with `arguments`; its output goes to the output of this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the program cannot be started.
+    pub fn start<I, S>(name: &str, program: &Path, arguments: I) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+    {
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .spawn()?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Returns the name it was given.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns how it ended, or nothing while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if its state cannot be read.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // Errors mean that it has already ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a program that lies beside the executable of this process.
+///
+/// # Errors
+///
+/// Returns an error if the executable of this process is unknown or the program is not there.
+pub fn sibling_program(name: &str) -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let path = own.with_file_name(name);
+    if path.is_file() {
+        return Ok(path);
+    }
+    let message = format!("{} not found", path.display());
+    Err(io::Error::new(io::ErrorKind::NotFound, message))
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,11 +2,18 @@
 //!
 //! [`UpstreamHandle`] runs an upstream with slots, faults on order and a record of what it ran. [`call_once`] and
 //! [`KeptConnection`] send one HTTP request and tell how far a failed one came. [`CutRelay`] stands between two
-//! processes and cuts, holds or delays what passes.
+//! processes and cuts, holds or delays what passes. [`run_load`] and [`run_compare`] measure, and [`RunningFleet`] starts the programs
+//! of the workspace for the first run.
 
+mod child_process;
 mod cut_relay;
 mod fault_plan;
+mod fleet_launch;
 mod http_call;
+mod load_compare;
+mod load_plan;
+mod load_run;
+mod load_tally;
 mod paced_incoming;
 mod run_record;
 mod upstream_bodies;
@@ -15,9 +22,15 @@
 mod upstream_service;
 mod upstream_state;
 
+pub use child_process::{ChildProcess, sibling_program};
 pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
 pub use fault_plan::ControlChange;
+pub use fleet_launch::{FleetError, FleetOptions, RunningFleet, read_fleet};
 pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
+pub use load_compare::{CompareError, ComparePlan, CompareReport, run_compare};
+pub use load_plan::{AccountMix, LoadBound, LoadLane, LoadPlan, LoadPlanError, RawLoad};
+pub use load_run::run_load;
+pub use load_tally::{LaneReport, LatencyReport, LoadReport, LoadTally};
 pub use paced_incoming::PacedIncoming;
 pub use run_record::{RunEnd, RunEntry, RunOutcome, RunRecord, RunStart, RunTotals};
 pub use upstream_crash::{CRASH_EXIT_CODE, CrashMode};
