--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -28,11 +28,17 @@
 pub use fleet_launch::{FleetError, FleetOptions, RunningFleet, read_fleet};
 pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
 pub use load_compare::{CompareError, ComparePlan, CompareReport, run_compare};
-pub use load_plan::{AccountMix, LoadBound, LoadLane, LoadPlan, LoadPlanError, RawLoad};
+pub use load_plan::{
+    AccountMix, LoadBound, LoadLane, LoadPlan, LoadPlanError, MAX_BODY_BYTES, MAX_CONCURRENCY,
+    MAX_REQUESTS, MAX_TIME, RawLoad,
+};
 pub use load_run::run_load;
 pub use load_tally::{LaneReport, LatencyReport, LoadReport, LoadTally};
 pub use paced_incoming::PacedIncoming;
-pub use run_record::{RunEnd, RunEntry, RunOutcome, RunRecord, RunStart, RunTotals};
+pub use run_record::{
+    DETAIL_LIMIT, RunEnd, RunEntry, RunKey, RunOutcome, RunRecord, RunStart, RunTotals, SlotsFull,
+    StartedRun,
+};
 pub use upstream_crash::{CRASH_EXIT_CODE, CrashMode};
 pub use upstream_server::{UpstreamError, UpstreamHandle, UpstreamOptions};
 pub use upstream_service::{HealthAnswer, LoadAnswer, RecordAnswer, WorkAnswer};
