standins: read the body of a refused upload before the refusal

A server that answers without reading the request body closes the connection, and a caller that still sends loses the answer to the reset. A case of the shed test guards it.

Ruled out: a longer half-closed state of the connection, which volo-http does not offer. Types and variables got plainer names.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`UpstreamHandle`] runs an upstream with slots, faults on order and a record of what it ran. [`call_once`] and
 //! [`KeptConnection`] send one HTTP request and tell how far a failed one came. [`CutRelay`] stands between two
-//! processes and cuts, holds or delays what passes. [`run_load`] and [`run_compare`] measure, and [`RunningFleet`] starts the programs
-//! of the workspace for the first run.
+//! processes and cuts, holds or delays what passes. [`run_load`] and [`run_compare`] measure, and [`RunningFleet`]
+//! starts the programs of the workspace for the first run.
 
 mod child_process;
 mod cut_relay;
--- a/crates/standins/src/load_run.rs
+++ b/crates/standins/src/load_run.rs
@@ -24,13 +24,13 @@
     let limits = Arc::new(RunLimits::new(plan.bound));
     let mut workers = JoinSet::new();
     for (index, lane) in plan.lanes.iter().enumerate() {
-        let pace = Arc::new(LanePace::new(lane, limits.start));
+        let schedule = Arc::new(LaneSchedule::new(lane, limits.start));
         for _ in 0..lane.concurrency {
             let worker = LoadWorker {
                 target: plan.target,
                 request: lane.request.clone(),
                 limits: limits.clone(),
-                pace: pace.clone(),
+                schedule: schedule.clone(),
                 connection: None,
             };
             workers.spawn(async move { (index, worker.run().await) });
@@ -91,13 +91,13 @@
 
 /// When the requests of a lane are due.
 #[derive(Debug)]
-struct LanePace {
+struct LaneSchedule {
     start: Instant,
     rate_per_s: Option<f64>,
     next: AtomicU64,
 }
 
-impl LanePace {
+impl LaneSchedule {
     fn new(lane: &LoadLane, start: Instant) -> Self {
         Self {
             start,
@@ -122,7 +122,7 @@
     target: SocketAddr,
     request: CallRequest,
     limits: Arc<RunLimits>,
-    pace: Arc<LanePace>,
+    schedule: Arc<LaneSchedule>,
     connection: Option<KeptConnection>,
 }
 
@@ -144,7 +144,7 @@
     /// A request that is late because its connection was busy counts from the time it was due. One that was waited
     /// for counts from its sending, because the timers of `tokio` are late by up to 1 ms.
     async fn next_start(&self) -> Option<Instant> {
-        let due = self.pace.next_due();
+        let due = self.schedule.next_due();
         if due.is_some_and(|due| due >= self.limits.end) || !self.limits.take() {
             return None;
         }
--- a/crates/standins/src/upstream_crash.rs
+++ b/crates/standins/src/upstream_crash.rs
@@ -21,7 +21,7 @@
 
 /// What the thread of an upstream is to do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LifeOrder {
+pub enum ThreadOrder {
     /// It serves.
     Serve,
     /// It drops its listener and connections, and serves again later.
@@ -34,13 +34,13 @@
 #[derive(Debug, Clone)]
 pub struct CrashSwitch {
     mode: CrashMode,
-    orders: watch::Sender<LifeOrder>,
+    orders: watch::Sender<ThreadOrder>,
 }
 
 impl CrashSwitch {
     /// Makes a switch that gives its order to the thread of an upstream.
     #[must_use]
-    pub fn new(mode: CrashMode, orders: watch::Sender<LifeOrder>) -> Self {
+    pub fn new(mode: CrashMode, orders: watch::Sender<ThreadOrder>) -> Self {
         Self { mode, orders }
     }
 
@@ -49,9 +49,9 @@
         match self.mode {
             CrashMode::Hard => std::process::exit(CRASH_EXIT_CODE),
             CrashMode::Soft(_) => self.orders.send_if_modified(|order| {
-                let serves = *order == LifeOrder::Serve;
+                let serves = *order == ThreadOrder::Serve;
                 if serves {
-                    *order = LifeOrder::Crash;
+                    *order = ThreadOrder::Crash;
                 }
                 serves
             }),
--- a/crates/standins/src/upstream_server.rs
+++ b/crates/standins/src/upstream_server.rs
@@ -17,7 +17,7 @@
 use volo_http::server::Server;
 
 use crate::paced_incoming::PacedIncoming;
-use crate::upstream_crash::{CrashMode, CrashSwitch, LifeOrder};
+use crate::upstream_crash::{CrashMode, CrashSwitch, ThreadOrder};
 use crate::upstream_service::UpstreamService;
 use crate::upstream_state::{OrderCounter, UpstreamState, UpstreamTraits};
 
@@ -67,7 +67,7 @@
     address: SocketAddr,
     state: Arc<UpstreamState>,
     switch: CrashSwitch,
-    orders: watch::Sender<LifeOrder>,
+    orders: watch::Sender<ThreadOrder>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -79,12 +79,12 @@
     /// Returns an error if the address cannot be listened on or no thread can be started.
     pub fn start(options: UpstreamOptions, order: OrderCounter) -> Result<Self, UpstreamError> {
         let state = Arc::new(UpstreamState::new(options.traits.clone(), order));
-        let (orders, receiver) = watch::channel(LifeOrder::Serve);
+        let (orders, receiver) = watch::channel(ThreadOrder::Serve);
         let switch = CrashSwitch::new(options.crash, orders.clone());
         let (bound, wait_bound) = mpsc::channel();
         let name = options.traits.name.clone();
         let listen = options.listen;
-        let life = UpstreamLife {
+        let worker = UpstreamThread {
             options,
             service: UpstreamService::new(state.clone(), switch.clone()),
             state: state.clone(),
@@ -93,7 +93,7 @@
         };
         let thread = std::thread::Builder::new()
             .name(format!("upstream-{name}"))
-            .spawn(move || life.run(&bound))
+            .spawn(move || worker.run(&bound))
             .map_err(|source| thread_error(&name, source))?;
         let address = match wait_bound.recv() {
             Ok(result) => result.map_err(|source| UpstreamError::Listen {
@@ -132,7 +132,7 @@
 
 impl Drop for UpstreamHandle {
     fn drop(&mut self) {
-        self.orders.send_replace(LifeOrder::Stop);
+        self.orders.send_replace(ThreadOrder::Stop);
         if let Some(thread) = self.thread.take() {
             // A panic of the thread was already reported on its standard error.
             let _ = thread.join();
@@ -148,23 +148,23 @@
 }
 
 /// What the thread of an upstream works with.
-struct UpstreamLife {
+struct UpstreamThread {
     options: UpstreamOptions,
     service: UpstreamService,
     state: Arc<UpstreamState>,
-    orders: watch::Sender<LifeOrder>,
-    receiver: watch::Receiver<LifeOrder>,
+    orders: watch::Sender<ThreadOrder>,
+    receiver: watch::Receiver<ThreadOrder>,
 }
 
-impl UpstreamLife {
+impl UpstreamThread {
     fn run(mut self, bound: &mpsc::Sender<io::Result<SocketAddr>>) {
-        let Some(address) = self.first_life(bound) else {
+        let Some(address) = self.serve_first(bound) else {
             return;
         };
-        while self.next_order() == LifeOrder::Crash && self.recover(address) {}
+        while self.next_order() == ThreadOrder::Crash && self.recover(address) {}
     }
 
-    fn first_life(&mut self, bound: &mpsc::Sender<io::Result<SocketAddr>>) -> Option<SocketAddr> {
+    fn serve_first(&mut self, bound: &mpsc::Sender<io::Result<SocketAddr>>) -> Option<SocketAddr> {
         let runtime = self.runtime()?;
         match runtime.block_on(async { listen(self.options.listen) }) {
             Ok((listener, address)) => {
@@ -197,9 +197,9 @@
         };
         self.state.restart();
         self.orders.send_if_modified(|order| {
-            let crashed = *order == LifeOrder::Crash;
+            let crashed = *order == ThreadOrder::Crash;
             if crashed {
-                *order = LifeOrder::Serve;
+                *order = ThreadOrder::Serve;
             }
             crashed
         });
@@ -215,18 +215,18 @@
         let receiver = &mut self.receiver;
         runtime.block_on(async move {
             tokio::select! {
-                _ = receiver.wait_for(|order| *order != LifeOrder::Serve) => {}
+                _ = receiver.wait_for(|order| *order != ThreadOrder::Serve) => {}
                 _ = server.run(incoming) => {}
             }
         });
     }
 
-    fn next_order(&self) -> LifeOrder {
+    fn next_order(&self) -> ThreadOrder {
         *self.receiver.borrow()
     }
 
     async fn is_stopped_within(&mut self, time: Duration) -> bool {
-        let stop = self.receiver.wait_for(|order| *order == LifeOrder::Stop);
+        let stop = self.receiver.wait_for(|order| *order == ThreadOrder::Stop);
         tokio::time::timeout(time, stop).await.is_ok()
     }
 
--- a/crates/standins/src/upstream_service.rs
+++ b/crates/standins/src/upstream_service.rs
@@ -31,6 +31,7 @@
 const DRAINING: &str = "coltsfootkeel-draining";
 const WORK: &str = "x-work-ms";
 const CRASH: &str = "x-crash";
+const DRAIN_LIMIT_BYTES: usize = 64 * 1024 * 1024;
 const CONTROL_LIMIT_BYTES: usize = 64 * 1024;
 
 /// The answer to a request that is no echo.
@@ -142,8 +143,14 @@
     async fn work(&self, request: Request) -> Response {
         let start = start_of(&request);
         match self.state.arrive(start.clone()) {
-            Arrival::Refused => refusal("draining", true),
-            Arrival::Shed => refusal("no-free-slot", false),
+            Arrival::Refused => {
+                drain(request.into_body()).await;
+                refusal("draining", true)
+            }
+            Arrival::Shed => {
+                drain(request.into_body()).await;
+                refusal("no-free-slot", false)
+            }
             Arrival::Runs(guard, faults) => self.run(request, start, guard, faults).await,
         }
     }
@@ -273,6 +280,21 @@
     }
 }
 
+/// Reads and discards a body before a refusal.
+///
+/// The server closes a connection whose request body it has not read, and a caller that still sends it loses the
+/// refusal to the reset.
+async fn drain(mut body: Body) {
+    let mut left = DRAIN_LIMIT_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        left = left.saturating_sub(length);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 /// Reads the whole body and returns whether it has the crash mark, or nothing if it broke.
 async fn read_body(mut body: Body, guard: &mut RunGuard, mark: &mut CrashMark) -> Option<bool> {
     let mut is_marked = false;
--- a/crates/standins/src/upstream_state.rs
+++ b/crates/standins/src/upstream_state.rs
@@ -52,11 +52,11 @@
 pub struct UpstreamState {
     traits: UpstreamTraits,
     order: OrderCounter,
-    books: Mutex<UpstreamBooks>,
+    data: Mutex<UpstreamData>,
 }
 
 #[derive(Debug)]
-struct UpstreamBooks {
+struct UpstreamData {
     record: RunRecord,
     plan: FaultPlan,
 }
@@ -70,7 +70,7 @@
         Self {
             traits,
             order,
-            books: Mutex::new(UpstreamBooks { record, plan }),
+            data: Mutex::new(UpstreamData { record, plan }),
         }
     }
 
@@ -82,16 +82,16 @@
 
     /// Decides about a request that arrives, and takes its slot if it runs.
     pub fn arrive(self: &Arc<Self>, start: RunStart) -> Arrival {
-        let mut books = self.books();
-        if books.plan.refuse {
-            books.record.refuse();
+        let mut data = self.data();
+        if data.plan.refuse {
+            data.record.refuse();
             return Arrival::Refused;
         }
         let order = self.order.next();
-        match books.record.begin(self.traits.slots, order, start) {
+        match data.record.begin(self.traits.slots, order, start) {
             Err(SlotsFull) => Arrival::Shed,
             Ok(run) => {
-                let faults = books.plan.next_request();
+                let faults = data.plan.next_request();
                 Arrival::Runs(RunGuard::new(self.clone(), run), faults)
             }
         }
@@ -99,46 +99,46 @@
 
     /// Changes the ordered faults and reports.
     pub fn control(&self, change: &ControlChange) {
-        self.books().plan.apply(change);
+        self.data().plan.apply(change);
     }
 
     /// Makes the upstream cold again after a crash.
     pub fn restart(&self) {
-        self.books().plan.restart();
+        self.data().plan.restart();
     }
 
     /// Tells whether the health response reports draining.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        self.books().plan.draining
+        self.data().plan.draining
     }
 
     /// Returns the slots in use, or the number that was ordered to be reported instead.
     #[must_use]
     pub fn reported_load(&self) -> u32 {
-        let books = self.books();
-        let running = books.record.totals().running;
-        books.plan.report_load.unwrap_or(running)
+        let data = self.data();
+        let running = data.record.totals().running;
+        data.plan.report_load.unwrap_or(running)
     }
 
     /// Returns the totals of the record.
     #[must_use]
     pub fn totals(&self) -> RunTotals {
-        self.books().record.totals()
+        self.data().record.totals()
     }
 
     /// Returns the details of the record.
     #[must_use]
     pub fn entries(&self) -> Vec<RunEntry> {
-        self.books().record.entries()
+        self.data().record.entries()
     }
 
     fn finish(&self, run: StartedRun, end: RunEnd) {
-        self.books().record.finish(run, end);
+        self.data().record.finish(run, end);
     }
 
-    fn books(&self) -> MutexGuard<'_, UpstreamBooks> {
-        self.books.lock().unwrap_or_else(PoisonError::into_inner)
+    fn data(&self) -> MutexGuard<'_, UpstreamData> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/standins/tests/upstream.rs
+++ b/crates/standins/tests/upstream.rs
@@ -66,6 +66,7 @@
     label: &'static str,
     slots: u32,
     running: u32,
+    body_bytes: usize,
     sheds: bool,
 }
 
@@ -77,24 +78,35 @@
             label: "one slot, free",
             slots: 1,
             running: 0,
+            body_bytes: 1,
             sheds: false,
         },
         ShedCase {
             label: "one slot, taken",
             slots: 1,
             running: 1,
+            body_bytes: 1,
             sheds: true,
         },
         ShedCase {
             label: "last of nine slots",
             slots: 9,
             running: 8,
+            body_bytes: 1,
             sheds: false,
         },
         ShedCase {
             label: "nine slots, all taken",
             slots: 9,
             running: 9,
+            body_bytes: 1,
+            sheds: true,
+        },
+        ShedCase {
+            label: "refusal of an upload of 32 MB reaches the caller",
+            slots: 1,
+            running: 1,
+            body_bytes: 32_000_000,
             sheds: true,
         },
     ];
@@ -109,7 +121,8 @@
         }
         wait_running(&upstream, case.running).await;
 
-        let probe = post("/probe", "x").header("Coltsfootkeel-Request-Id", "probe-1");
+        let probe = post("/probe", patterned_bytes(case.body_bytes))
+            .header("Coltsfootkeel-Request-Id", "probe-1");
         let answer = call_once(address, &probe).await.unwrap();
 
         let status = if case.sheds { 503 } else { 200 };
@@ -490,7 +503,7 @@
         let upstream = start("od-1", 9);
         let address = upstream.address();
         let other = get("/other").header("X-Work-Ms", "60000");
-        let bystander = tokio::spawn(async move { seen(call_once(address, &other).await) });
+        let other_call = tokio::spawn(async move { seen(call_once(address, &other).await) });
         wait_running(&upstream, 1).await;
 
         // An echo may have sent the head of its answer.
@@ -498,7 +511,7 @@
         let broken = matches!(crashed, Seen::BrokenBefore | Seen::BrokenWithin);
         assert!(broken, "{}: {crashed:?}", case.label);
         assert_eq!(
-            bystander.await.unwrap(),
+            other_call.await.unwrap(),
             Seen::BrokenBefore,
             "{}",
             case.label
