--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,12 +2,19 @@
 //!
 //! [`UpstreamHandle`] runs an upstream with slots, faults on order and a record of what it ran. [`call_once`] and
 //! [`KeptConnection`] send one HTTP request and tell how far a failed one came. [`CutRelay`] stands between two
-//! processes and cuts, holds or delays what passes.
+//! processes and cuts, holds or delays what passes. [`run_load`] and [`run_compare`] measure, and [`RunningFleet`]
+//! starts the programs of the workspace for the first run.
 
+mod child_process;
 mod cut_relay;
 mod fault_plan;
+mod fleet_launch;
 mod http_call;
 mod instance_list;
+mod load_compare;
+mod load_plan;
+mod load_run;
+mod load_tally;
 mod object_store;
 mod paced_incoming;
 mod platform_faults;
@@ -19,10 +26,19 @@
 mod upstream_service;
 mod upstream_state;
 
+pub use child_process::{ChildProcess, sibling_program};
 pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
 pub use fault_plan::ControlChange;
+pub use fleet_launch::{FleetError, FleetOptions, RunningFleet, commit_fleet, read_fleet};
 pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
 pub use instance_list::{InstanceDetails, InstanceList, InstanceListing};
+pub use load_compare::{CompareError, ComparePlan, CompareReport, run_compare};
+pub use load_plan::{
+    AccountMix, LoadBound, LoadLane, LoadPlan, LoadPlanError, MAX_BODY_BYTES, MAX_CONCURRENCY,
+    MAX_REQUESTS, MAX_TIME, RawLoad,
+};
+pub use load_run::run_load;
+pub use load_tally::{LaneReport, LatencyReport, LoadReport, LoadTally};
 pub use object_store::{
     ObjectChange, ObjectListing, ObjectStore, StoreCondition, StoreRefusal, StoredValue,
     VALUE_LIMIT_BYTES,
@@ -30,7 +46,10 @@
 pub use paced_incoming::PacedIncoming;
 pub use platform_faults::{CallCounts, CallKind, DownMode, PlatformFaults};
 pub use platform_standin::{PlatformOptions, PlatformStandinError, run_platform, serve_platform};
-pub use run_record::{RunEnd, RunEntry, RunOutcome, RunRecord, RunStart, RunTotals};
+pub use run_record::{
+    DETAIL_LIMIT, RunEnd, RunEntry, RunKey, RunOutcome, RunRecord, RunStart, RunTotals, SlotsFull,
+    StartedRun,
+};
 pub use upstream_crash::{CRASH_EXIT_CODE, CrashMode};
 pub use upstream_server::{UpstreamError, UpstreamHandle, UpstreamOptions};
 pub use upstream_service::{HealthAnswer, LoadAnswer, RecordAnswer, WorkAnswer};
