--- a/crates/decisions/src/rate_limit.rs
+++ b/crates/decisions/src/rate_limit.rs
@@ -123,13 +123,15 @@
         now: MonotonicTime,
     ) -> RateAmount {
         self.advance(now);
-        let shortage = self.shortage();
+        // After the seat was closed or its share lowered, nothing beyond the base may be lent longer.
+        let given = sum(self.given.iter().map(|loan| loan.amount));
+        let withheld = self.shortage().plus(given.minus(self.base));
         let mut loans = self.given.iter_mut();
         let Some(loan) = loans.find(|loan| loan.renewable && loan.is_same(&wanted)) else {
             return RateAmount::default();
         };
         let old = *loan;
-        let amount = wanted.amount.at_most(old.amount.minus(shortage));
+        let amount = wanted.amount.at_most(old.amount.minus(withheld));
         if amount.is_zero() {
             loan.renewable = false;
             return amount;
--- a/crates/decisions/src/slot_limit.rs
+++ b/crates/decisions/src/slot_limit.rs
@@ -108,10 +108,13 @@
     /// Extends a loan as a whole unless the lender is short, and returns its slots or zero.
     pub(crate) fn renew(&mut self, wanted: GivenLoan<u32>, now: MonotonicTime) -> u32 {
         self.advance(now);
+        let given: u32 = self.given.iter().map(|loan| loan.amount).sum();
         let is_short = self.held() < self.base && self.peak.value() > self.held();
+        // After the seat was closed or its share lowered, nothing beyond the base may be lent longer.
+        let is_withheld = is_short || given > self.base;
         let mut loans = self.given.iter_mut();
         match loans.find(|loan| loan.is_same(&wanted)) {
-            Some(loan) if !is_short => {
+            Some(loan) if !is_withheld => {
                 loan.until = loan.until.max(wanted.until);
                 loan.amount
             }
