decisions: owners of keys overlap, and one unreachable is told apart

Cause: instances learn of a new seat holder or seat list at different times. An earlier owner that still accepted a key shortly after the change would be forgotten by the others before the key's retention had passed.

Ruled out: retention alone, counted from the change at each instance.

Change: OWNER_OVERLAP is added to the time during which keys without a prefix are refused as unknown. A handed-over memory reports a key it does not hold as `key_owner_unreachable` with mark "unknown", because the new owner may have run it. Waiters whose wait has ended no longer cost their account a turn.

--- a/crates/decisions/src/attempt_state.rs
+++ b/crates/decisions/src/attempt_state.rs
@@ -103,6 +103,15 @@
 /// The history can be neither copied nor reset, and starting an attempt consumes it until the
 /// attempt has ended. A refusal therefore cannot state "not run" while an attempt is open or after
 /// one that may have run.
+///
+/// ```compile_fail,E0382
+/// use coltsfootkeel_decisions::{Refusal, RefusalKind, RunHistory};
+///
+/// let history = RunHistory::new();
+/// let attempt = history.start_attempt();
+/// let refusal = Refusal::new(RefusalKind::UpstreamFailed, history, false);
+/// # drop((attempt, refusal));
+/// ```
 #[derive(Debug)]
 pub struct RunHistory {
     mark: RunMark,
@@ -202,6 +211,8 @@
     NotReady,
     /// It cannot be told whether a request with this idempotency key ran.
     OutcomeUnknown,
+    /// The owner of the idempotency key did not say whether a request with it ran.
+    KeyOwnerUnreachable,
     /// A request with this idempotency key is running.
     KeyInProgress,
     /// The idempotency key was used for a different request.
@@ -222,7 +233,7 @@
 
 impl RefusalKind {
     /// Every reason.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::MissingKey,
         Self::UnknownKey,
         Self::KeyWithdrawn,
@@ -237,6 +248,7 @@
         Self::Leaving,
         Self::NotReady,
         Self::OutcomeUnknown,
+        Self::KeyOwnerUnreachable,
         Self::KeyInProgress,
         Self::KeyMismatch,
         Self::AnswerNotKept,
@@ -265,6 +277,7 @@
             Self::Leaving => "leaving",
             Self::NotReady => "not_ready",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::KeyOwnerUnreachable => "key_owner_unreachable",
             Self::KeyInProgress => "key_in_progress",
             Self::KeyMismatch => "key_mismatch",
             Self::AnswerNotKept => "answer_not_kept",
@@ -288,6 +301,7 @@
                 | Self::Isolated
                 | Self::Leaving
                 | Self::NotReady
+                | Self::KeyOwnerUnreachable
                 | Self::KeyInProgress
                 | Self::ReplayMemoryFull
                 | Self::UpstreamFailed
@@ -297,7 +311,9 @@
     /// Returns the least that the reason itself says about whether the request ran.
     const fn least_mark(self) -> RunMark {
         match self {
-            Self::OutcomeUnknown | Self::KeyInProgress => RunMark::Unknown,
+            Self::OutcomeUnknown | Self::KeyOwnerUnreachable | Self::KeyInProgress => {
+                RunMark::Unknown
+            }
             Self::AnswerNotKept => RunMark::Run,
             _ => RunMark::NotRun,
         }
@@ -324,7 +340,7 @@
     )]
     pub fn new(kind: RefusalKind, history: RunHistory, repeat_safe: bool) -> Self {
         let mark = history.mark.max(kind.least_mark());
-        let harmless = repeat_safe || mark == RunMark::NotRun || kind == RefusalKind::KeyInProgress;
+        let harmless = repeat_safe || mark == RunMark::NotRun;
         Self {
             kind,
             mark,
@@ -334,8 +350,8 @@
 
     /// Makes the refusal of a request that was never attempted.
     #[must_use]
-    pub fn before_attempt(kind: RefusalKind) -> Self {
-        Self::new(kind, RunHistory::new(), false)
+    pub fn before_attempt(kind: RefusalKind, repeat_safe: bool) -> Self {
+        Self::new(kind, RunHistory::new(), repeat_safe)
     }
 
     /// Returns the reason.
--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -158,11 +158,13 @@
 impl SuspectRecord {
     /// Counts the crashes that are not cleared, each upstream once within [`SAME_CRASH`].
     fn count(&self) -> usize {
-        let open = || self.crashes.iter().filter(|crash| !crash.cleared);
-        open()
-            .enumerate()
-            .filter(|(index, crash)| !open().take(*index).any(|other| is_same(other, crash)))
-            .count()
+        let mut counted: Vec<&SuspectCrash> = Vec::new();
+        for crash in self.crashes.iter().filter(|crash| !crash.cleared) {
+            if !counted.iter().any(|other| is_same(other, crash)) {
+                counted.push(crash);
+            }
+        }
+        counted.len()
     }
 
     fn is_refused(&self) -> bool {
--- a/crates/decisions/src/key_owner.rs
+++ b/crates/decisions/src/key_owner.rs
@@ -9,6 +9,10 @@
 /// How long an idempotency key is remembered after its request has ended.
 pub const KEY_RETENTION: Duration = Duration::from_mins(10);
 
+/// How long an earlier owner may go on accepting keys after another one has taken its place: instances
+/// learn of the change at different times, and one that is cut off for longer refuses by itself.
+pub const OWNER_OVERLAP: Duration = Duration::from_mins(2);
+
 /// The longest idempotency key, in bytes.
 pub const MAX_KEY_BYTES: usize = 256;
 
@@ -110,7 +114,7 @@
             .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
 }
 
-/// The names of the seats in force, and those in force within the retention time before.
+/// The names of the seats in force, and those whose holders may still remember a key.
 ///
 /// A published roster does not change; the control thread makes the next one.
 #[derive(Debug, Clone)]
@@ -148,7 +152,7 @@
         if names != self.current {
             former.push(FormerSeats {
                 names: self.current.clone(),
-                until: now + KEY_RETENTION,
+                until: now + OWNER_OVERLAP + KEY_RETENTION,
             });
         }
         Self {
@@ -256,7 +260,7 @@
             seat,
             incarnation,
             inherited: Vec::new(),
-            complete_at: now + KEY_RETENTION,
+            complete_at: now + OWNER_OVERLAP + KEY_RETENTION,
         }
     }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -23,8 +23,8 @@
     REFUSED_AT, RequestHead, SUSPECT_LIFE, SuspectFingerprint, SuspectList, SuspectTable,
 };
 pub use key_owner::{
-    IdempotencyKey, KEY_RETENTION, KeyFault, KeyOwner, MAX_KEY_BYTES, SeatRoster, SeatTenure,
-    owner_of,
+    IdempotencyKey, KEY_RETENTION, KeyFault, KeyOwner, MAX_KEY_BYTES, OWNER_OVERLAP, SeatRoster,
+    SeatTenure, owner_of,
 };
 pub use replay_memory::{
     FinishOutcome, ImportError, MAX_ANSWER_BYTES, ReplayDecision, ReplayEnd, ReplayEntry,
--- a/crates/decisions/src/replay_memory.rs
+++ b/crates/decisions/src/replay_memory.rs
@@ -45,7 +45,7 @@
     Mismatch,
     /// The key is new and there is no room to remember it.
     Full,
-    /// The key is new and the memory has been handed over to another instance.
+    /// The key is not here and the memory has been handed over, so the other instance must be asked.
     HandedOver,
 }
 
@@ -60,7 +60,7 @@
             Self::AnswerNotKept => Some(RefusalKind::AnswerNotKept),
             Self::Mismatch => Some(RefusalKind::KeyMismatch),
             Self::Full => Some(RefusalKind::ReplayMemoryFull),
-            Self::HandedOver => Some(RefusalKind::Leaving),
+            Self::HandedOver => Some(RefusalKind::KeyOwnerUnreachable),
         }
     }
 }
--- a/crates/decisions/src/wait_queue.rs
+++ b/crates/decisions/src/wait_queue.rs
@@ -145,17 +145,21 @@
     ///
     /// Waiters whose wait has ended are passed to `on_expired` and get no slot.
     pub fn pop(&mut self, now: MonotonicTime, mut on_expired: impl FnMut(T)) -> Option<T> {
+        let mut ended = 0;
+        let mut note_ended = |item| {
+            ended += 1;
+            on_expired(item);
+        };
+        let mut served = None;
         while let Some(class) = self.next_class() {
-            let waiter = self.classes[class].pop()?;
-            self.len -= 1;
-            if now >= waiter.until {
-                on_expired(waiter.item);
-                continue;
+            served = self.classes[class].pop(now, &mut note_ended);
+            if served.is_some() {
+                self.note_served(class);
+                break;
             }
-            self.note_served(class);
-            return Some(waiter.item);
         }
-        None
+        self.len -= ended + usize::from(served.is_some());
+        served
     }
 
     /// Removes a waiter that no longer waits. Returns nothing if it has left the queue already.
@@ -237,13 +241,22 @@
     }
 
     /// Removes the oldest waiter of the account at the front, which then goes to the back.
-    fn pop(&mut self) -> Option<Waiter<T>> {
-        let mut lane = self.lanes.pop_front()?;
-        let waiter = lane.waiters.pop_front();
-        if !lane.waiters.is_empty() {
-            self.lanes.push_back(lane);
+    ///
+    /// A waiter whose wait has ended does not cost its account the turn.
+    fn pop(&mut self, now: MonotonicTime, on_expired: &mut impl FnMut(T)) -> Option<T> {
+        while let Some(mut lane) = self.lanes.pop_front() {
+            while let Some(waiter) = lane.waiters.pop_front() {
+                if now >= waiter.until {
+                    on_expired(waiter.item);
+                    continue;
+                }
+                if !lane.waiters.is_empty() {
+                    self.lanes.push_back(lane);
+                }
+                return Some(waiter.item);
+            }
         }
-        waiter
+        None
     }
 
     fn remove(&mut self, ticket: WaitTicket) -> Option<T> {
