--- a/crates/decisions/src/key_owner.rs
+++ b/crates/decisions/src/key_owner.rs
@@ -173,11 +173,6 @@
             .filter(move |seats| now < seats.until)
             .map(|seats| seats.names.as_slice())
     }
-
-    fn knows(&self, now: MonotonicTime, seat: &str) -> bool {
-        let holds = |names: &[String]| names.iter().any(|name| name == seat);
-        holds(&self.current) || self.lists_before(now).any(holds)
-    }
 }
 
 fn sorted(mut names: Vec<String>) -> Vec<String> {
@@ -188,8 +183,8 @@
 
 /// Returns who remembers `key` of `account`.
 ///
-/// A prefix counts only if it names a seat that is or recently was configured, so that a caller's own
-/// key never waits for an instance that does not exist.
+/// A prefix counts even if its seat is not configured: an instance that has not yet heard of a new seat
+/// would otherwise choose another owner than the rest.
 #[must_use]
 pub fn owner_of(
     now: MonotonicTime,
@@ -197,10 +192,8 @@
     key: &IdempotencyKey,
     roster: &SeatRoster,
 ) -> KeyOwner {
-    if let Some(KeyOwner::Incarnation { seat, incarnation }) = KeyOwner::parse(key)
-        && roster.knows(now, &seat)
-    {
-        return KeyOwner::Incarnation { seat, incarnation };
+    if let Some(incarnation) = KeyOwner::parse(key) {
+        return incarnation;
     }
     let owner = rendezvous_seat(account, key, &roster.current);
     let moved = roster
--- a/crates/decisions/tests/attempt_state.rs
+++ b/crates/decisions/tests/attempt_state.rs
@@ -52,6 +52,128 @@
     expected: Expected::Deliver,
 };
 
+const STEP_CASES: [StepCase; 18] = [
+    StepCase {
+        name: "an answer is delivered",
+        ..PLAIN
+    },
+    StepCase {
+        name: "unsent work is retried",
+        end: AttemptEnd::NeverSent,
+        expected: Expected::Retry,
+        ..PLAIN
+    },
+    StepCase {
+        name: "unsent work needs no replay of its body",
+        end: AttemptEnd::ConnectFailed,
+        body_replayable: false,
+        expected: Expected::Retry,
+        ..PLAIN
+    },
+    StepCase {
+        name: "shed work is retried",
+        end: AttemptEnd::Shed,
+        expected: Expected::Retry,
+        ..PLAIN
+    },
+    StepCase {
+        name: "shed work whose body is gone is refused",
+        end: AttemptEnd::Shed,
+        body_replayable: false,
+        expected: Expected::Refuse(RefusalKind::NoFreeSlot, RunMark::NotRun),
+        ..PLAIN
+    },
+    StepCase {
+        name: "work at a draining upstream is retried",
+        end: AttemptEnd::Draining,
+        expected: Expected::Retry,
+        ..PLAIN
+    },
+    StepCase {
+        name: "sent work is not retried",
+        end: AttemptEnd::ConnectionBroken,
+        expected: Expected::Refuse(RefusalKind::OutcomeUnknown, RunMark::Unknown),
+        ..PLAIN
+    },
+    StepCase {
+        name: "sent idempotent work is retried",
+        end: AttemptEnd::ConnectionBroken,
+        idempotent: true,
+        expected: Expected::Retry,
+        ..PLAIN
+    },
+    StepCase {
+        name: "sent idempotent work whose body is gone is refused",
+        end: AttemptEnd::ConnectionBroken,
+        idempotent: true,
+        body_replayable: false,
+        expected: Expected::Refuse(RefusalKind::UpstreamFailed, RunMark::Unknown),
+        ..PLAIN
+    },
+    StepCase {
+        name: "a time-out leaves the outcome unknown",
+        end: AttemptEnd::TimedOut,
+        expected: Expected::Refuse(RefusalKind::DeadlinePassed, RunMark::Unknown),
+        ..PLAIN
+    },
+    StepCase {
+        name: "a truncated answer shows that the work ran",
+        end: AttemptEnd::AnswerTruncated,
+        expected: Expected::Refuse(RefusalKind::UpstreamFailed, RunMark::Run),
+        ..PLAIN
+    },
+    StepCase {
+        name: "a truncated answer to idempotent work is retried",
+        end: AttemptEnd::AnswerTruncated,
+        idempotent: true,
+        expected: Expected::Retry,
+        ..PLAIN
+    },
+    StepCase {
+        name: "cancelled work is never retried",
+        end: AttemptEnd::Cancelled,
+        idempotent: true,
+        expected: Expected::Refuse(RefusalKind::CallerGone, RunMark::Unknown),
+        ..PLAIN
+    },
+    StepCase {
+        name: "an empty budget ends the retries",
+        end: AttemptEnd::NeverSent,
+        budget: false,
+        expected: Expected::Refuse(RefusalKind::UpstreamFailed, RunMark::NotRun),
+        ..PLAIN
+    },
+    StepCase {
+        name: "a passed deadline ends the retries",
+        end: AttemptEnd::NeverSent,
+        remaining: Duration::ZERO,
+        expected: Expected::Refuse(RefusalKind::DeadlinePassed, RunMark::NotRun),
+        ..PLAIN
+    },
+    StepCase {
+        name: "the third attempt is the last",
+        earlier: &[AttemptEnd::NeverSent, AttemptEnd::Shed],
+        end: AttemptEnd::NeverSent,
+        expected: Expected::Refuse(RefusalKind::UpstreamFailed, RunMark::NotRun),
+        ..PLAIN
+    },
+    StepCase {
+        name: "an unsent attempt does not hide an earlier one that may have run",
+        earlier: &[AttemptEnd::ConnectionBroken],
+        end: AttemptEnd::NeverSent,
+        expected: Expected::Refuse(RefusalKind::UpstreamFailed, RunMark::Unknown),
+        ..PLAIN
+    },
+    StepCase {
+        name: "idempotent work that may have run is still marked unknown when it is shed",
+        earlier: &[AttemptEnd::ConnectionBroken, AttemptEnd::NeverSent],
+        end: AttemptEnd::Shed,
+        idempotent: true,
+        expected: Expected::Refuse(RefusalKind::NoFreeSlot, RunMark::Unknown),
+        ..PLAIN
+    },
+];
+
 fn facts(case: &StepCase) -> RetryFacts {
     RetryFacts {
         idempotent: case.idempotent,
@@ -71,136 +193,13 @@
 /// Guards against a retry of work that may have run, and against a refusal that hides such a run.
 #[test]
 fn step_follows_from_the_end_of_an_attempt() {
-    use AttemptEnd as End;
-    use Expected::{Deliver, Refuse, Retry};
-    let cases = [
-        StepCase {
-            name: "an answer is delivered",
-            ..PLAIN
-        },
-        StepCase {
-            name: "unsent work is retried",
-            end: End::NeverSent,
-            expected: Retry,
-            ..PLAIN
-        },
-        StepCase {
-            name: "unsent work needs no replay of its body",
-            end: End::ConnectFailed,
-            body_replayable: false,
-            expected: Retry,
-            ..PLAIN
-        },
-        StepCase {
-            name: "shed work is retried",
-            end: End::Shed,
-            expected: Retry,
-            ..PLAIN
-        },
-        StepCase {
-            name: "shed work whose body is gone is refused",
-            end: End::Shed,
-            body_replayable: false,
-            expected: Refuse(RefusalKind::NoFreeSlot, RunMark::NotRun),
-            ..PLAIN
-        },
-        StepCase {
-            name: "work at a draining upstream is retried",
-            end: End::Draining,
-            expected: Retry,
-            ..PLAIN
-        },
-        StepCase {
-            name: "sent work is not retried",
-            end: End::ConnectionBroken,
-            expected: Refuse(RefusalKind::OutcomeUnknown, RunMark::Unknown),
-            ..PLAIN
-        },
-        StepCase {
-            name: "sent idempotent work is retried",
-            end: End::ConnectionBroken,
-            idempotent: true,
-            expected: Retry,
-            ..PLAIN
-        },
-        StepCase {
-            name: "sent idempotent work whose body is gone is refused",
-            end: End::ConnectionBroken,
-            idempotent: true,
-            body_replayable: false,
-            expected: Refuse(RefusalKind::UpstreamFailed, RunMark::Unknown),
-            ..PLAIN
-        },
-        StepCase {
-            name: "a time-out leaves the outcome unknown",
-            end: End::TimedOut,
-            expected: Refuse(RefusalKind::DeadlinePassed, RunMark::Unknown),
-            ..PLAIN
-        },
-        StepCase {
-            name: "a truncated answer shows that the work ran",
-            end: End::AnswerTruncated,
-            expected: Refuse(RefusalKind::UpstreamFailed, RunMark::Run),
-            ..PLAIN
-        },
-        StepCase {
-            name: "a truncated answer to idempotent work is retried",
-            end: End::AnswerTruncated,
-            idempotent: true,
-            expected: Retry,
-            ..PLAIN
-        },
-        StepCase {
-            name: "cancelled work is never retried",
-            end: End::Cancelled,
-            idempotent: true,
-            expected: Refuse(RefusalKind::CallerGone, RunMark::Unknown),
-            ..PLAIN
-        },
-        StepCase {
-            name: "an empty budget ends the retries",
-            end: End::NeverSent,
-            budget: false,
-            expected: Refuse(RefusalKind::UpstreamFailed, RunMark::NotRun),
-            ..PLAIN
-        },
-        StepCase {
-            name: "a passed deadline ends the retries",
-            end: End::NeverSent,
-            remaining: Duration::ZERO,
-            expected: Refuse(RefusalKind::DeadlinePassed, RunMark::NotRun),
-            ..PLAIN
-        },
-        StepCase {
-            name: "the third attempt is the last",
-            earlier: &[End::NeverSent, End::Shed],
-            end: End::NeverSent,
-            expected: Refuse(RefusalKind::UpstreamFailed, RunMark::NotRun),
-            ..PLAIN
-        },
-        StepCase {
-            name: "an unsent attempt does not hide an earlier one that may have run",
-            earlier: &[End::ConnectionBroken],
-            end: End::NeverSent,
-            expected: Refuse(RefusalKind::UpstreamFailed, RunMark::Unknown),
-            ..PLAIN
-        },
-        StepCase {
-            name: "idempotent work that may have run is still marked unknown when it is shed",
-            earlier: &[End::ConnectionBroken, End::NeverSent],
-            end: End::Shed,
-            idempotent: true,
-            expected: Refuse(RefusalKind::NoFreeSlot, RunMark::Unknown),
-            ..PLAIN
-        },
-    ];
-    for case in &cases {
+    for case in &STEP_CASES {
         let attempt = history_of(case.earlier).start_attempt();
         let step = next_step(attempt, case.end, &facts(case), || case.budget);
         let seen = match step {
-            NextStep::Deliver(_) => Deliver,
-            NextStep::Retry { .. } => Retry,
-            NextStep::Refuse(refusal) => Refuse(refusal.kind(), refusal.mark()),
+            NextStep::Deliver(_) => Expected::Deliver,
+            NextStep::Retry { .. } => Expected::Retry,
+            NextStep::Refuse(refusal) => Expected::Refuse(refusal.kind(), refusal.mark()),
         };
         assert_eq!(seen, case.expected, "{}", case.name);
     }
--- a/crates/decisions/tests/wait_queue.rs
+++ b/crates/decisions/tests/wait_queue.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_decisions::{
-    PASSED_OVER_MOST, PushOutcome, WaitQueue, WaitTicket, WaiterAccount, longest_wait,
-};
+use coltsfootkeel_decisions::{PASSED_OVER_MOST, PushOutcome, WaitQueue, WaitTicket, longest_wait};
 use coltsfootkeel_model::{AccountKey, ArenaKey, WorkClass};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -19,8 +17,8 @@
 
 const NEVER: MonotonicTime = MonotonicTime::from_nanos(u64::MAX);
 
-fn account(index: usize) -> WaiterAccount {
-    Some(AccountKey::from_index(index))
+fn account(index: usize) -> AccountKey {
+    AccountKey::from_index(index)
 }
 
 fn at(milliseconds: u64) -> MonotonicTime {
@@ -30,10 +28,10 @@
 fn push<T: std::fmt::Debug>(
     queue: &mut WaitQueue<T>,
     class: WorkClass,
-    account: WaiterAccount,
+    account: AccountKey,
     item: T,
 ) -> Option<WaitTicket> {
-    match queue.push(at(0), class, account, NEVER, item) {
+    match queue.push(at(0), class, Some(account), NEVER, item) {
         PushOutcome::Queued { ticket, .. } => Some(ticket),
         PushOutcome::Refused(_) => None,
     }
@@ -163,7 +161,7 @@
             push(&mut queue, *class, account(*index), *name).expect("there is room");
         }
         let (class, index) = case.arrival;
-        let outcome = queue.push(at(0), class, account(index), NEVER, "arrival");
+        let outcome = queue.push(at(0), class, Some(account(index)), NEVER, "arrival");
         match outcome {
             PushOutcome::Queued { shed, .. } => assert_eq!(shed, case.shed, "{}", case.name),
             PushOutcome::Refused(_) => assert_eq!(None, case.shed, "{}", case.name),
@@ -235,9 +233,15 @@
 #[test]
 fn ended_waits_get_no_slot_and_cost_no_turn() {
     let mut queue = WaitQueue::new(10);
-    queue.push(at(0), WorkClass::Standard, account(0), at(100), "ended");
-    queue.push(at(0), WorkClass::Standard, account(0), NEVER, "a");
-    queue.push(at(0), WorkClass::Standard, account(1), NEVER, "b");
+    queue.push(
+        at(0),
+        WorkClass::Standard,
+        Some(account(0)),
+        at(100),
+        "ended",
+    );
+    queue.push(at(0), WorkClass::Standard, Some(account(0)), NEVER, "a");
+    queue.push(at(0), WorkClass::Standard, Some(account(1)), NEVER, "b");
     let mut ended = Vec::new();
     let served = queue.pop(at(100), |item| ended.push(item));
     assert_eq!(served, Some("a"));
@@ -352,7 +356,7 @@
         for (number, step) in (0_u32..).zip(steps) {
             match step {
                 QueueStep::Push { class, account: index } => {
-                    let outcome = queue.push(now, CLASSES[class], account(index), NEVER, number);
+                    let outcome = queue.push(now, CLASSES[class], Some(account(index)), NEVER, number);
                     if let PushOutcome::Queued { ticket, until, shed } = outcome {
                         prop_assert_eq!(until, now + longest_wait(CLASSES[class]));
                         if let Some(shed) = shed {
