--- a/crates/decisions/src/crash_suspects.rs
+++ b/crates/decisions/src/crash_suspects.rs
@@ -292,20 +292,22 @@
         self.records.is_empty()
     }
 
-    /// Removes the oldest fingerprints beyond the bound, those that are not refused first.
+    /// Makes room if there are too many fingerprints: the oldest go, those that are not refused first.
+    ///
+    /// An eighth is removed at once, so that the list is not sorted for each new fingerprint.
     fn evict(&mut self) {
-        while self.records.len() > MOST_SUSPECTS {
-            let oldest = self
-                .records
-                .iter()
-                .min_by_key(|(fingerprint, record)| {
-                    (record.is_refused(), record.last_seen(), **fingerprint)
-                })
-                .map(|(fingerprint, _)| *fingerprint);
-            let Some(oldest) = oldest else {
-                return;
-            };
-            self.records.remove(&oldest);
+        if self.records.len() <= MOST_SUSPECTS {
+            return;
+        }
+        let mut order: Vec<_> = self
+            .records
+            .iter()
+            .map(|(fingerprint, record)| (record.is_refused(), record.last_seen(), *fingerprint))
+            .collect();
+        order.sort_unstable();
+        let excess = order.len() - MOST_SUSPECTS / 8 * 7;
+        for (_, _, fingerprint) in &order[..excess] {
+            self.records.remove(fingerprint);
         }
     }
 }
--- a/crates/decisions/src/key_owner.rs
+++ b/crates/decisions/src/key_owner.rs
@@ -161,10 +161,14 @@
         }
     }
 
-    /// Tells whether no earlier list matters at `now`.
+    /// Returns how long from `now` an earlier list still matters.
     #[must_use]
-    pub fn is_settled(&self, now: MonotonicTime) -> bool {
-        self.lists_before(now).next().is_none()
+    pub fn unsettled_for(&self, now: MonotonicTime) -> Duration {
+        self.former
+            .iter()
+            .map(|seats| seats.until.since(now))
+            .max()
+            .unwrap_or_default()
     }
 
     fn lists_before(&self, now: MonotonicTime) -> impl Iterator<Item = &[String]> {
@@ -235,7 +239,10 @@
 }
 
 impl SeatTenure {
-    /// Makes the tenure of a seat that nobody has held before.
+    /// Makes the tenure of a seat in a fleet that has just started for the first time.
+    ///
+    /// A seat that is added to a running fleet is [`claimed`](Self::claimed), because earlier owners
+    /// remember keys that now belong to it.
     #[must_use]
     pub fn first(now: MonotonicTime, seat: String, incarnation: u64) -> Self {
         Self {
@@ -259,8 +266,9 @@
 
     /// Adds the memory of the previous holder, once all of it has been imported.
     ///
-    /// `remaining` is what [`incompleteness`](Self::incompleteness) returned at the previous holder,
-    /// and `incarnations` is what [`incarnations`](Self::incarnations) returned there.
+    /// `incarnations` is what [`incarnations`](Self::incarnations) returned at the previous holder, and
+    /// `remaining` is the longer of what [`incompleteness`](Self::incompleteness) and
+    /// [`SeatRoster::unsettled_for`] returned there when it exported its memory.
     #[must_use]
     pub fn with_hand_over(
         mut self,
--- a/crates/decisions/tests/key_owner.rs
+++ b/crates/decisions/tests/key_owner.rs
@@ -193,8 +193,12 @@
         moved += u32::from(during == KeyOwner::Moved);
     }
     assert!((70..130).contains(&moved), "a quarter moves: {moved}");
-    assert!(!after.is_settled(at(101)));
-    assert!(after.is_settled(settled));
+    let passed = Duration::from_secs(1);
+    assert_eq!(
+        after.unsettled_for(at(101)) + passed,
+        OWNER_OVERLAP + KEY_RETENTION
+    );
+    assert_eq!(after.unsettled_for(settled), Duration::ZERO);
 }
 
 /// Guards against a list that is forgotten because a second change follows, or that never ends
@@ -206,8 +210,10 @@
         .updated(at(0), names(&SEATS[..3]))
         .updated(at(300), names(&SEATS[..2]))
         .updated(at(400), names(&SEATS[..2]));
-    assert!(!roster.is_settled(at(0) + life));
-    assert!(roster.is_settled(at(300) + life));
+    assert_eq!(
+        roster.unsettled_for(at(400)) + Duration::from_secs(100),
+        life
+    );
 }
 
 /// Guards against two owners of one key while instances differ on which seats are configured.
