decisions: fuzzed histories reach the end of a key's retention

Change: histories are longer, repeat more messages, change the seats more often, wait until shortly before a key may be forgotten and ask the holder of a seat for keys of an incarnation that is gone. The wait queue has a case in which the newest waiter is not of the account that gives way.

--- a/crates/decisions/tests/request_life_fuzz.rs
+++ b/crates/decisions/tests/request_life_fuzz.rs
@@ -21,7 +21,7 @@
 
 const SEED: u64 = 0x5245_5155_4553_5453;
 const HISTORIES: u32 = 256;
-const LONGEST_HISTORY: usize = 160;
+const LONGEST_HISTORY: usize = 240;
 
 /// The last of these seats is added to and removed from the configuration.
 const SEATS: [&str; 4] = ["penang-a-1", "penang-b-1", "johor-a-1", "kuching-a-1"];
@@ -95,6 +95,8 @@
     LateRun { pick: usize },
     /// Time passes.
     Wait { ms: u64 },
+    /// Time passes until shortly before a caller's key may be forgotten.
+    WaitForRetention { caller: usize, left_ms: u64 },
     /// The holder of a seat is killed and replaced.
     Kill { seat: usize },
     /// The seat of a live holder is claimed by another instance.
@@ -124,14 +126,14 @@
         pick(),
         0..ENDS.len(),
         any::<bool>(),
-        0..4_u8,
+        any::<bool>(),
         0..40_000_usize,
     )
         .prop_map(|(send, end, ran, budget, bytes)| LifeStep::EndAttempt {
             send,
             end,
             ran,
-            budget: budget > 0,
+            budget,
             bytes,
         });
     let wait = prop_oneof![
@@ -142,16 +144,18 @@
     prop_oneof![
         12 => send,
         16 => pick().prop_map(|message| LifeStep::Deliver { message }),
-        2 => pick().prop_map(|message| LifeStep::Repeat { message }),
+        4 => pick().prop_map(|message| LifeStep::Repeat { message }),
         1 => pick().prop_map(|message| LifeStep::Lose { message }),
         10 => end,
         2 => pick().prop_map(|pick| LifeStep::LateRun { pick }),
         4 => wait.prop_map(|ms| LifeStep::Wait { ms }),
+        2 => (0..8_usize, 1..30_000_u64)
+            .prop_map(|(caller, left_ms)| LifeStep::WaitForRetention { caller, left_ms }),
         1 => (0..SEATS.len()).prop_map(|seat| LifeStep::Kill { seat }),
         1 => (0..SEATS.len()).prop_map(|seat| LifeStep::Depose { seat }),
         1 => (0..SEATS.len()).prop_map(|seat| LifeStep::HandOver { seat }),
-        1 => Just(LifeStep::ChangeSeats),
-        1 => pick().prop_map(|instance| LifeStep::Learn { instance }),
+        2 => Just(LifeStep::ChangeSeats),
+        2 => pick().prop_map(|instance| LifeStep::Learn { instance }),
         1 => pick().prop_map(|instance| LifeStep::Sweep { instance }),
     ]
 }
@@ -361,6 +365,12 @@
                 }
             }
             LifeStep::Wait { ms } => self.wait(Duration::from_millis(ms)),
+            LifeStep::WaitForRetention { caller, left_ms } => {
+                if let Some(operation) = self.current[caller] {
+                    let end = self.operations[operation].first_sent + KEY_RETENTION;
+                    self.wait((end - Duration::from_millis(left_ms)).since(self.now));
+                }
+            }
             LifeStep::Kill { seat } => {
                 count("owners killed");
                 self.kill(self.holders[seat]);
@@ -456,23 +466,28 @@
     }
 
     /// Returns the instance that an entry asks for a key.
+    ///
+    /// For a key whose incarnation is gone, that is the holder of its seat, which must refuse it.
     fn reach(&self, owner: &KeyOwner, stale: bool) -> Option<usize> {
-        let can_own = |number: &usize| {
-            let instance = &self.instances[*number];
-            let owns = match owner {
-                KeyOwner::Incarnation { incarnation, .. } => {
-                    instance.tenure.incarnations().contains(incarnation)
-                }
-                KeyOwner::Seat(seat) => SEATS[instance.seat] == seat,
-                KeyOwner::Moved => false,
+        let choose = |can_own: &dyn Fn(&Instance) -> bool| {
+            let owns = |number: &usize| {
+                let instance = &self.instances[*number];
+                instance.alive && can_own(instance)
             };
-            instance.alive && owns
+            let mut candidates = (0..self.instances.len()).filter(owns);
+            if stale {
+                candidates.next()
+            } else {
+                candidates.next_back()
+            }
         };
-        let mut candidates = (0..self.instances.len()).filter(can_own);
-        if stale {
-            candidates.next()
-        } else {
-            candidates.next_back()
+        match owner {
+            KeyOwner::Incarnation { seat, incarnation } => {
+                choose(&|instance| instance.tenure.incarnations().contains(incarnation))
+                    .or_else(|| choose(&|instance| SEATS[instance.seat] == seat))
+            }
+            KeyOwner::Seat(seat) => choose(&|instance| SEATS[instance.seat] == seat),
+            KeyOwner::Moved => None,
         }
     }
 
--- a/crates/decisions/tests/wait_queue.rs
+++ b/crates/decisions/tests/wait_queue.rs
@@ -144,6 +144,17 @@
             arrival: (Standard, 1),
             shed: Some("a3"),
         },
+        ShedCase {
+            name: "the account with the most waiters gives way although another one's is newer",
+            waiting: &[
+                (Standard, 0, "a1"),
+                (Standard, 0, "a2"),
+                (Standard, 0, "a3"),
+                (Standard, 1, "b1"),
+            ],
+            arrival: (Standard, 1),
+            shed: Some("a3"),
+        },
         ShedCase {
             name: "accounts with equal numbers of waiters keep them",
             waiting: &[
