decisions: a handed-over memory never reports a lack of room

Cause: after a hand-over, a full memory refused a key it did not hold with mark "not run", although the new owner may have run it.

Change: the hand-over is checked before the room. `begin` is split into steps.

Conclusion: `memory_takes_no_new_key_after_its_hand_over` covers a full and an empty memory.

--- a/crates/decisions/src/replay_memory.rs
+++ b/crates/decisions/src/replay_memory.rs
@@ -182,6 +182,15 @@
     key: IdempotencyKey,
 }
 
+impl ScopedKey {
+    fn new(account: &str, key: &IdempotencyKey) -> Self {
+        Self {
+            account: account.to_owned(),
+            key: key.clone(),
+        }
+    }
+}
+
 /// Entries and bytes in use, of all accounts or of one.
 #[derive(Debug, Default)]
 struct MemoryUse {
@@ -261,39 +270,27 @@
         digest: RequestDigest,
         remaining: Duration,
     ) -> ReplayDecision<A> {
-        let scoped = ScopedKey {
-            account: account.to_owned(),
-            key: key.clone(),
-        };
-        let records = self.records.pin();
-        if let Some(record) = records.get(&scoped) {
+        let scoped = ScopedKey::new(account, key);
+        if let Some(record) = self.records.pin().get(&scoped) {
             return decide(now, record, digest);
         }
+        // The new owner may know the key, so a lack of room here must not be reported as "not run".
+        if self.is_handed_over() {
+            return ReplayDecision::HandedOver;
+        }
         let account_use = self.account_use(account);
         if self.lacks_bytes(&account_use) || !self.reserve_entry(&account_use) {
             return ReplayDecision::Full;
         }
-        let ticket = self.issue_ticket();
         let deadline = now + remaining;
         let record = ReplayRecord {
             digest,
-            ticket,
-            account_use: Arc::clone(&account_use),
+            ticket: self.issue_ticket(),
+            account_use,
             keep_until: deadline + KEY_RETENTION,
             state: ReplayState::Running(deadline),
         };
-        if let Err(occupied) = records.try_insert(scoped.clone(), record) {
-            self.release_entry(&account_use);
-            return decide(now, occupied.current, digest);
-        }
-        // Either this load sees the hand-over, or the export sees the record: each side writes first
-        // and reads after its fence.
-        fence(Ordering::SeqCst);
-        if self.handed_over.load(Ordering::SeqCst) {
-            self.remove_record(&scoped, |record| record.ticket == ticket);
-            return ReplayDecision::HandedOver;
-        }
-        ReplayDecision::Run(ticket)
+        self.insert_new(now, &scoped, record)
     }
 
     /// Records how the request that runs under `ticket` ended.
@@ -305,10 +302,7 @@
         ticket: ReplayTicket,
         end: ReplayEnd<A>,
     ) -> FinishOutcome {
-        let scoped = ScopedKey {
-            account: account.to_owned(),
-            key: key.clone(),
-        };
+        let scoped = ScopedKey::new(account, key);
         match end {
             ReplayEnd::NotRun => self.release(&scoped, ticket),
             ReplayEnd::Unknown => self.record_end(now, &scoped, ticket, || ReplayState::Unknown),
@@ -394,6 +388,29 @@
         self.total.bytes.load(Ordering::Relaxed)
     }
 
+    /// Remembers a key for which an entry is reserved, unless another thread or a hand-over came first.
+    fn insert_new(
+        &self,
+        now: MonotonicTime,
+        scoped: &ScopedKey,
+        record: ReplayRecord<A>,
+    ) -> ReplayDecision<A> {
+        let ticket = record.ticket;
+        let records = self.records.pin();
+        if let Err(occupied) = records.try_insert(scoped.clone(), record) {
+            self.release_entry(&occupied.not_inserted.account_use);
+            return decide(now, occupied.current, occupied.not_inserted.digest);
+        }
+        // Either this load sees the hand-over, or the export sees the record: each side writes first
+        // and reads after its fence.
+        fence(Ordering::SeqCst);
+        if self.is_handed_over() {
+            self.remove_record(scoped, |record| record.ticket == ticket);
+            return ReplayDecision::HandedOver;
+        }
+        ReplayDecision::Run(ticket)
+    }
+
     fn release(&self, scoped: &ScopedKey, ticket: ReplayTicket) -> FinishOutcome {
         let removed = self.remove_record(scoped, |record| {
             record.ticket == ticket && matches!(record.state, ReplayState::Running(_))
@@ -459,10 +476,7 @@
         if !self.reserve_entry(&account_use) {
             return false;
         }
-        let scoped = ScopedKey {
-            account: entry.account.clone(),
-            key: entry.key.clone(),
-        };
+        let scoped = ScopedKey::new(&entry.account, &entry.key);
         let record = ReplayRecord {
             digest: entry.digest,
             ticket: entry.ticket,
--- a/crates/decisions/tests/crash_suspect_fuzz.rs
+++ b/crates/decisions/tests/crash_suspect_fuzz.rs
@@ -30,7 +30,7 @@
 /// What all histories together came to.
 #[derive(Debug)]
 struct CrashFigures {
-    /// Histories by how many upstreams the crashing request took with it.
+    /// Histories by how many upstreams crashed.
     crashes: BTreeMap<usize, u32>,
     /// Histories at whose end some instance refuses the popular request.
     popular_refused: u32,
@@ -55,7 +55,7 @@
 #[derive(Debug, Clone)]
 enum CrashStep {
     /// The caller of the crashing request sends it to an instance.
-    SendCulprit { instance: usize, upstream: usize },
+    SendCrashing { instance: usize, upstream: usize },
     /// A caller sends the popular request to an instance.
     SendPopular { instance: usize, upstream: usize },
     /// A popular request is answered.
@@ -76,7 +76,7 @@
     let pick = any::<usize>;
     let place = || (0..INSTANCES, 0..UPSTREAMS);
     prop_oneof![
-        3 => place().prop_map(|(instance, upstream)| CrashStep::SendCulprit { instance, upstream }),
+        3 => place().prop_map(|(instance, upstream)| CrashStep::SendCrashing { instance, upstream }),
         4 => place().prop_map(|(instance, upstream)| CrashStep::SendPopular { instance, upstream }),
         3 => pick().prop_map(|pick| CrashStep::Answer { pick }),
         3 => Just(CrashStep::Crash),
@@ -109,7 +109,7 @@
     notices: Vec<(usize, Notice)>,
     next_crash: u64,
     crashes: usize,
-    culprit: SuspectFingerprint,
+    crashing: SuspectFingerprint,
     popular: SuspectFingerprint,
 }
 
@@ -123,18 +123,18 @@
             notices: Vec::new(),
             next_crash: 0,
             crashes: 0,
-            culprit: print_of("/crash"),
+            crashing: print_of("/crash"),
             popular: print_of("/catalogue"),
         }
     }
 
     fn apply(&mut self, step: &CrashStep) {
         match *step {
-            CrashStep::SendCulprit { instance, upstream } => {
+            CrashStep::SendCrashing { instance, upstream } => {
                 // The caller repeats its request only after the last one has failed.
-                let sent = |request: &RunningRequest| request.fingerprint == self.culprit;
+                let sent = |request: &RunningRequest| request.fingerprint == self.crashing;
                 if !self.running.iter().any(sent) {
-                    self.send(instance, upstream, self.culprit);
+                    self.send(instance, upstream, self.crashing);
                 }
             }
             CrashStep::SendPopular { instance, upstream } => {
@@ -196,11 +196,11 @@
         }
     }
 
-    /// Crashes the upstream that runs the culprit. Each instance numbers the crash by itself.
+    /// Crashes the upstream that runs the crashing request. Each instance numbers the crash by itself.
     fn crash(&mut self) {
-        let culprit = self.culprit;
-        let runs_culprit = |request: &&RunningRequest| request.fingerprint == culprit;
-        let Some(upstream) = self.running.iter().find(runs_culprit).map(|r| r.upstream) else {
+        let crashing = self.crashing;
+        let runs_crashing = |request: &&RunningRequest| request.fingerprint == crashing;
+        let Some(upstream) = self.running.iter().find(runs_crashing).map(|r| r.upstream) else {
             return;
         };
         self.crashes += 1;
@@ -308,7 +308,7 @@
     }
 }
 
-/// Guards against a crashing request that takes more upstreams with it than each instance can notice by
+/// Guards against a crashing request that crashes more upstreams than each instance can notice by
 /// itself, when notices are lost and late.
 #[test]
 fn crashing_request_is_stopped_while_notices_are_lost() {
@@ -344,10 +344,10 @@
     most_crashes: usize,
 }
 
-/// Guards against a caller that takes one upstream after the other with it by sending its request again
+/// Guards against a caller that crashes one upstream after the other by sending its request again
 /// to other instances.
 #[test]
-fn resent_request_takes_a_bounded_number_of_upstreams() {
+fn resent_request_crashes_a_bounded_number_of_upstreams() {
     let cases = [
         ResendCase {
             name: "one at a time, notices arrive",
@@ -373,7 +373,7 @@
         for round in 0..100 {
             for number in 0..case.parallel {
                 let place = round * case.parallel + number;
-                fleet.send(place % INSTANCES, place % UPSTREAMS, fleet.culprit);
+                fleet.send(place % INSTANCES, place % UPSTREAMS, fleet.crashing);
             }
             for _ in 0..case.parallel {
                 fleet.crash();
@@ -419,7 +419,7 @@
             }
         }
         for (instance, upstream) in [(0, 3), (1, 4)] {
-            assert!(fleet.send(instance, upstream, fleet.culprit));
+            assert!(fleet.send(instance, upstream, fleet.crashing));
             fleet.crash();
             fleet.now = fleet.now + Duration::from_millis(case.apart_ms);
             if case.answered_between {
@@ -433,7 +433,7 @@
         for (instance, list) in fleet.lists.iter().enumerate() {
             let table = list.table();
             assert!(!table.refuses(fleet.popular), "{}: {instance}", case.name);
-            assert!(table.refuses(fleet.culprit), "{}: {instance}", case.name);
+            assert!(table.refuses(fleet.crashing), "{}: {instance}", case.name);
         }
     }
 }
--- a/crates/decisions/tests/replay_memory.rs
+++ b/crates/decisions/tests/replay_memory.rs
@@ -334,16 +334,19 @@
     assert_eq!(new.len(), 2, "the keys that ended later are kept");
 }
 
-/// Guards against a key that is taken as new by an instance whose successor no longer hears of it.
+/// Guards against a key that is taken as new, or refused as "not run" for lack of room, by an instance
+/// whose successor may know it.
 #[test]
 fn memory_takes_no_new_key_after_its_hand_over() {
-    let memory = ReplayMemory::new(1, LIMITS);
-    run(&memory, at(0));
-    assert_eq!(memory.export(at(1)).len(), 1);
-    assert_eq!(name_of(&begin(&memory, at(1))), "in progress");
-    let new = memory.begin(at(1), "hotel-group", &key("new"), ORDER, DEADLINE);
-    assert_eq!(name_of(&new), "handed over");
-    assert_eq!(memory.len(), 1);
+    for entries in [1, 1_000] {
+        let memory = ReplayMemory::new(1, ReplayLimits { entries, ..LIMITS });
+        run(&memory, at(0));
+        assert_eq!(memory.export(at(1)).len(), 1);
+        assert_eq!(name_of(&begin(&memory, at(1))), "in progress");
+        let new = memory.begin(at(1), "hotel-group", &key("new"), ORDER, DEADLINE);
+        assert_eq!(name_of(&new), "handed over", "{entries}");
+        assert_eq!(memory.len(), 1);
+    }
 }
 
 /// Guards against an incomplete hand-over that is taken for a complete one.
