--- a/crates/decisions/src/key_owner.rs
+++ b/crates/decisions/src/key_owner.rs
@@ -9,6 +9,10 @@
 /// How long an idempotency key is remembered after its request has ended.
 pub const KEY_RETENTION: Duration = Duration::from_mins(10);
 
+/// How long an earlier owner may go on accepting keys after another one has taken its place: instances
+/// learn of the change at different times, and one that is cut off for longer refuses by itself.
+pub const OWNER_OVERLAP: Duration = Duration::from_mins(2);
+
 /// The longest idempotency key, in bytes.
 pub const MAX_KEY_BYTES: usize = 256;
 
@@ -110,7 +114,7 @@
             .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
 }
 
-/// The names of the seats in force, and those in force within the retention time before.
+/// The names of the seats in force, and those whose holders may still remember a key.
 ///
 /// A published roster does not change; the control thread makes the next one.
 #[derive(Debug, Clone)]
@@ -148,7 +152,7 @@
         if names != self.current {
             former.push(FormerSeats {
                 names: self.current.clone(),
-                until: now + KEY_RETENTION,
+                until: now + OWNER_OVERLAP + KEY_RETENTION,
             });
         }
         Self {
@@ -157,10 +161,14 @@
         }
     }
 
-    /// Tells whether no earlier list matters at `now`.
+    /// Returns how long from `now` an earlier list still matters.
     #[must_use]
-    pub fn is_settled(&self, now: MonotonicTime) -> bool {
-        self.lists_before(now).next().is_none()
+    pub fn unsettled_for(&self, now: MonotonicTime) -> Duration {
+        self.former
+            .iter()
+            .map(|seats| seats.until.since(now))
+            .max()
+            .unwrap_or_default()
     }
 
     fn lists_before(&self, now: MonotonicTime) -> impl Iterator<Item = &[String]> {
@@ -169,11 +177,6 @@
             .filter(move |seats| now < seats.until)
             .map(|seats| seats.names.as_slice())
     }
-
-    fn knows(&self, now: MonotonicTime, seat: &str) -> bool {
-        let holds = |names: &[String]| names.iter().any(|name| name == seat);
-        holds(&self.current) || self.lists_before(now).any(holds)
-    }
 }
 
 fn sorted(mut names: Vec<String>) -> Vec<String> {
@@ -184,8 +187,8 @@
 
 /// Returns who remembers `key` of `account`.
 ///
-/// A prefix counts only if it names a seat that is or recently was configured, so that a caller's own
-/// key never waits for an instance that does not exist.
+/// A prefix counts even if its seat is not configured: an instance that has not yet heard of a new seat
+/// would otherwise choose another owner than the rest.
 #[must_use]
 pub fn owner_of(
     now: MonotonicTime,
@@ -193,10 +196,8 @@
     key: &IdempotencyKey,
     roster: &SeatRoster,
 ) -> KeyOwner {
-    if let Some(KeyOwner::Incarnation { seat, incarnation }) = KeyOwner::parse(key)
-        && roster.knows(now, &seat)
-    {
-        return KeyOwner::Incarnation { seat, incarnation };
+    if let Some(incarnation) = KeyOwner::parse(key) {
+        return incarnation;
     }
     let owner = rendezvous_seat(account, key, &roster.current);
     let moved = roster
@@ -238,7 +239,10 @@
 }
 
 impl SeatTenure {
-    /// Makes the tenure of a seat that nobody has held before.
+    /// Makes the tenure of a seat in a fleet that has just started for the first time.
+    ///
+    /// A seat that is added to a running fleet is [`claimed`](Self::claimed), because earlier owners
+    /// remember keys that now belong to it.
     #[must_use]
     pub fn first(now: MonotonicTime, seat: String, incarnation: u64) -> Self {
         Self {
@@ -256,14 +260,15 @@
             seat,
             incarnation,
             inherited: Vec::new(),
-            complete_at: now + KEY_RETENTION,
+            complete_at: now + OWNER_OVERLAP + KEY_RETENTION,
         }
     }
 
     /// Adds the memory of the previous holder, once all of it has been imported.
     ///
-    /// `remaining` is what [`incompleteness`](Self::incompleteness) returned at the previous holder,
-    /// and `incarnations` is what [`incarnations`](Self::incarnations) returned there.
+    /// `incarnations` is what [`incarnations`](Self::incarnations) returned at the previous holder, and
+    /// `remaining` is the longer of what [`incompleteness`](Self::incompleteness) and
+    /// [`SeatRoster::unsettled_for`] returned there when it exported its memory.
     #[must_use]
     pub fn with_hand_over(
         mut self,
