--- a/crates/decisions/src/entry_ranking.rs
+++ b/crates/decisions/src/entry_ranking.rs
@@ -18,8 +18,11 @@
 const TIGHT_BELOW_PERCENT: u32 = 10;
 const ROOMY_FROM_PERCENT: u32 = 25;
 
-/// Rendezvous hashing looks at each member, which is too slow for larger groups.
-const LARGEST_RENDEZVOUS: usize = 64;
+/// An odd number without a pattern in its bits.
+const WEIGHT_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// A failure domain has fewer instances than this.
+const POSITION_MASK: u64 = 0xffff;
 
 /// Clients of one IPv4 /24 or IPv6 /48 share their ranking.
 const IPV4_SPREAD_SHIFT: u32 = 8;
@@ -77,9 +80,12 @@
         self.count == RANKED_MOST
     }
 
+    /// Adds an instance unless the answer is full.
     fn push(&mut self, key: EntryKey) {
-        self.keys[self.count] = key;
-        self.count += 1;
+        if let Some(place) = self.keys.get_mut(self.count) {
+            *place = key;
+            self.count += 1;
+        }
     }
 }
 
@@ -89,7 +95,8 @@
     entries: Arena<EntryKey, EntryInstance>,
     members: Vec<GroupMember>,
     sites: Vec<Vec<Range<usize>>>,
-    anywhere: Vec<Range<usize>>,
+    /// All instances with headroom, then all others.
+    anywhere: [Range<usize>; 2],
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -98,6 +105,15 @@
     seed: u64,
 }
 
+impl GroupMember {
+    /// Folds the 128-bit product, so that all bits of the hash and the seed reach the weight.
+    fn weight(self, hash: u64) -> u64 {
+        let product = u128::from(self.seed ^ hash) * u128::from(WEIGHT_FACTOR);
+        let [high, low] = [product >> 64, product & u128::from(u64::MAX)];
+        u64::try_from(high ^ low).unwrap_or(0)
+    }
+}
+
 impl EntryTable {
     /// Returns a live instance.
     #[must_use]
@@ -128,26 +144,38 @@
     /// Ranks the instances for a client whose site is known.
     #[must_use]
     pub fn rank_for_site(&self, site: Option<SiteKey>, client: IpAddr) -> RankedEntries {
-        let groups = site
-            .and_then(|site| self.sites.get(site.index()))
-            .unwrap_or(&self.anywhere);
         let hash = spread_hash(client);
         let mut ranked = RankedEntries::EMPTY;
+        let Some(groups) = site.and_then(|site| self.sites.get(site.index())) else {
+            self.rank_anywhere(hash, &mut ranked);
+            return ranked;
+        };
         for group in groups {
-            self.take_from(group, RANKED_OF_GROUP, hash, &mut ranked);
+            let members = &self.members[group.clone()];
+            for position in heaviest_two(members, hash) {
+                ranked.push(members[position].key);
+            }
         }
         for group in groups {
-            self.take_from(group, RANKED_MOST, hash, &mut ranked);
+            self.fill_from(group, hash, &mut ranked);
         }
         ranked
     }
 
-    fn take_from(&self, group: &Range<usize>, most: usize, hash: u64, ranked: &mut RankedEntries) {
-        let members = &self.members[group.clone()];
-        for _ in 0..most {
-            if ranked.is_full() {
-                return;
+    /// Rendezvous hashing over all instances would be too slow, so the hash selects where to start.
+    fn rank_anywhere(&self, hash: u64, ranked: &mut RankedEntries) {
+        for group in &self.anywhere {
+            let members = &self.members[group.clone()];
+            let (before, after) = members.split_at(scaled(hash, members.len()));
+            for member in after.iter().chain(before).take(RANKED_MOST) {
+                ranked.push(member.key);
             }
+        }
+    }
+
+    fn fill_from(&self, group: &Range<usize>, hash: u64, ranked: &mut RankedEntries) {
+        let members = &self.members[group.clone()];
+        while !ranked.is_full() {
             let Some(key) = next_member(members, hash, ranked.as_slice()) else {
                 return;
             };
@@ -156,22 +184,30 @@
     }
 }
 
-/// Rendezvous hashing moves only the clients of an instance that comes or goes.
-fn next_member(members: &[GroupMember], hash: u64, taken: &[EntryKey]) -> Option<EntryKey> {
-    let free = |member: &&GroupMember| !taken.contains(&member.key);
-    if members.len() <= LARGEST_RENDEZVOUS {
-        let weight = |member: &&GroupMember| mixed(member.seed ^ hash);
-        return members
-            .iter()
-            .filter(free)
-            .max_by_key(weight)
-            .map(|best| best.key);
+/// Returns the positions of the two heaviest members.
+///
+/// Rendezvous hashing moves only the clients of an instance that comes or goes. The position stands
+/// in the low bits of the weight, so that the two maxima need no branch, which would be mispredicted.
+fn heaviest_two(members: &[GroupMember], hash: u64) -> impl Iterator<Item = usize> {
+    let mut first = 0;
+    let mut second = 0;
+    for (position, member) in members.iter().enumerate() {
+        let weight = member.weight(hash) & !POSITION_MASK | (position as u64 & POSITION_MASK);
+        second = second.max(first.min(weight));
+        first = first.max(weight);
     }
-    let (before, after) = members.split_at(scaled(hash, members.len()));
-    after
+    [first, second]
+        .into_iter()
+        .take(members.len())
+        .filter_map(|weight| usize::try_from(weight & POSITION_MASK).ok())
+}
+
+/// Returns the next member that is not ranked yet. Only small fleets and remainders come here.
+fn next_member(members: &[GroupMember], hash: u64, ranked: &[EntryKey]) -> Option<EntryKey> {
+    members
         .iter()
-        .chain(before)
-        .find(free)
+        .filter(|member| !ranked.contains(&member.key))
+        .max_by_key(|member| member.weight(hash))
         .map(|member| member.key)
 }
 
@@ -259,7 +295,7 @@
                 tight: self.add_group(|entry| entry.domain == domain, true),
             })
             .collect();
-        let anywhere = vec![
+        let anywhere = [
             self.add_group(|_| true, false),
             self.add_group(|_| true, true),
         ];
--- a/crates/model/src/block_table.rs
+++ b/crates/model/src/block_table.rs
@@ -1,9 +1,13 @@
 //! Sites by client address: nested blocks are flattened into sorted ranges, so a look-up is one binary search.
+//!
+//! The ranges form a static tree with 16 starts in a node, so that a look-up in a large table reads
+//! one or two cache lines of each level.
 
 use std::net::IpAddr;
 
 use thiserror::Error;
 
+use crate::arena::ArenaKey;
 use crate::keys::SiteKey;
 
 /// A block of client addresses in CIDR notation.
@@ -47,6 +51,18 @@
 }
 
 impl ClientBlock {
+    /// Returns the first address.
+    #[must_use]
+    pub fn address(self) -> IpAddr {
+        self.address
+    }
+
+    /// Returns the number of bits that all addresses of the block share.
+    #[must_use]
+    pub fn prefix_length(self) -> u8 {
+        self.prefix_length
+    }
+
     fn host_mask(self) -> u128 {
         let host_bits = address_width(self.address) - u32::from(self.prefix_length);
         if host_bits == 128 {
@@ -68,8 +84,8 @@
 /// The sites of all blocks. Where blocks nest, the longest prefix wins.
 #[derive(Debug, Default)]
 pub struct BlockTable {
-    ipv4: RangeList<u32>,
-    ipv6: RangeList<u128>,
+    ipv4: RangeTree<u32>,
+    ipv6: RangeTree<u128>,
 }
 
 impl BlockTable {
@@ -89,8 +105,8 @@
         };
         let narrow = |start: u128| u32::try_from(start).expect("an IPv4 address has 32 bits");
         Self {
-            ipv4: RangeList::build(of_family(true), u128::from(u32::MAX), narrow),
-            ipv6: RangeList::build(of_family(false), u128::MAX, |start| start),
+            ipv4: RangeTree::build(of_family(true), u128::from(u32::MAX), narrow),
+            ipv6: RangeTree::build(of_family(false), u128::MAX, |start| start),
         }
     }
 
@@ -106,46 +122,135 @@
     /// Returns the number of ranges after flattening.
     #[must_use]
     pub fn range_count(&self) -> usize {
-        self.ipv4.starts.len() + self.ipv6.starts.len()
+        self.ipv4.range_count + self.ipv6.range_count
+    }
+
+    /// Returns the memory that the ranges occupy, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        self.ipv4.memory_bytes() + self.ipv6.memory_bytes()
     }
 }
 
+/// The starts of this many IPv4 ranges fill one cache line.
+const STARTS_IN_NODE: usize = 16;
+
+/// The site of a range that belongs to no block.
+const NO_SITE: u32 = u32::MAX;
+
 /// Ranges sorted by their first address; each ends where the next one starts.
 #[derive(Debug)]
-struct RangeList<A> {
-    starts: Vec<A>,
-    sites: Vec<Option<SiteKey>>,
+struct RangeTree<A> {
+    range_count: usize,
+    leaves: Vec<RangeLeaf<A>>,
+    /// The first starts of the nodes below, the smallest level last.
+    levels: Vec<Vec<A>>,
 }
 
-impl<A> Default for RangeList<A> {
+/// The starts and sites of neighbouring ranges stand together, since a look-up reads both.
+///
+/// The last leaf is filled up with its last range, which does not change what is found.
+#[derive(Debug)]
+struct RangeLeaf<A> {
+    starts: [A; STARTS_IN_NODE],
+    sites: [u32; STARTS_IN_NODE],
+}
+
+impl<A> Default for RangeTree<A> {
     fn default() -> Self {
         Self {
-            starts: Vec::new(),
-            sites: Vec::new(),
+            range_count: 0,
+            leaves: Vec::new(),
+            levels: Vec::new(),
         }
     }
 }
 
-impl<A: Ord + Copy> RangeList<A> {
+impl<A: Ord + Copy> RangeTree<A> {
     fn build(
+        blocks: Vec<(ClientBlock, SiteKey)>,
+        highest: u128,
+        narrow: impl Fn(u128) -> A,
+    ) -> Self {
+        let ranges = RangeList::flatten(blocks, highest, narrow).ranges;
+        let leaves: Vec<RangeLeaf<A>> = ranges.chunks(STARTS_IN_NODE).map(leaf_of).collect();
+        let mut levels: Vec<Vec<A>> = Vec::new();
+        let mut below: Vec<A> = leaves.iter().map(|leaf| leaf.starts[0]).collect();
+        while below.len() > 1 {
+            let above = below.iter().copied().step_by(STARTS_IN_NODE).collect();
+            levels.push(std::mem::replace(&mut below, above));
+        }
+        Self {
+            range_count: ranges.len(),
+            leaves,
+            levels,
+        }
+    }
+
+    fn memory_bytes(&self) -> usize {
+        let starts: usize = self.levels.iter().map(Vec::capacity).sum();
+        starts * size_of::<A>() + self.leaves.capacity() * size_of::<RangeLeaf<A>>()
+    }
+
+    fn find(&self, address: A) -> Option<SiteKey> {
+        let mut node = 0;
+        for level in self.levels.iter().rev() {
+            let first = node * STARTS_IN_NODE;
+            let end = level.len().min(first + STARTS_IN_NODE);
+            node = first + position_at(level.get(first..end)?, address)?;
+        }
+        let leaf = self.leaves.get(node)?;
+        let site = leaf.sites[position_at(&leaf.starts, address)?];
+        (site != NO_SITE).then(|| SiteKey::from_index(site as usize))
+    }
+}
+
+fn leaf_of<A: Copy>(ranges: &[(A, u32)]) -> RangeLeaf<A> {
+    let range = |position: usize| ranges[position.min(ranges.len() - 1)];
+    RangeLeaf {
+        starts: std::array::from_fn(|position| range(position).0),
+        sites: std::array::from_fn(|position| range(position).1),
+    }
+}
+
+/// Returns the position of the last start that is not above the address.
+///
+/// Counting reads the whole node, which the compiler turns into vector instructions.
+fn position_at<A: Ord + Copy>(starts: &[A], address: A) -> Option<usize> {
+    let count = starts.iter().filter(|start| **start <= address).count();
+    count.checked_sub(1)
+}
+
+fn packed(site: SiteKey) -> u32 {
+    u32::try_from(site.index()).expect("an arena holds at most 2^32 records")
+}
+
+/// Collects the ranges while the blocks are flattened.
+#[derive(Debug)]
+struct RangeList<A> {
+    ranges: Vec<(A, u32)>,
+}
+
+impl<A: Ord + Copy> RangeList<A> {
+    fn flatten(
         mut blocks: Vec<(ClientBlock, SiteKey)>,
         highest: u128,
         narrow: impl Fn(u128) -> A,
     ) -> Self {
         blocks.sort_by_key(|(block, _)| (block.first(), block.prefix_length));
-        let mut ranges = Self::default();
+        let mut list = Self { ranges: Vec::new() };
         let mut open: Vec<(u128, SiteKey)> = Vec::new();
         for (block, site) in blocks {
-            ranges.close_before(&mut open, block.first(), &narrow);
-            ranges.start(narrow(block.first()), Some(site));
+            list.close_before(&mut open, block.first(), &narrow);
+            list.start(narrow(block.first()), Some(site));
             open.push((block.last(), site));
         }
         while let Some((last, _)) = open.pop() {
             if last < highest {
-                ranges.start(narrow(last + 1), open.last().map(|(_, site)| *site));
+                list.start(narrow(last + 1), open.last().map(|(_, site)| *site));
             }
         }
-        ranges
+        list
     }
 
     fn close_before(
@@ -164,21 +269,14 @@
     }
 
     fn start(&mut self, start: A, site: Option<SiteKey>) {
-        if self.starts.last() == Some(&start) {
+        if self.ranges.last().is_some_and(|(last, _)| *last == start) {
             // A range that would be empty is replaced by the one that starts at the same address.
-            self.sites.pop();
-            self.starts.pop();
+            self.ranges.pop();
         }
-        if self.sites.last() == Some(&site) {
-            return;
+        let site = site.map_or(NO_SITE, packed);
+        if self.ranges.last().is_none_or(|(_, last)| *last != site) {
+            self.ranges.push((start, site));
         }
-        self.starts.push(start);
-        self.sites.push(site);
-    }
-
-    fn find(&self, address: A) -> Option<SiteKey> {
-        let after = self.starts.partition_point(|start| *start <= address);
-        self.sites.get(after.checked_sub(1)?).copied().flatten()
     }
 }
 
