daemon: the first whole path, and peers that find each other

Cause: a request is to be looked up, admitted, carried and answered by separate processes. Change: heartbeats name the sender's own address besides its peers; log lines are written at once; refusals follow the new signatures of decisions. Ruled out: reading all peers from the platform's list, because it lags and is not there in an outage.

--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -9,8 +9,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
     ConfigAge, ConfigSource, DocumentOutcome, EntryBook, EntryInstance, GenerationTracker,
-    LedgerSettings, LoanLedger, LoanPolicy, OfferVerdict, RetryRefill, SPEND_LEASE, SeatTenure,
-    SuspectList,
+    LedgerSettings, LoanLedger, LoanPolicy, OfferVerdict, RetryRefill, SPEND_LEASE, SeatRoster,
+    SeatTenure, SuspectList,
 };
 use coltsfootkeel_model::{ConfigVersion, FleetConfig, SeatKey};
 use coltsfootkeel_platform::{LoadedConfig, StoredManifest};
@@ -526,7 +526,7 @@
         }
         let place = self.shared.replay_place.load();
         self.shared.replay_place.store(Arc::new(ReplayPlace {
-            roster: place.roster.updated(now, names),
+            roster: next_roster(&place.roster, now, names),
             tenure: place.tenure.clone(),
             holders,
         }));
@@ -657,6 +657,15 @@
     }
 }
 
+/// The first list is no change: nothing is known of earlier ones.
+fn next_roster(roster: &SeatRoster, now: MonotonicTime, names: Vec<String>) -> SeatRoster {
+    if roster.is_empty() {
+        SeatRoster::new(names)
+    } else {
+        roster.updated(now, names)
+    }
+}
+
 async fn forward_peer_events(
     shared: Arc<SharedState>,
     mut events: mpsc::UnboundedReceiver<PeerEvent>,
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -64,7 +64,7 @@
             PeerBody::DrainNotice(notice) => {
                 self.builder
                     .judge
-                    .note_peer_drain(&notice.upstream, notice.leaving);
+                    .note_peer_drain(&notice.upstream, notice.leaving, now);
             }
             _ => log::debug!(
                 "peers: {} sent a message that is no question.",
@@ -164,6 +164,14 @@
         }
     }
 
+    /// Returns the addresses of the connected peers and of this instance, so that instances find each other.
+    fn known_addresses(&self) -> Vec<String> {
+        let own = self.shared.settings.peer.advertise;
+        let mut addresses = self.peers.addresses();
+        addresses.push(own);
+        addresses.iter().map(ToString::to_string).collect()
+    }
+
     fn answer_loan(
         &mut self,
         sender: &PeerSender,
--- a/crates/daemon/src/log_setup.rs
+++ b/crates/daemon/src/log_setup.rs
@@ -1,9 +1,11 @@
 //! Log lines by `log` and `fern`: text for people or one JSON object a line.
 
 use std::fmt::Write;
+use std::io::LineWriter;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use coltsfootkeel_settings::{LogFormat, LogSettings};
+use fern::Output;
 use log::kv::{Error as FieldError, Key, Value, VisitSource};
 
 use crate::log_limit::LogLimit;
@@ -30,7 +32,11 @@
                 format(&message.to_string(), record.level(), &fields)
             ));
         })
-        .chain(std::io::stderr())
+        // A line is written at once, so that lines of several processes do not mix.
+        .chain(Output::writer(
+            Box::new(LineWriter::new(std::io::stderr())),
+            "\n",
+        ))
         .apply()
 }
 
--- a/crates/daemon/src/refusal_answer.rs
+++ b/crates/daemon/src/refusal_answer.rs
@@ -43,6 +43,7 @@
         | RefusalKind::Isolated
         | RefusalKind::Leaving
         | RefusalKind::NotReady
+        | RefusalKind::KeyOwnerUnreachable
         | RefusalKind::ReplayMemoryFull => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/daemon/src/replay_flow.rs
+++ b/crates/daemon/src/replay_flow.rs
@@ -80,7 +80,7 @@
 impl ReplayClaim {
     fn of(context: &RequestContext) -> Result<Self, Refusal> {
         let text = context.head.idempotency_key.clone().unwrap_or_default();
-        let malformed = |_| Refusal::before_attempt(RefusalKind::Malformed);
+        let malformed = |_| Refusal::before_attempt(RefusalKind::Malformed, false);
         let key = IdempotencyKey::try_from(text).map_err(malformed)?;
         let account = context.account_name().to_string();
         Ok(Self {
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -54,19 +54,15 @@
     request_id: String,
 ) -> Result<Response, Refusal> {
     let max_body_bytes = shared.settings.entry.max_body_bytes;
-    let head = CallerHead::read(&request, max_body_bytes).map_err(Refusal::before_attempt)?;
-    let context =
-        RequestContext::admit(shared, head, request_id).map_err(Refusal::before_attempt)?;
-    context
-        .take_token()
-        .await
-        .map_err(Refusal::before_attempt)?;
+    let head = CallerHead::read(&request, max_body_bytes).map_err(refuse_unattempted)?;
+    let context = RequestContext::admit(shared, head, request_id).map_err(refuse_unattempted)?;
+    context.take_token().await.map_err(refuse_unattempted)?;
     let (parts, body) = request.into_parts();
     let mut headers = parts.headers;
     header_rules::clean_request(&mut headers);
     let body = CallerBody::read(&context.head, body, max_body_bytes)
         .await
-        .map_err(Refusal::before_attempt)?;
+        .map_err(refuse_unattempted)?;
     check_suspect(&context, &body)?;
     let run = RequestRun {
         context,
@@ -79,12 +75,17 @@
     run.carry().await.map(RelayedAnswer::into_response)
 }
 
+/// A request without an attempt did not run, so a repeat is safe whatever its method.
+fn refuse_unattempted(kind: RefusalKind) -> Refusal {
+    Refusal::before_attempt(kind, true)
+}
+
 fn check_suspect(context: &RequestContext, body: &CallerBody) -> Result<(), Refusal> {
     let suspects = context.shared.suspects.load();
     let is_refused = suspects.suspects_head(|| context.suspect_head().fingerprint())
         && suspects.refuses(context.fingerprint(body.fingerprint_digest()));
     if is_refused {
-        return Err(Refusal::before_attempt(RefusalKind::CrashSuspect));
+        return Err(refuse_unattempted(RefusalKind::CrashSuspect));
     }
     Ok(())
 }
