decisions: a roster tells whether it is empty

Cause: the daemon must tell its first list of seats from a change, or keys without a prefix would be refused for ten minutes after each start. Change: SeatRoster::is_empty.

--- a/crates/decisions/src/key_owner.rs
+++ b/crates/decisions/src/key_owner.rs
@@ -171,6 +171,12 @@
             .unwrap_or_default()
     }
 
+    /// Tells whether no list of seats is known yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.current.is_empty()
+    }
+
     fn lists_before(&self, now: MonotonicTime) -> impl Iterator<Item = &[String]> {
         self.former
             .iter()
