daemon: refusals of uploads reach their callers

Change: the body of a refused request is read and dropped, up to 64 MiB and 5 s, before the refusal is sent.

--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -1,12 +1,14 @@
 //! The parts of a caller's request that decisions need, and its body.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use coltsfootkeel_model::AccessDigest;
 use http::Method;
+use http::request::Parts;
 use http_body_util::{BodyExt, Limited};
 use sha2::{Digest, Sha256};
 use volo_http::body::Body;
-use volo_http::request::Request;
 
 use coltsfootkeel_decisions::{BodyDigest, FINGERPRINT_BODY_BYTES, RefusalKind};
 
@@ -16,6 +18,12 @@
 /// Bodies up to this length in bytes are read before the request is sent, so that they can be sent again.
 pub const MAX_REPLAYABLE_BYTES: u64 = 64 * 1024;
 
+/// The most bytes of a refused body that are read.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time to read a refused body.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The longest idempotency key in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
@@ -42,16 +50,13 @@
     /// # Errors
     ///
     /// Returns why the request is refused.
-    pub fn read(request: &Request, max_body_bytes: u64) -> Result<Self, RefusalKind> {
-        let headers = request.headers();
-        let path_and_query = request
-            .uri()
-            .path_and_query()
-            .ok_or(RefusalKind::Malformed)?;
-        if request.method() == Method::CONNECT || !path_and_query.path().starts_with('/') {
+    pub fn read(parts: &Parts, max_body_bytes: u64) -> Result<Self, RefusalKind> {
+        let headers = &parts.headers;
+        let path_and_query = parts.uri.path_and_query().ok_or(RefusalKind::Malformed)?;
+        if parts.method == Method::CONNECT || !path_and_query.path().starts_with('/') {
             return Err(RefusalKind::Malformed);
         }
-        if request.version() == http::Version::HTTP_11 && !header_rules::has_host(headers) {
+        if parts.version == http::Version::HTTP_11 && !header_rules::has_host(headers) {
             return Err(RefusalKind::Malformed);
         }
         let content_length = header_rules::content_length(headers);
@@ -59,7 +64,7 @@
             return Err(RefusalKind::BodyTooLarge);
         }
         Ok(Self {
-            method: request.method().clone(),
+            method: parts.method.clone(),
             path: path_and_query.path().to_string(),
             path_and_query: path_and_query.as_str().to_string(),
             access: header_rules::access_key(headers).map(AccessDigest::of_key),
@@ -173,6 +178,22 @@
     }
 }
 
+/// Reads and drops the body of a refused request. A connection that is closed while its caller still sends is reset,
+/// and the caller loses the refusal.
+pub async fn discard_body(mut body: Body) {
+    let read_all = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // A caller that sends too slowly sees its connection closed.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read_all).await;
+}
+
 fn idempotency_key(headers: &http::HeaderMap) -> Result<Option<String>, RefusalKind> {
     let Some(value) = headers.get(header_rules::IDEMPOTENCY_KEY_HEADER) else {
         return Ok(None);
--- a/crates/daemon/src/control_dump.rs
+++ b/crates/daemon/src/control_dump.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::ConfigAge;
 
 use crate::control_loop::ControlLoop;
 use crate::fleet_snapshot::FleetSnapshot;
@@ -51,7 +52,7 @@
                 .as_mut()
                 .and_then(|age| age.age(version, now))
                 .map(millis),
-            platform_reached: self.age.as_ref().is_some_and(|age| age.platform_reached()),
+            platform_reached: self.age.as_ref().is_some_and(ConfigAge::platform_reached),
             in_force: view.in_force,
             known: view.known,
             behind: view.behind,
--- a/crates/daemon/src/control_event.rs
+++ b/crates/daemon/src/control_event.rs
@@ -96,8 +96,6 @@
     Read {
         /// The name of the seat.
         seat: String,
-        /// When the question was sent.
-        asked: MonotonicTime,
         /// What the platform holds.
         stored: StoredSeat,
     },
@@ -111,10 +109,7 @@
         stored: StoredSeat,
     },
     /// A question about the seat failed.
-    Failed {
-        /// The name of the seat.
-        seat: String,
-    },
+    Failed,
     /// The seat was released.
     Released,
 }
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -196,7 +196,7 @@
             }
             ControlEvent::Granted { lender, grant } => self.handle_grant(lender, &grant, now),
             ControlEvent::Manifest { asked, stored } => {
-                self.handle_manifest(asked, stored.map(|stored| *stored), now)
+                self.handle_manifest(asked, stored.map(|stored| *stored), now);
             }
             ControlEvent::PlatformFailed => {
                 if let Some(age) = &mut self.age {
@@ -253,7 +253,7 @@
                     peer.instance,
                     peer.failure_domain
                 );
-                self.shared.peers.insert(peer.clone());
+                self.shared.peers.insert(&peer);
                 self.peers.connect(peer);
                 self.send_heartbeats(now);
             }
@@ -350,7 +350,7 @@
             .take_document(source, version, text, findings, now);
         match (outcome, checked) {
             (DocumentOutcome::InForce, Ok(config)) => {
-                self.put_in_force(Arc::new(config), loaded, version, now)
+                self.put_in_force(Arc::new(config), loaded, version, now);
             }
             (DocumentOutcome::Bad, Err(findings)) => {
                 log::error!(
@@ -449,7 +449,7 @@
                 self.seat.hold(seat, stored);
                 self.use_seat(Some(tenure), now);
             }
-            SeatNews::Failed { .. } => self.seat.asked(),
+            SeatNews::Failed => self.seat.asked(),
             SeatNews::Released => {}
         }
     }
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -5,7 +5,8 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
-    ClearReport, CrashId, CrashReport, Incarnation, LedgerOutput, PeerAge, SuspectFingerprint,
+    ClearReport, ConfigAge, CrashId, CrashReport, Incarnation, LedgerOutput, PeerAge,
+    SuspectFingerprint,
 };
 use coltsfootkeel_model::{ConfigVersion, ContentDigest, GenerationNumber};
 use coltsfootkeel_protocol::{
@@ -151,15 +152,10 @@
                 .collect(),
             leaving: self.shared.is_leaving(),
             config_age_ms: age.map_or(AGE_UNKNOWN, millis),
-            platform_reached: self.age.as_ref().is_some_and(|age| age.platform_reached()),
+            platform_reached: self.age.as_ref().is_some_and(ConfigAge::platform_reached),
             in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
             headroom_percent: self.headroom_percent(),
-            known_peers: self
-                .peers
-                .addresses()
-                .iter()
-                .map(ToString::to_string)
-                .collect(),
+            known_peers: self.known_addresses(),
             incarnation: self.shared.incarnation,
         }
     }
--- a/crates/daemon/src/fleet_snapshot.rs
+++ b/crates/daemon/src/fleet_snapshot.rs
@@ -6,7 +6,7 @@
     LinkMeter, RateHandle, ShiftTable, ShortCounter, TierTable, UpstreamLane,
 };
 use coltsfootkeel_model::{
-    AccountKey, Arena, ConfigVersion, DomainKey, FleetConfig, PoolKey, RegionKey, UpstreamKey,
+    AccountKey, Arena, DomainKey, FleetConfig, PoolKey, RegionKey, UpstreamKey,
 };
 
 use crate::access_watch::WatchTable;
@@ -34,8 +34,6 @@
 /// The configuration in force. A snapshot does not change; the control thread publishes the next one.
 #[derive(Debug)]
 pub struct FleetSnapshot {
-    /// The version.
-    pub version: ConfigVersion,
     /// The configuration.
     pub config: Arc<FleetConfig>,
     /// Where this instance stands.
--- a/crates/daemon/src/http_listener.rs
+++ b/crates/daemon/src/http_listener.rs
@@ -89,15 +89,6 @@
     }
 }
 
-/// Binds a listener. The address is not shared: a port that is taken is an error.
-///
-/// # Errors
-///
-/// Returns the error of the operating system if the address cannot be bound.
-pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 /// Accepts connections until the listener is stopped.
 pub async fn serve<S: HttpService>(
     listener: TcpListener,
--- a/crates/daemon/src/limit_book.rs
+++ b/crates/daemon/src/limit_book.rs
@@ -67,14 +67,12 @@
         ledger: &mut LoanLedger,
         now: MonotonicTime,
     ) -> RateLimitKey {
-        match self.keys.get(&name) {
-            Some(LimitKey::Rate(key)) => *key,
-            _ => {
-                let key = ledger.add_rate_limit(now);
-                self.insert(name, LimitKey::Rate(key));
-                key
-            }
+        if let Some(LimitKey::Rate(key)) = self.keys.get(&name) {
+            return *key;
         }
+        let key = ledger.add_rate_limit(now);
+        self.insert(name, LimitKey::Rate(key));
+        key
     }
 
     /// Returns the slot limit of this name, and makes it if it is new.
@@ -84,14 +82,12 @@
         ledger: &mut LoanLedger,
         now: MonotonicTime,
     ) -> SlotLimitKey {
-        match self.keys.get(&name) {
-            Some(LimitKey::Slots(key)) => *key,
-            _ => {
-                let key = ledger.add_slot_limit(now);
-                self.insert(name, LimitKey::Slots(key));
-                key
-            }
+        if let Some(LimitKey::Slots(key)) = self.keys.get(&name) {
+            return *key;
         }
+        let key = ledger.add_slot_limit(now);
+        self.insert(name, LimitKey::Slots(key));
+        key
     }
 
     /// Sets the shares of `seat` for all limits of a configuration. Limits that are gone get none.
--- a/crates/daemon/src/peer_handle.rs
+++ b/crates/daemon/src/peer_handle.rs
@@ -105,14 +105,8 @@
         self.peers.load().get(instance).cloned()
     }
 
-    /// Returns all connected peers.
-    #[must_use]
-    pub fn all(&self) -> Vec<KnownPeer> {
-        self.peers.load().values().cloned().collect()
-    }
-
     /// Adds or replaces a peer.
-    pub fn insert(&self, peer: KnownPeer) {
+    pub fn insert(&self, peer: &KnownPeer) {
         self.peers.rcu(|peers| {
             let mut peers = HashMap::clone(peers);
             peers.insert(peer.instance.clone(), peer.clone());
--- a/crates/daemon/src/platform_task.rs
+++ b/crates/daemon/src/platform_task.rs
@@ -48,12 +48,6 @@
         }
     }
 
-    /// Returns the store of configurations.
-    #[must_use]
-    pub fn configs(&self) -> &ConfigStore {
-        &self.configs
-    }
-
     /// Watches the manifest until `stop` is cancelled.
     pub async fn watch_manifest(self, stop: CancellationToken) {
         let mut revision = StoreRevision::NOW;
@@ -137,21 +131,16 @@
             }
             Ok(_) => {}
             Err(error) => {
-                log::warn!("config: Writing generation {generation} back failed: {error}")
+                log::warn!("config: Writing generation {generation} back failed: {error}");
             }
         }
     }
 
     /// Reads a seat.
     pub async fn read_seat(self, seat: String) {
-        let asked = self.shared.clock.now();
         let news = match self.seats.read(&seat).await {
-            Ok(stored) => SeatNews::Read {
-                seat,
-                asked,
-                stored,
-            },
-            Err(_) => SeatNews::Failed { seat },
+            Ok(stored) => SeatNews::Read { seat, stored },
+            Err(_) => SeatNews::Failed,
         };
         self.shared.report(ControlEvent::Seat(news));
     }
@@ -169,7 +158,7 @@
                 before: seen,
                 stored,
             },
-            Ok(_) | Err(_) => SeatNews::Failed { seat },
+            Ok(_) | Err(_) => SeatNews::Failed,
         };
         self.shared.report(ControlEvent::Seat(news));
     }
--- a/crates/daemon/src/refusal_answer.rs
+++ b/crates/daemon/src/refusal_answer.rs
@@ -60,7 +60,7 @@
 
 /// Makes the response for a refusal.
 #[must_use]
-pub fn refusal_response(refusal: &Refusal, request_id: &str) -> Response {
+pub fn refusal_response(refusal: Refusal, request_id: &str) -> Response {
     let kind = refusal.kind();
     let retry = refusal.retry_sensible().then(|| retry_time(kind));
     let body = RefusalBody {
@@ -77,10 +77,7 @@
     header_rules::set_text(headers, header_rules::REQUEST_ID_HEADER, request_id);
     if let Some(time) = retry {
         // The header counts in whole seconds; the body gives the milliseconds.
-        headers.insert(
-            RETRY_AFTER,
-            HeaderValue::from(time.as_millis().div_ceil(1_000) as u64),
-        );
+        headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(time)));
     }
     if closes_connection(kind) {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -88,6 +85,10 @@
     response
 }
 
+fn whole_seconds(time: Duration) -> u64 {
+    time.as_secs() + u64::from(time.subsec_nanos() > 0)
+}
+
 /// A request whose body was not read leaves its connection unusable.
 const fn closes_connection(kind: RefusalKind) -> bool {
     matches!(
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -9,11 +9,12 @@
 };
 use coltsfootkeel_model::UpstreamKey;
 use http::HeaderMap;
+use http::request::Parts;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
 use crate::answer_relay::{RelayedAnswer, relay_answer};
-use crate::caller_request::{CallerBody, CallerHead};
+use crate::caller_request::{CallerBody, CallerHead, discard_body};
 use crate::control_event::ControlEvent;
 use crate::header_rules;
 use crate::refusal_answer::refusal_response;
@@ -36,7 +37,7 @@
         Err(refusal) => {
             shared.metrics.count_refusal(refusal.kind());
             log::debug!(request_id = request_id.as_str(), run = refusal.mark().code(); "entry: Refused a request: {}.", refusal.kind().code());
-            refusal_response(&refusal, &request_id)
+            refusal_response(refusal, &request_id)
         }
     };
     if shared.is_leaving() {
@@ -54,10 +55,14 @@
     request_id: String,
 ) -> Result<Response, Refusal> {
     let max_body_bytes = shared.settings.entry.max_body_bytes;
-    let head = CallerHead::read(&request, max_body_bytes).map_err(refuse_unattempted)?;
-    let context = RequestContext::admit(shared, head, request_id).map_err(refuse_unattempted)?;
-    context.take_token().await.map_err(refuse_unattempted)?;
     let (parts, body) = request.into_parts();
+    let context = match admit(shared, &parts, request_id).await {
+        Ok(context) => context,
+        Err(kind) => {
+            discard_body(body).await;
+            return Err(refuse_unattempted(kind));
+        }
+    };
     let mut headers = parts.headers;
     header_rules::clean_request(&mut headers);
     let body = CallerBody::read(&context.head, body, max_body_bytes)
@@ -75,6 +80,17 @@
     run.carry().await.map(RelayedAnswer::into_response)
 }
 
+async fn admit(
+    shared: &Arc<SharedState>,
+    parts: &Parts,
+    request_id: String,
+) -> Result<RequestContext, RefusalKind> {
+    let head = CallerHead::read(parts, shared.settings.entry.max_body_bytes)?;
+    let context = RequestContext::admit(shared, head, request_id)?;
+    context.take_token().await?;
+    Ok(context)
+}
+
 /// A request without an attempt did not run, so a repeat is safe whatever its method.
 fn refuse_unattempted(kind: RefusalKind) -> Refusal {
     Refusal::before_attempt(kind, true)
--- a/crates/daemon/src/slot_wait.rs
+++ b/crates/daemon/src/slot_wait.rs
@@ -45,12 +45,6 @@
         self.waiting.load(Ordering::Acquire) > 0
     }
 
-    /// Returns the number of waiting requests.
-    #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.waiting.load(Ordering::Acquire)
-    }
-
     /// Waits until a slot may be free.
     ///
     /// # Errors
--- a/crates/daemon/src/snapshot_builder.rs
+++ b/crates/daemon/src/snapshot_builder.rs
@@ -7,8 +7,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
-    HealthJudge, LimitKey, LinkBook, LoanLedger, RampPolicy, RateHandle, ShiftBook, TierTable,
-    UpstreamLane,
+    HealthJudge, LinkBook, LoanLedger, RampPolicy, RateHandle, ShiftBook, TierTable, UpstreamLane,
 };
 use coltsfootkeel_model::{ConfigVersion, FleetConfig, SeatKey};
 use coltsfootkeel_protocol::LimitKind;
@@ -100,7 +99,6 @@
             .links
             .apply(&config, home.region, usize::from(seat.is_some()), now);
         FleetSnapshot {
-            version,
             home,
             accounts,
             lanes,
@@ -170,12 +168,6 @@
             link.close_idle();
         }
     }
-
-    /// Returns the limit of a name, for messages.
-    #[must_use]
-    pub fn limit(&self, name: &LimitName) -> Option<LimitKey> {
-        self.limits.key(name)
-    }
 }
 
 fn longest_deadline(config: &FleetConfig) -> Duration {
--- a/crates/daemon/src/upstream_attempt.rs
+++ b/crates/daemon/src/upstream_attempt.rs
@@ -49,14 +49,14 @@
     let request = upstream_request(context, headers, body);
     let link = &context.snapshot.upstreams[upstream].link;
     let send = link.send(started, request, !context.idempotent);
-    let sent = match until_deadline(context, send).await {
-        Ok(sent) => sent,
+    let outcome = match until_deadline(context, send).await {
+        Ok(outcome) => outcome,
         Err(end) => {
             slot.lane().health.record_failure();
             return AttemptResult::failed(end);
         }
     };
-    match sent {
+    match outcome {
         Ok(exchange) => judge_response(
             context,
             upstream,
