--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -15,6 +15,7 @@
 mod rate_limit;
 mod refill_account;
 mod seat_claim;
+mod seat_holder;
 mod seen_asks;
 mod share_split;
 mod slot_limit;
@@ -31,6 +32,10 @@
     with_drift_margin,
 };
 pub use peer_memory::LoanPeer;
+pub use seat_claim::{
+    ClaimStep, PROBE_INTERVAL, SeatClaim, SeatOffer, SeatRecordState, UpdateOutcome, claim_order,
+};
+pub use seat_holder::{HolderStanding, SEAT_LEASE, SeatHolder};
 pub use share_split::{MILLI_PER_TOKEN, split_rate, split_slots};
 
 mod attempt_state;
--- /dev/null
+++ b/crates/decisions/src/seat_holder.rs
@@ -0,0 +1,158 @@
+//! Whether the holder of a seat may spend.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+
+use crate::loan_terms::Incarnation;
+
+/// How long a holder must be silent before another instance may claim its seat.
+pub const SEAT_LEASE: Duration = Duration::from_secs(6);
+
+/// After a longer gap between ticks the holder must have its seat confirmed. Half the lease leaves
+/// room for clock drift and for messages on their way.
+const CONFIRM_GAP: Duration = Duration::from_secs(3);
+
+/// How long a holder still listens when it has the answers of all peers: a heartbeat interval and two
+/// crossings between regions. An instance that started during the gap or a cut reports itself in
+/// this time and must answer too.
+const LISTEN_TIME: Duration = Duration::from_millis(1_500);
+
+/// What the holder may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HolderStanding {
+    /// It may use the shares of the seat.
+    Holding,
+    /// It must not, until the seat is confirmed.
+    Unconfirmed,
+    /// Another instance holds the seat.
+    Lost,
+}
+
+#[derive(Debug)]
+struct Confirmation {
+    round: u64,
+    not_claimed: BTreeSet<Incarnation>,
+    /// Since when all known instances have answered.
+    complete: Option<MonotonicTime>,
+}
+
+/// The holder's side of a seat.
+#[derive(Debug)]
+pub struct SeatHolder {
+    ticked: MonotonicTime,
+    known: BTreeSet<Incarnation>,
+    round: u64,
+    confirmation: Option<Confirmation>,
+    is_lost: bool,
+}
+
+impl SeatHolder {
+    /// Starts to hold a seat for which the update was sent at `sent`.
+    #[must_use]
+    pub fn new(sent: MonotonicTime) -> Self {
+        Self {
+            ticked: sent,
+            known: BTreeSet::new(),
+            round: 0,
+            confirmation: None,
+            is_lost: false,
+        }
+    }
+
+    /// Checks for a gap. The control thread calls this on each tick before the ledger's tick.
+    pub fn tick(&mut self, now: MonotonicTime) -> HolderStanding {
+        if now.since(self.ticked) > CONFIRM_GAP {
+            self.begin_confirmation();
+        }
+        self.ticked = now;
+        self.confirm_by_peers(now);
+        self.standing()
+    }
+
+    /// Returns the present standing.
+    #[must_use]
+    pub fn standing(&self) -> HolderStanding {
+        match self.confirmation {
+            _ if self.is_lost => HolderStanding::Lost,
+            Some(_) => HolderStanding::Unconfirmed,
+            None => HolderStanding::Holding,
+        }
+    }
+
+    /// Returns the number of the confirmation that is needed. Probes and rewrites of the seat's object carry
+    /// it, because an answer to one that was sent before the gap proves nothing.
+    #[must_use]
+    pub fn wanted_round(&self) -> Option<u64> {
+        self.confirmation.as_ref().map(|wanted| wanted.round)
+    }
+
+    /// Sets the instances whose answers are needed: all that are live or may be.
+    ///
+    /// Removing one needs the platform's list of live instances; silence is not enough.
+    pub fn set_known(&mut self, known: BTreeSet<Incarnation>) {
+        self.known = known;
+    }
+
+    /// Handles the answer of a peer to a probe of `round`.
+    ///
+    /// A claim may still fail, so an answer that reports one stops the holder but only the platform
+    /// decides.
+    pub fn take_answer(&mut self, peer: Incarnation, round: u64, is_claimed: bool) {
+        if is_claimed && self.confirmation.is_none() {
+            self.begin_confirmation();
+        }
+        let Some(wanted) = &mut self.confirmation else {
+            return;
+        };
+        if is_claimed {
+            wanted.not_claimed.remove(&peer);
+        } else if wanted.round == round {
+            wanted.not_claimed.insert(peer);
+        }
+    }
+
+    /// Handles the outcome of a conditional rewrite of the seat's object, sent for `round`.
+    ///
+    /// Reading the object is not enough: an update of a claimant may be on its way to the platform
+    /// and take effect after the read. The rewrite changes the version, so such an update fails.
+    pub fn take_rewrite(&mut self, round: u64, is_own: bool) {
+        if !is_own {
+            self.is_lost = true;
+        }
+        if is_own && self.wanted_round() == Some(round) {
+            self.confirmation = None;
+        }
+    }
+
+    /// Gives the seat up for good, before the platform is told.
+    pub fn release(&mut self) {
+        self.is_lost = true;
+    }
+
+    fn begin_confirmation(&mut self) {
+        self.round += 1;
+        self.confirmation = Some(Confirmation {
+            round: self.round,
+            not_claimed: BTreeSet::new(),
+            complete: None,
+        });
+    }
+
+    fn confirm_by_peers(&mut self, now: MonotonicTime) {
+        let Some(wanted) = &mut self.confirmation else {
+            return;
+        };
+        // Without any known peer there is no evidence, and only the platform can confirm.
+        let is_complete = !self.known.is_empty() && self.known.is_subset(&wanted.not_claimed);
+        if !is_complete {
+            wanted.complete = None;
+            return;
+        }
+        let complete = *wanted.complete.get_or_insert(now);
+        if now.since(complete) >= LISTEN_TIME {
+            self.confirmation = None;
+        }
+    }
+}
