--- a/crates/decisions/tests/fleet/mod.rs
+++ b/crates/decisions/tests/fleet/mod.rs
@@ -48,6 +48,8 @@
     pub longest_deadline: Duration,
     /// The slowest clock, in thousandths of true time.
     pub slowest_clock: u64,
+    /// The clocks of the first instances in thousandths of true time; those of the others are random.
+    pub clocks: Vec<u64>,
     pub seed: u64,
 }
 
@@ -198,7 +200,8 @@
     fn start_instance(&mut self, seat: usize) -> usize {
         let index = self.instances.len();
         let slowest = self.plan.slowest_clock;
-        let clock = slowest + self.random(1_001 - slowest);
+        let random_clock = slowest + self.random(1_001 - slowest);
+        let clock = self.plan.clocks.get(index).copied().unwrap_or(random_clock);
         let start = MonotonicTime::from_nanos(self.now_ns / 1_000 * clock) + CLOCK_START;
         let settings = LedgerSettings {
             policy: self.plan.policy,
--- a/crates/decisions/tests/share_ledger_fuzz.rs
+++ b/crates/decisions/tests/share_ledger_fuzz.rs
@@ -230,6 +230,7 @@
         asks_per_s: 50,
         longest_deadline: Duration::from_millis(DEADLINE_MS),
         slowest_clock: setup.slowest_clock,
+        clocks: Vec::new(),
         seed: setup.seed,
     }
 }
