decisions: claims count heartbeats of any holder, confirmations wait for the dead

Cause: SEAT_HISTORIES=10000 found a claimant that died with its update on the way to a slow platform; the holder was confirmed by the living, and later the seat was claimed from the dead claimant. Change: a peer that died in the gap is not removed from the needed answers; a claimant counts any reported holder as heard; share transitions.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -18,6 +18,7 @@
 mod seat_holder;
 mod seen_asks;
 mod share_split;
+mod share_transition;
 mod slot_limit;
 
 pub use demand_estimate::ShortCounter;
@@ -37,6 +38,7 @@
 };
 pub use seat_holder::{HolderStanding, SEAT_LEASE, SeatHolder};
 pub use share_split::{MILLI_PER_TOKEN, split_rate, split_slots};
+pub use share_transition::{SeatEvidence, ShareTransition};
 
 mod attempt_state;
 mod crash_suspects;
--- a/crates/decisions/src/seat_claim.rs
+++ b/crates/decisions/src/seat_claim.rs
@@ -123,7 +123,9 @@
         }
     }
 
-    /// Records that the holder was heard: an answer to a probe, or any message from it.
+    /// Records that the holder was heard: an answer to a probe, any message from it, or a heartbeat of
+    /// any instance that reports to hold the seat. The holder that the platform names may have died
+    /// before its update took effect, while the former holder was confirmed by its peers.
     ///
     /// A question of the holder counts, so an instance that answers "not claimed" cannot claim
     /// within the next lease.
--- a/crates/decisions/src/seat_holder.rs
+++ b/crates/decisions/src/seat_holder.rs
@@ -88,11 +88,16 @@
         self.confirmation.as_ref().map(|wanted| wanted.round)
     }
 
-    /// Sets the instances whose answers are needed: all that are live or may be.
+    /// Sets the instances that are live or may be. The daemon calls this after [`tick`](Self::tick).
     ///
-    /// Removing one needs the platform's list of live instances; silence is not enough.
+    /// While a confirmation is open none is removed: an instance that died in the gap may have sent
+    /// an update that takes effect later, so only the platform can confirm without its answer.
     pub fn set_known(&mut self, known: BTreeSet<Incarnation>) {
-        self.known = known;
+        if self.confirmation.is_some() {
+            self.known.extend(known);
+        } else {
+            self.known = known;
+        }
     }
 
     /// Handles the answer of a peer to a probe of `round`.
--- a/crates/decisions/tests/seat_claim_fuzz.rs
+++ b/crates/decisions/tests/seat_claim_fuzz.rs
@@ -37,7 +37,7 @@
     Alive,
     Question { round: u64 },
     Answer { round: u64, is_claimed: bool },
-    Heartbeat,
+    Heartbeat { holds: bool },
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -110,7 +110,7 @@
         }
         let everyone: BTreeSet<Incarnation> = (0..world.instances.len()).map(incarnation).collect();
         for (index, instance) in world.instances.iter_mut().enumerate() {
-            instance.known = everyone.clone();
+            instance.known.extend(everyone.iter().copied());
             instance.known.remove(&incarnation(index));
         }
         let now = world.local(0);
@@ -286,11 +286,12 @@
     fn receive(&mut self, flight: Flight) {
         let Flight { from, to, .. } = flight;
         let now = self.local(to);
-        let is_recorded_holder = self.platform.holder == Some(from);
+        let reports_holding = matches!(flight.message, Message::Heartbeat { holds: true });
+        let is_heard = self.platform.holder == Some(from) || reports_holding;
         let receiver = &mut self.instances[to];
         receiver.known.insert(incarnation(from));
         if let Some((claim, _)) = &mut receiver.claim
-            && is_recorded_holder
+            && is_heard
         {
             claim.holder_heard(now);
         }
@@ -309,16 +310,17 @@
                     holder.take_answer(incarnation(from), round, is_claimed);
                 }
             }
-            Message::Alive | Message::Heartbeat => {}
+            Message::Alive | Message::Heartbeat { .. } => {}
         }
     }
 
     fn tick(&mut self, index: usize) {
         if self.now_ms >= self.instances[index].beat_ms {
             self.instances[index].beat_ms = self.now_ms + 1_000;
+            let holds = self.instances[index].holder.is_some();
             for other in 0..self.instances.len() {
                 if other != index {
-                    self.send(index, other, Message::Heartbeat);
+                    self.send(index, other, Message::Heartbeat { holds });
                 }
             }
         }
@@ -341,8 +343,8 @@
         let Some(holder) = &mut instance.holder else {
             return;
         };
-        holder.set_known(known);
         let standing = holder.tick(now);
+        holder.set_known(known);
         let round = holder.wanted_round();
         match standing {
             HolderStanding::Holding => instance.spends_until = now + SPEND_LEASE,
--- a/crates/decisions/tests/share_ledger_cases.rs
+++ b/crates/decisions/tests/share_ledger_cases.rs
@@ -18,6 +18,15 @@
 };
 
 fn fleet(seat_domains: &[usize], total: RateAmount, clocks: &[u64]) -> Fleet {
+    fleet_with(LoanPolicy::AHEAD_OF_DEMAND, seat_domains, total, clocks)
+}
+
+fn fleet_with(
+    policy: LoanPolicy,
+    seat_domains: &[usize],
+    total: RateAmount,
+    clocks: &[u64],
+) -> Fleet {
     let mut fleet = Fleet::new(FleetPlan {
         seat_domains: seat_domains.to_vec(),
         rates: vec![RatePlan {
@@ -25,7 +34,7 @@
             total,
         }],
         slots: Vec::new(),
-        policy: LoanPolicy::AHEAD_OF_DEMAND,
+        policy,
         asks_per_s: 50,
         longest_deadline: Duration::from_secs(1),
         slowest_clock: 1_000,
@@ -64,143 +73,145 @@
 
 const ALL: [usize; 3] = [0, 1, 2];
 
-/// Guards against a fault that lets the fleet admit more than the limit, or that costs capacity for longer than a loan.
-#[test]
-fn named_faults_exceed_no_limit() {
-    let cases = [
-        FaultCase {
-            name: "lost grant",
-            clocks: &[],
-            tap: drop_grants,
-            script: |fleet| {
-                greedy(fleet, &[0], 1_000);
+const FAULTS: [FaultCase; 12] = [
+    FaultCase {
+        name: "lost grant",
+        clocks: &[],
+        tap: drop_grants,
+        script: |fleet| {
+            greedy(fleet, &[0], 1_000);
+            assert_eq!(capacity(fleet, 0), 20_000);
+            fleet.tap = None;
+            greedy(fleet, &[0], 3_500);
+            let taken = greedy(fleet, &[0], 1_000);
+            assert!(taken >= 285, "the lent rate is back, got {taken}");
+        },
+    },
+    FaultCase {
+        name: "late grant",
+        clocks: &[],
+        tap: delay_grants,
+        script: |fleet| {
+            for _ in 0..600 {
+                greedy(fleet, &[0], 10);
                 assert_eq!(capacity(fleet, 0), 20_000);
-                fleet.tap = None;
-                greedy(fleet, &[0], 3_500);
-                let taken = greedy(fleet, &[0], 1_000);
-                assert!(taken >= 285, "the lent rate is back, got {taken}");
-            },
+            }
         },
-        FaultCase {
-            name: "late grant",
-            clocks: &[],
-            tap: delay_grants,
-            script: |fleet| {
-                for _ in 0..600 {
-                    greedy(fleet, &[0], 10);
-                    assert_eq!(capacity(fleet, 0), 20_000);
-                }
-            },
+    },
+    FaultCase {
+        name: "late grant at a stalled borrower",
+        clocks: &[],
+        tap: delay_grants,
+        script: |fleet| {
+            greedy(fleet, &[0], 100);
+            fleet.stall(0, 2_500);
+            greedy(fleet, &ALL, 3_000);
         },
-        FaultCase {
-            name: "late grant at a stalled borrower",
-            clocks: &[],
-            tap: delay_grants,
-            script: |fleet| {
-                greedy(fleet, &[0], 100);
-                fleet.stall(0, 2_500);
-                greedy(fleet, &ALL, 3_000);
-            },
+    },
+    FaultCase {
+        name: "repeated grant",
+        clocks: &[],
+        tap: repeat_grants,
+        script: |fleet| {
+            greedy(fleet, &[0], 4_000);
+            greedy(fleet, &ALL, 4_000);
         },
-        FaultCase {
-            name: "repeated grant",
-            clocks: &[],
-            tap: repeat_grants,
-            script: |fleet| {
-                greedy(fleet, &[0], 4_000);
-                greedy(fleet, &ALL, 4_000);
-            },
+    },
+    FaultCase {
+        name: "repeated ask",
+        clocks: &[],
+        tap: repeat_asks,
+        script: |fleet| {
+            greedy(fleet, &[0], 700);
+            let held: i64 = ALL.iter().map(|&index| capacity(fleet, index)).sum();
+            assert_eq!(held, 60_000, "a repetition lends nothing");
         },
-        FaultCase {
-            name: "repeated ask",
-            clocks: &[],
-            tap: repeat_asks,
-            script: |fleet| {
-                greedy(fleet, &[0], 700);
-                let held: i64 = ALL.iter().map(|&index| capacity(fleet, index)).sum();
-                assert_eq!(held, 60_000, "a repetition lends nothing");
-            },
+    },
+    FaultCase {
+        name: "crossed asks",
+        clocks: &[],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0, 1], 3_000);
+            greedy(fleet, &[2], 3_000);
+            greedy(fleet, &ALL, 3_000);
         },
-        FaultCase {
-            name: "crossed asks",
-            clocks: &[],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0, 1], 3_000);
-                greedy(fleet, &[2], 3_000);
-                greedy(fleet, &ALL, 3_000);
-            },
+    },
+    FaultCase {
+        name: "paused holder that wakes",
+        clocks: &[],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0], 1_000);
+            fleet.pause(0, 5_000);
+            greedy(fleet, &ALL, 5_400);
+            assert_eq!(capacity(fleet, 0), 0, "nothing before the confirmation");
+            greedy(fleet, &ALL, 2_000);
+            assert!(capacity(fleet, 0) > 0, "the seat is confirmed");
         },
-        FaultCase {
-            name: "paused holder that wakes",
-            clocks: &[],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0], 1_000);
-                fleet.pause(0, 5_000);
-                greedy(fleet, &ALL, 5_400);
-                assert_eq!(capacity(fleet, 0), 0, "nothing before the confirmation");
-                greedy(fleet, &ALL, 2_000);
-                assert!(capacity(fleet, 0) > 0, "the seat is confirmed");
-            },
+    },
+    FaultCase {
+        name: "paused holder that wakes after it was replaced",
+        clocks: &[],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0], 1_000);
+            fleet.pause(0, 8_000);
+            greedy(fleet, &ALL, 6_500);
+            assert!(fleet.replace(0));
+            greedy(fleet, &[0, 1, 2, 3], 6_000);
         },
-        FaultCase {
-            name: "paused holder that wakes after it was replaced",
-            clocks: &[],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0], 1_000);
-                fleet.pause(0, 8_000);
-                greedy(fleet, &ALL, 6_500);
-                assert!(fleet.replace(0));
-                greedy(fleet, &[0, 1, 2, 3], 6_000);
-            },
+    },
+    FaultCase {
+        name: "killed and replaced",
+        clocks: &[],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0], 1_000);
+            fleet.kill(1);
+            greedy(fleet, &[0], 6_100);
+            assert!(fleet.replace(1));
+            greedy(fleet, &[0, 2, 3], 3_000);
         },
-        FaultCase {
-            name: "killed and replaced",
-            clocks: &[],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0], 1_000);
-                fleet.kill(1);
-                greedy(fleet, &[0], 6_100);
-                assert!(fleet.replace(1));
-                greedy(fleet, &[0, 2, 3], 3_000);
-            },
+    },
+    FaultCase {
+        name: "released while its loans are in use",
+        clocks: &[],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0], 1_000);
+            fleet.release(1);
+            greedy(fleet, &[0, 1, 2, 3], 5_000);
         },
-        FaultCase {
-            name: "released while its loans are in use",
-            clocks: &[],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0], 1_000);
-                fleet.release(1);
-                greedy(fleet, &[0, 1, 2, 3], 5_000);
-            },
+    },
+    FaultCase {
+        name: "cut",
+        clocks: &[],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0], 1_000);
+            fleet.cut(1, 4_000);
+            greedy(fleet, &ALL, 3_500);
+            assert_eq!(capacity(fleet, 2), 20_000, "the base share is back");
+            greedy(fleet, &ALL, 3_000);
         },
-        FaultCase {
-            name: "cut",
-            clocks: &[],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0], 1_000);
-                fleet.cut(1, 4_000);
-                greedy(fleet, &ALL, 3_500);
-                assert_eq!(capacity(fleet, 2), 20_000, "the base share is back");
-                greedy(fleet, &ALL, 3_000);
-            },
-        },
-        FaultCase {
-            name: "drift",
-            clocks: &[950, 1_000, 1_000],
-            tap: |_| Tap::Pass,
-            script: |fleet| {
-                greedy(fleet, &[0], 5_000);
-                greedy(fleet, &ALL, 5_000);
-            },
+    },
+    FaultCase {
+        name: "drift",
+        clocks: &[950, 1_000, 1_000],
+        tap: |_| Tap::Pass,
+        script: |fleet| {
+            greedy(fleet, &[0], 5_000);
+            greedy(fleet, &ALL, 5_000);
         },
-    ];
-    for case in cases {
+    },
+];
+
+/// Guards against a fault that lets the fleet admit more than the limit, or that costs capacity for
+/// longer than a loan.
+#[test]
+fn named_faults_exceed_no_limit() {
+    for case in FAULTS {
         println!("case: {}", case.name);
         let mut fleet = fleet(&[0, 0, 1], TOTAL, case.clocks);
         fleet.tap = Some(case.tap);
@@ -208,6 +219,17 @@
     }
 }
 
+/// After one short request it asks for everything and keeps it without demand, so that the buckets
+/// are full when a loan ends and every excess shows.
+const HOARD: LoanPolicy = LoanPolicy {
+    name: "hoard",
+    rate_target: |view| {
+        let is_borrower = view.shorts > 0 || view.held.burst > TOTAL.burst / 2;
+        if is_borrower { view.total } else { view.held }
+    },
+    slot_target: |view| view.held,
+};
+
 /// Guards against a borrower with a slow clock whose control thread stalls while a loan ends: its
 /// request threads must stop before the lender resumes.
 #[test]
@@ -217,12 +239,12 @@
         [950, 1_000, 1_000],
         [1_000, 950, 950],
     ] {
-        for stall_ms in (1_500..2_200).step_by(10) {
-            let mut fleet = fleet(&[0, 0, 1], TOTAL, &clocks);
+        for stall_ms in (1_500..2_400).step_by(10) {
+            let mut fleet = fleet_with(HOARD, &[0, 0, 1], TOTAL, &clocks);
             fleet.tap = Some(drop_renewals);
-            greedy(&mut fleet, &[0], 300);
-            // The buckets are full when the loan ends, so every excess shows.
-            fleet.run(stall_ms - 300, 10, |_| {});
+            fleet.instances[0].rates[0].short.record();
+            fleet.run(stall_ms, 10, |_| {});
+            assert!(stall_ms > 1_700 || capacity(&fleet, 0) > 50_000);
             fleet.stall(0, 600);
             fleet.run(1_000, 10, |_| {});
         }
