--- /dev/null
+++ b/crates/decisions/examples/loan_policies.rs
@@ -0,0 +1,266 @@
+//! Compares the loan policies on skewed load in simulated time.
+//!
+//! Run with `cargo run --release --locked -p coltsfootkeel-decisions --example loan_policies`.
+
+#[path = "../tests/fleet/mod.rs"]
+#[allow(dead_code, reason = "the comparison uses a part of the fleet")]
+mod fleet;
+
+use std::time::Duration;
+
+use coltsfootkeel_decisions::{LoanPolicy, RateAmount};
+use fleet::{CALM, Fleet, FleetPlan, RatePlan, Weather};
+
+const RUN_MS: u64 = 20_000;
+const STEP_MS: u64 = 10;
+/// A request may wait this long for a loan.
+const WAIT_MS: u64 = 150;
+const SEATS: [usize; 7] = [0, 0, 1, 1, 2, 2, 2];
+
+/// A distribution of one account's requests over the instances.
+struct LoadCase {
+    name: &'static str,
+    total: RateAmount,
+    /// Offered load as a part of the account's rate, in percent.
+    load_percent: u64,
+    /// The instance a request arrives at, by the time and a random number.
+    place: fn(u64, u64) -> usize,
+    weather: Weather,
+    /// Whether requests arrive in groups of this many.
+    group: u64,
+}
+
+const LARGE: RateAmount = RateAmount {
+    rate: 120_000,
+    burst: 60_000,
+};
+
+const SMALL: RateAmount = RateAmount {
+    rate: 20_000,
+    burst: 5_000,
+};
+
+const ROUGH: Weather = Weather {
+    loss_percent: 5,
+    repeat_percent: 5,
+    delay_ms: 50,
+};
+
+const LOADS: [LoadCase; 7] = [
+    LoadCase {
+        name: "even, 90% load",
+        total: LARGE,
+        load_percent: 90,
+        place: |_, random| (random % 7) as usize,
+        weather: CALM,
+        group: 1,
+    },
+    LoadCase {
+        name: "all at one instance, 95% load",
+        total: LARGE,
+        load_percent: 95,
+        place: |_, _| 0,
+        weather: CALM,
+        group: 1,
+    },
+    LoadCase {
+        name: "all at one instance, 300% load",
+        total: LARGE,
+        load_percent: 300,
+        place: |_, _| 0,
+        weather: CALM,
+        group: 1,
+    },
+    LoadCase {
+        name: "80% at one instance, 95% load",
+        total: LARGE,
+        load_percent: 95,
+        place: |_, random| {
+            let place = if random % 10 < 8 { 0 } else { random / 10 % 7 };
+            place as usize
+        },
+        weather: CALM,
+        group: 1,
+    },
+    LoadCase {
+        name: "moves every 4 s, 90% load",
+        total: LARGE,
+        load_percent: 90,
+        place: |now_ms, _| (now_ms / 4_000 % 7) as usize,
+        weather: CALM,
+        group: 1,
+    },
+    LoadCase {
+        name: "small burst, groups of 5, 80% load",
+        total: SMALL,
+        load_percent: 80,
+        place: |now_ms, _| (now_ms / 3_000 % 7) as usize,
+        weather: CALM,
+        group: 5,
+    },
+    LoadCase {
+        name: "all at one instance, 95%, rough network",
+        total: LARGE,
+        load_percent: 95,
+        place: |_, _| 0,
+        weather: ROUGH,
+        group: 1,
+    },
+];
+
+#[derive(Debug, Default)]
+struct Outcome {
+    arrived: u64,
+    admitted: u64,
+    refused_within_rate: u64,
+    /// The requests an ideal bucket would have admitted.
+    entitled: u64,
+    whole_rate_ms: Option<u64>,
+    messages: u64,
+}
+
+/// A request that waits.
+struct Waiting {
+    instance: usize,
+    until_ms: u64,
+    /// Whether an ideal bucket admitted it when it arrived.
+    is_entitled: bool,
+}
+
+fn main() {
+    println!(
+        "{:<40} {:<18} {:>8} {:>9} {:>10} {:>9} {:>9} {:>7}",
+        "load", "policy", "arrived", "admitted", "adm/ent", "wrongful", "whole ms", "msg/s"
+    );
+    for load in &LOADS {
+        for policy in [
+            LoanPolicy::FIXED,
+            LoanPolicy::ON_DEMAND,
+            LoanPolicy::AHEAD_OF_DEMAND,
+        ] {
+            let outcome = measure(load, policy);
+            let whole = outcome
+                .whole_rate_ms
+                .map_or_else(|| "-".to_string(), |time| time.to_string());
+            println!(
+                "{:<40} {:<18} {:>8} {:>9} {:>10.3} {:>8.2}% {:>9} {:>7}",
+                load.name,
+                policy.name,
+                outcome.arrived,
+                outcome.admitted,
+                ratio(outcome.admitted, outcome.entitled),
+                100.0 * ratio(outcome.refused_within_rate, outcome.arrived),
+                whole,
+                outcome.messages * 1_000 / RUN_MS
+            );
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a short run are exact in a float"
+)]
+fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+/// An ideal token bucket fed with the arrivals, in units of 10⁻⁶ tokens.
+struct IdealBucket {
+    level: u64,
+    total: RateAmount,
+}
+
+impl IdealBucket {
+    fn pass(&mut self, elapsed_ms: u64) {
+        let burst = self.total.burst.unsigned_abs() * 1_000;
+        let earned = self.total.rate.unsigned_abs() * elapsed_ms;
+        self.level = (self.level + earned).min(burst);
+    }
+
+    fn take(&mut self) -> bool {
+        let is_enough = self.level >= 1_000_000;
+        if is_enough {
+            self.level -= 1_000_000;
+        }
+        is_enough
+    }
+}
+
+fn measure(load: &LoadCase, policy: LoanPolicy) -> Outcome {
+    let mut fleet = Fleet::new(FleetPlan {
+        seat_domains: SEATS.to_vec(),
+        rates: vec![RatePlan {
+            name: "account",
+            total: load.total,
+        }],
+        slots: Vec::new(),
+        policy,
+        asks_per_s: 50,
+        longest_deadline: Duration::from_secs(1),
+        slowest_clock: 1_000,
+        clocks: Vec::new(),
+        seed: 7,
+    });
+    fleet.weather = load.weather;
+    fleet.run(2_000, STEP_MS, |_| {});
+    let messages_before = fleet.messages;
+    let mut ideal = IdealBucket {
+        level: load.total.burst.unsigned_abs() * 1_000,
+        total: load.total,
+    };
+    let mut outcome = Outcome::default();
+    let mut waiting: Vec<Waiting> = Vec::new();
+    // Load that has built up, in thousandths of a request.
+    let mut due = 0;
+    let mut admitted_in_second = 0;
+    for step in 0..RUN_MS / STEP_MS {
+        let now_ms = step * STEP_MS;
+        ideal.pass(STEP_MS);
+        due += load.total.rate.unsigned_abs() * load.load_percent * STEP_MS / 100_000;
+        while due >= load.group * 1_000 {
+            due -= load.group * 1_000;
+            let random = fleet.random(1 << 32);
+            let instance = (load.place)(now_ms, random);
+            for _ in 0..load.group {
+                outcome.arrived += 1;
+                let is_entitled = ideal.take();
+                outcome.entitled += u64::from(is_entitled);
+                if fleet.take(instance, 0) {
+                    outcome.admitted += 1;
+                    admitted_in_second += 1;
+                } else {
+                    let until_ms = now_ms + WAIT_MS;
+                    waiting.push(Waiting {
+                        instance,
+                        until_ms,
+                        is_entitled,
+                    });
+                }
+            }
+        }
+        fleet.run(STEP_MS, STEP_MS, |_| {});
+        waiting.retain(|request| {
+            if fleet.try_take(request.instance, 0) {
+                outcome.admitted += 1;
+                admitted_in_second += 1;
+                return false;
+            }
+            let is_over = now_ms >= request.until_ms;
+            if is_over && request.is_entitled {
+                outcome.refused_within_rate += 1;
+            }
+            !is_over
+        });
+        if (step + 1) % (200 / STEP_MS) == 0 {
+            let offered = load.total.rate.unsigned_abs() * load.load_percent.min(100) / 100;
+            let is_whole = admitted_in_second * 1_000 * 100 >= offered * 95 * 200 / 1_000;
+            if is_whole && outcome.whole_rate_ms.is_none() {
+                outcome.whole_rate_ms = Some(now_ms + STEP_MS);
+            }
+            admitted_in_second = 0;
+        }
+    }
+    outcome.messages = fleet.messages - messages_before;
+    outcome
+}
