--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -15,8 +15,10 @@
 mod rate_limit;
 mod refill_account;
 mod seat_claim;
+mod seat_holder;
 mod seen_asks;
 mod share_split;
+mod share_transition;
 mod slot_limit;
 
 pub use demand_estimate::ShortCounter;
@@ -31,7 +33,12 @@
     with_drift_margin,
 };
 pub use peer_memory::LoanPeer;
+pub use seat_claim::{
+    ClaimStep, PROBE_INTERVAL, SeatClaim, SeatOffer, SeatRecordState, UpdateOutcome, claim_order,
+};
+pub use seat_holder::{HolderStanding, SEAT_LEASE, SeatHolder};
 pub use share_split::{MILLI_PER_TOKEN, split_rate, split_slots};
+pub use share_transition::{SeatEvidence, ShareTransition};
 
 mod attempt_state;
 mod crash_suspects;
