process tests: the path of a request through separate processes

Found by the tests: a daemon refused keyed requests as isolated until its next watch after the start, and left peers out of the look-up until the next round. Change: a document read from the platform counts as confirmed when the platform was asked for it; the first heartbeat of a peer publishes the look-up at once.

--- a/crates/daemon/src/control_event.rs
+++ b/crates/daemon/src/control_event.rs
@@ -22,6 +22,8 @@
     pub source: ConfigSource,
     /// Its version.
     pub version: ConfigVersion,
+    /// When the platform was asked and named this version as the newest, if it was asked.
+    pub confirmed: Option<MonotonicTime>,
     /// The manifest and the text.
     pub loaded: Arc<LoadedConfig>,
     /// The checked configuration, or its faults.
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -292,7 +292,7 @@
         }
         match verdict {
             OfferVerdict::Fetch if self.start_fetch(version, now) => {
-                tokio::spawn(self.platform.clone().fetch_document(stored.manifest));
+                tokio::spawn(self.platform.clone().fetch_document(stored.manifest, asked));
             }
             OfferVerdict::OverwriteStale => {
                 if let Some(loaded) = &self.loaded {
@@ -340,6 +340,7 @@
         let FetchedDocument {
             source,
             version,
+            confirmed,
             loaded,
             checked,
         } = document;
@@ -351,6 +352,10 @@
         match (outcome, checked) {
             (DocumentOutcome::InForce, Ok(config)) => {
                 self.put_in_force(Arc::new(config), loaded, version, now);
+                if let (Some(age), Some(asked)) = (&mut self.age, confirmed) {
+                    age.note_confirmed(asked);
+                }
+                self.publish_age(now);
             }
             (DocumentOutcome::Bad, Err(findings)) => {
                 log::error!(
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -110,13 +110,11 @@
             leaving: message.leaving,
             headroom_percent: message.headroom_percent,
         };
-        let was_leaving = self
-            .peers
-            .find(&sender.instance)
-            .is_some_and(|record| record.leaving);
-        let leaving = facts.leaving;
+        let record = self.peers.find(&sender.instance);
+        let is_known =
+            record.is_some_and(|record| record.heard.is_some() && record.leaving == facts.leaving);
         self.peers.note_heartbeat(&sender.instance, facts, now);
-        if leaving != was_leaving {
+        if !is_known {
             self.publish_entries(now);
         }
         self.publish_replay_place(now);
--- a/crates/daemon/src/platform_task.rs
+++ b/crates/daemon/src/platform_task.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::ConfigSource;
 use coltsfootkeel_model::{ConfigVersion, ContentDigest, FleetConfig, GenerationNumber};
 use coltsfootkeel_platform::{
@@ -103,12 +104,12 @@
     }
 
     /// Fetches and checks the document of a manifest.
-    pub async fn fetch_document(self, manifest: ConfigManifest) {
+    pub async fn fetch_document(self, manifest: ConfigManifest, asked: MonotonicTime) {
         let version = version_of(&manifest);
         match self.configs.load_document(&manifest).await {
             Ok(document) => {
                 let loaded = LoadedConfig { manifest, document };
-                check_document(&self.shared, ConfigSource::Platform, loaded).await;
+                check_document(&self.shared, ConfigSource::Platform, Some(asked), loaded).await;
             }
             Err(error) => {
                 log::warn!(
@@ -183,7 +184,12 @@
 }
 
 /// Checks a document on a thread for long work and reports it.
-pub async fn check_document(shared: &Arc<SharedState>, source: ConfigSource, loaded: LoadedConfig) {
+pub async fn check_document(
+    shared: &Arc<SharedState>,
+    source: ConfigSource,
+    confirmed: Option<MonotonicTime>,
+    loaded: LoadedConfig,
+) {
     let version = version_of(&loaded.manifest);
     let checked = tokio::task::spawn_blocking(move || {
         let file = format!("generation-{}", version.generation);
@@ -194,6 +200,7 @@
         Ok((loaded, checked)) => shared.report(ControlEvent::Document(Box::new(FetchedDocument {
             source,
             version,
+            confirmed,
             loaded: Arc::new(loaded),
             checked,
         }))),
--- /dev/null
+++ b/crates/process-tests/src/fleet_files.rs
@@ -0,0 +1,98 @@
+//! The files of a test's fleet.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use coltsfootkeel_model::AccessDigest;
+
+use crate::fleet_plan::FleetPlan;
+
+/// The token of the test's operator.
+pub const OPERATOR_TOKEN: &str = "test-operator-token";
+
+/// The addresses of one daemon.
+#[derive(Debug, Clone, Copy)]
+pub struct DaemonAddresses {
+    /// For callers.
+    pub entry: SocketAddr,
+    /// For peers.
+    pub peer: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// Returns the configuration of a plan. Writing to a string cannot fail.
+pub fn configuration(plan: &FleetPlan, upstreams: &[SocketAddr]) -> String {
+    let mut text = String::from("regions:\n");
+    for (region, domains) in &plan.regions {
+        let _ = writeln!(
+            text,
+            "  - {{name: {region}, failure_domains: [{}]}}",
+            domains.join(", ")
+        );
+    }
+    text.push_str("seats:\n");
+    for daemon in &plan.daemons {
+        let _ = writeln!(
+            text,
+            "  - {{name: {}, failure_domain: {}}}",
+            daemon.instance, daemon.failure_domain
+        );
+    }
+    text.push_str("departments:\n  - {name: testing}\nclient_accounts:\n");
+    for account in &plan.accounts {
+        let digest = AccessDigest::of_key(&account.key);
+        let _ = writeln!(
+            text,
+            "  - {{name: {}, department: testing, rate_per_s: {}, burst: {}, access_keys: [{{label: test, sha256: \"{digest}\"}}]}}",
+            account.name, account.rate_per_s, account.burst
+        );
+    }
+    text.push_str("pools:\n  - name: pool\n    health_path: /standin/health\n    load_path: /standin/load\n    upstreams:\n");
+    for (upstream, address) in plan.upstreams.iter().zip(upstreams) {
+        let _ = writeln!(
+            text,
+            "      - {{name: {}, address: \"{address}\", failure_domain: {}, slots: {}}}",
+            upstream.name, upstream.failure_domain, upstream.slots
+        );
+    }
+    text.push_str(
+        "routes:\n  - {name: work, department: testing, path_prefix: /work, pool: pool}\n",
+    );
+    text.push_str("  - {name: echo, department: testing, path_prefix: /echo, pool: pool, deadline_ms: 30000}\n");
+    text.push_str(
+        "  - {name: open, department: testing, path_prefix: /open, pool: pool, open: true}\n",
+    );
+    text.push_str(&plan.routes);
+    text.push_str(&plan.sections);
+    text
+}
+
+/// Returns the settings of a daemon.
+pub fn settings(
+    plan: &FleetPlan,
+    index: usize,
+    addresses: DaemonAddresses,
+    platform: SocketAddr,
+    neighbours: &[SocketAddr],
+) -> String {
+    let daemon = &plan.daemons[index];
+    let region = &plan.regions[0].0;
+    let token = AccessDigest::of_key(OPERATOR_TOKEN);
+    let neighbours: Vec<String> = neighbours
+        .iter()
+        .map(|address| format!("\"{address}\""))
+        .collect();
+    format!(
+        "instance: {}\nfailure_domain: {}\nthreads: 2\nentry: {{listen: \"{}\"}}\n\
+         peer: {{listen: \"{}\", token: test-fleet-token}}\n\
+         admin: {{listen: \"{}\", operators: [{{name: tester, token_sha256: \"{token}\"}}]}}\n\
+         platform: {{address: \"{platform}\", region: {region}}}\nneighbours: [{}]\nlog: {{level: warn}}\n",
+        daemon.instance,
+        daemon.failure_domain,
+        addresses.entry,
+        addresses.peer,
+        addresses.admin,
+        neighbours.join(", "),
+    )
+}
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -1,1 +1,13 @@
 //! Starts the programs of the workspace as child processes for tests.
+//!
+//! A [`FleetPlan`] says which upstreams, accounts, routes and daemons a test needs; a [`TestFleet`]
+//! writes the files, starts the processes and ends them when it is dropped.
+
+mod fleet_files;
+mod fleet_plan;
+mod free_ports;
+mod test_fleet;
+
+pub use fleet_plan::{FleetPlan, PlannedAccount, PlannedDaemon, PlannedUpstream};
+pub use free_ports::free_port;
+pub use test_fleet::{TestFleet, wait_for};
--- /dev/null
+++ b/crates/process-tests/src/test_fleet.rs
@@ -0,0 +1,393 @@
+//! The processes of a test.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use coltsfootkeel_standins::{
+    CallAnswer, CallError, CallRequest, ChildProcess, RecordAnswer, call_once, commit_fleet,
+};
+use http::Method;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+
+use crate::fleet_files::{self, DaemonAddresses, OPERATOR_TOKEN};
+use crate::fleet_plan::FleetPlan;
+use crate::free_ports::free_port;
+
+/// The longest time a test waits for something that must happen. It is no bound on how fast it happens.
+const WAIT_LIMIT: Duration = Duration::from_mins(1);
+const WAIT_PAUSE: Duration = Duration::from_millis(20);
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// A daemon of a test.
+#[derive(Debug)]
+struct TestDaemon {
+    addresses: DaemonAddresses,
+    child: Option<ChildProcess>,
+}
+
+/// A platform, upstreams and daemons as separate processes.
+#[derive(Debug)]
+pub struct TestFleet {
+    folder: PathBuf,
+    platform: SocketAddr,
+    upstreams: Vec<SocketAddr>,
+    daemons: Vec<TestDaemon>,
+    platform_child: Option<ChildProcess>,
+    upstream_children: Vec<Option<ChildProcess>>,
+}
+
+impl TestFleet {
+    /// Starts everything a plan names and waits until each daemon holds its seat and knows the others.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process cannot be started or does not become ready.
+    pub async fn start(plan: &FleetPlan) -> Self {
+        let mut fleet = Self::prepare(plan);
+        fleet.start_platform().await;
+        commit_fleet(fleet.platform, &fleet.configuration_file())
+            .await
+            .expect("the configuration of the plan is valid");
+        for index in 0..fleet.upstreams.len() {
+            fleet.start_upstream(plan, index);
+        }
+        for index in 0..fleet.daemons.len() {
+            fleet.start_daemon(index);
+        }
+        fleet.wait_until_settled(fleet.daemons.len()).await;
+        fleet
+    }
+
+    fn prepare(plan: &FleetPlan) -> Self {
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("coltsfootkeel-test-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("the folder for temporary files can be written");
+        let upstreams: Vec<SocketAddr> = plan.upstreams.iter().map(|_| free_port()).collect();
+        let platform = free_port();
+        let addresses: Vec<DaemonAddresses> = plan
+            .daemons
+            .iter()
+            .map(|_| DaemonAddresses {
+                entry: free_port(),
+                peer: free_port(),
+                admin: free_port(),
+            })
+            .collect();
+        let peers: Vec<SocketAddr> = addresses.iter().map(|addresses| addresses.peer).collect();
+        write(
+            &folder.join("fleet.yaml"),
+            &fleet_files::configuration(plan, &upstreams),
+        );
+        for (index, own) in addresses.iter().enumerate() {
+            let text = fleet_files::settings(plan, index, *own, platform, &peers);
+            write(&folder.join(format!("daemon-{index}.yaml")), &text);
+        }
+        let daemon = |addresses| TestDaemon {
+            addresses,
+            child: None,
+        };
+        Self {
+            upstream_children: upstreams.iter().map(|_| None).collect(),
+            daemons: addresses.into_iter().map(daemon).collect(),
+            platform_child: None,
+            folder,
+            platform,
+            upstreams,
+        }
+    }
+
+    /// Starts the platform stand-in without data.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not start.
+    pub async fn start_platform(&mut self) {
+        let arguments = ["platform", "--listen", &self.platform.to_string()].map(str::to_string);
+        self.platform_child = Some(start("coltsfootkeel-standins", &arguments));
+        let platform = self.platform;
+        wait_for("the platform answers", async || {
+            call_once(platform, &CallRequest::new(Method::GET, "/v1/instances"))
+                .await
+                .is_ok()
+        })
+        .await;
+    }
+
+    /// Kills the platform stand-in; its data is lost.
+    pub fn kill_platform(&mut self) {
+        self.platform_child = None;
+    }
+
+    /// Sets the faults of the platform stand-in.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not take them.
+    pub async fn platform_faults(&self, faults: &str) {
+        let request = CallRequest::new(Method::PUT, "/v1/standin/faults").body(faults.to_string());
+        let answer = call_once(self.platform, &request)
+            .await
+            .expect("the platform answers");
+        assert!(answer.status < 300, "faults refused: {:?}", answer.body);
+    }
+
+    /// Returns the address of the platform stand-in.
+    #[must_use]
+    pub fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    /// Starts an upstream.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn start_upstream(&mut self, plan: &FleetPlan, index: usize) {
+        let arguments = [
+            "upstream",
+            "--listen",
+            &self.upstreams[index].to_string(),
+            "--slots",
+            &plan.upstreams[index].slots.to_string(),
+            "--crash",
+            "hard",
+        ]
+        .map(str::to_string);
+        self.upstream_children[index] = Some(start("coltsfootkeel-standins", &arguments));
+    }
+
+    /// Kills an upstream.
+    pub fn kill_upstream(&mut self, index: usize) {
+        self.upstream_children[index] = None;
+    }
+
+    /// Returns the address of an upstream.
+    #[must_use]
+    pub fn upstream(&self, index: usize) -> SocketAddr {
+        self.upstreams[index]
+    }
+
+    /// Orders faults from an upstream.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the upstream does not take them.
+    pub async fn control_upstream(&self, index: usize, change: &str) {
+        let request = CallRequest::new(Method::PUT, "/standin/control").body(change.to_string());
+        let answer = call_once(self.upstreams[index], &request)
+            .await
+            .expect("the upstream answers");
+        assert!(answer.status < 300, "control refused: {:?}", answer.body);
+    }
+
+    /// Returns what an upstream ran, or nothing if it does not answer.
+    pub async fn record(&self, index: usize) -> Option<RecordAnswer> {
+        let request = CallRequest::new(Method::GET, "/standin/record");
+        let answer = call_once(self.upstreams[index], &request).await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// Returns the number of requests that all upstreams that answer have started.
+    pub async fn started_runs(&self) -> u64 {
+        let mut started = 0;
+        for index in 0..self.upstreams.len() {
+            started += self
+                .record(index)
+                .await
+                .map_or(0, |record| record.totals.started);
+        }
+        started
+    }
+
+    /// Starts a daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn start_daemon(&mut self, index: usize) {
+        let settings = self.folder.join(format!("daemon-{index}.yaml"));
+        let arguments = ["--settings".to_string(), settings.display().to_string()];
+        self.daemons[index].child = Some(start("coltsfootkeeld", &arguments));
+    }
+
+    /// Kills a daemon.
+    pub fn kill_daemon(&mut self, index: usize) {
+        self.daemons[index].child = None;
+    }
+
+    /// Sends a signal to a daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the daemon does not run.
+    pub fn signal_daemon(&self, index: usize, signal: Signal) {
+        let child = self.daemons[index].child.as_ref().expect("the daemon runs");
+        let id = i32::try_from(child.id()).expect("a process id fits");
+        kill(Pid::from_raw(id), signal).expect("a child can be signalled");
+    }
+
+    /// Tells whether a daemon has ended by itself with success.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its state cannot be read.
+    pub fn has_ended_well(&mut self, index: usize) -> bool {
+        let child = self.daemons[index]
+            .child
+            .as_mut()
+            .expect("the daemon was started");
+        let ended = child.ended().expect("the state of a child can be read");
+        ended.is_some_and(|status| status.success())
+    }
+
+    /// Returns the address a daemon listens on for callers.
+    #[must_use]
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.daemons[index].addresses.entry
+    }
+
+    /// Returns the address a daemon listens on for operators.
+    #[must_use]
+    pub fn admin(&self, index: usize) -> SocketAddr {
+        self.daemons[index].addresses.admin
+    }
+
+    /// Returns the address a daemon listens on for peers.
+    #[must_use]
+    pub fn peer(&self, index: usize) -> SocketAddr {
+        self.daemons[index].addresses.peer
+    }
+
+    /// Sends a request with an access key to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the exchange came.
+    pub async fn call(
+        &self,
+        daemon: usize,
+        method: Method,
+        path: &str,
+        key: &str,
+    ) -> Result<CallAnswer, CallError> {
+        self.send(daemon, CallRequest::new(method, path), key).await
+    }
+
+    /// Sends a prepared request with an access key to a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the exchange came.
+    pub async fn send(
+        &self,
+        daemon: usize,
+        request: CallRequest,
+        key: &str,
+    ) -> Result<CallAnswer, CallError> {
+        let request = request.header("Authorization", &format!("Bearer {key}"));
+        call_once(self.entry(daemon), &request).await
+    }
+
+    /// Looks up as a caller.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the daemon gives no answer in JSON.
+    pub async fn look_up(&self, daemon: usize) -> Value {
+        let request = CallRequest::new(Method::GET, "/v1/look-up?client=10.0.0.1");
+        let answer = call_once(self.entry(daemon), &request)
+            .await
+            .expect("the daemon answers");
+        parse(&answer.body)
+    }
+
+    /// Returns the dump of a daemon, or nothing if it does not answer.
+    pub async fn dump(&self, daemon: usize) -> Option<Value> {
+        let request = CallRequest::new(Method::GET, "/v1/dump")
+            .header("Authorization", &format!("Bearer {OPERATOR_TOKEN}"))
+            .limit(Duration::from_secs(2));
+        let answer = call_once(self.admin(daemon), &request).await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// Waits until `running` daemons are ready, hold their seats and know each other.
+    pub async fn wait_until_settled(&self, running: usize) {
+        for index in 0..self.daemons.len() {
+            if self.daemons[index].child.is_none() {
+                continue;
+            }
+            wait_for("the daemon holds a seat and knows its peers", async || {
+                let Some(dump) = self.dump(index).await else {
+                    return false;
+                };
+                let peers = dump["peers"].as_array().map_or(0, |peers| {
+                    peers
+                        .iter()
+                        .filter(|peer| peer["heard_ms_ago"].is_u64())
+                        .count()
+                });
+                dump["seat"].is_string()
+                    && peers + 1 >= running
+                    && dump["config"]["generation"].as_u64() > Some(0)
+            })
+            .await;
+        }
+    }
+
+    /// Returns the file of the configuration.
+    #[must_use]
+    pub fn configuration_file(&self) -> PathBuf {
+        self.folder.join("fleet.yaml")
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        // A folder that stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until `test` holds.
+///
+/// # Panics
+///
+/// Panics if it does not hold within a minute.
+pub async fn wait_for(what: &str, mut test: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + WAIT_LIMIT;
+    while !test().await {
+        assert!(Instant::now() < end, "waited for a minute until {what}");
+        tokio::time::sleep(WAIT_PAUSE).await;
+    }
+}
+
+fn parse(body: &Bytes) -> Value {
+    serde_json::from_slice(body).expect("the answer is JSON")
+}
+
+fn write(path: &Path, text: &str) {
+    std::fs::write(path, text).expect("the folder for temporary files can be written");
+}
+
+/// Starts a program of the workspace. Test programs lie one folder below the others.
+fn start(name: &str, arguments: &[String]) -> ChildProcess {
+    let own = std::env::current_exe().expect("the path of the test is known");
+    let folder = own
+        .parent()
+        .and_then(Path::parent)
+        .expect("tests run in the target folder");
+    let path = folder.join(name);
+    ChildProcess::start(name, &path, arguments).unwrap_or_else(|error| {
+        panic!(
+            "{}: {error}; run cargo build --workspace --bins",
+            path.display()
+        )
+    })
+}
