decisions: time to the whole rate in the comparison of policies

Cause: the first window was whole because of the initial burst. Change: five consecutive windows of 200 ms with 95% are needed; a small burst that stays at one instance.

--- a/crates/decisions/examples/loan_policies.rs
+++ b/crates/decisions/examples/loan_policies.rs
@@ -15,6 +15,8 @@
 const STEP_MS: u64 = 10;
 /// A request may wait this long for a loan.
 const WAIT_MS: u64 = 150;
+/// The whole rate counts as reached at the first of five consecutive windows with 95% of it.
+const WINDOW_MS: u64 = 200;
 const SEATS: [usize; 7] = [0, 0, 1, 1, 2, 2, 2];
 
 /// A distribution of one account's requests over the instances.
@@ -46,7 +48,15 @@
     delay_ms: 50,
 };
 
-const LOADS: [LoadCase; 9] = [
+const LOADS: [LoadCase; 10] = [
+    LoadCase {
+        name: "small burst, groups of 5, one instance",
+        total: SMALL,
+        load_percent: 80,
+        place: |_, _| 0,
+        weather: CALM,
+        group: 5,
+    },
     LoadCase {
         name: "even, 60% load",
         total: LARGE,
@@ -110,7 +120,7 @@
         group: 1,
     },
     LoadCase {
-        name: "small burst, groups of 5, 80% load",
+        name: "small burst, groups of 5, moves",
         total: SMALL,
         load_percent: 80,
         place: |now_ms, _| now_ms / 3_000 % 7,
@@ -233,7 +243,8 @@
     let mut waiting: Vec<Waiting> = Vec::new();
     // Load that has built up, in thousandths of a request.
     let mut due = 0;
-    let mut admitted_in_second = 0;
+    let mut admitted_in_window = 0;
+    let mut windows = Vec::new();
     for step in 0..RUN_MS / STEP_MS {
         let now_ms = step * STEP_MS;
         ideal.pass(STEP_MS);
@@ -249,7 +260,7 @@
                 outcome.entitled += u64::from(is_entitled);
                 if fleet.take(instance, 0) {
                     outcome.admitted += 1;
-                    admitted_in_second += 1;
+                    admitted_in_window += 1;
                 } else {
                     let until_ms = now_ms + WAIT_MS;
                     waiting.push(Waiting {
@@ -264,7 +275,7 @@
         waiting.retain(|request| {
             if fleet.try_take(request.instance, 0) {
                 outcome.admitted += 1;
-                admitted_in_second += 1;
+                admitted_in_window += 1;
                 return false;
             }
             let is_over = now_ms >= request.until_ms;
@@ -273,15 +284,17 @@
             }
             !is_over
         });
-        if (step + 1) % (200 / STEP_MS) == 0 {
+        if (step + 1) % (WINDOW_MS / STEP_MS) == 0 {
             let offered = load.total.rate.unsigned_abs() * load.load_percent.min(100) / 100;
-            let is_whole = admitted_in_second * 1_000 * 100 >= offered * 95 * 200 / 1_000;
-            if is_whole && outcome.whole_rate_ms.is_none() {
-                outcome.whole_rate_ms = Some(now_ms + STEP_MS);
-            }
-            admitted_in_second = 0;
+            windows.push(admitted_in_window * 1_000_000 * 100 >= offered * 95 * WINDOW_MS);
+            admitted_in_window = 0;
         }
     }
+    let is_whole_second = |windows: &[bool]| windows.iter().all(|&is_whole| is_whole);
+    outcome.whole_rate_ms = windows
+        .windows(5)
+        .position(is_whole_second)
+        .map(|index| index as u64 * WINDOW_MS);
     outcome.messages = fleet.messages - messages_before;
     outcome
 }
