daemon: seats are claimed and confirmed by the state machines of decisions

Cause: the first seat code claimed only free seats, reopened a seat after a pause on a plain read, and two claims could be open at once. Change: SeatKeeper drives SeatClaim and SeatHolder; probes carry the number of the confirmation; a held seat is rewritten so that a claim on its way fails. The platform's seat names the holder's failure domain. A version that the platform named while it was fetched from a peer counts as confirmed. Ruled out: confirming by a read, because a claim may take effect after it.

--- a/crates/daemon/src/config_pull.rs
+++ b/crates/daemon/src/config_pull.rs
@@ -33,7 +33,7 @@
 /// Pulls a version from a peer and has it checked.
 pub async fn pull_config(shared: Arc<SharedState>, peer: PeerHandle, version: ConfigVersion) {
     match pull_parts(&peer, version).await {
-        Ok(loaded) => check_document(&shared, ConfigSource::Peer, None, loaded).await,
+        Ok(loaded) => check_document(&shared, ConfigSource::Peer, loaded).await,
         Err(error) => {
             log::info!(
                 "config: Taking generation {} from a peer failed: {error}",
--- a/crates/daemon/src/control_event.rs
+++ b/crates/daemon/src/control_event.rs
@@ -8,7 +8,7 @@
 };
 use coltsfootkeel_model::{ConfigVersion, FindingList, FleetConfig};
 use coltsfootkeel_platform::{InstanceEntry, LoadedConfig, StoredManifest, StoredSeat};
-use coltsfootkeel_protocol::PeerBody;
+use coltsfootkeel_protocol::{PeerBody, SeatAnswer};
 use tokio::sync::oneshot;
 
 use crate::peer_client::PeerEvent;
@@ -22,8 +22,6 @@
     pub source: ConfigSource,
     /// Its version.
     pub version: ConfigVersion,
-    /// When the platform was asked and named this version as the newest, if it was asked.
-    pub confirmed: Option<MonotonicTime>,
     /// The manifest and the text.
     pub loaded: Arc<LoadedConfig>,
     /// The checked configuration, or its faults.
@@ -91,7 +89,7 @@
     Release(oneshot::Sender<()>),
 }
 
-/// What the platform says about a seat.
+/// What the platform or a peer says about a seat.
 #[derive(Debug)]
 pub enum SeatNews {
     /// The seat was read.
@@ -101,17 +99,33 @@
         /// What the platform holds.
         stored: StoredSeat,
     },
+    /// A seat could not be read.
+    ReadFailed,
     /// A claim of this instance took effect.
     Claimed {
-        /// The name of the seat.
-        seat: String,
-        /// What was there before.
-        before: StoredSeat,
         /// What the platform holds now.
         stored: StoredSeat,
     },
-    /// A question about the seat failed.
-    Failed,
+    /// A claim did not take effect and will not.
+    ClaimLost,
+    /// It cannot be told whether a claim took effect.
+    ClaimUnknown,
+    /// The holder's rewrite of its seat ended.
+    Rewritten {
+        /// The number of the confirmation.
+        round: u64,
+        /// What the platform holds now.
+        stored: StoredSeat,
+        /// Whether this instance still holds the seat.
+        is_own: bool,
+    },
+    /// A peer answered a probe.
+    Answered {
+        /// The incarnation of the peer.
+        peer: u64,
+        /// The answer.
+        answer: SeatAnswer,
+    },
     /// The seat was released.
     Released,
 }
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -10,9 +10,9 @@
 use coltsfootkeel_decisions::{
     ConfigAge, ConfigSource, DocumentOutcome, EntryBook, EntryInstance, GenerationTracker,
     LedgerSettings, LoanLedger, LoanPolicy, OfferVerdict, RetryRefill, SPEND_LEASE, SeatRoster,
-    SeatTenure, SuspectList,
+    SuspectList,
 };
-use coltsfootkeel_model::{ConfigVersion, FleetConfig, SeatKey};
+use coltsfootkeel_model::{ConfigVersion, DomainKey, FleetConfig};
 use coltsfootkeel_platform::{LoadedConfig, StoredManifest};
 use coltsfootkeel_protocol::HelloMessage;
 use tokio::sync::mpsc;
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config_pull::pull_config;
-use crate::control_event::{ControlEvent, FetchedDocument, SeatNews};
+use crate::control_event::{ControlEvent, FetchedDocument};
 use crate::fleet_snapshot::HomePlace;
 use crate::peer_client::{PeerEvent, run_peer};
 use crate::peer_table::{PeerTable, domain_named};
@@ -36,8 +36,8 @@
 /// Ticks between two rounds of the slower work: heartbeats, health, look-up table.
 const TICKS_PER_ROUND: u64 = 100;
 
-/// A tick that comes this much late means that the process was paused for longer than half a seat lease.
-const LONGEST_GAP: Duration = Duration::from_secs(3);
+/// A tick that comes this much late means that the process was paused.
+const LONGEST_GAP: Duration = Duration::from_secs(1);
 
 /// A fetch that has not ended after this time is started again.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
@@ -63,6 +63,7 @@
     entry_book: EntryBook,
     retry_refill: RetryRefill,
     fetching: Option<(ConfigVersion, MonotonicTime)>,
+    platform_version: Option<(ConfigVersion, MonotonicTime)>,
     last_tick: MonotonicTime,
     ticks: u64,
     dialed: HashMap<SocketAddr, CancellationToken>,
@@ -92,7 +93,7 @@
             age: None,
             peers: PeerTable::default(),
             suspects: SuspectList::new(),
-            seat: SeatKeeper::default(),
+            seat: SeatKeeper::new(),
             config: None,
             loaded: None,
             home: None,
@@ -100,6 +101,7 @@
             entry_book: EntryBook::new(),
             retry_refill: RetryRefill::new(now),
             fetching: None,
+            platform_version: None,
             last_tick: now,
             ticks: 0,
             dialed: HashMap::new(),
@@ -133,6 +135,7 @@
         let now = self.shared.clock.now();
         self.check_gap(now);
         self.last_tick = now;
+        self.tick_seat(now);
         let output = self.builder.ledger.tick(now);
         self.shared.lease.renew(now, SPEND_LEASE);
         self.send_loans(output);
@@ -145,20 +148,16 @@
         self.ticks += 1;
     }
 
-    /// After a long pause another instance may hold the seat, so nothing is spent until it is confirmed.
+    /// Heartbeats from before a pause of the process tell nothing about the present.
     fn check_gap(&mut self, now: MonotonicTime) {
         let gap = now.since(self.last_tick);
         if gap < LONGEST_GAP {
             return;
         }
         log::warn!("seat: The process was paused for {} ms.", gap.as_millis());
-        self.builder.ledger.close_seat(now);
         if let Some(age) = &mut self.age {
             age.note_pause(now);
         }
-        if let Some(held) = self.seat.held() {
-            tokio::spawn(self.platform.clone().read_seat(held.name.clone()));
-        }
     }
 
     fn round(&mut self, now: MonotonicTime) {
@@ -229,6 +228,7 @@
                 result,
                 load,
             } => {
+                self.note_domain_probe(&upstream, result, now);
                 self.builder.judge.note_probe(&upstream, result, now);
                 if let Some(load) = load {
                     self.builder.judge.note_report(&upstream, load, now);
@@ -284,6 +284,7 @@
             return;
         };
         let version = version_of(&stored.manifest);
+        self.platform_version = Some((version, asked));
         let verdict = self.tracker.offer(ConfigSource::Platform, version, now);
         if let Some(age) = &mut self.age
             && verdict.confirms_ours()
@@ -292,7 +293,7 @@
         }
         match verdict {
             OfferVerdict::Fetch if self.start_fetch(version, now) => {
-                tokio::spawn(self.platform.clone().fetch_document(stored.manifest, asked));
+                tokio::spawn(self.platform.clone().fetch_document(stored.manifest));
             }
             OfferVerdict::OverwriteStale => {
                 if let Some(loaded) = &self.loaded {
@@ -340,7 +341,6 @@
         let FetchedDocument {
             source,
             version,
-            confirmed,
             loaded,
             checked,
         } = document;
@@ -352,10 +352,7 @@
         match (outcome, checked) {
             (DocumentOutcome::InForce, Ok(config)) => {
                 self.put_in_force(Arc::new(config), loaded, version, now);
-                if let (Some(age), Some(asked)) = (&mut self.age, confirmed) {
-                    age.note_confirmed(asked);
-                }
-                self.publish_age(now);
+                self.confirm_age(version, now);
             }
             (DocumentOutcome::Bad, Err(findings)) => {
                 log::error!(
@@ -370,6 +367,16 @@
         }
     }
 
+    /// A version that the platform named while its document was fetched counts as confirmed since then.
+    fn confirm_age(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        if let (Some(age), Some((seen, asked))) = (&mut self.age, self.platform_version)
+            && seen == version
+        {
+            age.note_confirmed(asked);
+        }
+        self.publish_age(now);
+    }
+
     fn put_in_force(
         &mut self,
         config: Arc<FleetConfig>,
@@ -413,108 +420,6 @@
         self.seek_seat();
     }
 
-    fn seat_key(&self, config: &FleetConfig) -> Option<SeatKey> {
-        let held = self.seat.held()?;
-        config.seats.find(|seat| seat.name == held.name)
-    }
-
-    fn seek_seat(&mut self) {
-        if self.shared.is_leaving() {
-            return;
-        }
-        let Some(config) = &self.config else { return };
-        let domain = &self.shared.settings.failure_domain;
-        for seat in self.seat.seats_to_read(config, domain) {
-            tokio::spawn(self.platform.clone().read_seat(seat));
-        }
-    }
-
-    fn handle_seat(&mut self, news: SeatNews, now: MonotonicTime) {
-        match news {
-            SeatNews::Read { seat, stored, .. } => self.handle_seat_read(seat, stored, now),
-            SeatNews::Claimed {
-                seat,
-                before,
-                stored,
-            } => {
-                if self.seat.held().is_some() {
-                    tokio::spawn(self.platform.clone().release_seat(seat, stored));
-                    return;
-                }
-                log::info!("seat: Claimed {seat}.");
-                let is_first = before.occupancy.epoch == 0;
-                self.builder
-                    .ledger
-                    .open_new_seat((!is_first).then_some(now));
-                let tenure = if is_first {
-                    SeatTenure::first(now, seat.clone(), self.shared.incarnation)
-                } else {
-                    SeatTenure::claimed(now, seat.clone(), self.shared.incarnation)
-                };
-                self.seat.hold(seat, stored);
-                self.use_seat(Some(tenure), now);
-            }
-            SeatNews::Failed => self.seat.asked(),
-            SeatNews::Released => {}
-        }
-    }
-
-    fn handle_seat_read(
-        &mut self,
-        seat: String,
-        stored: coltsfootkeel_platform::StoredSeat,
-        now: MonotonicTime,
-    ) {
-        let holder = stored.occupancy.holder.as_ref();
-        let is_ours = holder.is_some_and(|holder| holder.incarnation == self.shared.incarnation);
-        match self.seat.held() {
-            Some(held) if held.name == seat && is_ours => self.builder.ledger.reopen_seat(),
-            Some(held) if held.name == seat => {
-                log::warn!("seat: {seat} was claimed by another instance.");
-                self.seat.drop_seat();
-                self.use_seat(None, now);
-            }
-            Some(_) => {}
-            None => {
-                self.seat.asked();
-                // A former start of this instance cannot live: its listeners would hold the ports.
-                let is_former =
-                    holder.is_some_and(|holder| holder.instance == self.shared.settings.instance);
-                if holder.is_none() || is_former {
-                    tokio::spawn(self.platform.clone().claim_seat(seat, stored));
-                }
-            }
-        }
-    }
-
-    fn use_seat(&mut self, tenure: Option<SeatTenure>, now: MonotonicTime) {
-        if let (Some(config), Some(home)) = (self.config.clone(), self.home) {
-            let seat = self.seat_key(&config);
-            self.builder.use_seat(&config, home, seat, now);
-        }
-        let place = self.shared.replay_place.load();
-        self.shared.replay_place.store(Arc::new(ReplayPlace {
-            roster: place.roster.clone(),
-            holders: place.holders.clone(),
-            tenure,
-        }));
-        self.send_heartbeats(now);
-    }
-
-    fn release_seat(&mut self, done: tokio::sync::oneshot::Sender<()>, now: MonotonicTime) {
-        self.builder.ledger.close_seat(now);
-        let Some(held) = self.seat.drop_seat() else {
-            let _ = done.send(());
-            return;
-        };
-        self.use_seat(None, now);
-        let platform = self.platform.clone();
-        tokio::spawn(async move {
-            platform.release_seat(held.name, held.stored).await;
-            let _ = done.send(());
-        });
-    }
-
     /// Publishes who owns idempotency keys, from the seats of the configuration and the last heartbeats.
     pub(crate) fn publish_replay_place(&mut self, now: MonotonicTime) {
         let Some(config) = &self.config else { return };
@@ -620,24 +525,38 @@
 
     /// Probes the upstreams of the own failure domain; drains seen there are told to the peers.
     fn probe_upstreams(&self) {
-        let (Some(config), Some(home)) = (&self.config, self.home) else {
-            return;
+        let Some(home) = self.home else { return };
+        for target in self.probe_targets(|domain| domain == home.domain) {
+            self.spawn_probe(target);
+        }
+    }
+
+    /// Returns the upstreams of the failure domains for which `is_wanted` holds.
+    pub(crate) fn probe_targets(&self, is_wanted: impl Fn(DomainKey) -> bool) -> Vec<ProbeTarget> {
+        let Some(config) = &self.config else {
+            return Vec::new();
         };
-        for (_, upstream) in config
+        let upstreams = config
             .upstreams
             .iter()
-            .filter(|(_, upstream)| upstream.domain == home.domain)
-        {
-            let pool = &config.pools[upstream.pool];
-            let target = ProbeTarget {
-                upstream: upstream.name.clone(),
-                address: upstream.address,
-                health_path: pool.health_path.clone(),
-                load_path: pool.load_path.clone(),
-                slots: upstream.slots,
-            };
-            tokio::spawn(probe_upstream(Arc::clone(&self.shared), target));
-        }
+            .filter(|(_, upstream)| is_wanted(upstream.domain));
+        upstreams
+            .map(|(_, upstream)| {
+                let pool = &config.pools[upstream.pool];
+                ProbeTarget {
+                    upstream: upstream.name.clone(),
+                    address: upstream.address,
+                    health_path: pool.health_path.clone(),
+                    load_path: pool.load_path.clone(),
+                    slots: upstream.slots,
+                }
+            })
+            .collect()
+    }
+
+    /// Probes an upstream; the result comes as an event.
+    pub(crate) fn spawn_probe(&self, target: ProbeTarget) {
+        tokio::spawn(probe_upstream(Arc::clone(&self.shared), target));
     }
 
     fn dial_peers(&mut self) {
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -11,7 +11,7 @@
 use coltsfootkeel_model::{ConfigVersion, ContentDigest, GenerationNumber};
 use coltsfootkeel_protocol::{
     CrashNumber, DrainNotice, HeartbeatMessage, LoanGrant, LoanRequest, LoanReturn, PeerBody,
-    SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
+    SuspectClearance, SuspectNotice,
 };
 
 use crate::config_pull::answer_pull;
@@ -47,7 +47,11 @@
                 return Some(PeerBody::ConfigPush(push));
             }
             PeerBody::SeatProbe(probe) => {
-                return Some(PeerBody::SeatAnswer(self.answer_probe(&probe)));
+                return Some(PeerBody::SeatAnswer(self.answer_probe(
+                    sender.incarnation,
+                    &probe,
+                    now,
+                )));
             }
             PeerBody::SuspectNotice(notice) => {
                 if let Some(report) = read_notice(notice)
@@ -82,6 +86,8 @@
         now: MonotonicTime,
     ) {
         self.learn_addresses(&message.known_peers);
+        self.seat
+            .note_heard(message.incarnation, &message.seats, now);
         let Some(version) = version_of(&message) else {
             return;
         };
@@ -222,15 +228,6 @@
         }
     }
 
-    fn answer_probe(&self, probe: &SeatProbe) -> SeatAnswer {
-        let held = self.seat.held().is_some_and(|held| held.name == probe.seat);
-        SeatAnswer {
-            seat: probe.seat.clone(),
-            held,
-            claimed: held && self.shared.incarnation != probe.incarnation,
-        }
-    }
-
     /// Takes in a crash that this instance saw, and tells the peers.
     pub(crate) fn handle_crash(&mut self, report: &CrashReport, now: MonotonicTime) {
         log::warn!(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod control_event;
 mod control_loop;
 mod control_messages;
+mod control_seat;
 mod daemon;
 mod daemon_metrics;
 mod entry_service;
--- a/crates/daemon/src/loan_messages.rs
+++ b/crates/daemon/src/loan_messages.rs
@@ -70,6 +70,7 @@
         line: end.line,
         kind: limit.kind.into(),
         name: limit.name.clone(),
+        tokens: end.tokens,
     })
 }
 
@@ -80,6 +81,7 @@
     Some(ReturnedLoan {
         line: message.line,
         limit: book.key(&LimitName::new(kind, &message.name))?,
+        tokens: message.tokens,
     })
 }
 
--- a/crates/daemon/src/platform_task.rs
+++ b/crates/daemon/src/platform_task.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::ConfigSource;
 use coltsfootkeel_model::{ConfigVersion, ContentDigest, FleetConfig, GenerationNumber};
 use coltsfootkeel_platform::{
@@ -104,12 +103,12 @@
     }
 
     /// Fetches and checks the document of a manifest.
-    pub async fn fetch_document(self, manifest: ConfigManifest, asked: MonotonicTime) {
+    pub async fn fetch_document(self, manifest: ConfigManifest) {
         let version = version_of(&manifest);
         match self.configs.load_document(&manifest).await {
             Ok(document) => {
                 let loaded = LoadedConfig { manifest, document };
-                check_document(&self.shared, ConfigSource::Platform, Some(asked), loaded).await;
+                check_document(&self.shared, ConfigSource::Platform, loaded).await;
             }
             Err(error) => {
                 log::warn!(
@@ -141,29 +140,58 @@
     pub async fn read_seat(self, seat: String) {
         let news = match self.seats.read(&seat).await {
             Ok(stored) => SeatNews::Read { seat, stored },
-            Err(_) => SeatNews::Failed,
+            Err(_) => SeatNews::ReadFailed,
         };
         self.shared.report(ControlEvent::Seat(news));
     }
 
     /// Claims a seat that is still as it was read.
     pub async fn claim_seat(self, seat: String, seen: StoredSeat) {
-        let holder = SeatHolder {
-            instance: self.shared.settings.instance.clone(),
-            incarnation: self.shared.incarnation,
-            peer_address: self.shared.settings.peer.advertise,
-        };
-        let news = match self.seats.claim(&seat, &seen, holder).await {
-            Ok(ClaimOutcome::Claimed(stored)) => SeatNews::Claimed {
-                seat,
-                before: seen,
-                stored,
-            },
-            Ok(_) | Err(_) => SeatNews::Failed,
+        let news = match self.seats.claim(&seat, &seen, self.own_holder()).await {
+            Ok(ClaimOutcome::Claimed(stored)) => SeatNews::Claimed { stored },
+            // An earlier try whose answer was lost may have taken effect.
+            Ok(ClaimOutcome::Lost(stored)) if self.is_own(&stored) => SeatNews::Claimed { stored },
+            Ok(ClaimOutcome::Lost(_)) => SeatNews::ClaimLost,
+            Ok(ClaimOutcome::Unknown) | Err(_) => {
+                tokio::time::sleep(RETRY_DELAY).await;
+                SeatNews::ClaimUnknown
+            }
         };
         self.shared.report(ControlEvent::Seat(news));
     }
 
+    /// Writes a held seat anew, so that a claim of it that is still on its way fails.
+    pub async fn rewrite_seat(self, seat: String, held: StoredSeat, round: u64) {
+        let (stored, is_own) = match self.seats.claim(&seat, &held, self.own_holder()).await {
+            Ok(ClaimOutcome::Claimed(stored)) => (stored, true),
+            Ok(ClaimOutcome::Lost(stored)) => {
+                let is_own = self.is_own(&stored);
+                (stored, is_own)
+            }
+            Ok(ClaimOutcome::Unknown) | Err(_) => return,
+        };
+        self.shared.report(ControlEvent::Seat(SeatNews::Rewritten {
+            round,
+            stored,
+            is_own,
+        }));
+    }
+
+    fn own_holder(&self) -> SeatHolder {
+        let settings = &self.shared.settings;
+        SeatHolder {
+            instance: settings.instance.clone(),
+            incarnation: self.shared.incarnation,
+            peer_address: settings.peer.advertise,
+            failure_domain: settings.failure_domain.clone(),
+        }
+    }
+
+    fn is_own(&self, stored: &StoredSeat) -> bool {
+        let holder = stored.occupancy.holder.as_ref();
+        holder.is_some_and(|holder| holder.incarnation == self.shared.incarnation)
+    }
+
     /// Releases a seat.
     pub async fn release_seat(self, seat: String, held: StoredSeat) {
         match self.seats.release(&seat, &held).await {
@@ -184,12 +212,7 @@
 }
 
 /// Checks a document on a thread for long work and reports it.
-pub async fn check_document(
-    shared: &Arc<SharedState>,
-    source: ConfigSource,
-    confirmed: Option<MonotonicTime>,
-    loaded: LoadedConfig,
-) {
+pub async fn check_document(shared: &Arc<SharedState>, source: ConfigSource, loaded: LoadedConfig) {
     let version = version_of(&loaded.manifest);
     let checked = tokio::task::spawn_blocking(move || {
         let file = format!("generation-{}", version.generation);
@@ -200,7 +223,6 @@
         Ok((loaded, checked)) => shared.report(ControlEvent::Document(Box::new(FetchedDocument {
             source,
             version,
-            confirmed,
             loaded: Arc::new(loaded),
             checked,
         }))),
--- a/crates/daemon/src/seat_keeper.rs
+++ b/crates/daemon/src/seat_keeper.rs
@@ -1,57 +1,249 @@
-//! Which seat this instance holds.
+//! The seat of this instance: claims one, keeps it confirmed and gives it up.
 
+use std::collections::BTreeMap;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{
+    ClaimStep, SeatClaim, SeatHolder, SeatOffer, SeatRecordState, claim_order,
+};
 use coltsfootkeel_model::FleetConfig;
 use coltsfootkeel_platform::StoredSeat;
 
-/// The seat of this instance, as the control thread knows it.
-#[derive(Debug, Default)]
-pub struct SeatKeeper {
-    held: Option<HeldSeat>,
-    asking: bool,
-}
-
 /// A seat that this instance holds.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct HeldSeat {
     /// The name.
     pub name: String,
     /// What the platform holds.
     pub stored: StoredSeat,
+    /// Whether the seat may be used.
+    pub holder: SeatHolder,
+    /// When the platform or the peers were last asked to confirm it.
+    pub asked: Option<MonotonicTime>,
+}
+
+/// A seat that this instance tries to claim.
+#[derive(Debug)]
+pub struct ClaimedSeat {
+    /// The name.
+    pub name: String,
+    /// What the platform held before.
+    pub stored: StoredSeat,
+    /// How far the claim has come.
+    pub claim: SeatClaim,
+}
+
+/// Where this instance stands.
+#[derive(Debug)]
+enum SeatPhase {
+    /// It has no seat.
+    Without,
+    /// It reads the seats of the configuration.
+    Reading {
+        wanted: usize,
+        read: BTreeMap<String, StoredSeat>,
+    },
+    /// It claims a seat.
+    Claiming(Box<ClaimedSeat>),
+    /// It holds a seat.
+    Holding(Box<HeldSeat>),
+}
+
+/// Facts about this instance that decide which seat it claims.
+#[derive(Debug, Clone, Copy)]
+pub struct SeatClaimant<'a> {
+    /// The name of the instance.
+    pub instance: &'a str,
+    /// The address peers use.
+    pub peer_address: std::net::SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: &'a str,
+}
+
+/// The seat of this instance, as the control thread knows it.
+#[derive(Debug)]
+pub struct SeatKeeper {
+    phase: SeatPhase,
 }
 
 impl SeatKeeper {
+    /// Makes the keeper of an instance without a seat.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            phase: SeatPhase::Without,
+        }
+    }
+
     /// Returns the seat held.
     #[must_use]
     pub fn held(&self) -> Option<&HeldSeat> {
-        self.held.as_ref()
+        match &self.phase {
+            SeatPhase::Holding(held) => Some(held),
+            _ => None,
+        }
+    }
+
+    /// Returns the seat held, to be changed.
+    pub fn held_mut(&mut self) -> Option<&mut HeldSeat> {
+        match &mut self.phase {
+            SeatPhase::Holding(held) => Some(held),
+            _ => None,
+        }
     }
 
-    /// Records a seat that was claimed.
-    pub fn hold(&mut self, name: String, stored: StoredSeat) {
-        self.held = Some(HeldSeat { name, stored });
-        self.asking = false;
+    /// Returns the seat being claimed.
+    #[must_use]
+    pub fn claiming(&self) -> Option<&ClaimedSeat> {
+        match &self.phase {
+            SeatPhase::Claiming(claimed) => Some(claimed),
+            _ => None,
+        }
     }
 
-    /// Forgets the seat.
-    pub fn drop_seat(&mut self) -> Option<HeldSeat> {
-        self.asking = false;
-        self.held.take()
+    /// Returns the seat being claimed, to be changed.
+    pub fn claiming_mut(&mut self) -> Option<&mut ClaimedSeat> {
+        match &mut self.phase {
+            SeatPhase::Claiming(claimed) => Some(claimed),
+            _ => None,
+        }
     }
 
-    /// Returns the seats to read next, or none while an answer is awaited or a seat is held.
+    /// Returns the seats to read now: all of them, if this instance has none and does not seek one yet.
     #[must_use]
-    pub fn seats_to_read(&mut self, config: &FleetConfig, failure_domain: &str) -> Vec<String> {
-        if self.held.is_some() || self.asking {
+    pub fn start_reading(&mut self, config: &FleetConfig) -> Vec<String> {
+        if !matches!(self.phase, SeatPhase::Without) {
             return Vec::new();
         }
-        self.asking = true;
-        let seats = config.seats.iter();
-        let own = seats.filter(|(_, seat)| config.domains[seat.domain].name == failure_domain);
-        own.map(|(_, seat)| seat.name.clone()).collect()
+        let names: Vec<String> = config
+            .seats
+            .iter()
+            .map(|(_, seat)| seat.name.clone())
+            .collect();
+        self.phase = SeatPhase::Reading {
+            wanted: names.len(),
+            read: BTreeMap::new(),
+        };
+        names
+    }
+
+    /// Takes in a seat that was read, and starts a claim when all have been read.
+    ///
+    /// `is_heard` tells whether the holder with an incarnation was heard lately.
+    pub fn take_read(
+        &mut self,
+        name: String,
+        stored: StoredSeat,
+        config: &FleetConfig,
+        claimant: SeatClaimant<'_>,
+        is_heard: impl Fn(u64) -> bool,
+        now: MonotonicTime,
+    ) {
+        let SeatPhase::Reading { wanted, read } = &mut self.phase else {
+            return;
+        };
+        read.insert(name, stored);
+        if read.len() < *wanted {
+            return;
+        }
+        let read = std::mem::take(read);
+        self.phase = match choose_seat(&read, config, claimant, is_heard) {
+            Some(name) => {
+                let stored = read[&name].clone();
+                let state = record_state(&stored, claimant);
+                let holder = stored.occupancy.holder.as_ref();
+                let is_same =
+                    holder.is_some_and(|holder| holder.failure_domain == claimant.failure_domain);
+                SeatPhase::Claiming(Box::new(ClaimedSeat {
+                    claim: SeatClaim::new(state, is_same, now),
+                    name,
+                    stored,
+                }))
+            }
+            None => SeatPhase::Without,
+        };
     }
 
-    /// Notes that the answers have come or failed, so that the next tick may ask again.
-    pub fn asked(&mut self) {
-        self.asking = false;
+    /// Starts anew after a read, a claim or a seat was lost.
+    pub fn start_over(&mut self) {
+        self.phase = SeatPhase::Without;
+    }
+
+    /// Records that a claim took effect for which the update was sent at `sent`.
+    pub fn hold(&mut self, name: String, stored: StoredSeat, sent: MonotonicTime) {
+        self.phase = SeatPhase::Holding(Box::new(HeldSeat {
+            holder: SeatHolder::new(sent),
+            name,
+            stored,
+            asked: None,
+        }));
+    }
+
+    /// Gives up the seat and returns it.
+    pub fn release(&mut self) -> Option<HeldSeat> {
+        match std::mem::replace(&mut self.phase, SeatPhase::Without) {
+            SeatPhase::Holding(mut held) => {
+                held.holder.release();
+                Some(*held)
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the next step of a claim.
+    pub fn claim_step(&mut self, now: MonotonicTime) -> Option<ClaimStep> {
+        self.claiming_mut().map(|claimed| claimed.claim.step(now))
+    }
+
+    /// Notes that an instance was heard which holds `seats` or has this incarnation.
+    pub fn note_heard(&mut self, incarnation: u64, seats: &[String], now: MonotonicTime) {
+        let Some(claimed) = self.claiming_mut() else {
+            return;
+        };
+        let holder = claimed.stored.occupancy.holder.as_ref();
+        let is_holder = holder.is_some_and(|holder| holder.incarnation == incarnation);
+        if is_holder || seats.contains(&claimed.name) {
+            claimed.claim.holder_heard(now);
+        }
+    }
+}
+
+/// A former start of this instance at the same address cannot live: its listeners would hold the ports.
+fn record_state(stored: &StoredSeat, claimant: SeatClaimant<'_>) -> SeatRecordState {
+    match &stored.occupancy.holder {
+        None if stored.occupancy.epoch == 0 => SeatRecordState::Unused,
+        None => SeatRecordState::Released,
+        Some(holder)
+            if holder.instance == claimant.instance
+                && holder.peer_address == claimant.peer_address =>
+        {
+            SeatRecordState::Released
+        }
+        Some(_) => SeatRecordState::Held,
+    }
+}
+
+fn choose_seat(
+    read: &BTreeMap<String, StoredSeat>,
+    config: &FleetConfig,
+    claimant: SeatClaimant<'_>,
+    is_heard: impl Fn(u64) -> bool,
+) -> Option<String> {
+    let mut offers = Vec::new();
+    for (key, seat) in config.seats.iter() {
+        let Some(stored) = read.get(&seat.name) else {
+            continue;
+        };
+        let holder = stored.occupancy.holder.as_ref();
+        if holder.is_some_and(|holder| is_heard(holder.incarnation)) {
+            continue;
+        }
+        offers.push(SeatOffer {
+            seat: key,
+            state: record_state(stored, claimant),
+            is_own_domain: config.domains[seat.domain].name == claimant.failure_domain,
+        });
     }
+    let first = claim_order(&offers).into_iter().next()?;
+    Some(config.seats[first].name.clone())
 }
--- a/crates/platform/src/seat_store.rs
+++ b/crates/platform/src/seat_store.rs
@@ -23,6 +23,8 @@
     pub incarnation: u64,
     /// The address of the instance's peer listener.
     pub peer_address: SocketAddr,
+    /// The failure domain that the instance runs in, which may differ from the seat's.
+    pub failure_domain: String,
 }
 
 /// Who holds a seat.
--- a/crates/platform/tests/seat_claims.rs
+++ b/crates/platform/tests/seat_claims.rs
@@ -12,6 +12,7 @@
         instance: format!("i-{number}"),
         incarnation: number,
         peer_address: "127.0.0.1:9301".parse().unwrap(),
+        failure_domain: "domain-a".to_string(),
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -9,7 +9,7 @@
 //! use coltsfootkeel_protocol::{FrameCodec, PeerBody, PeerFrame, SeatProbe};
 //! use tokio_util::codec::{Decoder, Encoder};
 //!
-//! let probe = SeatProbe { seat: "penang-a-1".to_string(), incarnation: 7 };
+//! let probe = SeatProbe { seat: "penang-a-1".to_string(), incarnation: 7, round: 0 };
 //! let frame = PeerFrame::new(1, PeerBody::SeatProbe(probe));
 //! let mut bytes = BytesMut::new();
 //! let mut codec = FrameCodec::new();
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -208,6 +208,9 @@
     /// The name of the account, upstream or shift.
     #[prost(string, tag = "3")]
     pub name: String,
+    /// The tokens handed back, in milli-tokens.
+    #[prost(int64, tag = "4")]
+    pub tokens: i64,
 }
 
 /// Asks for one part of the configuration in force at the receiver.
@@ -250,6 +253,9 @@
     /// The incarnation of the holder the sender has in mind.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// The number of the sender's confirmation, repeated in the answer.
+    #[prost(uint64, tag = "3")]
+    pub round: u64,
 }
 
 /// Answers a probe.
@@ -261,9 +267,12 @@
     /// Whether the sender holds the seat.
     #[prost(bool, tag = "2")]
     pub held: bool,
-    /// Whether the sender has claimed the seat from another holder.
+    /// Whether the sender has claimed the seat, or may have, from the holder in the question.
     #[prost(bool, tag = "3")]
     pub claimed: bool,
+    /// The number of the confirmation from the question.
+    #[prost(uint64, tag = "4")]
+    pub round: u64,
 }
 
 /// Asks the owner of an idempotency key whether a request may run.
