decisions: tests that fail without the overlap and the second hand-over check

Change: a case with an earlier owner that accepts a key one minute after it was replaced; threads that begin keys from a barrier until the memory is handed over.

--- a/crates/decisions/tests/key_owner.rs
+++ b/crates/decisions/tests/key_owner.rs
@@ -368,3 +368,17 @@
         assert_eq!(remembers, case.remembers, "{}", case.name);
     }
 }
+
+/// Guards against a second run of a key that the earlier owner accepted because it learned of its
+/// replacement, or of a change of the seats, up to a minute late.
+#[test]
+fn key_accepted_late_by_an_earlier_owner_stays_unknown_for_its_retention() {
+    let accepted = at(1_060);
+    let repeated = accepted + KEY_RETENTION - Duration::from_secs(1);
+    let claimed = SeatTenure::claimed(at(1_000), seat(), 2);
+    assert!(!claimed.remembers(repeated, &KeyOwner::Seat(seat())));
+    let before = SeatRoster::new(names(&SEATS[..1]));
+    let after = before.updated(at(1_000), names(&SEATS[1..2]));
+    let owner = owner_of(repeated, "hotel-group", &key("order-1"), &after);
+    assert_eq!(owner, KeyOwner::Moved);
+}
--- a/crates/decisions/tests/replay_memory.rs
+++ b/crates/decisions/tests/replay_memory.rs
@@ -1,6 +1,7 @@
 //! The memory of idempotency keys: at most one run, never forgotten early.
 
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::Duration;
 
@@ -480,27 +481,40 @@
 /// Guards against a request that runs at the old instance while the hand-over does not carry its key.
 #[test]
 fn export_carries_every_key_that_a_concurrent_request_runs() {
-    const ROUNDS: usize = 200;
-    const KEYS: usize = 50;
+    const ROUNDS: usize = 300;
+    const THREADS: usize = 3;
+    let limits = ReplayLimits {
+        entries: usize::MAX,
+        account_entries: usize::MAX,
+        ..LIMITS
+    };
     for _ in 0..ROUNDS {
-        let memory = TextMemory::new(1, LIMITS);
-        let begin_all = || -> Vec<String> {
-            (0..KEYS)
-                .map(|number| format!("order-{number}"))
-                .filter(|text| {
+        let memory = TextMemory::new(1, limits);
+        let started = Barrier::new(THREADS + 1);
+        let begin_until_handed_over = |thread: usize| -> Vec<String> {
+            started.wait();
+            (0..100_000)
+                .map(|number| format!("order-{thread}-{number}"))
+                .take_while(|text| {
                     let decision = memory.begin(at(0), "a", &key(text), ORDER, DEADLINE);
                     matches!(decision, ReplayDecision::Run(_))
                 })
                 .collect()
         };
         let (runs, entries) = thread::scope(|scope| {
-            let requests = scope.spawn(begin_all);
+            let begin = &begin_until_handed_over;
+            let threads = [0, 1, 2].map(|thread| scope.spawn(move || begin(thread)));
+            started.wait();
             let entries = memory.export(at(0));
-            (requests.join().expect("the thread ends"), entries)
+            let runs = threads.map(|thread| thread.join().expect("the thread ends"));
+            (runs.concat(), entries)
         });
-        for text in runs {
-            let carried = entries.iter().any(|entry| entry.key.as_str() == text);
-            assert!(carried, "{text} runs and is not handed over");
+        let carried: HashSet<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+        for text in &runs {
+            assert!(
+                carried.contains(text.as_str()),
+                "{text} runs and is not handed over"
+            );
         }
     }
 }
