--- a/crates/decisions/src/config_age.rs
+++ b/crates/decisions/src/config_age.rs
@@ -12,6 +12,10 @@
 /// A change is in force everywhere within this time, so a younger configuration is not in doubt.
 const AGE_WITHOUT_DOUBT: Duration = Duration::from_secs(5);
 
+/// A heartbeat is taken to have been on its way for this long. Without it, two instances that are cut
+/// off and repeat each other's age would gain the transit time with each heartbeat and never grow old.
+const HEARTBEAT_TRANSIT: Duration = Duration::from_millis(500);
+
 /// Three heartbeats missed.
 const HEARD_WITHIN: Duration = Duration::from_secs(3);
 
@@ -99,6 +103,8 @@
     pub age: Option<Duration>,
     /// Whether it reaches the platform itself.
     pub platform_reached: bool,
+    /// Whether it has had contact with the platform itself since it started or was last paused.
+    pub had_contact: bool,
 }
 
 /// The age of the configuration, owned by the control thread.
@@ -106,6 +112,7 @@
 pub struct ConfigAge {
     own_domain: DomainKey,
     reached: bool,
+    had_contact: bool,
     confirmed_at: i64,
     peers: BTreeMap<String, HeardAge>,
     ignored_until: MonotonicTime,
@@ -124,6 +131,7 @@
         Self {
             own_domain,
             reached: false,
+            had_contact: false,
             confirmed_at: NEVER,
             peers: BTreeMap::new(),
             ignored_until: MonotonicTime::default(),
@@ -142,6 +150,7 @@
     /// sent, because a withdrawal may have been accepted while the answer was on its way.
     pub fn note_confirmed(&mut self, asked: MonotonicTime) {
         self.reached = true;
+        self.had_contact = true;
         self.confirmed_at = self.confirmed_at.max(signed(asked));
     }
 
@@ -163,7 +172,10 @@
     }
 
     /// Records that the process was paused, so that heartbeats from before are not taken as new.
+    ///
+    /// What the platform accepted during the pause was missed, so the contact before it proves nothing.
     pub fn note_pause(&mut self, now: MonotonicTime) {
+        self.had_contact = false;
         self.peers.clear();
         self.ignored_until = now + BACKLOG_TIME;
     }
@@ -174,6 +186,12 @@
         self.reached
     }
 
+    /// Tells whether this instance has had contact since it started or was last paused, for its heartbeat.
+    #[must_use]
+    pub fn had_contact(&self) -> bool {
+        self.had_contact
+    }
+
     /// Returns the age for this instance's heartbeat and status, or nothing if the configuration was
     /// never confirmed. Called each second.
     ///
@@ -184,7 +202,10 @@
             .peers
             .values()
             .filter(|peer| peer.report.version == ours)
-            .filter_map(|peer| Some(signed(peer.heard) - signed_length(peer.report.age?)))
+            .filter_map(|peer| {
+                Some(signed(peer.heard).saturating_sub(signed_length(peer.report.age?)))
+            })
+            .map(|confirmed| confirmed.saturating_sub(signed_length(HEARTBEAT_TRANSIT)))
             .max();
         self.confirmed_at = self.confirmed_at.max(best.unwrap_or(NEVER));
         (self.confirmed_at != NEVER).then(|| elapsed(self.confirmed_at, now))
@@ -193,8 +214,10 @@
     /// Returns since when the platform is known to be down for everyone, if it is.
     ///
     /// That is so if an instance in every failure domain of `platform_region` is heard and none of
-    /// them reaches the platform. An instance that runs a newer version than ours proves that a change
-    /// was accepted. The time returned is that of the oldest heartbeat the conclusion rests on.
+    /// them reaches the platform. In each domain one of them must have had contact since it started:
+    /// an instance that was replaced during the outage does not know what was accepted before it. An
+    /// instance that runs a newer version than ours proves that a change was accepted. The time
+    /// returned is when the oldest heartbeat that the conclusion rests on was sent.
     #[must_use]
     pub fn platform_down_at(
         &self,
@@ -229,14 +252,15 @@
         }
     }
 
-    /// Returns when every instance heard in `domain` was last known not to reach the platform.
+    /// Returns when an instance in `domain` that had contact before was last known not to reach the
+    /// platform, unless another one there reaches it.
     fn unreached_at(
         &self,
         domain: DomainKey,
         ours: ConfigVersion,
         now: MonotonicTime,
     ) -> Option<MonotonicTime> {
-        let mut latest = (domain == self.own_domain).then_some(now);
+        let mut latest = (domain == self.own_domain && self.had_contact).then_some(now);
         for peer in self.peers.values() {
             let is_heard = now.since(peer.heard) <= HEARD_WITHIN;
             if peer.report.domain != domain || !is_heard {
@@ -246,7 +270,9 @@
             if peer.report.platform_reached || is_newer {
                 return None;
             }
-            latest = latest.max(Some(peer.heard));
+            if peer.report.had_contact {
+                latest = latest.max(Some(peer.heard - HEARTBEAT_TRANSIT));
+            }
         }
         latest
     }
--- a/crates/decisions/src/upstream_health.rs
+++ b/crates/decisions/src/upstream_health.rs
@@ -23,7 +23,8 @@
 const FIRST_RAMP_PERMILLE: u32 = 100;
 const REPORT_LIFE: Duration = Duration::from_secs(5);
 
-/// Health answers lag, so one "not draining" right after a refusal proves nothing.
+/// Health answers lag and can contradict each other, so one "not draining" after a sign of a drain
+/// proves nothing.
 const DRAIN_CLEAR_TIME: Duration = Duration::from_secs(10);
 
 /// Probes come each second; a longer gap than three of them breaks a series of health answers.
@@ -58,8 +59,9 @@
     }
 }
 
-/// Bits that only time without a contrary sign can clear.
-const LEARNED_DRAINS: u8 = DrainSource::Refusal.bit() | DrainSource::PeerNotice.bit();
+/// Drains that end only after time without a contrary sign.
+const LEARNED_DRAINS: u8 =
+    DrainSource::HealthAnswer.bit() | DrainSource::Refusal.bit() | DrainSource::PeerNotice.bit();
 
 /// What one instance knows about one upstream. Request threads write it without a lock.
 ///
@@ -581,8 +583,8 @@
             return;
         };
         self.probe_failures = 0;
-        self.health.put_drain(DrainSource::HealthAnswer, draining);
         if draining {
+            self.health.set_drain(DrainSource::HealthAnswer);
             self.note_drain_sign(now);
         } else {
             self.clear_answers = Some(ClearAnswers::extended(self.clear_answers, now));
--- a/crates/decisions/tests/config_age.rs
+++ b/crates/decisions/tests/config_age.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_model::{
     ConfigVersion, ContentDigest, FleetConfig, GenerationNumber, IsolationMode, IsolationRule,
 };
-use steering_fleet::{FleetText, at_s, domain, region};
+use steering_fleet::{FleetText, at_ms, at_s, domain, region};
 
 fn version(generation: u64) -> ConfigVersion {
     ConfigVersion {
@@ -22,6 +22,7 @@
 }
 
 /// A heartbeat: second, instance, failure domain, generation, age in seconds, platform reached.
+/// An instance whose name starts with "new" has had no contact with the platform.
 type HeartbeatRow = (u64, &'static str, &'static str, u64, Option<u64>, bool);
 
 struct AgeCase {
@@ -29,7 +30,7 @@
     /// When this instance's last confirmation was asked for.
     confirmed: Option<u64>,
     heartbeats: &'static [HeartbeatRow],
-    age: Option<u64>,
+    age_ms: Option<u64>,
 }
 
 /// The age at second 100 of an instance that runs generation 5.
@@ -38,25 +39,25 @@
         name: "never confirmed",
         confirmed: None,
         heartbeats: &[],
-        age: None,
+        age_ms: None,
     },
     AgeCase {
         name: "own contact",
         confirmed: Some(97),
         heartbeats: &[],
-        age: Some(3),
+        age_ms: Some(3_000),
     },
     AgeCase {
         name: "a younger peer",
         confirmed: Some(40),
         heartbeats: &[(98, "i1", "johor-a", 5, Some(1), true)],
-        age: Some(3),
+        age_ms: Some(3_500),
     },
     AgeCase {
         name: "an older peer",
         confirmed: Some(97),
         heartbeats: &[(98, "i1", "johor-a", 5, Some(30), false)],
-        age: Some(3),
+        age_ms: Some(3_000),
     },
     AgeCase {
         name: "the youngest of several",
@@ -65,31 +66,31 @@
             (98, "i1", "johor-a", 5, Some(9), false),
             (99, "i2", "johor-b", 5, Some(4), false),
         ],
-        age: Some(5),
+        age_ms: Some(5_500),
     },
     AgeCase {
         name: "a peer without contact",
         confirmed: None,
         heartbeats: &[(98, "i1", "johor-a", 5, None, false)],
-        age: None,
+        age_ms: None,
     },
     AgeCase {
         name: "a peer that runs an older version",
         confirmed: Some(40),
         heartbeats: &[(98, "i1", "johor-a", 4, Some(0), true)],
-        age: Some(60),
+        age_ms: Some(60_000),
     },
     AgeCase {
         name: "a peer that runs a newer version",
         confirmed: Some(40),
         heartbeats: &[(98, "i1", "johor-a", 6, Some(0), true)],
-        age: Some(60),
+        age_ms: Some(60_000),
     },
     AgeCase {
         name: "a confirmation before this process started",
         confirmed: None,
         heartbeats: &[(98, "i1", "johor-a", 5, Some(500), false)],
-        age: Some(502),
+        age_ms: Some(502_500),
     },
 ];
 
@@ -100,6 +101,7 @@
             version: version(*generation),
             age: reported.map(Duration::from_secs),
             platform_reached: *platform_reached,
+            had_contact: !instance.starts_with("new"),
         };
         age.note_peer(instance, report, at_s(*second));
     }
@@ -116,7 +118,42 @@
         }
         heard(&config, &mut age, case.heartbeats);
         let found = age.age(version(5), at_s(100));
-        assert_eq!(found, case.age.map(Duration::from_secs), "{}", case.name);
+        assert_eq!(
+            found,
+            case.age_ms.map(Duration::from_millis),
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against two instances that are cut off and keep each other young: each hears the other's age
+/// 400 ms after it was sent, for ten minutes.
+#[test]
+fn repeated_ages_do_not_stay_young() {
+    let config = fleet();
+    let mut ages = ["penang-b", "kuching-a"].map(|name| ConfigAge::new(domain(&config, name)));
+    for age in &mut ages {
+        age.note_confirmed(at_s(1));
+    }
+    for second in 2..600 {
+        let reports = ages.each_mut().map(|age| age.age(version(5), at_s(second)));
+        for (to, age) in ages.iter_mut().enumerate() {
+            let report = PeerAge {
+                domain: domain(&config, "johor-a"),
+                version: version(5),
+                age: reports[1 - to],
+                platform_reached: false,
+                had_contact: true,
+            };
+            age.note_peer("other", report, at_ms(second * 1_000 + 400));
+        }
+    }
+    for age in &mut ages {
+        assert_eq!(
+            age.age(version(5), at_s(600)),
+            Some(Duration::from_secs(599))
+        );
     }
 }
 
@@ -141,7 +178,10 @@
         &mut age,
         &[(102, "i1", "johor-a", 5, Some(1), true)],
     );
-    assert_eq!(age.age(version(5), at_s(102)), Some(Duration::from_secs(1)));
+    assert_eq!(
+        age.age(version(5), at_s(102)),
+        Some(Duration::from_millis(1_500))
+    );
 }
 
 struct DownCase {
@@ -150,7 +190,7 @@
     own_reached: bool,
     heartbeats: &'static [HeartbeatRow],
     /// Since when the platform is known to be down at second 100.
-    down_at: Option<u64>,
+    down_at_ms: Option<u64>,
 }
 
 const DOWN_CASES: &[DownCase] = &[
@@ -162,7 +202,7 @@
             (99, "i1", "penang-a", 5, None, false),
             (98, "i2", "penang-b", 5, None, false),
         ],
-        down_at: Some(98),
+        down_at_ms: Some(97_500),
     },
     DownCase {
         name: "one domain is not heard",
@@ -172,7 +212,7 @@
             (99, "i1", "penang-a", 5, None, false),
             (99, "i2", "johor-a", 5, None, false),
         ],
-        down_at: None,
+        down_at_ms: None,
     },
     DownCase {
         name: "one domain was heard too long ago",
@@ -182,7 +222,7 @@
             (99, "i1", "penang-a", 5, None, false),
             (96, "i2", "penang-b", 5, None, false),
         ],
-        down_at: None,
+        down_at_ms: None,
     },
     DownCase {
         name: "one of two instances reaches it",
@@ -193,7 +233,7 @@
             (99, "i2", "penang-b", 5, None, false),
             (99, "i3", "penang-b", 5, Some(0), true),
         ],
-        down_at: None,
+        down_at_ms: None,
     },
     DownCase {
         name: "this instance reaches it",
@@ -203,7 +243,7 @@
             (99, "i1", "penang-a", 5, None, false),
             (99, "i2", "penang-b", 5, None, false),
         ],
-        down_at: None,
+        down_at_ms: None,
     },
     DownCase {
         name: "an instance runs a newer version",
@@ -213,21 +253,42 @@
             (99, "i1", "penang-a", 6, None, false),
             (99, "i2", "penang-b", 5, None, false),
         ],
-        down_at: None,
+        down_at_ms: None,
+    },
+    DownCase {
+        name: "the only instance of a domain was replaced",
+        own_domain: "kuching-a",
+        own_reached: false,
+        heartbeats: &[
+            (99, "i1", "penang-a", 5, None, false),
+            (99, "new2", "penang-b", 5, None, false),
+        ],
+        down_at_ms: None,
+    },
+    DownCase {
+        name: "one of two instances of a domain was replaced",
+        own_domain: "kuching-a",
+        own_reached: false,
+        heartbeats: &[
+            (99, "i1", "penang-a", 5, None, false),
+            (98, "i2", "penang-b", 5, None, false),
+            (99, "new3", "penang-b", 5, None, false),
+        ],
+        down_at_ms: Some(97_500),
     },
     DownCase {
         name: "this instance stands for its own domain",
         own_domain: "penang-a",
         own_reached: false,
         heartbeats: &[(98, "i2", "penang-b", 5, None, false)],
-        down_at: Some(98),
+        down_at_ms: Some(97_500),
     },
     DownCase {
         name: "nobody is heard in the platform's region",
         own_domain: "penang-a",
         own_reached: false,
         heartbeats: &[(99, "i2", "johor-a", 5, None, false)],
-        down_at: None,
+        down_at_ms: None,
     },
 ];
 
@@ -237,10 +298,11 @@
     let config = fleet();
     for case in DOWN_CASES {
         let mut age = ConfigAge::new(domain(&config, case.own_domain));
+        age.note_confirmed(at_s(1));
         age.note_reached(case.own_reached);
         heard(&config, &mut age, case.heartbeats);
         let down = age.platform_down_at(&config, region(&config, "penang"), version(5), at_s(100));
-        assert_eq!(down, case.down_at.map(at_s), "{}", case.name);
+        assert_eq!(down, case.down_at_ms.map(at_ms), "{}", case.name);
     }
 }
 
@@ -346,6 +408,23 @@
     }
 }
 
+/// Guards against an instance that was paused and vouches for what it has missed.
+#[test]
+fn contact_before_a_pause_proves_nothing() {
+    let config = fleet();
+    let mut age = ConfigAge::new(domain(&config, "penang-a"));
+    age.note_confirmed(at_s(1));
+    age.note_pause(at_s(90));
+    age.note_reached(false);
+    assert!(!age.had_contact());
+    heard(&config, &mut age, &[(99, "i2", "penang-b", 5, None, false)]);
+    let penang = region(&config, "penang");
+    assert_eq!(
+        age.platform_down_at(&config, penang, version(5), at_s(100)),
+        None
+    );
+}
+
 /// Guards against a fleet that refuses its callers during a long outage of the platform, and against an
 /// instance that goes on serving when it is cut off from that fleet.
 #[test]
@@ -381,6 +460,6 @@
         );
         assert_eq!(publish(&mut age, second), Serve, "{second}");
     }
-    assert_eq!(publish(&mut age, 4_064), Serve);
-    assert_eq!(publish(&mut age, 4_065), Refuse);
+    assert_eq!(publish(&mut age, 4_063), Serve);
+    assert_eq!(publish(&mut age, 4_064), Refuse);
 }
--- a/crates/decisions/tests/upstream_health.rs
+++ b/crates/decisions/tests/upstream_health.rs
@@ -216,15 +216,30 @@
         usable: &[],
     },
     UsableCase {
-        name: "a health answer drains and ends its drain",
+        name: "a health answer drains, and one contrary answer does not end it",
         pool: 2,
         events: &[
             (1, Probe(0, LEAVING)),
-            (2, Probe(1, LEAVING)),
-            (3, Probe(1, CLEAN)),
+            (2, Probe(0, CLEAN)),
+            (2, Judge),
+            (3, Judge),
         ],
         usable: &[1],
     },
+    UsableCase {
+        name: "clean health answers for 10 s end a drain learned from a health answer",
+        pool: 2,
+        events: &[
+            (1, Probe(0, LEAVING)),
+            (2, Probe(0, CLEAN)),
+            (5, Probe(0, CLEAN)),
+            (8, Probe(0, CLEAN)),
+            (11, Probe(0, CLEAN)),
+            (12, Probe(0, CLEAN)),
+            (12, Judge),
+        ],
+        usable: &[0, 1],
+    },
     UsableCase {
         name: "a lagging health answer does not end a drain learned from a refusal",
         pool: 2,
