decisions: an idle instance borrows for a single request; withdrawn keys get 401

Cause: the process tests showed 429 over_rate from an instance without a base share whose account has a high rate: one request is below 1/256 of the rate, so the policy wanted nothing. A request cancelled by a withdrawal got 400. Ruled out: a lower threshold, because a decaying estimate would keep tokens. Change: a request that found the bucket short is always wanted, and a loan brings at least one token if the lender has it. A withdrawn key is refused as such, with the mark of its attempts.

--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -184,6 +184,10 @@
             ) {
                 self.report_crash(chosen.key).await;
             }
+            if self.context.is_withdrawn() {
+                let history = attempt.finish(end);
+                return Err(Refusal::new(RefusalKind::KeyWithdrawn, history, false));
+            }
             let facts = self.retry_facts();
             let retries = &self.context.shared.retries;
             match next_step(attempt, end, &facts, || retries.try_retry()) {
--- a/crates/decisions/src/loan_policy.rs
+++ b/crates/decisions/src/loan_policy.rs
@@ -93,8 +93,9 @@
 /// bucket short, and at least one token where there is demand.
 fn burst_for(view: &DemandView, rate: i64) -> RateAmount {
     let rate = rate.clamp(0, view.total.rate);
-    // A decaying estimate never reaches zero soon; a token held for it would be missing elsewhere.
-    if rate * 256 <= view.total.rate {
+    // A decaying estimate never reaches zero soon; a token held for it would be missing elsewhere. A
+    // request that just found the bucket short needs its token however low the demand is.
+    if view.shorts == 0 && rate * 256 <= view.total.rate {
         return RateAmount::default();
     }
     let proportional = i128::from(view.total.burst) * i128::from(rate);
--- a/crates/decisions/src/rate_limit.rs
+++ b/crates/decisions/src/rate_limit.rs
@@ -116,7 +116,10 @@
         if amount.is_zero() || is_sliver {
             return (RateAmount::default(), 0);
         }
-        let tokens = proportion(self.bucket.level().max(0), amount.burst, held.burst);
+        let level = self.bucket.level().max(0);
+        // A fraction of a token would not serve the request that the loan is for.
+        let least = amount.burst.min(MILLI_PER_TOKEN);
+        let tokens = proportion(level, amount.burst, held.burst).max(least);
         let tokens = self.bucket.drain(tokens);
         self.given.push(GivenLoan { amount, ..loan });
         self.apply();
