questionnaire: generate a configuration from a team's answers

Cause: a new team fills in a questionnaire, from which its configuration is generated, and the package was empty. Ruled out: serialising RawFleet through serde_json::Value, because its maps sort the fields and the document would not read like one written by hand. Change: RawAnswers is read with places, TryFrom turns it into TeamAnswers with arena keys, generate writes the document and explains each derived value. Shift caps come from the slots that the destination has free after the loss of a failure domain and from half of the link.

--- /dev/null
+++ b/crates/questionnaire/src/answer_reader.rs
@@ -0,0 +1,164 @@
+//! Reads a [`RawAnswers`] from YAML or JSON.
+
+use coltsfootkeel_model::{DocumentReader, FindingList, Located, MappingReader};
+
+use crate::raw_answers::{
+    RawAnswers, RawCaller, RawDeparture, RawDomain, RawLink, RawPool, RawRegion, RawService,
+    RawSite, RawTeam, RawUpstreams,
+};
+
+const MAX_INSTANCES: u64 = 1_000;
+const MAX_LINK_MBIT_PER_S: u64 = 10_000_000;
+const MAX_LATENCY_MS: u64 = 10_000;
+const MAX_RATE_PER_S: u64 = 10_000_000;
+const MAX_SLOTS: u64 = 100_000;
+const MAX_CONNECTIONS: u64 = 1_000_000;
+const MAX_BODY_KIB: u64 = 16 * 1024 * 1024;
+/// The deadline of a route is at most 600,000 ms and adds the time in the queue and on the links.
+const MAX_DURATION_MS: u64 = 540_000;
+
+const DEFAULT_HEALTH_PATH: &str = "/health";
+const DEFAULT_LOAD_PATH: &str = "/load";
+
+impl RawAnswers {
+    /// Reads a questionnaire. Faults are kept in [`RawAnswers::findings`].
+    #[must_use]
+    pub fn read(file: &str, text: &str) -> Self {
+        let findings = FindingList::new(file);
+        let mut answers = {
+            let document = DocumentReader::new(text, &findings);
+            read_answers(document.root())
+        };
+        answers.findings = findings;
+        answers
+    }
+}
+
+fn read_answers(mut reader: MappingReader<'_>) -> RawAnswers {
+    let regions_place = reader.field_place("regions");
+    let answers = RawAnswers {
+        regions_place,
+        team: reader.text("team"),
+        regions: read_all(&mut reader, "regions", read_region),
+        links: read_all(&mut reader, "links", read_link),
+        departments: read_all(&mut reader, "departments", read_department),
+        callers: read_all(&mut reader, "callers", read_caller),
+        sites: read_all(&mut reader, "sites", read_site),
+        pools: read_all(&mut reader, "pools", read_pool),
+        services: read_all(&mut reader, "services", read_service),
+        findings: FindingList::default(),
+    };
+    reader.finish();
+    answers
+}
+
+fn read_all<T>(
+    reader: &mut MappingReader<'_>,
+    field: &'static str,
+    read: impl Fn(&mut MappingReader<'_>) -> T,
+) -> Vec<T> {
+    let mut records = Vec::new();
+    for mut item in reader.mappings(field) {
+        records.push(read(&mut item));
+        item.finish();
+    }
+    records
+}
+
+fn read_region(reader: &mut MappingReader<'_>) -> RawRegion {
+    RawRegion {
+        name: reader.text("name"),
+        failure_domains: read_all(reader, "failure_domains", |reader| RawDomain {
+            name: reader.text("name"),
+            entry_instances: reader.number("entry_instances", 1..=MAX_INSTANCES),
+        }),
+    }
+}
+
+fn read_link(reader: &mut MappingReader<'_>) -> RawLink {
+    RawLink {
+        place: reader.place(),
+        between: reader.texts("between"),
+        capacity_mbit_per_s: reader.number("capacity_mbit_per_s", 1..=MAX_LINK_MBIT_PER_S),
+        latency_ms: reader.number("latency_ms", 0..=MAX_LATENCY_MS),
+    }
+}
+
+fn read_department(reader: &mut MappingReader<'_>) -> RawTeam {
+    RawTeam {
+        name: reader.text("name"),
+        departure: read_departure(reader),
+    }
+}
+
+fn read_departure(reader: &mut MappingReader<'_>) -> Option<RawDeparture> {
+    let mut departure = reader.mapping("departure")?;
+    let raw = RawDeparture {
+        month: departure.text("month"),
+        from: departure.text("from"),
+        to: departure.text("to"),
+        at_once_percent: departure.number("at_once_percent", 1..=100),
+    };
+    departure.finish();
+    Some(raw)
+}
+
+fn read_caller(reader: &mut MappingReader<'_>) -> RawCaller {
+    RawCaller {
+        name: reader.text("name"),
+        department: reader.text("department"),
+        expected_per_s: reader.number("expected_per_s", 0..=MAX_RATE_PER_S),
+        peak_per_s: reader.number("peak_per_s", 1..=MAX_RATE_PER_S),
+    }
+}
+
+fn read_site(reader: &mut MappingReader<'_>) -> RawSite {
+    RawSite {
+        name: reader.text("name"),
+        failure_domains: reader.texts("failure_domains"),
+        blocks: reader.texts("blocks"),
+    }
+}
+
+fn read_pool(reader: &mut MappingReader<'_>) -> RawPool {
+    RawPool {
+        name: reader.text("name"),
+        slots: reader.number("slots", 1..=MAX_SLOTS),
+        connections: reader.number("connections", 1..=MAX_CONNECTIONS),
+        health_path: reader.text_or("health_path", DEFAULT_HEALTH_PATH),
+        load_path: reader.text_or("load_path", DEFAULT_LOAD_PATH),
+        upstreams: read_all(reader, "upstreams", |reader| RawUpstreams {
+            failure_domain: reader.text("failure_domain"),
+            addresses: reader.texts("addresses"),
+        }),
+    }
+}
+
+fn read_service(reader: &mut MappingReader<'_>) -> RawService {
+    RawService {
+        name: reader.text("name"),
+        department: reader.text("department"),
+        path: reader.text("path"),
+        pool: reader.text("pool"),
+        open_to_all: reader.flag_or("open_to_all", false),
+        callers: reader.texts("callers"),
+        calls_per_s: reader.number("calls_per_s", 0..=MAX_RATE_PER_S),
+        sends_kib: reader.number("sends_kib", 0..=MAX_BODY_KIB),
+        receives_kib: reader.number("receives_kib", 0..=MAX_BODY_KIB),
+        usual_ms: reader.number("usual_ms", 1..=MAX_DURATION_MS),
+        at_most_ms: reader.number("at_most_ms", 1..=MAX_DURATION_MS),
+        must_not_run_twice: required_flag(reader, "must_not_run_twice"),
+        must_not_be_lost: required_flag(reader, "must_not_be_lost"),
+        may_be_late: required_flag(reader, "may_be_late"),
+        may_wait: required_flag(reader, "may_wait"),
+    }
+}
+
+/// Reads `true` or `false`. The answer has no default, because a forgotten answer could let work run
+/// twice.
+fn required_flag(reader: &mut MappingReader<'_>, field: &'static str) -> Located<bool> {
+    if !reader.has(field) {
+        reader.report(reader.place(), field, "expected true or false");
+    }
+    reader.flag_or(field, true)
+}
--- a/crates/questionnaire/src/lib.rs
+++ b/crates/questionnaire/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! Generates a configuration from the questionnaire that a new team fills in.
+//!
+//! Text becomes a [`RawAnswers`] in which each answer knows its place, and a [`RawAnswers`] becomes
+//! [`TeamAnswers`] in which each reference is a small `Copy` key. All faults of a questionnaire are
+//! collected and reported together. [`generate`] is a pure function of the answers: the same
+//! answers give the same document, byte for byte.
+//!
+//! ```
+//! let findings = coltsfootkeel_questionnaire::parse("team.yaml", "team: spa-group\n").unwrap_err();
+//! assert!(findings.to_string().contains("regions: expected at least one region"));
+//! ```
+
+mod answer_check;
+mod answer_reader;
+mod capacity_estimate;
+mod config_generator;
+mod document_writer;
+mod raw_answers;
+mod team_answers;
+
+pub use config_generator::{DerivedValue, GeneratedConfig, generate, parse};
+pub use raw_answers::{
+    RawAnswers, RawCaller, RawDeparture, RawDomain, RawLink, RawPool, RawRegion, RawService,
+    RawSite, RawTeam, RawUpstreams,
+};
+pub use team_answers::{
+    CallerAnswer, DelayAnswer, DepartureAnswer, DomainAnswer, HarmAnswer, LinkAnswer, PoolAnswer,
+    RegionAnswer, ServiceAnswer, SiteAnswer, TeamAnswers, TeamDepartment, UpstreamAnswer,
+};
--- /dev/null
+++ b/crates/questionnaire/tests/generated_config.rs
@@ -0,0 +1,355 @@
+//! Derived values of a generated configuration. Guards against a derivation that no longer follows
+//! from the answers, and against an explanation that is missing or disagrees with the document.
+
+use coltsfootkeel_model::{FleetConfig, ShiftCap, WorkClass};
+use coltsfootkeel_questionnaire::{DerivedValue, GeneratedConfig, generate, parse};
+
+/// The answers that a case changes.
+struct AnswerCase {
+    name: &'static str,
+    peak_per_s: u64,
+    calls_per_s: u64,
+    usual_ms: u64,
+    at_most_ms: u64,
+    sends_kib: u64,
+    link_mbit_per_s: u64,
+    at_once_percent: u64,
+    must_not_run_twice: bool,
+    must_not_be_lost: bool,
+    may_be_late: bool,
+    may_wait: bool,
+    open_to_all: bool,
+}
+
+const BASE: AnswerCase = AnswerCase {
+    name: "base",
+    peak_per_s: 100,
+    calls_per_s: 50,
+    usual_ms: 100,
+    at_most_ms: 2_000,
+    sends_kib: 1,
+    link_mbit_per_s: 4_000,
+    at_once_percent: 30,
+    must_not_run_twice: true,
+    must_not_be_lost: true,
+    may_be_late: false,
+    may_wait: false,
+    open_to_all: false,
+};
+
+fn questionnaire(case: &AnswerCase) -> String {
+    format!(
+        "
+team: two-hills
+regions:
+  - {{name: east, failure_domains: [{{name: east-a, entry_instances: 2}}, {{name: east-b, entry_instances: 1}}]}}
+  - {{name: west, failure_domains: [{{name: west-a, entry_instances: 1}}, {{name: west-b, entry_instances: 1}}]}}
+links:
+  - {{between: [east, west], capacity_mbit_per_s: {link_mbit_per_s}, latency_ms: 35}}
+departments:
+  - name: orders
+    departure: {{month: 2027-02, from: east, to: west, at_once_percent: {at_once_percent}}}
+callers:
+  - {{name: shop, department: orders, expected_per_s: 1, peak_per_s: {peak_per_s}}}
+sites:
+  - {{name: town, failure_domains: [east-a], blocks: [10.1.0.0/16, '2001:db8::/32']}}
+pools:
+  - name: desk
+    slots: 10
+    connections: 100
+    upstreams:
+      - {{failure_domain: east-a, addresses: ['127.0.0.1:9001']}}
+      - {{failure_domain: east-b, addresses: ['127.0.0.1:9002']}}
+      - {{failure_domain: west-a, addresses: ['127.0.0.1:9003']}}
+      - {{failure_domain: west-b, addresses: ['127.0.0.1:9004']}}
+services:
+  - name: bookings
+    department: orders
+    path: '/bookings \"of {{today}}: #1'
+    pool: desk
+    open_to_all: {open_to_all}
+    calls_per_s: {calls_per_s}
+    sends_kib: {sends_kib}
+    receives_kib: 1
+    usual_ms: {usual_ms}
+    at_most_ms: {at_most_ms}
+    must_not_run_twice: {must_not_run_twice}
+    must_not_be_lost: {must_not_be_lost}
+    may_be_late: {may_be_late}
+    may_wait: {may_wait}
+",
+        link_mbit_per_s = case.link_mbit_per_s,
+        at_once_percent = case.at_once_percent,
+        peak_per_s = case.peak_per_s,
+        open_to_all = case.open_to_all,
+        calls_per_s = case.calls_per_s,
+        sends_kib = case.sends_kib,
+        usual_ms = case.usual_ms,
+        at_most_ms = case.at_most_ms,
+        must_not_run_twice = case.must_not_run_twice,
+        must_not_be_lost = case.must_not_be_lost,
+        may_be_late = case.may_be_late,
+        may_wait = case.may_wait,
+    )
+}
+
+fn generated(case: &AnswerCase) -> GeneratedConfig {
+    match parse(case.name, &questionnaire(case)) {
+        Ok(answers) => generate(&answers),
+        Err(findings) => panic!("{findings}"),
+    }
+}
+
+fn fleet(config: &GeneratedConfig) -> FleetConfig {
+    match FleetConfig::parse("generated", &config.document) {
+        Ok(fleet) => fleet,
+        Err(findings) => panic!("{findings}"),
+    }
+}
+
+fn explanation<'a>(config: &'a GeneratedConfig, field: &str) -> &'a DerivedValue {
+    let explanations = &config.explanations;
+    let found = explanations.iter().find(|value| value.field == field);
+    found.unwrap_or_else(|| panic!("{field} has no explanation"))
+}
+
+#[test]
+fn class_and_repeats_follow_from_the_answers() {
+    struct ClassCase {
+        answers: AnswerCase,
+        class: WorkClass,
+        deadline_ms: u128,
+        post_is_idempotent: bool,
+    }
+    let cases = [
+        ClassCase {
+            answers: AnswerCase {
+                name: "not twice",
+                ..BASE
+            },
+            class: WorkClass::Urgent,
+            deadline_ms: 7_100,
+            post_is_idempotent: false,
+        },
+        ClassCase {
+            answers: AnswerCase {
+                name: "not lost",
+                must_not_run_twice: false,
+                ..BASE
+            },
+            class: WorkClass::Standard,
+            deadline_ms: 4_100,
+            post_is_idempotent: true,
+        },
+        ClassCase {
+            answers: AnswerCase {
+                name: "not lost, but late",
+                must_not_run_twice: false,
+                may_be_late: true,
+                ..BASE
+            },
+            class: WorkClass::Standard,
+            deadline_ms: 4_100,
+            post_is_idempotent: true,
+        },
+        ClassCase {
+            answers: AnswerCase {
+                name: "late",
+                must_not_run_twice: false,
+                must_not_be_lost: false,
+                may_be_late: true,
+                ..BASE
+            },
+            class: WorkClass::Preview,
+            deadline_ms: 2_600,
+            post_is_idempotent: false,
+        },
+        ClassCase {
+            answers: AnswerCase {
+                name: "nothing",
+                must_not_run_twice: false,
+                must_not_be_lost: false,
+                ..BASE
+            },
+            class: WorkClass::Standard,
+            deadline_ms: 4_100,
+            post_is_idempotent: false,
+        },
+        ClassCase {
+            answers: AnswerCase {
+                name: "waits, but not twice",
+                may_wait: true,
+                ..BASE
+            },
+            class: WorkClass::Overnight,
+            deadline_ms: 32_100,
+            post_is_idempotent: false,
+        },
+        ClassCase {
+            answers: AnswerCase {
+                name: "longest",
+                at_most_ms: 540_000,
+                may_wait: true,
+                ..BASE
+            },
+            class: WorkClass::Overnight,
+            deadline_ms: 570_100,
+            post_is_idempotent: false,
+        },
+    ];
+    for case in cases {
+        let name = case.answers.name;
+        let config = generated(&case.answers);
+        let fleet = fleet(&config);
+        let (_, route) = fleet.routes.iter().next().unwrap();
+        assert_eq!(route.class, case.class, "{name}");
+        assert_eq!(route.deadline.as_millis(), case.deadline_ms, "{name}");
+        assert_eq!(
+            route.is_idempotent("POST"),
+            case.post_is_idempotent,
+            "{name}"
+        );
+        let deadline = explanation(&config, "routes.bookings.deadline_ms");
+        assert_eq!(deadline.value, case.deadline_ms.to_string(), "{name}");
+    }
+}
+
+#[test]
+fn rate_and_burst_follow_from_the_peak() {
+    struct RateCase {
+        peak_per_s: u64,
+        burst: u64,
+    }
+    // There are five entry instances, so no burst is below 5.
+    let cases = [
+        RateCase {
+            peak_per_s: 1,
+            burst: 5,
+        },
+        RateCase {
+            peak_per_s: 10,
+            burst: 5,
+        },
+        RateCase {
+            peak_per_s: 11,
+            burst: 6,
+        },
+        RateCase {
+            peak_per_s: 10_000_000,
+            burst: 5_000_000,
+        },
+    ];
+    for case in cases {
+        let config = generated(&AnswerCase {
+            peak_per_s: case.peak_per_s,
+            calls_per_s: 1,
+            ..BASE
+        });
+        let fleet = fleet(&config);
+        let (_, account) = fleet.accounts.iter().next().unwrap();
+        assert_eq!(account.rate_per_s, case.peak_per_s);
+        assert_eq!(account.burst, case.burst, "peak {}", case.peak_per_s);
+        let burst = explanation(&config, "client_accounts.shop.burst");
+        assert_eq!(burst.value, case.burst.to_string());
+    }
+}
+
+#[test]
+fn a_shift_moves_no_more_than_the_destination_can_carry() {
+    struct CapCase {
+        answers: AnswerCase,
+        percent: u32,
+    }
+    // The destination has 20 slots, of which 10 are reserved for the loss of a failure domain. Half of
+    // the calls enter in each region, so a demand of 2 × n slots moves n slots to a region that uses n.
+    let cases = [
+        CapCase {
+            answers: AnswerCase {
+                name: "answer limits",
+                ..BASE
+            },
+            percent: 30,
+        },
+        CapCase {
+            answers: AnswerCase {
+                name: "slots limit",
+                calls_per_s: 80,
+                usual_ms: 200,
+                at_once_percent: 100,
+                ..BASE
+            },
+            percent: 25,
+        },
+        CapCase {
+            answers: AnswerCase {
+                name: "no slot is free",
+                calls_per_s: 100,
+                usual_ms: 200,
+                ..BASE
+            },
+            percent: 0,
+        },
+        CapCase {
+            answers: AnswerCase {
+                name: "overload",
+                calls_per_s: 100,
+                usual_ms: 2_000,
+                ..BASE
+            },
+            percent: 0,
+        },
+        // 25 calls/s of 1,024 KiB are 209.7 Mbit/s; half of the link is 50 Mbit/s.
+        CapCase {
+            answers: AnswerCase {
+                name: "link limits",
+                sends_kib: 1_024,
+                link_mbit_per_s: 100,
+                ..BASE
+            },
+            percent: 23,
+        },
+    ];
+    for case in cases {
+        let name = case.answers.name;
+        let config = generated(&case.answers);
+        let fleet = fleet(&config);
+        let (_, shift) = fleet.shifts.iter().next().unwrap();
+        assert_eq!(shift.cap, ShiftCap::Share(case.percent), "{name}");
+        let cap = explanation(&config, "shifts.bookings-2027-02.cap.share_percent");
+        assert_eq!(cap.value, case.percent.to_string(), "{name}");
+    }
+}
+
+#[test]
+fn texts_and_open_routes_survive_the_document() {
+    let config = generated(&AnswerCase {
+        open_to_all: true,
+        ..BASE
+    });
+    let fleet = fleet(&config);
+    let (_, route) = fleet.routes.iter().next().unwrap();
+    assert_eq!(route.path_prefix, "/bookings \"of {today}: #1");
+    assert!(route.open);
+}
+
+#[test]
+fn no_access_key_is_generated() {
+    let config = generated(&BASE);
+    assert_eq!(fleet(&config).access.iter().count(), 0);
+    let keys = explanation(&config, "client_accounts.access_keys");
+    assert!(keys.reason.contains("sha256sum"));
+}
+
+#[test]
+fn the_same_answers_give_the_same_document() {
+    let (one, other) = (generated(&BASE), generated(&BASE));
+    assert_eq!(one.document, other.document);
+    let reasons = |config: &GeneratedConfig| -> Vec<String> {
+        config
+            .explanations
+            .iter()
+            .map(ToString::to_string)
+            .collect()
+    };
+    assert_eq!(reasons(&one), reasons(&other));
+}
