--- a/crates/model/src/findings.rs
+++ b/crates/model/src/findings.rs
@@ -1,6 +1,6 @@
 //! Faults of a document with their place, collected and reported together.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 
 use serde::{Serialize, Serializer};
@@ -55,6 +55,7 @@
 pub struct FindingList {
     file: String,
     findings: RefCell<Vec<PlacedFinding>>,
+    unreadable: Cell<bool>,
 }
 
 impl FindingList {
@@ -64,11 +65,22 @@
         Self {
             file: file.to_string(),
             findings: RefCell::default(),
+            unreadable: Cell::new(false),
         }
     }
 
+    /// Adds a fault that leaves the document unread. Later faults are ignored, because they would be
+    /// about fields that only seem to be missing.
+    pub fn report_unreadable(&self, place: FindingPlace, expected: impl Into<String>) {
+        self.report(place, "document", expected);
+        self.unreadable.set(true);
+    }
+
     /// Adds a fault.
     pub fn report(&self, place: FindingPlace, field: &str, expected: impl Into<String>) {
+        if self.unreadable.get() {
+            return;
+        }
         self.findings.borrow_mut().push(PlacedFinding {
             place,
             field: field.to_string(),
--- a/crates/questionnaire/src/answer_check.rs
+++ b/crates/questionnaire/src/answer_check.rs
@@ -49,6 +49,9 @@
     ) -> Self {
         let mut keys = HashMap::new();
         for (index, name) in names.enumerate() {
+            if name.value.is_empty() {
+                continue;
+            }
             if !is_name(&name.value) {
                 let expected = format!(
                     "expected a name of lower-case letters, digits and '-', at most {MAX_NAME_LENGTH} long"
@@ -75,7 +78,7 @@
 
     fn resolve(&self, field: &str, name: &Located<String>) -> Option<K> {
         let key = self.keys.get(name.value.as_str()).copied();
-        if key.is_none() {
+        if key.is_none() && !name.value.is_empty() {
             let expected = format!(
                 "expected the name of a {}, found '{}'",
                 self.kind, name.value
@@ -161,7 +164,7 @@
     fn run(&self) -> Option<TeamAnswers> {
         if !is_name(&self.raw.team.value) {
             let expected = "expected a name of lower-case letters, digits and '-'";
-            self.report(&self.raw.team, "team", expected);
+            self.report_text(&self.raw.team, "team", expected);
         }
         let (regions, domains) = self.regions();
         let links = self.links();
@@ -268,7 +271,7 @@
     fn departure(&self, raw: &RawDeparture) -> Option<DepartureAnswer> {
         if !is_month(&raw.month.value) {
             let expected = "expected a month such as 2027-02";
-            self.report(&raw.month, "departments.departure.month", expected);
+            self.report_text(&raw.month, "departments.departure.month", expected);
         }
         let from = self
             .regions
@@ -405,7 +408,7 @@
         for raw in &self.raw.services {
             self.path("services.path", &raw.path);
             self.free_path(&raw.path);
-            if !paths.insert(raw.path.value.as_str()) {
+            if !paths.insert(raw.path.value.as_str()) && !raw.path.value.is_empty() {
                 let expected = "expected a path that no other service has";
                 self.report(&raw.path, "services.path", expected);
             }
@@ -478,7 +481,7 @@
 
     fn path(&self, field: &str, path: &Located<String>) {
         if !path.value.starts_with('/') {
-            self.report(path, field, "expected a path that starts with '/'");
+            self.report_text(path, field, "expected a path that starts with '/'");
         }
     }
 
@@ -489,6 +492,13 @@
         }
     }
 
+    /// Reports a fault of a text. The reader has already reported an empty one.
+    fn report_text(&self, text: &Located<String>, field: &str, expected: &str) {
+        if !text.value.is_empty() {
+            self.report(text, field, expected);
+        }
+    }
+
     fn report(&self, text: &Located<String>, field: &str, expected: &str) {
         self.raw.findings.report(text.place, field, expected);
     }
--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -142,8 +142,6 @@
     /// Checks every field before the first `?`, so that all faults are reported together.
     fn run(&self) -> Option<DaemonSettings> {
         let raw = self.raw;
-        self.name("instance", &raw.instance);
-        self.name("failure_domain", &raw.failure_domain);
         let entry = self.listener("entry", &raw.entry);
         let peer = self.listener("peer", &raw.peer);
         let admin = self.listener("admin", &raw.admin);
@@ -218,7 +216,7 @@
         let address = text.value.parse();
         if address.is_err() {
             let expected = "expected an IP address and port such as 10.0.0.7:7001";
-            self.report(text, field, expected);
+            self.report_text(text, field, expected);
         }
         address.ok()
     }
@@ -227,7 +225,7 @@
         let digest = AccessDigest::from_hex(&raw.token_sha256.value);
         if digest.is_none() {
             let field = "admin.operators.token_sha256";
-            self.report(&raw.token_sha256, field, "expected 64 hexadecimal digits");
+            self.report_text(&raw.token_sha256, field, "expected 64 hexadecimal digits");
         }
         Some(OperatorSettings {
             name: raw.name.value.clone(),
@@ -243,13 +241,14 @@
     fn token(&self, token: &Located<String>) {
         if token.value.len() < MIN_TOKEN_LENGTH {
             let expected = format!("expected a token of at least {MIN_TOKEN_LENGTH} characters");
-            self.report(token, "peer.token", &expected);
+            self.report_text(token, "peer.token", &expected);
         }
     }
 
-    fn name(&self, field: &str, name: &Located<String>) {
-        if name.value.is_empty() {
-            self.report(name, field, "expected a name");
+    /// Reports a fault of a text. The reader has already reported an empty one.
+    fn report_text(&self, text: &Located<String>, field: &str, expected: &str) {
+        if !text.value.is_empty() {
+            self.report(text, field, expected);
         }
     }
 
