model: a record with a fault is still checked as a whole

Cause: case files showed that an account with an unknown department was skipped. Its name was then unknown too, so that correct references to it were reported as dangling, and the faults of its access keys were not reported. The same held for seats, upstreams, routes and shifts. Ruled out: placing records with faults in the arenas, because they have no valid references. Change: a name is defined and the other fields are checked before the references are resolved. Conclusion: all faults of a record are reported together.

--- a/crates/model/src/fleet_check.rs
+++ b/crates/model/src/fleet_check.rs
@@ -17,7 +17,7 @@
     AccountKey, DepartmentKey, DomainKey, PoolKey, RegionKey, RouteKey, SeatKey, ShiftKey, SiteKey,
     UpstreamKey,
 };
-use crate::raw_fleet::{DrainKind, RawAccount, RawCap, RawFleet, RawRoute, RawUpstream};
+use crate::raw_fleet::{DrainKind, RawAccount, RawCap, RawFleet, RawRoute};
 use crate::route_table::RouteTable;
 
 const MAX_NAME_LENGTH: usize = 63;
@@ -93,6 +93,11 @@
     }
 }
 
+/// The checks of one document.
+///
+/// A record with a fault still defines its name, so that references to it are not reported as
+/// dangling. It shares its key with the next record of its kind; such a configuration is never
+/// returned.
 #[derive(Debug)]
 struct FleetCheck<'a> {
     raw: &'a RawFleet,
@@ -202,6 +207,8 @@
         }
         let mut seats = Arena::new();
         for raw in &self.raw.seats {
+            self.seat_names
+                .define(&raw.name, SeatKey::from_index(seats.len()));
             let Some(domain) = self
                 .domain_names
                 .resolve("seats.failure_domain", &raw.failure_domain)
@@ -212,7 +219,6 @@
                 name: raw.name.value.clone(),
                 domain,
             });
-            self.seat_names.define(&raw.name, seat);
             domains[domain].seats.push(seat);
         }
         seats
@@ -233,20 +239,21 @@
         let mut accounts = Arena::new();
         let mut access = AccessTable::default();
         for raw in &self.raw.client_accounts {
+            let account = AccountKey::from_index(accounts.len());
+            self.account_names.define(&raw.name, account);
+            self.access_keys(raw, AccessGrant { account }, &mut access);
             let department = self
                 .department_names
                 .resolve("client_accounts.department", &raw.department);
             let Some(department) = department else {
                 continue;
             };
-            let account = accounts.push(AccountRecord {
+            accounts.push(AccountRecord {
                 name: raw.name.value.clone(),
                 department,
                 rate_per_s: raw.rate_per_s.value,
                 burst: raw.burst.value,
             });
-            self.account_names.define(&raw.name, account);
-            self.access_keys(raw, AccessGrant { account }, &mut access);
         }
         (accounts, access)
     }
@@ -285,15 +292,25 @@
                 );
             }
             for raw_upstream in &raw.upstreams {
-                let Some(record) = self.upstream(raw_upstream, pool, domains) else {
+                let upstream = UpstreamKey::from_index(upstreams.len());
+                self.upstream_names.define(&raw_upstream.name, upstream);
+                let address = self.address(&raw_upstream.address, &mut addresses);
+                let domain = self.domain_names.resolve(
+                    "pools.upstreams.failure_domain",
+                    &raw_upstream.failure_domain,
+                );
+                let (Some(address), Some(domain)) = (address, domain) else {
                     continue;
                 };
-                if !addresses.insert(record.address) {
-                    let expected = "expected an address that no other upstream has";
-                    self.report(&raw_upstream.address, "pools.upstreams.address", expected);
-                }
-                let upstream = upstreams.push(record);
-                self.upstream_names.define(&raw_upstream.name, upstream);
+                upstreams.push(UpstreamRecord {
+                    name: raw_upstream.name.value.clone(),
+                    pool,
+                    address,
+                    domain,
+                    region: domains[domain].region,
+                    slots: narrow(raw_upstream.slots.value),
+                    connections: narrow(raw_upstream.connections.value),
+                });
                 members.push(upstream);
             }
             self.pool_names.define(&raw.name, pool);
@@ -314,29 +331,22 @@
         path.value.clone()
     }
 
-    fn upstream(
+    fn address(
         &self,
-        raw: &RawUpstream,
-        pool: PoolKey,
-        domains: &Arena<DomainKey, DomainRecord>,
-    ) -> Option<UpstreamRecord> {
-        let address = raw.address.value.parse::<SocketAddr>();
-        if address.is_err() {
+        text: &Located<String>,
+        addresses: &mut HashSet<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        const FIELD: &str = "pools.upstreams.address";
+        let Ok(address) = text.value.parse() else {
             let expected = "expected an IP address and port such as 10.0.0.7:8080";
-            self.report_text(&raw.address, "pools.upstreams.address", expected);
+            self.report_text(text, FIELD, expected);
+            return None;
+        };
+        if !addresses.insert(address) {
+            let expected = "expected an address that no other upstream has";
+            self.report(text, FIELD, expected);
         }
-        let domain = self
-            .domain_names
-            .resolve("pools.upstreams.failure_domain", &raw.failure_domain)?;
-        Some(UpstreamRecord {
-            name: raw.name.value.clone(),
-            pool,
-            address: address.ok()?,
-            domain,
-            region: domains[domain].region,
-            slots: narrow(raw.slots.value),
-            connections: narrow(raw.connections.value),
-        })
+        Some(address)
     }
 
     fn routes(
@@ -347,17 +357,18 @@
         let mut table = RouteTable::default();
         let mut prefixes = HashSet::new();
         for raw in &self.raw.routes {
+            let route = RouteKey::from_index(routes.len());
+            self.route_names.define(&raw.name, route);
+            let prefix = &raw.path_prefix;
+            if !prefixes.insert(prefix.value.as_str()) {
+                let expected = "expected a prefix that no other route has";
+                self.report_text(prefix, "routes.path_prefix", expected);
+            }
             let Some(record) = self.route(raw, accounts) else {
                 continue;
             };
-            if !prefixes.insert(record.path_prefix.clone()) {
-                let expected = "expected a prefix that no other route has";
-                self.report(&raw.path_prefix, "routes.path_prefix", expected);
-            }
-            let prefix = record.path_prefix.clone();
-            let route = routes.push(record);
-            table.insert(&prefix, route);
-            self.route_names.define(&raw.name, route);
+            table.insert(&prefix.value, route);
+            routes.push(record);
         }
         (routes, table)
     }
@@ -417,6 +428,8 @@
     ) -> Arena<ShiftKey, ShiftRecord> {
         let mut shifts = Arena::new();
         for raw in &self.raw.shifts {
+            let key = ShiftKey::from_index(shifts.len());
+            self.shift_names.define(&raw.name, key);
             let cap = self.cap(&raw.cap);
             let from = self.region_names.resolve("shifts.from", &raw.from);
             let to = self.region_names.resolve("shifts.to", &raw.to);
@@ -427,7 +440,10 @@
             let (Some(route), Some(from), Some(to), Some(cap)) = (route, from, to, cap) else {
                 continue;
             };
-            let key = shifts.push(ShiftRecord {
+            if routes.get(route).is_none() {
+                continue;
+            }
+            shifts.push(ShiftRecord {
                 name: raw.name.value.clone(),
                 route,
                 from,
@@ -435,7 +451,6 @@
                 cap,
                 state: raw.state.value,
             });
-            self.shift_names.define(&raw.name, key);
             routes[route].shifts.push(key);
         }
         shifts
