model: repeated links and key labels and the prefix /v1 are reported

Cause: case files showed that of two links between the same pair of regions the last one was taken without a word, that a label could name two keys of an account although RawAccess promises that it is unique, and that a route could take the prefix /v1, which covers the system's own paths. A link with an unknown region was reported twice, at two places. Ruled out: taking the first of two links, because the author of the second would not learn of it. Change: the three faults are reported; faults of a link are reported at the link. Conclusion: what the document promises to be unique is checked.

--- a/crates/model/src/fleet_check.rs
+++ b/crates/model/src/fleet_check.rs
@@ -17,10 +17,11 @@
     AccountKey, DepartmentKey, DomainKey, PoolKey, RegionKey, RouteKey, SeatKey, ShiftKey, SiteKey,
     UpstreamKey,
 };
-use crate::raw_fleet::{DrainKind, RawAccount, RawCap, RawFleet, RawRoute};
+use crate::raw_fleet::{DrainKind, RawAccount, RawCap, RawFleet, RawLink, RawRoute};
 use crate::route_table::RouteTable;
 
 const MAX_NAME_LENGTH: usize = 63;
+const LINK_FIELD: &str = "links.between";
 
 impl TryFrom<RawFleet> for FleetConfig {
     type Error = FindingList;
@@ -260,7 +261,12 @@
 
     fn access_keys(&self, raw: &RawAccount, grant: AccessGrant, access: &mut AccessTable) {
         const FIELD: &str = "client_accounts.access_keys.sha256";
+        let mut labels = HashSet::new();
         for key in &raw.access_keys {
+            if !labels.insert(key.label.value.as_str()) {
+                let expected = "expected a label that no other key of the account has";
+                self.report_text(&key.label, "client_accounts.access_keys.label", expected);
+            }
             let Some(digest) = AccessDigest::from_hex(&key.sha256.value) else {
                 self.report_text(&key.sha256, FIELD, "expected 64 hexadecimal digits");
                 continue;
@@ -379,9 +385,9 @@
         accounts: &Arena<AccountKey, AccountRecord>,
     ) -> Option<RouteRecord> {
         let prefix = &raw.path_prefix;
-        if !prefix.value.starts_with('/') || prefix.value.starts_with("/v1/") {
-            let expected =
-                "expected a path that starts with '/' and not with '/v1/', which the system uses";
+        let reserved = prefix.value == "/v1" || prefix.value.starts_with("/v1/");
+        if !prefix.value.starts_with('/') || reserved {
+            let expected = "expected a path that starts with '/' and is outside of '/v1', which the system uses";
             self.report_text(prefix, "routes.path_prefix", expected);
         }
         let department = self
@@ -485,27 +491,39 @@
 
     fn links(&self) -> LinkTable {
         let mut links = LinkTable::default();
+        let mut pairs = HashSet::new();
         for raw in &self.raw.links {
-            let regions = self.region_names.resolve_all("links.between", &raw.between);
+            let Some((one, other)) = self.link_ends(raw) else {
+                continue;
+            };
+            if !pairs.insert((one.min(other), one.max(other))) {
+                let expected = "expected a pair of regions that no other link has";
+                self.raw.findings.report(raw.place, LINK_FIELD, expected);
+            }
             let link = LinkRecord {
                 capacity_mbit_per_s: raw.capacity_mbit_per_s.value,
                 latency: Duration::from_millis(raw.latency_ms.value),
             };
-            match regions[..] {
-                [one, other] if one != other => links.insert(one, other, link),
-                _ => {
-                    let place = raw.capacity_mbit_per_s.place;
-                    self.raw.findings.report(
-                        place,
-                        "links.between",
-                        "expected two different regions",
-                    );
-                }
-            }
+            links.insert(one, other, link);
         }
         links
     }
 
+    fn link_ends(&self, raw: &RawLink) -> Option<(RegionKey, RegionKey)> {
+        let regions = self.region_names.resolve_all(LINK_FIELD, &raw.between);
+        if regions.len() < raw.between.len() {
+            return None;
+        }
+        match regions[..] {
+            [one, other] if one != other => Some((one, other)),
+            _ => {
+                let expected = "expected two different regions";
+                self.raw.findings.report(raw.place, LINK_FIELD, expected);
+                None
+            }
+        }
+    }
+
     fn drains(&self) -> DrainSet {
         let mut drains = DrainSet::default();
         for raw in &self.raw.drains {
--- a/crates/model/src/raw_fleet.rs
+++ b/crates/model/src/raw_fleet.rs
@@ -56,6 +56,9 @@
     pub capacity_mbit_per_s: Located<u64>,
     /// The one-way latency in milliseconds.
     pub latency_ms: Located<u64>,
+    /// Where the link stands.
+    #[serde(skip)]
+    pub place: FindingPlace,
 }
 
 /// A seat.
--- a/crates/model/src/raw_reader.rs
+++ b/crates/model/src/raw_reader.rs
@@ -105,6 +105,7 @@
 
 fn read_link(reader: &mut MappingReader<'_>) -> RawLink {
     RawLink {
+        place: reader.place(),
         between: reader.texts("between"),
         capacity_mbit_per_s: reader.number_or(
             "capacity_mbit_per_s",
