model: the place of a block mapping is its first key

Cause: a case file showed that a field missing in a mapping without braces was reported at the first colon of the mapping, because the parser's span begins there. Ruled out: subtracting the length of the key, because a key may be quoted. Change: the place of a mapping is the earlier of its span and its first key. Figures: six-faults.yaml: the missing answer moves from column 9 to column 5, where its service begins. Conclusion: an editor that jumps to the place shows the record.

--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -47,7 +47,7 @@
         MappingReader {
             findings: self.findings,
             node: &self.root,
-            origin: span_place(self.root.span()),
+            origin: mapping_place(&self.root),
             path: String::new(),
             known: Vec::new(),
         }
@@ -292,7 +292,7 @@
         MappingReader {
             findings: self.findings,
             node,
-            origin: span_place(node.span()),
+            origin: mapping_place(node),
             path: self.field_path(field),
             known: Vec::new(),
         }
@@ -318,6 +318,14 @@
     EMPTY.get_or_init(|| MarkedMappingNode::new_empty(Span::new_blank()))
 }
 
+/// Returns where a mapping begins. The span of a mapping without braces begins after its first key,
+/// so the place of that key is taken.
+fn mapping_place(node: &MarkedMappingNode) -> FindingPlace {
+    let begin = span_place(node.span());
+    let first_key = node.keys().next().map(|key| span_place(key.span()));
+    first_key.map_or(begin, |place| place.min(begin))
+}
+
 fn span_place(span: &Span) -> FindingPlace {
     span.start().map(marker_place).unwrap_or_default()
 }
