settings: repeated listeners and tokens are reported, each fault at its place

The second listener would fail only at the start of the daemon, and the audit record could name the wrong operator. Ruled out: unique operator names, because an operator needs two tokens while one is replaced. Change: the three faults are reported at the value that has them; port 0 is not compared, because it stands for any free port. Conclusion: these faults are found before a daemon starts.

--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -1,5 +1,6 @@
 //! The checked settings.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -155,11 +156,8 @@
             .iter()
             .filter_map(|text| self.address("neighbours", text));
         let neighbours = neighbours.collect();
-        let operators = raw
-            .operators
-            .iter()
-            .filter_map(|raw| self.operator(raw))
-            .collect();
+        let operators = self.operators();
+        self.listeners();
         self.token(&raw.peer_token);
         let (entry_listen, entry_advertise) = entry?;
         let (peer_listen, peer_advertise) = peer?;
@@ -198,20 +196,61 @@
     }
 
     fn listener(&self, field: &str, raw: &RawListener) -> Option<(SocketAddr, SocketAddr)> {
-        let listen = self.address(&format!("{field}.listen"), &raw.listen);
-        let advertise = match &raw.advertise {
-            Some(text) => self.address(&format!("{field}.advertise"), text),
-            None => listen,
+        let listen_field = format!("{field}.listen");
+        let listen = self.address(&listen_field, &raw.listen);
+        let (advertise, place, field) = match &raw.advertise {
+            Some(text) => {
+                let field = format!("{field}.advertise");
+                (self.address(&field, text), text, field)
+            }
+            None => (listen, &raw.listen, listen_field),
         };
         if let Some(address) = advertise
             && address.ip().is_unspecified()
         {
             let expected = "expected an address that others can use; set 'advertise'";
-            self.report(&raw.listen, field, expected);
+            self.report(place, &field, expected);
         }
         Some((listen?, advertise?))
     }
 
+    /// Checks that no two listeners have one address. Port 0 stands for any free port.
+    fn listeners(&self) {
+        let raw = self.raw;
+        let sections = [
+            ("entry.listen", &raw.entry.listen),
+            ("peer.listen", &raw.peer.listen),
+            ("admin.listen", &raw.admin.listen),
+        ];
+        let mut addresses = HashSet::new();
+        for (field, text) in sections {
+            let Ok(address) = text.value.parse::<SocketAddr>() else {
+                continue;
+            };
+            if address.port() != 0 && !addresses.insert(address) {
+                let expected = "expected an address that no other listener has";
+                self.report(text, field, expected);
+            }
+        }
+    }
+
+    fn operators(&self) -> Vec<OperatorSettings> {
+        let mut tokens = HashSet::new();
+        let mut operators = Vec::new();
+        for raw in &self.raw.operators {
+            let Some(operator) = self.operator(raw) else {
+                continue;
+            };
+            if !tokens.insert(operator.token_digest) {
+                let field = "admin.operators.token_sha256";
+                let expected = "expected a token that no other operator has";
+                self.report(&raw.token_sha256, field, expected);
+            }
+            operators.push(operator);
+        }
+        operators
+    }
+
     fn address(&self, field: &str, text: &Located<String>) -> Option<SocketAddr> {
         let address = text.value.parse();
         if address.is_err() {
