--- /dev/null
+++ b/crates/model/tests/faulty_fleets.rs
@@ -0,0 +1,19 @@
+//! Each file under `cases/` is a faulty configuration whose findings stand in the `.findings` file
+//! beside it. Guards against a fault that is missed, reported twice, or reported at a wrong place.
+
+use std::path::Path;
+
+use coltsfootkeel_model::FleetConfig;
+
+fn findings_match(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let name = path.file_name().unwrap().to_string_lossy();
+    let expected = std::fs::read_to_string(path.with_extension("findings"))?;
+    let findings = FleetConfig::parse(&name, &text).expect_err("a case has at least one fault");
+    assert_eq!(findings.to_string(), expected);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = findings_match, root = "tests/cases", pattern = r"\.(yaml|json)$" },
+}
--- /dev/null
+++ b/crates/settings/tests/faulty_settings.rs
@@ -0,0 +1,19 @@
+//! Each file under `cases/` holds faulty settings whose findings stand in the `.findings` file beside
+//! it. Guards against a fault that is missed, reported twice, or reported at a wrong place.
+
+use std::path::Path;
+
+use coltsfootkeel_settings::DaemonSettings;
+
+fn findings_match(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let name = path.file_name().unwrap().to_string_lossy();
+    let expected = std::fs::read_to_string(path.with_extension("findings"))?;
+    let findings = DaemonSettings::parse(&name, &text).expect_err("a case has at least one fault");
+    assert_eq!(findings.to_string(), expected);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = findings_match, root = "tests/cases", pattern = r"\.yaml$" },
+}
