model: an unknown field of a cap names the known ones

Cause: the probe for the tables of fields showed that the finding about an unknown field of shifts[].cap ended in 'expected one of: ' without a name, because a field was remembered only when it was present. Ruled out: reading both fields with a default, because exactly one of them must be present. Change: MappingReader::optional_number remembers the field and reads it if it is present.

--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -138,6 +138,16 @@
         }
     }
 
+    /// Reads an optional whole number within `range`.
+    pub fn optional_number(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<Located<u64>> {
+        self.remember(field);
+        self.has(field).then(|| self.number(field, range))
+    }
+
     /// Reads a whole number within `range`, or takes `default` if the field is absent.
     pub fn number_or(
         &mut self,
--- a/crates/model/src/raw_reader.rs
+++ b/crates/model/src/raw_reader.rs
@@ -211,12 +211,8 @@
             place,
         };
     };
-    let share_percent = cap
-        .has("share_percent")
-        .then(|| cap.number("share_percent", 0..=100));
-    let rate_per_s = cap
-        .has("rate_per_s")
-        .then(|| cap.number("rate_per_s", 0..=MAX_RATE_PER_S));
+    let share_percent = cap.optional_number("share_percent", 0..=100);
+    let rate_per_s = cap.optional_number("rate_per_s", 0..=MAX_RATE_PER_S);
     let place = cap.place();
     cap.finish();
     RawCap {
