--- a/crates/questionnaire/src/answer_reader.rs
+++ b/crates/questionnaire/src/answer_reader.rs
@@ -3,8 +3,8 @@
 use coltsfootkeel_model::{DocumentReader, FindingList, Located, MappingReader};
 
 use crate::raw_answers::{
-    RawAnswers, RawCaller, RawDeparture, RawDomain, RawLink, RawPool, RawRegion, RawService,
-    RawSite, RawTeam, RawUpstreams,
+    RawAnswers, RawCaller, RawDepartment, RawDeparture, RawDomain, RawLink, RawPool, RawRegion,
+    RawService, RawSite, RawUpstreams,
 };
 
 const MAX_INSTANCES: u64 = 1_000;
@@ -84,8 +84,8 @@
     }
 }
 
-fn read_department(reader: &mut MappingReader<'_>) -> RawTeam {
-    RawTeam {
+fn read_department(reader: &mut MappingReader<'_>) -> RawDepartment {
+    RawDepartment {
         name: reader.text("name"),
         departure: read_departure(reader),
     }
--- a/crates/questionnaire/src/config_generator.rs
+++ b/crates/questionnaire/src/config_generator.rs
@@ -44,7 +44,7 @@
             value,
             reason,
         } = self;
-        write!(formatter, "{field}: {value}: {reason}")
+        write!(formatter, "{field} = {value}: {reason}")
     }
 }
 
--- a/crates/questionnaire/src/lib.rs
+++ b/crates/questionnaire/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use config_generator::{DerivedValue, GeneratedConfig, generate, parse};
 pub use raw_answers::{
-    RawAnswers, RawCaller, RawDeparture, RawDomain, RawLink, RawPool, RawRegion, RawService,
-    RawSite, RawTeam, RawUpstreams,
+    RawAnswers, RawCaller, RawDepartment, RawDeparture, RawDomain, RawLink, RawPool, RawRegion,
+    RawService, RawSite, RawUpstreams,
 };
 pub use team_answers::{
     CallerAnswer, DelayAnswer, DepartureAnswer, DomainAnswer, HarmAnswer, LinkAnswer, PoolAnswer,
--- a/crates/questionnaire/src/raw_answers.rs
+++ b/crates/questionnaire/src/raw_answers.rs
@@ -12,7 +12,7 @@
     /// Links between regions.
     pub links: Vec<RawLink>,
     /// Departments of the team.
-    pub departments: Vec<RawTeam>,
+    pub departments: Vec<RawDepartment>,
     /// Who calls.
     pub callers: Vec<RawCaller>,
     /// Where callers call from.
@@ -60,7 +60,7 @@
 
 /// A department.
 #[derive(Debug)]
-pub struct RawTeam {
+pub struct RawDepartment {
     /// The name, unique among departments.
     pub name: Located<String>,
     /// The planned departure, if there is one.
--- a/crates/questionnaire/tests/example_files.rs
+++ b/crates/questionnaire/tests/example_files.rs
@@ -60,7 +60,8 @@
             Err(findings) => panic!("{findings}"),
         };
         let (_, committed) = example(team, "fleet.yaml");
-        assert_eq!(generate(&answers).document, committed, "{team}");
+        let hint = "write it with: cargo run --example generate_config QUESTIONNAIRE > fleet.yaml";
+        assert_eq!(generate(&answers).document, committed, "{team}: {hint}");
     }
 }
 
