questionnaire: deadlines take the queue wait of a class from decisions

Cause: the generator repeated the longest waits of the classes as constants of its own. Ruled out: a test that compares the two, because one definition needs none. Change: the generator depends on decisions and calls longest_wait. Conclusion: a changed wait changes the generated deadlines.

--- a/crates/questionnaire/src/config_generator.rs
+++ b/crates/questionnaire/src/config_generator.rs
@@ -1,8 +1,10 @@
 //! Generates a configuration from checked answers and explains each value that it derives.
 
 use std::fmt;
+use std::time::Duration;
 
-use coltsfootkeel_model::{FindingList, FindingPlace, FleetConfig, RouteKey};
+use coltsfootkeel_decisions::longest_wait;
+use coltsfootkeel_model::{FindingList, FindingPlace, FleetConfig, RouteKey, WorkClass};
 
 use crate::capacity_estimate::shift_cap;
 use crate::document_writer::{DocumentWriter, quoted, quoted_list};
@@ -95,33 +97,32 @@
     explanations: Vec<DerivedValue>,
 }
 
-/// The class of a service with the time its requests may wait in a queue.
+/// The class of a service and why it has this class.
 #[derive(Debug)]
 struct ClassChoice {
+    class: WorkClass,
     name: &'static str,
-    /// The longest wait of the class in milliseconds (`docs/design.md`, Requests).
-    wait_ms: u64,
     reason: &'static str,
 }
 
 const URGENT: ClassChoice = ClassChoice {
+    class: WorkClass::Urgent,
     name: "urgent",
-    wait_ms: 5_000,
     reason: "must_not_run_twice: an unknown outcome costs the caller most, so it is shed last",
 };
 const STANDARD: ClassChoice = ClassChoice {
+    class: WorkClass::Standard,
     name: "standard",
-    wait_ms: 2_000,
     reason: "it may run twice, may not wait, and is either not to be lost or not to be late",
 };
 const PREVIEW: ClassChoice = ClassChoice {
+    class: WorkClass::Preview,
     name: "preview",
-    wait_ms: 500,
     reason: "may_be_late without must_not_be_lost: it is shed early and can be asked for again",
 };
 const OVERNIGHT: ClassChoice = ClassChoice {
+    class: WorkClass::Overnight,
     name: "overnight",
-    wait_ms: 30_000,
     reason: "may_wait: it may be delayed, so it waits longest for a slot",
 };
 
@@ -272,12 +273,13 @@
     fn deadline(&mut self, field: &str, service: &ServiceAnswer, class: &ClassChoice) -> u64 {
         let links = self.answers.links.iter();
         let latency = links.map(|link| link.latency_ms).max().unwrap_or(0);
-        let sum = service.at_most_ms + class.wait_ms + 2 * latency;
+        let wait = duration_ms(longest_wait(class.class));
+        let sum = service.at_most_ms + wait + 2 * latency;
         let deadline = sum.next_multiple_of(DEADLINE_STEP_MS);
         let reason = format!(
-            "at_most_ms {} + {} ms in the queue of class {} + 2 × {latency} ms on the slowest link, rounded up \
+            "at_most_ms {} + {wait} ms in the queue of class {} + 2 × {latency} ms on the slowest link, rounded up \
              to {DEADLINE_STEP_MS} ms",
-            service.at_most_ms, class.wait_ms, class.name
+            service.at_most_ms, class.name
         );
         self.explain(&format!("{field}.deadline_ms"), &deadline, &reason);
         deadline
@@ -371,6 +373,10 @@
     }
 }
 
+fn duration_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn class_of(service: &ServiceAnswer) -> ClassChoice {
     if service.delay.may_wait {
         OVERNIGHT
