--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -4,7 +4,7 @@
 use std::sync::OnceLock;
 
 use marked_yaml::types::{MarkedMappingNode, MarkedScalarNode, MarkedSequenceNode};
-use marked_yaml::{LoaderOptions, Marker, Node, Span};
+use marked_yaml::{LoadError, LoaderOptions, Marker, Node, Span};
 
 use crate::findings::{FindingList, FindingPlace, Located};
 
@@ -16,19 +16,25 @@
 }
 
 impl<'a> DocumentReader<'a> {
-    /// Parses `text`. A document that is no mapping is reported and read as an empty one.
+    /// Parses `text`. A document that is no mapping is reported and read as an empty one. A field that
+    /// is set twice is reported, and the rest of the document is still read.
     #[must_use]
     pub fn new(text: &str, findings: &'a FindingList) -> Self {
-        let options = LoaderOptions::default().error_on_duplicate_keys(true);
-        let root = match marked_yaml::parse_yaml_with_options(0, text, options) {
+        let mut loaded = load(text, true);
+        if let Err(LoadError::DuplicateKey(duplicate)) = &loaded {
+            let key = &duplicate.key;
+            let place = span_place(key.span());
+            findings.report(place, key.as_str(), "expected a field that is set once");
+            loaded = load(text, false);
+        }
+        let root = match loaded {
             Ok(Node::Mapping(root)) => root,
             Ok(node) => {
-                findings.report(span_place(node.span()), "document", "expected a mapping");
+                findings.report_unreadable(span_place(node.span()), "expected a mapping");
                 MarkedMappingNode::new_empty(Span::new_blank())
             }
             Err(error) => {
-                let place = load_error_place(&error);
-                findings.report(place, "document", format!("expected YAML: {error}"));
+                findings.report_unreadable(load_error_place(&error), load_error_text(&error));
                 MarkedMappingNode::new_empty(Span::new_blank())
             }
         };
@@ -41,7 +47,7 @@
         MappingReader {
             findings: self.findings,
             node: &self.root,
-            origin: span_place(self.root.span()),
+            origin: mapping_place(&self.root),
             path: String::new(),
             known: Vec::new(),
         }
@@ -87,14 +93,15 @@
         self.node.get_node(field).is_some()
     }
 
-    /// Reads a required text.
+    /// Reads a required text. An empty text is reported like a missing one, so that a check of the
+    /// value need not report it again.
     pub fn text(&mut self, field: &'static str) -> Located<String> {
         match self.scalar(field) {
-            Some(scalar) => Located {
+            Some(scalar) if !scalar.as_str().is_empty() => Located {
                 value: scalar.as_str().to_string(),
                 place: span_place(scalar.span()),
             },
-            None => self.missing(field, "a text"),
+            _ => self.missing(field, "a text"),
         }
     }
 
@@ -131,6 +138,16 @@
         }
     }
 
+    /// Reads an optional whole number within `range`.
+    pub fn optional_number(
+        &mut self,
+        field: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<Located<u64>> {
+        self.remember(field);
+        self.has(field).then(|| self.number(field, range))
+    }
+
     /// Reads a whole number within `range`, or takes `default` if the field is absent.
     pub fn number_or(
         &mut self,
@@ -169,23 +186,24 @@
                 place: self.place(),
             };
         }
-        let text = self.text(field);
-        if let Some((_, value)) = choices.iter().find(|(name, _)| *name == text.value) {
+        let place = self.field_place(field);
+        let text = self.scalar(field).map_or("", |scalar| scalar.as_str());
+        if let Some((_, value)) = choices.iter().find(|(name, _)| *name == text) {
             return Located {
                 value: *value,
-                place: text.place,
+                place,
             };
         }
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
         let expected = format!("expected one of: {}", names.join(", "));
-        self.report(text.place, field, expected);
+        self.report(place, field, expected);
         Located {
             value: default,
-            place: text.place,
+            place,
         }
     }
 
-    /// Reads a list of texts. An absent field is an empty list.
+    /// Reads a list of texts, none of them empty. An absent field is an empty list.
     pub fn texts(&mut self, field: &'static str) -> Vec<Located<String>> {
         let Some(items) = self.sequence(field) else {
             return Vec::new();
@@ -194,11 +212,11 @@
         for item in items.iter() {
             let place = span_place(item.span());
             match item.as_scalar() {
-                Some(scalar) => texts.push(Located {
+                Some(scalar) if !scalar.as_str().is_empty() => texts.push(Located {
                     value: scalar.as_str().to_string(),
                     place,
                 }),
-                None => self.report(place, field, "expected a list of texts"),
+                _ => self.report(place, field, "expected a list of texts"),
             }
         }
         texts
@@ -284,7 +302,7 @@
         MappingReader {
             findings: self.findings,
             node,
-            origin: span_place(node.span()),
+            origin: mapping_place(node),
             path: self.field_path(field),
             known: Vec::new(),
         }
@@ -310,6 +328,14 @@
     EMPTY.get_or_init(|| MarkedMappingNode::new_empty(Span::new_blank()))
 }
 
+/// Returns where a mapping begins. The span of a mapping without braces begins after its first key,
+/// so the place of that key is taken.
+fn mapping_place(node: &MarkedMappingNode) -> FindingPlace {
+    let begin = span_place(node.span());
+    let first_key = node.keys().next().map(|key| span_place(key.span()));
+    first_key.map_or(begin, |place| place.min(begin))
+}
+
 fn span_place(span: &Span) -> FindingPlace {
     span.start().map(marker_place).unwrap_or_default()
 }
@@ -321,8 +347,26 @@
     }
 }
 
-fn load_error_place(error: &marked_yaml::LoadError) -> FindingPlace {
-    use marked_yaml::LoadError;
+fn load(text: &str, unique_keys: bool) -> Result<Node, LoadError> {
+    let options = LoaderOptions::default().error_on_duplicate_keys(unique_keys);
+    marked_yaml::parse_yaml_with_options(0, text, options)
+}
+
+/// Describes an error without its place, which the finding already shows.
+fn load_error_text(error: &LoadError) -> String {
+    if let LoadError::TopLevelMustBeMapping(_) = error {
+        return "expected a mapping".to_string();
+    }
+    let FindingPlace { line, column } = load_error_place(error);
+    let text = error.to_string();
+    let prefix = format!("{line}:{column}: ");
+    format!(
+        "expected YAML: {}",
+        text.strip_prefix(&prefix).unwrap_or(&text)
+    )
+}
+
+fn load_error_place(error: &LoadError) -> FindingPlace {
     match error {
         LoadError::TopLevelMustBeMapping(marker)
         | LoadError::TopLevelMustBeSequence(marker)
