daemon: a crashing request is stopped after two upstreams

Cause: the process test lost 3 of 6 upstreams to one request. A process that is ending accepted one more connection, so the first crash was not reported; and a retry could start before the report was seen. Ruled out: a longer single connect, because the listener may live on for some milliseconds in any case. Change: three connects within 100 ms must all succeed before an upstream counts as alive; the request waits until its report is published and is refused, with its true mark, when it has become a suspect. Heartbeats tell whether their sender has had contact with the platform.

--- a/crates/daemon/src/control_event.rs
+++ b/crates/daemon/src/control_event.rs
@@ -67,7 +67,12 @@
     /// What the platform says about a seat.
     Seat(SeatNews),
     /// A request's upstream crashed.
-    Crash(CrashReport),
+    Crash {
+        /// The crash and the request.
+        report: CrashReport,
+        /// Answered when request threads see the crash in the table of suspects.
+        published: oneshot::Sender<()>,
+    },
     /// A request that is like a suspect was answered in full.
     Success(SuspectFingerprint),
     /// An upstream was seen leaving.
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -220,7 +220,10 @@
                     .collect();
             }
             ControlEvent::Seat(news) => self.handle_seat(news, now),
-            ControlEvent::Crash(report) => self.handle_crash(&report, now),
+            ControlEvent::Crash { report, published } => {
+                self.handle_crash(&report, now);
+                let _ = published.send(());
+            }
             ControlEvent::Success(fingerprint) => self.handle_success(fingerprint),
             ControlEvent::UpstreamDraining(upstream) => self.tell_draining(&upstream, true),
             ControlEvent::Probe {
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -107,6 +107,7 @@
                 version,
                 age: (reported != AGE_UNKNOWN).then(|| Duration::from_millis(reported)),
                 platform_reached: message.platform_reached,
+                had_contact: message.platform_contact,
             };
             age.note_peer(&sender.instance, report, now);
         }
@@ -161,6 +162,7 @@
             headroom_percent: self.headroom_percent(),
             known_peers: self.known_addresses(),
             incarnation: self.shared.incarnation,
+            platform_contact: self.age.as_ref().is_some_and(ConfigAge::had_contact),
         }
     }
 
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -1,5 +1,6 @@
 //! Carries one request: admission, rate, slot, attempts and the answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use coltsfootkeel_model::UpstreamKey;
 use http::HeaderMap;
 use http::request::Parts;
+use tokio::sync::oneshot;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -24,8 +26,18 @@
 use crate::slot_wait::{SlotGuard, WaitFailure};
 use crate::upstream_attempt::{AttemptResult, run_attempt};
 
-/// Time to find out whether an upstream that broke a connection still accepts new ones.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pauses before the connects that show whether an upstream that broke a connection has crashed.
+const CRASH_CHECKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
+
+/// Time for one of these connects. A new connection takes about 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time the control thread has to publish a crash.
+const PUBLISH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Carries a caller's request and returns what the caller gets.
 pub async fn carry_request(shared: &Arc<SharedState>, request: Request) -> Response {
@@ -68,7 +80,9 @@
     let body = CallerBody::read(&context.head, body, max_body_bytes)
         .await
         .map_err(refuse_unattempted)?;
-    check_suspect(&context, &body)?;
+    if is_suspect(&context, &body) {
+        return Err(refuse_unattempted(RefusalKind::CrashSuspect));
+    }
     let run = RequestRun {
         context,
         headers,
@@ -96,14 +110,11 @@
     Refusal::before_attempt(kind, true)
 }
 
-fn check_suspect(context: &RequestContext, body: &CallerBody) -> Result<(), Refusal> {
+/// Tells whether requests like this one have crashed upstreams.
+fn is_suspect(context: &RequestContext, body: &CallerBody) -> bool {
     let suspects = context.shared.suspects.load();
-    let is_refused = suspects.suspects_head(|| context.suspect_head().fingerprint())
-        && suspects.refuses(context.fingerprint(body.fingerprint_digest()));
-    if is_refused {
-        return Err(refuse_unattempted(RefusalKind::CrashSuspect));
-    }
-    Ok(())
+    suspects.suspects_head(|| context.suspect_head().fingerprint())
+        && suspects.refuses(context.fingerprint(body.fingerprint_digest()))
 }
 
 /// A request that is ready to be sent.
@@ -184,6 +195,10 @@
             ) {
                 self.report_crash(chosen.key).await;
             }
+            if is_suspect(&self.context, &self.body) {
+                let history = attempt.finish(end);
+                return Err(Refusal::new(RefusalKind::CrashSuspect, history, false));
+            }
             if self.context.is_withdrawn() {
                 let history = attempt.finish(end);
                 return Err(Refusal::new(RefusalKind::KeyWithdrawn, history, false));
@@ -310,24 +325,41 @@
         }
     }
 
-    /// Reports the request as a suspect if its upstream no longer accepts connections.
+    /// Reports the request as a suspect if its upstream no longer accepts connections, and waits until request threads
+    /// see the report, so that the next attempt takes it into account.
     async fn report_crash(&self, upstream: UpstreamKey) {
         let record = &self.context.snapshot.config.upstreams[upstream];
-        let connect = tokio::net::TcpStream::connect(record.address);
-        let is_alive = matches!(
-            tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect).await,
-            Ok(Ok(_))
-        );
-        if is_alive {
+        if accepts_connections(record.address).await {
             return;
         }
         let digest = self.body.fingerprint_digest();
-        self.context.shared.report(ControlEvent::Crash(CrashReport {
-            crash: CrashId {
-                upstream: record.name.clone(),
-                number: fastrand::u64(..),
+        let (published, seen) = oneshot::channel();
+        self.context.shared.report(ControlEvent::Crash {
+            report: CrashReport {
+                crash: CrashId {
+                    upstream: record.name.clone(),
+                    number: fastrand::u64(..),
+                },
+                fingerprints: vec![self.context.fingerprint(digest)],
             },
-            fingerprints: vec![self.context.fingerprint(digest)],
-        }));
+            published,
+        });
+        let _ = tokio::time::timeout(PUBLISH_TIMEOUT, seen).await;
+    }
+}
+
+/// Tells whether an upstream that broke a connection goes on accepting new ones. A process that is ending may accept
+/// one more before its listener is closed, so one success proves nothing.
+async fn accepts_connections(address: SocketAddr) -> bool {
+    for pause in CRASH_CHECKS {
+        tokio::time::sleep(pause).await;
+        let connect = tokio::net::TcpStream::connect(address);
+        if !matches!(
+            tokio::time::timeout(CONNECT_TIMEOUT, connect).await,
+            Ok(Ok(_))
+        ) {
+            return false;
+        }
     }
+    true
 }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -136,6 +136,9 @@
     /// The incarnation of the sender, so that a replaced instance is noticed on an old connection.
     #[prost(uint64, tag = "10")]
     pub incarnation: u64,
+    /// Whether the sender has reached the platform itself since it started or was last paused.
+    #[prost(bool, tag = "11")]
+    pub platform_contact: bool,
 }
 
 /// What a loan is of.
