--- a/crates/decisions/tests/seat_claim_fuzz.rs
+++ b/crates/decisions/tests/seat_claim_fuzz.rs
@@ -599,6 +599,26 @@
     }
 }
 
+/// Guards against a holder that wakes while a claim is on its way to a slow platform, perhaps of an
+/// instance that it does not know and cannot hear yet.
+#[test]
+fn waking_during_a_claim_leaves_one_holder() {
+    for delay_ms in [5, 800, 1_200, 1_450, 5_000] {
+        for pause_ms in (6_600..=7_600).step_by(100) {
+            for (cut_start_ms, cut_ms) in [(6_900, 0), (6_900, 1_000), (7_000, 2_500)] {
+                let mut world = World::new();
+                world.platform.delay_ms = delay_ms;
+                world.instances[0].stopped_ms = pause_ms;
+                world.run(100);
+                world.start(1, 1_000);
+                world.run(cut_start_ms - 100);
+                world.cut = Some((0, cut_start_ms + cut_ms));
+                world.run(16_000);
+            }
+        }
+    }
+}
+
 /// Guards against a new daemon that takes a live holder's seat while an empty one of its own failure
 /// domain waits.
 #[test]
--- a/crates/decisions/tests/share_ledger_cases.rs
+++ b/crates/decisions/tests/share_ledger_cases.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
     GrantOutcome, Incarnation, LOAN_LIFE, LedgerSettings, LoanAmount, LoanAsk, LoanGrant,
-    LoanLedger, LoanPeer, LoanPolicy, RateAmount, RateLimitKey, SPEND_LEASE, split_rate,
-    split_slots,
+    LoanLedger, LoanPeer, LoanPolicy, LoanReturn, RateAmount, RateLimitKey, SPEND_LEASE,
+    split_rate, split_slots,
 };
 use fleet::{Fleet, FleetPlan, MILLISECOND, Message, RatePlan, SlotPlan, Tap};
 
@@ -252,6 +252,46 @@
     }
 }
 
+/// Guards against a new holder that uses a released share while a loan of the former one is in use.
+#[test]
+fn released_share_rests_until_its_loans_are_over() {
+    let mut fleet = fleet_with(HOARD, &[0, 0, 1], TOTAL, &[]);
+    fleet.tap = Some(drop_renewals);
+    fleet.run(200, 10, |fleet| fleet.instances[0].rates[0].short.record());
+    fleet.run(300, 10, |_| {});
+    assert!(capacity(&fleet, 0) > 50_000);
+    fleet.release(1);
+    fleet.run(4_000, 10, |_| {});
+    assert_eq!(capacity(&fleet, 3), 20_000);
+}
+
+/// Guards against tokens that are credited twice because a return is repeated.
+#[test]
+fn repeated_return_brings_tokens_once() {
+    let (mut ledger, key, ask, sent) = borrower_with_ask();
+    ledger.set_rate_share(key, TOTAL, TOTAL);
+    let full = sent + Duration::from_millis(10);
+    ledger.tick(full);
+    let Some(grant) = ledger.answer_ask(BORROWER, ask, full) else {
+        panic!("expected a grant");
+    };
+    let LoanAmount::Rate(amount) = grant.amount else {
+        panic!("expected a grant of a rate");
+    };
+    assert!(amount.burst > 0);
+    let bucket = ledger.rate_handle(key).bucket;
+    let before = bucket.level();
+    let end = LoanReturn {
+        line: ask.line,
+        limit: ask.limit,
+        tokens: 500,
+    };
+    ledger.take_return(BORROWER, end, full);
+    assert_eq!(bucket.level(), before + 500);
+    ledger.take_return(BORROWER, end, full);
+    assert_eq!(bucket.level(), before + 500);
+}
+
 fn drop_grants(message: &Message) -> Tap {
     match message {
         Message::Grant(_) => Tap::Drop,
