decisions: cases for confirmation and listening of a seat's holder

Cause: by-hand mutations of the listening time and of the round of a confirmation survived the fuzz.

--- a/crates/decisions/tests/seat_claim_fuzz.rs
+++ b/crates/decisions/tests/seat_claim_fuzz.rs
@@ -408,7 +408,7 @@
             }
             ClaimStep::Refused => instance.claim = None,
             ClaimStep::Wait => {
-                let is_stale = seen != version && !claim.is_claiming();
+                let is_stale = seen != version && !instance.is_updating;
                 if is_stale {
                     instance.claim = None;
                 }
@@ -606,19 +606,48 @@
     for delay_ms in [5, 800, 1_200, 1_450, 5_000] {
         for pause_ms in (6_600..=7_600).step_by(100) {
             for (cut_start_ms, cut_ms) in [(6_900, 0), (6_900, 1_000), (7_000, 2_500)] {
-                let mut world = World::new();
-                world.platform.delay_ms = delay_ms;
-                world.instances[0].stopped_ms = pause_ms;
-                world.run(100);
-                world.start(1, 1_000);
-                world.run(cut_start_ms - 100);
-                world.cut = Some((0, cut_start_ms + cut_ms));
-                world.run(16_000);
+                // While the known instances are stopped, only the new one claims.
+                for others_stopped_ms in [0, 3_000] {
+                    let mut world = World::new();
+                    world.platform.delay_ms = delay_ms;
+                    world.instances[0].stopped_ms = pause_ms;
+                    world.run(100);
+                    world.start(1, 1_000);
+                    for other in 1..4 {
+                        world.instances[other].stopped_ms = others_stopped_ms;
+                    }
+                    world.run(cut_start_ms - 100);
+                    world.cut = Some((0, cut_start_ms + cut_ms));
+                    world.run(16_000);
+                }
             }
         }
     }
 }
 
+/// Guards against a confirmation by evidence that was asked for before the last gap.
+#[test]
+fn evidence_from_before_the_gap_confirms_nothing() {
+    let peer = Incarnation(7);
+    let mut holder = SeatHolder::new(MonotonicTime::from_millis(0));
+    holder.set_known(BTreeSet::from([peer]));
+    holder.tick(MonotonicTime::from_millis(10_000));
+    let Some(old) = holder.wanted_round() else {
+        panic!("expected a confirmation after the first gap");
+    };
+    holder.tick(MonotonicTime::from_millis(20_000));
+    holder.take_rewrite(old, true);
+    holder.take_answer(peer, old, false);
+    holder.tick(MonotonicTime::from_millis(20_010));
+    holder.tick(MonotonicTime::from_millis(22_000));
+    assert_eq!(holder.standing(), HolderStanding::Unconfirmed);
+    let Some(new) = holder.wanted_round() else {
+        panic!("expected a confirmation after the second gap");
+    };
+    holder.take_rewrite(new, true);
+    assert_eq!(holder.standing(), HolderStanding::Holding);
+}
+
 /// Guards against a new daemon that takes a live holder's seat while an empty one of its own failure
 /// domain waits.
 #[test]
