--- a/crates/decisions/tests/share_ledger_cases.rs
+++ b/crates/decisions/tests/share_ledger_cases.rs
@@ -265,6 +265,18 @@
     assert_eq!(capacity(&fleet, 3), 20_000);
 }
 
+/// Guards against a borrowed share that is lent on and outlives the loan it comes from.
+#[test]
+fn borrowed_share_is_not_lent_on() {
+    let mut fleet = fleet_with(HOARD, &[0, 0, 1], TOTAL, &[]);
+    fleet.tap = Some(drop_renewals);
+    fleet.run(200, 10, |fleet| fleet.instances[0].rates[0].short.record());
+    fleet.run(1_000, 10, |_| {});
+    assert!(capacity(&fleet, 0) > 50_000);
+    fleet.run(200, 10, |fleet| fleet.instances[2].rates[0].short.record());
+    fleet.run(4_000, 10, |_| {});
+}
+
 /// Guards against tokens that are credited twice because a return is repeated.
 #[test]
 fn repeated_return_brings_tokens_once() {
