--- a/crates/daemon/src/answer_body.rs
+++ b/crates/daemon/src/answer_body.rs
@@ -7,11 +7,11 @@
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
-use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
 
 use crate::access_watch::AccessWatch;
+use crate::upstream_link::{LinkBody, LinkConnection};
 
 /// How often a response that makes no progress checks whether its key was withdrawn.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
@@ -32,10 +32,10 @@
 }
 
 /// How a body ended.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub struct AnswerEnd {
-    /// Whether it was complete.
-    pub complete: bool,
+    /// The connection, if the body was complete and the connection may be used again.
+    pub connection: Option<Box<LinkConnection>>,
     /// The bytes that passed.
     pub bytes: u64,
 }
@@ -45,7 +45,7 @@
 
 /// A response body that is complete, or visibly broken.
 pub struct AnswerBody {
-    body: Incoming,
+    body: Option<LinkBody>,
     deadline: Instant,
     watch: Option<Arc<AccessWatch>>,
     timer: Pin<Box<Sleep>>,
@@ -57,14 +57,14 @@
     /// Wraps a body. `end` is called once: at the end of the body, at an error, or when the caller leaves.
     #[must_use]
     pub fn new(
-        body: Incoming,
+        body: LinkBody,
         deadline: Instant,
         watch: Option<Arc<AccessWatch>>,
         end: EndHook,
     ) -> Self {
         let first_check = deadline.min(Instant::now() + WATCH_PERIOD);
         Self {
-            body,
+            body: Some(body),
             deadline,
             watch,
             timer: Box::pin(tokio::time::sleep_until(first_check)),
@@ -73,10 +73,12 @@
         }
     }
 
+    /// Ends the body. The connection of one that is not complete is closed.
     fn finish(&mut self, complete: bool) {
+        let body = self.body.take().filter(|_| complete);
         if let Some(end) = self.end.take() {
             end(AnswerEnd {
-                complete,
+                connection: body.map(LinkBody::into_connection),
                 bytes: self.bytes,
             });
         }
@@ -110,22 +112,23 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
-        if self.end.is_none() {
-            return Poll::Ready(None);
-        }
         if let Some(error) = self.interruption(context) {
             self.finish(false);
             return Poll::Ready(Some(Err(error)));
         }
-        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+        let Some(body) = &mut self.body else {
+            return Poll::Ready(None);
+        };
+        let frame = match Pin::new(&mut *body).poll_frame(context) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(frame) => frame,
         };
+        let is_end = body.is_end_stream();
         match frame {
             Some(Ok(frame)) => {
                 self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
                 // A body with a known length is not polled again after its last frame.
-                if self.body.is_end_stream() {
+                if is_end {
                     self.finish(true);
                 }
                 Poll::Ready(Some(Ok(frame)))
@@ -142,17 +145,19 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.body.as_ref().is_none_or(LinkBody::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        self.body
+            .as_ref()
+            .map_or_else(SizeHint::new, LinkBody::size_hint)
     }
 }
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        let complete = self.body.is_end_stream();
+        let complete = self.is_end_stream();
         self.finish(complete);
     }
 }
--- a/crates/daemon/src/answer_relay.rs
+++ b/crates/daemon/src/answer_relay.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use coltsfootkeel_decisions::{AttemptEnd, SuspectFingerprint};
 use coltsfootkeel_model::UpstreamKey;
 use http::HeaderMap;
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use tokio::time::Instant;
 use volo_http::body::Body;
 use volo_http::response::Response;
@@ -18,7 +19,7 @@
 use crate::kept_answer::KeptAnswer;
 use crate::request_context::RequestContext;
 use crate::slot_wait::SlotGuard;
-use crate::upstream_link::LinkExchange;
+use crate::upstream_link::{LinkBody, LinkConnection};
 
 /// An answer on its way to the caller.
 #[derive(Debug)]
@@ -50,13 +51,8 @@
     body: &CallerBody,
     upstream: UpstreamKey,
     slot: SlotGuard,
-    exchange: LinkExchange,
-    is_retryable: bool,
+    response: hyper::Response<LinkBody>,
 ) -> Result<RelayedAnswer, AttemptEnd> {
-    let LinkExchange {
-        response,
-        connection,
-    } = exchange;
     let (parts, incoming) = response.into_parts();
     let mut headers = parts.headers;
     let is_small = incoming
@@ -80,19 +76,10 @@
         shared: Arc::clone(&context.shared),
         sent_bytes: context.head.content_length.unwrap_or(0),
         link,
-        connection,
         slot,
     };
     if is_small {
-        return relay_whole(
-            context,
-            parts.status,
-            headers,
-            incoming,
-            finish,
-            is_retryable,
-        )
-        .await;
+        return relay_whole(context, parts.status, headers, incoming, finish).await;
     }
     let deadline = Instant::from_std(context.shared.clock.instant_of(context.deadline));
     let hook = Box::new(move |end: AnswerEnd| finish.run(end));
@@ -107,19 +94,16 @@
     context: &RequestContext,
     status: http::StatusCode,
     headers: HeaderMap,
-    incoming: Incoming,
+    incoming: LinkBody,
     finish: AnswerFinish,
-    is_retryable: bool,
 ) -> Result<RelayedAnswer, AttemptEnd> {
     let deadline = Instant::from_std(context.shared.clock.instant_of(context.deadline));
-    let collected = tokio::time::timeout_at(deadline, incoming.collect()).await;
-    if let Ok(Ok(collected)) = collected {
-        let body = collected.to_bytes();
-        let end = AnswerEnd {
-            complete: true,
+    let read = tokio::time::timeout_at(deadline, read_whole(incoming)).await;
+    if let Ok(Some((body, connection))) = read {
+        finish.run(AnswerEnd {
+            connection: Some(connection),
             bytes: body.len() as u64,
-        };
-        finish.run(end);
+        });
         return Ok(RelayedAnswer::Whole(KeptAnswer {
             status,
             headers,
@@ -128,16 +112,32 @@
     }
     finish.slot.lane().health.record_failure();
     finish.run(AnswerEnd {
-        complete: false,
+        connection: None,
         bytes: 0,
     });
     log::debug!(
-        "entry: Response to request {} broke off, retryable: {is_retryable}",
+        "entry: Response to request {} broke off.",
         context.request_id
     );
     Err(AttemptEnd::AnswerTruncated)
 }
 
+/// Reads a small body. Returns nothing if it breaks off.
+async fn read_whole(mut body: LinkBody) -> Option<(Bytes, Box<LinkConnection>)> {
+    let mut bytes = Bytes::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        bytes = if bytes.is_empty() {
+            data
+        } else {
+            Bytes::from([bytes, data].concat())
+        };
+    }
+    Some((bytes, body.into_connection()))
+}
+
 fn suspect_success(context: &RequestContext, body: &CallerBody) -> Option<SuspectFingerprint> {
     let suspects = context.shared.suspects.load();
     if !suspects.suspects_head(|| context.suspect_head().fingerprint()) {
@@ -152,7 +152,6 @@
     shared: Arc<crate::shared_state::SharedState>,
     context_snapshot: Arc<crate::fleet_snapshot::FleetSnapshot>,
     link: Arc<crate::upstream_link::UpstreamLink>,
-    connection: crate::upstream_link::LinkConnection,
     slot: SlotGuard,
     region: coltsfootkeel_model::RegionKey,
     started: coltsfootkeel_counters::MonotonicTime,
@@ -167,11 +166,10 @@
         let links = &self.context_snapshot.links;
         links.charge(home, self.region, self.sent_bytes);
         links.charge(self.region, home, end.bytes);
-        if !end.complete {
-            self.connection.close();
+        let Some(connection) = end.connection else {
             return;
-        }
-        self.link.put_back(now, self.connection);
+        };
+        self.link.put_back(now, connection);
         self.shared.metrics.count_answer(now.since(self.started));
         if let Some(fingerprint) = self.success {
             self.shared.report(ControlEvent::Success(fingerprint));
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -162,17 +162,9 @@
             let result =
                 run_attempt(&self.context, &self.headers, chosen.key, &chosen.slot, body).await;
             let end = match result {
-                AttemptResult::Answered(exchange) => {
-                    let is_retryable = self.context.idempotent && self.body.is_replayable();
-                    match relay_answer(
-                        &self.context,
-                        &self.body,
-                        chosen.key,
-                        chosen.slot,
-                        exchange,
-                        is_retryable,
-                    )
-                    .await
+                AttemptResult::Answered(response) => {
+                    match relay_answer(&self.context, &self.body, chosen.key, chosen.slot, response)
+                        .await
                     {
                         Ok(answer) => {
                             let _ = attempt.finish(AttemptEnd::Answered);
--- a/crates/daemon/src/upstream_attempt.rs
+++ b/crates/daemon/src/upstream_attempt.rs
@@ -12,7 +12,7 @@
 use crate::header_rules;
 use crate::request_context::RequestContext;
 use crate::slot_wait::SlotGuard;
-use crate::upstream_link::{LinkExchange, SendFailure};
+use crate::upstream_link::{LinkBody, SendFailure};
 
 /// How often a request that waits for its upstream checks whether its access key was withdrawn.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub enum AttemptResult {
     /// The upstream answered.
-    Answered(LinkExchange),
+    Answered(hyper::Response<LinkBody>),
     /// It did not.
     Failed {
         /// How the attempt ended.
@@ -57,11 +57,11 @@
         }
     };
     match outcome {
-        Ok(exchange) => judge_response(
+        Ok(response) => judge_response(
             context,
             upstream,
             slot,
-            exchange,
+            response,
             context.now().since(started),
         ),
         Err(SendFailure::ConnectFailed(request)) => {
@@ -90,14 +90,13 @@
     context: &RequestContext,
     upstream: UpstreamKey,
     slot: &SlotGuard,
-    exchange: LinkExchange,
+    response: hyper::Response<LinkBody>,
     latency: Duration,
 ) -> AttemptResult {
-    let status = exchange.response.status();
-    let headers = exchange.response.headers();
+    let status = response.status();
+    let headers = response.headers();
     if header_rules::has_value(headers, &header_rules::RUN_HEADER, "not-run") {
         let draining = header_rules::has_value(headers, &header_rules::DRAINING_HEADER, "yes");
-        exchange.connection.close();
         if !draining {
             return AttemptResult::failed(AttemptEnd::Shed);
         }
@@ -112,7 +111,6 @@
         || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     if !is_framed {
         // Without a length or chunks, a truncated body looks like a whole one.
-        exchange.connection.close();
         slot.lane().health.record_failure();
         return AttemptResult::failed(AttemptEnd::AnswerTruncated);
     }
@@ -121,7 +119,7 @@
     } else {
         slot.lane().health.record_success(latency);
     }
-    AttemptResult::Answered(exchange)
+    AttemptResult::Answered(response)
 }
 
 fn upstream_request(
--- a/crates/daemon/src/upstream_link.rs
+++ b/crates/daemon/src/upstream_link.rs
@@ -1,15 +1,22 @@
 //! Connections to one upstream: one exchange at a time on each, reused only after a complete exchange.
+//!
+//! The task of a request drives its connection itself. A task for each connection would cost two
+//! hand-overs between threads for each request.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
+use bytes::Bytes;
 use coltsfootkeel_counters::MonotonicTime;
 use crossbeam_queue::ArrayQueue;
+use http_body::{Body as HttpBody, Frame, SizeHint};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use volo_http::body::Body;
 
 /// Time to set up a connection. A new connection takes about 1 ms, so this bound is for lost packets.
@@ -37,31 +44,91 @@
 #[derive(Debug)]
 pub struct UpstreamLink {
     address: SocketAddr,
-    idle: ArrayQueue<LinkConnection>,
+    idle: ArrayQueue<Box<LinkConnection>>,
 }
 
-/// A connection and the task that drives it.
+/// A connection. Dropped, it is closed, also in the middle of an exchange.
 #[derive(Debug)]
 pub struct LinkConnection {
     sender: SendRequest<Body>,
-    driver: AbortHandle,
+    driver: Connection<TokioIo<TcpStream>, Body>,
+    is_over: bool,
     idle_since: MonotonicTime,
 }
 
 impl LinkConnection {
-    /// Closes the connection at once, also in the middle of an exchange.
-    pub fn close(self) {
-        self.driver.abort();
+    /// Reads and writes what is possible now.
+    fn drive(&mut self, context: &mut Context<'_>) {
+        // The exchange on the connection reports the error.
+        if !self.is_over && Pin::new(&mut self.driver).poll(context).is_ready() {
+            self.is_over = true;
+        }
+    }
+
+    /// Tells whether the connection is open and carries nothing. One that the upstream has closed meanwhile, or
+    /// whose last exchange is not complete, is not.
+    fn is_idle(&mut self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        self.drive(&mut context);
+        !self.is_over && self.sender.poll_ready(&mut context).is_ready() && self.sender.is_ready()
+    }
+
+    async fn exchange(
+        &mut self,
+        request: hyper::Request<Body>,
+    ) -> Result<hyper::Response<Incoming>, SendFailure> {
+        let mut reply = std::pin::pin!(self.sender.try_send_request(request));
+        let driver = &mut self.driver;
+        let is_over = &mut self.is_over;
+        let outcome = poll_fn(|context| {
+            if !*is_over && Pin::new(&mut *driver).poll(context).is_ready() {
+                *is_over = true;
+            }
+            reply.as_mut().poll(context)
+        });
+        outcome
+            .await
+            .map_err(|mut error| match error.take_message() {
+                Some(request) => SendFailure::NotSent(Box::new(request)),
+                None => SendFailure::Broken(error.into_error()),
+            })
     }
 }
 
-/// A response head and the connection its body arrives on.
+/// A response body together with the connection it arrives on.
 #[derive(Debug)]
-pub struct LinkExchange {
-    /// The response with a body that is still arriving.
-    pub response: hyper::Response<Incoming>,
-    /// The connection.
-    pub connection: LinkConnection,
+pub struct LinkBody {
+    body: Incoming,
+    connection: Box<LinkConnection>,
+}
+
+impl LinkBody {
+    /// Returns the connection, for the next exchange if this one is complete.
+    #[must_use]
+    pub fn into_connection(self) -> Box<LinkConnection> {
+        self.connection
+    }
+}
+
+impl HttpBody for LinkBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        self.connection.drive(context);
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 impl UpstreamLink {
@@ -74,7 +141,7 @@
         }
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. Dropped before that, it closes the connection.
     ///
     /// # Errors
     ///
@@ -84,13 +151,13 @@
         now: MonotonicTime,
         request: hyper::Request<Body>,
         once_only: bool,
-    ) -> Result<LinkExchange, SendFailure> {
+    ) -> Result<hyper::Response<LinkBody>, SendFailure> {
         let max_idle = if once_only {
             MAX_IDLE_ONCE_ONLY
         } else {
             MAX_IDLE
         };
-        let mut connection = match self.reuse(now, max_idle).await {
+        let mut connection = match self.reuse(now, max_idle) {
             Some(connection) => connection,
             None => match self.connect().await {
                 Ok(connection) => connection,
@@ -100,63 +167,42 @@
                 }
             },
         };
-        // Dropped before the response head arrives (timeout, caller gone), the guard closes the connection.
-        let guard = DriverGuard(Some(connection.driver.clone()));
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => {
-                guard.keep();
-                Ok(LinkExchange {
-                    response,
-                    connection,
-                })
-            }
-            Err(mut error) => Err(match error.take_message() {
-                Some(request) => SendFailure::NotSent(Box::new(request)),
-                None => SendFailure::Broken(error.into_error()),
-            }),
-        }
+        let response = connection.exchange(request).await?;
+        Ok(response.map(|body| LinkBody { body, connection }))
     }
 
     /// Keeps a connection after a complete exchange.
-    pub fn put_back(&self, now: MonotonicTime, mut connection: LinkConnection) {
+    pub fn put_back(&self, now: MonotonicTime, mut connection: Box<LinkConnection>) {
         connection.idle_since = now;
-        if let Err(surplus) = self.idle.push(connection) {
-            surplus.close();
-        }
+        // A connection beyond the bound is closed.
+        let _ = self.idle.push(connection);
     }
 
     /// Closes all idle connections.
     pub fn close_idle(&self) {
-        while let Some(connection) = self.idle.pop() {
-            connection.close();
-        }
+        while self.idle.pop().is_some() {}
     }
 
-    async fn reuse(&self, now: MonotonicTime, max_idle: Duration) -> Option<LinkConnection> {
+    fn reuse(&self, now: MonotonicTime, max_idle: Duration) -> Option<Box<LinkConnection>> {
         while let Some(mut connection) = self.idle.pop() {
-            let too_old = now.since(connection.idle_since) > max_idle;
-            if !too_old && connection.sender.ready().await.is_ok() {
+            if now.since(connection.idle_since) <= max_idle && connection.is_idle() {
                 return Some(connection);
             }
-            connection.close();
         }
         None
     }
 
-    async fn connect(&self) -> Result<LinkConnection, ConnectError> {
-        let stream =
-            tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
+    async fn connect(&self) -> Result<Box<LinkConnection>, ConnectError> {
+        let connecting = TcpStream::connect(self.address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::spawn(async move {
-            // The exchange on the connection reports the error.
-            let _ = connection.await;
-        });
-        Ok(LinkConnection {
+        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+        Ok(Box::new(LinkConnection {
             sender,
-            driver: driver.abort_handle(),
+            driver,
+            is_over: false,
             idle_since: MonotonicTime::default(),
-        })
+        }))
     }
 }
 
@@ -169,19 +215,3 @@
     #[error("{0}")]
     Handshake(#[from] hyper::Error),
 }
-
-struct DriverGuard(Option<AbortHandle>);
-
-impl DriverGuard {
-    fn keep(mut self) {
-        self.0 = None;
-    }
-}
-
-impl Drop for DriverGuard {
-    fn drop(&mut self) {
-        if let Some(driver) = self.0.take() {
-            driver.abort();
-        }
-    }
-}
--- a/crates/daemon/src/upstream_probe.rs
+++ b/crates/daemon/src/upstream_probe.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use coltsfootkeel_decisions::{LoadReport, ProbeResult};
 use http::{HeaderValue, Uri, header::HOST};
 use http_body_util::BodyExt;
@@ -12,7 +13,7 @@
 
 use crate::control_event::ControlEvent;
 use crate::shared_state::SharedState;
-use crate::upstream_link::{LinkExchange, UpstreamLink};
+use crate::upstream_link::UpstreamLink;
 
 /// Time a probe may take. It usually takes about 6 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -80,17 +81,21 @@
     let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     let answer = async {
-        let LinkExchange {
-            response,
-            connection,
-        } = link.send(shared.clock.now(), request, false).await.ok()?;
+        let response = link.send(shared.clock.now(), request, false).await.ok()?;
         if !response.status().is_success() {
-            connection.close();
             return None;
         }
-        let body = http_body_util::Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let bytes = body.collect().await.ok()?.to_bytes();
-        link.put_back(shared.clock.now(), connection);
+        let mut body = response.into_body();
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.ok()?.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+            if bytes.len() > MAX_ANSWER_BYTES {
+                return None;
+            }
+        }
+        link.put_back(shared.clock.now(), body.into_connection());
         serde_json::from_slice(&bytes).ok()
     };
     tokio::time::timeout(PROBE_TIMEOUT, answer)
