decisions: stricter fuzz oracles for shifts and generations

Cause: trials on a scratch copy took one mechanism away at a time. Each of 36 was noticed by at least one test, but a share count that was read and written in two steps passed the test with threads, and the histories noticed neither a missing lease nor a platform that is left with older data. Change: the test with threads counts arrivals at the destination; the histories check that a paused instance moves nothing under a rate cap and that the platform holds what the instances run.

--- a/crates/decisions/tests/shift_meter.rs
+++ b/crates/decisions/tests/shift_meter.rs
@@ -3,6 +3,7 @@
 mod steering_fleet;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
 use coltsfootkeel_counters::{RateBucket, TimeLease};
@@ -103,14 +104,17 @@
     let lease = long_lease();
     for percent in [1, 10, 50, 99] {
         let meter = ShiftMeter::with_share(percent);
+        let arrived = AtomicU64::new(0);
         thread::scope(|scope| {
             for thread_number in 0..4 {
-                let (meter, lease) = (&meter, &lease);
+                let (meter, lease, arrived) = (&meter, &lease, &arrived);
                 scope.spawn(move || {
                     for request in 0..5_000 {
                         let taken = meter.try_move(lease, at_ms(1));
                         if taken && request % 7 == thread_number {
                             meter.give_back();
+                        } else if taken {
+                            arrived.fetch_add(1, Ordering::SeqCst);
                         }
                         // `seen` only grows, so reading it second never shows a violation that was none.
                         let moved = meter.moved();
@@ -121,6 +125,7 @@
             }
         });
         assert_eq!(meter.seen(), 20_000);
+        assert_eq!(meter.moved(), arrived.load(Ordering::SeqCst));
         while meter.try_move(&lease, at_ms(1)) {}
         let allowed = meter.seen() * u64::from(percent) / 100;
         assert_eq!(meter.moved(), allowed);
--- a/crates/decisions/tests/steering_fuzz.rs
+++ b/crates/decisions/tests/steering_fuzz.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
-use coltsfootkeel_counters::{MonotonicTime, RateBucket, TimeLease};
+use coltsfootkeel_counters::{RateBucket, TimeLease};
 use coltsfootkeel_decisions::{
     ChoicePolicy, ChoiceRequest, ChoiceStart, ConfigFault, ConfigSource, DocumentOutcome,
     GenerationTracker, HealthJudge, LinkBook, LinkMeter, OfferVerdict, ProbeResult, RampPolicy,
@@ -47,6 +47,7 @@
 
 const SHIFT_INSTANCES: usize = 3;
 const SHIFT_TICK_MS: u64 = 10;
+const LEASE_MS: u64 = 250;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CapTerms {
@@ -124,6 +125,7 @@
     lease: TimeLease,
     generation: usize,
     paused: bool,
+    ticked_ms: u64,
 }
 
 impl ShiftInstance {
@@ -135,6 +137,7 @@
             lease: TimeLease::new(),
             generation: 0,
             paused: false,
+            ticked_ms: 0,
         }
     }
 
@@ -142,11 +145,13 @@
         i64::try_from(terms.rate() * 1_000 / SHIFT_INSTANCES as u64).expect("a small rate")
     }
 
-    fn tick(&mut self, terms: CapTerms, now: MonotonicTime) {
+    fn tick(&mut self, terms: CapTerms, now_ms: u64) {
         if self.paused {
             return;
         }
-        self.lease.renew(now, Duration::from_millis(250));
+        self.ticked_ms = now_ms;
+        self.lease
+            .renew(at_ms(now_ms), Duration::from_millis(LEASE_MS));
         let share = Self::share_milli(terms);
         self.bucket.refill(share * 10 / 1_000);
     }
@@ -158,6 +163,8 @@
     seen: u64,
     moved: u64,
     moved_at_ms: Vec<u64>,
+    /// Moves after the lease of a paused instance had run out.
+    moved_late: u64,
 }
 
 struct ShiftHistory {
@@ -248,7 +255,11 @@
             }
         });
         let (_, period) = self.generations[instance.generation];
+        let is_late = self.now_ms >= instance.ticked_ms + LEASE_MS;
         let count = self.periods.entry(period).or_default();
+        if is_late {
+            count.moved_late += moved.load(Ordering::SeqCst);
+        }
         count.seen += callers * each;
         count.moved += moved.load(Ordering::SeqCst);
         let times = (0..moved.load(Ordering::SeqCst)).map(|_| self.now_ms);
@@ -260,7 +271,7 @@
             self.now_ms += SHIFT_TICK_MS;
             for instance in &mut self.instances {
                 let (terms, _) = self.generations[instance.generation];
-                instance.tick(terms, at_ms(self.now_ms));
+                instance.tick(terms, self.now_ms);
             }
         }
     }
@@ -279,7 +290,10 @@
                     count.seen,
                     percent
                 ),
-                CapTerms::Rate(rate) => check_windows(&count.moved_at_ms, *rate)?,
+                CapTerms::Rate(rate) => {
+                    prop_assert_eq!(count.moved_late, 0, "moved by a paused instance");
+                    check_windows(&count.moved_at_ms, *rate)?;
+                }
             }
         }
         Ok(())
@@ -503,6 +517,11 @@
             generations.windows(2).all(|pair| pair[0] == pair[1]),
             "{generations:?}"
         );
+        let held = self.platform.last().map(|document| document.0);
+        prop_assert!(
+            held >= generations[0],
+            "the platform holds {held:?} under {generations:?}"
+        );
         for instance in &self.instances {
             for other in &self.instances {
                 let conflicts = instance.document != other.document;
