daemon: administration API as router of versioned JSON calls

Cause: operators need to change the configuration while others do the same, and to learn where a change is in force. Ruled out: editing JSON values directly, because findings would lose the checks of the model's readers; a retry of a change on a newer generation by the daemon, because the operator is to see the other's change first. Change: handlers of volo-http behind one token check; each change edits the newest RawFleet, is checked for departments by a diff of records (model: fleet_diff) and for findings, and is committed with a write id made of the idempotency key and a digest of the call. model: single records can be read (raw_records).

--- /dev/null
+++ b/crates/daemon/src/admin_api.rs
@@ -0,0 +1,201 @@
+//! What the handlers of the administration API share: the documents and the view of the fleet.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_decisions::FleetView;
+use coltsfootkeel_model::{FleetConfig, GenerationNumber, RawFleet};
+use coltsfootkeel_platform::{
+    CommitRecord, ConfigStore, LoadedConfig, ObjectClient, RestoreOutcome,
+};
+use tokio::sync::oneshot;
+
+use crate::admin_control::AdminQuestion;
+use crate::admin_fault::AdminFault;
+use crate::control_event::ControlEvent;
+use crate::shared_state::SharedState;
+use crate::state_dump::StateDump;
+
+/// Time the control thread has to answer.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the handlers share.
+#[derive(Debug)]
+pub struct AdminApi {
+    /// The state of the process.
+    pub shared: Arc<SharedState>,
+    /// The store of configurations.
+    pub configs: ConfigStore,
+}
+
+/// A document to read or to change.
+#[derive(Debug, Clone)]
+pub struct BaseDocument {
+    /// The generation, zero before the first commit.
+    pub generation: u64,
+    /// Whether the platform confirmed that it is the newest.
+    pub confirmed: bool,
+    loaded: Option<Arc<LoadedConfig>>,
+}
+
+impl BaseDocument {
+    fn new(loaded: Option<Arc<LoadedConfig>>, confirmed: bool) -> Self {
+        Self {
+            generation: loaded
+                .as_ref()
+                .map_or(0, |loaded| loaded.manifest.generation),
+            confirmed,
+            loaded,
+        }
+    }
+
+    /// Returns the last commits, oldest first.
+    #[must_use]
+    pub fn commits(&self) -> &[CommitRecord] {
+        let loaded = self.loaded.as_ref();
+        loaded.map_or(&[][..], |loaded| &loaded.manifest.commits)
+    }
+
+    /// Reads the document. This takes long for a large one, so it is called on a thread for long work.
+    #[must_use]
+    pub fn read(&self) -> RawFleet {
+        match &self.loaded {
+            Some(loaded) => {
+                RawFleet::read(&format!("generation-{}", self.generation), &loaded.document)
+            }
+            None => RawFleet::default(),
+        }
+    }
+}
+
+impl AdminApi {
+    /// Makes the state that the handlers share.
+    #[must_use]
+    pub fn new(shared: Arc<SharedState>) -> Self {
+        let platform = &shared.settings.platform;
+        let client = Arc::new(ObjectClient::new(platform.address, platform.timeout));
+        Self {
+            configs: ConfigStore::new(client),
+            shared,
+        }
+    }
+
+    /// Returns the newest document: that of the platform, or that in force here if the platform restarted with older
+    /// data. In the second case the newer one is written back first, because a commit on top of older data would
+    /// revert what is in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the platform cannot be read.
+    pub async fn newest(&self) -> Result<BaseDocument, AdminFault> {
+        let stored = self.configs.read_manifest().await?;
+        let own = self.in_force().await?;
+        let own_generation = own.as_ref().map_or(0, |own| own.manifest.generation);
+        let generation = stored
+            .as_ref()
+            .map_or(0, |stored| stored.manifest.generation);
+        if let (Some(own), true) = (&own, generation < own_generation) {
+            match self.configs.restore(own, stored.as_ref()).await? {
+                RestoreOutcome::Restored => {}
+                _ => {
+                    let text = "its older data are being replaced by the generation in force";
+                    return Err(AdminFault::PlatformDown(text.to_string()));
+                }
+            }
+            return Ok(BaseDocument::new(Some(Arc::clone(own)), true));
+        }
+        let Some(stored) = stored else {
+            return Ok(BaseDocument::new(None, true));
+        };
+        if let Some(own) = own.filter(|own| own.manifest == stored.manifest) {
+            return Ok(BaseDocument::new(Some(own), true));
+        }
+        let loaded = LoadedConfig {
+            document: self.configs.load_document(&stored.manifest).await?,
+            manifest: stored.manifest,
+        };
+        Ok(BaseDocument::new(Some(Arc::new(loaded)), true))
+    }
+
+    /// Returns the newest document, or the one in force here while the platform cannot be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if there is neither.
+    pub async fn readable(&self) -> Result<BaseDocument, AdminFault> {
+        match self.newest().await {
+            Err(AdminFault::PlatformDown(_)) => {
+                let own = self.in_force().await?.ok_or(AdminFault::NotReady)?;
+                Ok(BaseDocument::new(Some(own), false))
+            }
+            result => result,
+        }
+    }
+
+    /// Returns the document in force on this instance.
+    async fn in_force(&self) -> Result<Option<Arc<LoadedConfig>>, AdminFault> {
+        self.ask(|reply| ControlEvent::Admin(AdminQuestion::InForce(reply)))
+            .await
+    }
+
+    /// Tells on how many instances a generation is in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the control thread does not answer.
+    pub async fn view(&self, generation: u64) -> Result<FleetView, AdminFault> {
+        let number = GenerationNumber(generation);
+        self.ask(|reply| ControlEvent::Admin(AdminQuestion::View(number, reply)))
+            .await
+    }
+
+    /// Returns a dump of the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault if the control thread does not answer.
+    pub async fn dump(&self) -> Result<StateDump, AdminFault> {
+        self.ask(ControlEvent::Dump).await
+    }
+
+    async fn ask<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> ControlEvent,
+    ) -> Result<T, AdminFault> {
+        let (reply, answer) = oneshot::channel();
+        self.shared.report(event(reply));
+        match tokio::time::timeout(CONTROL_TIMEOUT, answer).await {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => Err(AdminFault::NotReady),
+        }
+    }
+}
+
+/// Runs work that may take long, such as reading a large document, on a thread for it.
+///
+/// # Errors
+///
+/// Returns the fault of the work, or that it ended early.
+pub async fn run_long<T: Send + 'static>(
+    work: impl FnOnce() -> Result<T, AdminFault> + Send + 'static,
+) -> Result<T, AdminFault> {
+    match tokio::task::spawn_blocking(work).await {
+        Ok(result) => result,
+        Err(error) => Err(AdminFault::Internal(error.to_string())),
+    }
+}
+
+/// Checks a document that is to be committed.
+///
+/// # Errors
+///
+/// Returns all its findings.
+pub fn check_fleet(
+    fleet: RawFleet,
+    origin: crate::admin_fault::FindingOrigin,
+) -> Result<(), AdminFault> {
+    match FleetConfig::try_from(fleet) {
+        Ok(_) => Ok(()),
+        Err(findings) => Err(AdminFault::findings(&findings, origin)),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin_fault.rs
@@ -0,0 +1,212 @@
+//! Why a call of an operator is refused, and the answer that says so.
+
+use coltsfootkeel_model::{FindingList, RecordChange};
+use coltsfootkeel_platform::{CommitRecord, ConfigError};
+use http::StatusCode;
+use serde::Serialize;
+use thiserror::Error;
+use volo_http::response::Response;
+
+use crate::entry_service::json_response;
+
+/// Why a call of an operator is refused.
+#[derive(Debug, Error)]
+pub enum AdminFault {
+    /// The token is missing or unknown.
+    #[error(
+        "expected 'Authorization: Bearer <token>' with the token of an operator in the daemon's settings"
+    )]
+    Unauthorized,
+    /// The change concerns records outside the operator's departments.
+    #[error("operator {operator} may change only objects of: {}", departments.join(", "))]
+    NotAllowed {
+        /// The name of the operator.
+        operator: String,
+        /// The departments the operator may change.
+        departments: Vec<String>,
+        /// The records that are outside.
+        records: Vec<RecordChange>,
+    },
+    /// There is no such object.
+    #[error("{0} does not exist")]
+    NotFound(String),
+    /// The call is malformed.
+    #[error("{0}")]
+    Malformed(String),
+    /// The object exists already.
+    #[error("{0}")]
+    Exists(String),
+    /// The document would have faults.
+    #[error("the document has {} findings; nothing was applied", findings.len())]
+    Findings {
+        /// All of them.
+        findings: Vec<FindingAnswer>,
+    },
+    /// Another change came first.
+    #[error("{}", conflict_text(*expected, *current, changes))]
+    Conflict {
+        /// The generation the change was based on.
+        expected: u64,
+        /// The newest generation.
+        current: u64,
+        /// The changes since then.
+        changes: Vec<CommitRecord>,
+    },
+    /// The idempotency key belongs to another change.
+    #[error(
+        "the Idempotency-Key was used for another change, which made generation {0}; use a new one"
+    )]
+    KeyReused(u64),
+    /// The platform cannot be used.
+    #[error(
+        "the platform cannot be reached, so nothing was changed and no change can be accepted; repeat later: {0}"
+    )]
+    PlatformDown(String),
+    /// The platform's answer to the write was lost.
+    #[error(
+        "the change may have been made; repeat the same call with 'Idempotency-Key: {write_id}' to learn the outcome"
+    )]
+    OutcomeUnknown {
+        /// What to repeat the call with.
+        write_id: String,
+    },
+    /// The daemon has no configuration or does not answer in time.
+    #[error("this instance has no configuration yet or is stopping; ask another instance")]
+    NotReady,
+    /// The daemon cannot do its part.
+    #[error("{0}")]
+    Internal(String),
+}
+
+/// One finding with its place in the text that was sent, if it has one.
+#[derive(Debug, Serialize)]
+pub struct FindingAnswer {
+    /// The line, counted from one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub line: Option<u32>,
+    /// The column, counted from one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub column: Option<u32>,
+    /// The field.
+    pub field: String,
+    /// What is expected.
+    pub expected: String,
+}
+
+/// Where the places of findings point.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FindingOrigin {
+    /// Into the text that the operator sent.
+    SentText,
+    /// Into the stored document, which the operator does not see, so places are left out.
+    StoredText,
+}
+
+/// The body of a refusal.
+#[derive(Debug, Serialize)]
+struct FaultAnswer<'a> {
+    error: &'static str,
+    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    records: Option<&'a [RecordChange]>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    findings: Option<&'a [FindingAnswer]>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    expected_generation: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    generation: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    changes: Option<&'a [CommitRecord]>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    write_id: Option<&'a str>,
+}
+
+impl AdminFault {
+    /// Lists the findings of a document.
+    #[must_use]
+    pub fn findings(list: &FindingList, origin: FindingOrigin) -> Self {
+        let findings = list.sorted().into_iter().map(|finding| {
+            let is_placed = origin == FindingOrigin::SentText && finding.place.line > 0;
+            FindingAnswer {
+                line: is_placed.then_some(finding.place.line),
+                column: is_placed.then_some(finding.place.column),
+                field: finding.field,
+                expected: finding.expected,
+            }
+        });
+        Self::Findings {
+            findings: findings.collect(),
+        }
+    }
+
+    /// Makes the answer.
+    #[must_use]
+    pub fn response(&self) -> Response {
+        let (status, error) = self.status();
+        let mut answer = FaultAnswer {
+            error,
+            message: self.to_string(),
+            records: None,
+            findings: None,
+            expected_generation: None,
+            generation: None,
+            changes: None,
+            write_id: None,
+        };
+        match self {
+            Self::NotAllowed { records, .. } => answer.records = Some(records),
+            Self::Findings { findings } => answer.findings = Some(findings),
+            Self::Conflict {
+                expected,
+                current,
+                changes,
+            } => {
+                answer.expected_generation = Some(*expected);
+                answer.generation = Some(*current);
+                answer.changes = Some(changes);
+            }
+            Self::OutcomeUnknown { write_id } => answer.write_id = Some(write_id),
+            _ => {}
+        }
+        json_response(status, &answer)
+    }
+
+    fn status(&self) -> (StatusCode, &'static str) {
+        match self {
+            Self::Unauthorized => (StatusCode::UNAUTHORIZED, "unauthorized"),
+            Self::NotAllowed { .. } => (StatusCode::FORBIDDEN, "not_allowed"),
+            Self::NotFound(_) => (StatusCode::NOT_FOUND, "not_found"),
+            Self::Malformed(_) => (StatusCode::BAD_REQUEST, "malformed"),
+            Self::Exists(_) => (StatusCode::CONFLICT, "exists"),
+            Self::Findings { .. } => (StatusCode::UNPROCESSABLE_ENTITY, "findings"),
+            Self::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+            Self::KeyReused(_) => (StatusCode::UNPROCESSABLE_ENTITY, "key_reused"),
+            Self::PlatformDown(_) => (StatusCode::SERVICE_UNAVAILABLE, "platform_down"),
+            Self::OutcomeUnknown { .. } => (StatusCode::GATEWAY_TIMEOUT, "outcome_unknown"),
+            Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not_ready"),
+            Self::Internal(_) => (StatusCode::INTERNAL_SERVER_ERROR, "internal"),
+        }
+    }
+}
+
+impl From<ConfigError> for AdminFault {
+    fn from(error: ConfigError) -> Self {
+        match error {
+            ConfigError::FieldLength { .. } => Self::Malformed(error.to_string()),
+            _ => Self::PlatformDown(error.to_string()),
+        }
+    }
+}
+
+fn conflict_text(expected: u64, current: u64, changes: &[CommitRecord]) -> String {
+    let start = format!(
+        "the configuration is at generation {current}, not {expected}; nothing was applied"
+    );
+    match changes.last() {
+        Some(change) => format!(
+            "{start}; generation {} by {}: {}",
+            change.generation, change.operator, change.summary
+        ),
+        None => start,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin_reads.rs
@@ -0,0 +1,237 @@
+//! Handlers that read.
+
+use std::sync::Arc;
+
+use coltsfootkeel_model::RawFleet;
+use coltsfootkeel_platform::CommitRecord;
+use http::header::ETAG;
+use http::{HeaderValue, StatusCode};
+use serde::Serialize;
+use serde_json::Value;
+use volo_http::response::Response;
+
+use crate::admin_api::{AdminApi, run_long};
+use crate::admin_call::AdminCall;
+use crate::admin_collections::Collection;
+use crate::admin_fault::AdminFault;
+use crate::admin_progress::ProgressAnswer;
+use crate::entry_service::json_response;
+use crate::state_dump::ConfigDump;
+
+/// The items of a list unless the call sets another limit.
+const DEFAULT_LIMIT: usize = 100;
+
+/// The most items of a list.
+const MAX_LIMIT: usize = 1_000;
+
+/// The result of a handler.
+pub type AdminResult = Result<Response, AdminFault>;
+
+/// The status of the configuration.
+#[derive(Debug, Serialize)]
+struct StatusAnswer {
+    instance: String,
+    seat: Option<String>,
+    leaving: bool,
+    #[serde(flatten)]
+    config: ConfigDump,
+    message: String,
+}
+
+/// Commits of the configuration, newest first.
+#[derive(Debug, Serialize)]
+struct HistoryAnswer {
+    generation: u64,
+    confirmed: bool,
+    items: Vec<CommitRecord>,
+    next: Option<u64>,
+}
+
+/// A commit and where it is in force.
+#[derive(Debug, Serialize)]
+struct GenerationAnswer {
+    commit: Option<CommitRecord>,
+    #[serde(flatten)]
+    progress: ProgressAnswer,
+}
+
+/// The whole document.
+#[derive(Debug, Serialize)]
+struct DocumentAnswer {
+    generation: u64,
+    confirmed: bool,
+    document: RawFleet,
+}
+
+/// A part of a collection.
+#[derive(Debug, Serialize)]
+struct ListAnswer {
+    generation: u64,
+    confirmed: bool,
+    items: Vec<Value>,
+    next: Option<String>,
+}
+
+/// One record of a collection.
+#[derive(Debug, Serialize)]
+struct ItemAnswer {
+    generation: u64,
+    confirmed: bool,
+    item: Value,
+}
+
+/// Tells which configuration is in force, on how many instances, and what was not taken.
+pub async fn get_status(api: Arc<AdminApi>, _call: AdminCall) -> AdminResult {
+    let dump = api.dump().await?;
+    let config = dump.config;
+    let message = format!(
+        "generation {} is in force on {} of {} instances",
+        config.generation, config.in_force, config.known
+    );
+    let answer = StatusAnswer {
+        instance: dump.instance,
+        seat: dump.seat,
+        leaving: dump.leaving,
+        config,
+        message,
+    };
+    Ok(json_response(StatusCode::OK, &answer))
+}
+
+/// Returns a dump of the state of this instance.
+pub async fn get_dump(api: Arc<AdminApi>, _call: AdminCall) -> AdminResult {
+    let dump = api.dump().await?;
+    Ok(json_response(StatusCode::OK, &dump))
+}
+
+/// Lists the commits that the manifest keeps, newest first.
+pub async fn list_generations(api: Arc<AdminApi>, call: AdminCall) -> AdminResult {
+    let after = match &call.query.after {
+        Some(text) => Some(parse_generation(text)?),
+        None => None,
+    };
+    let base = api.readable().await?;
+    let older = |commit: &&CommitRecord| after.is_none_or(|after| commit.generation < after);
+    let mut items: Vec<CommitRecord> = base.commits().iter().rev().filter(older).cloned().collect();
+    let limit = limit_of(&call);
+    let is_more = items.len() > limit;
+    items.truncate(limit);
+    let last = items.last().map(|commit| commit.generation);
+    let answer = HistoryAnswer {
+        generation: base.generation,
+        confirmed: base.confirmed,
+        next: last.filter(|_| is_more),
+        items,
+    };
+    Ok(json_response(StatusCode::OK, &answer))
+}
+
+/// Tells on how many instances a generation is in force.
+pub async fn get_generation(api: Arc<AdminApi>, call: AdminCall) -> AdminResult {
+    let generation = parse_generation(call.param("generation"))?;
+    let base = api.readable().await?;
+    if generation == 0 || generation > base.generation {
+        return Err(AdminFault::NotFound(format!("generation {generation}")));
+    }
+    let mut commits = base.commits().iter();
+    let commit = commits.find(|commit| commit.generation == generation);
+    let answer = GenerationAnswer {
+        commit: commit.cloned(),
+        progress: ProgressAnswer::new(generation, api.view(generation).await?),
+    };
+    Ok(json_response(StatusCode::OK, &answer))
+}
+
+/// Returns the whole document with its generation.
+pub async fn get_config(api: Arc<AdminApi>, _call: AdminCall) -> AdminResult {
+    let base = api.readable().await?;
+    let generation = base.generation;
+    let mut response = run_long(move || {
+        let answer = DocumentAnswer {
+            generation,
+            confirmed: base.confirmed,
+            document: base.read(),
+        };
+        Ok(json_response(StatusCode::OK, &answer))
+    })
+    .await?;
+    if let Ok(tag) = HeaderValue::try_from(format!("\"{generation}\"")) {
+        response.headers_mut().insert(ETAG, tag);
+    }
+    Ok(response)
+}
+
+/// Lists a part of a collection in the order of the names.
+pub async fn list_records(
+    api: Arc<AdminApi>,
+    call: AdminCall,
+    collection: &'static Collection,
+) -> AdminResult {
+    let base = api.readable().await?;
+    run_long(move || {
+        let mut records = (collection.list)(&base.read());
+        records.sort_by(|left, right| left.0.cmp(&right.0));
+        if let Some(after) = &call.query.after {
+            records.retain(|(name, _)| name > after);
+        }
+        let limit = limit_of(&call);
+        let is_more = records.len() > limit;
+        records.truncate(limit);
+        let last = records.last().map(|(name, _)| name.clone());
+        let answer = ListAnswer {
+            generation: base.generation,
+            confirmed: base.confirmed,
+            next: last.filter(|_| is_more),
+            items: records.into_iter().map(|(_, value)| value).collect(),
+        };
+        Ok(json_response(StatusCode::OK, &answer))
+    })
+    .await
+}
+
+/// Returns one record.
+pub async fn get_record(
+    api: Arc<AdminApi>,
+    call: AdminCall,
+    collection: &'static Collection,
+) -> AdminResult {
+    let base = api.readable().await?;
+    run_long(move || {
+        let name = record_name(&call);
+        let mut records = (collection.list)(&base.read()).into_iter();
+        let found = records.find(|(known, _)| *known == name);
+        let (_, item) = found.ok_or_else(|| not_found(collection, &name))?;
+        let answer = ItemAnswer {
+            generation: base.generation,
+            confirmed: base.confirmed,
+            item,
+        };
+        Ok(json_response(StatusCode::OK, &answer))
+    })
+    .await
+}
+
+/// Returns the name of the record that the path names.
+#[must_use]
+pub fn record_name(call: &AdminCall) -> String {
+    match call.param("kind") {
+        "" => call.param("name").to_string(),
+        kind => format!("{kind}/{}", call.param("name")),
+    }
+}
+
+/// Makes the fault of a record that does not exist.
+#[must_use]
+pub fn not_found(collection: &Collection, name: &str) -> AdminFault {
+    AdminFault::NotFound(format!("{} {name}", collection.noun))
+}
+
+fn limit_of(call: &AdminCall) -> usize {
+    let limit = call.query.limit.unwrap_or(DEFAULT_LIMIT);
+    limit.clamp(1, MAX_LIMIT)
+}
+
+fn parse_generation(text: &str) -> Result<u64, AdminFault> {
+    let expected = format!("expected the number of a generation, found {text:?}");
+    text.parse().map_err(|_| AdminFault::Malformed(expected))
+}
--- /dev/null
+++ b/crates/daemon/src/admin_writes.rs
@@ -0,0 +1,176 @@
+//! Handlers that change the configuration.
+
+use std::fs::File;
+use std::io::Read;
+use std::sync::Arc;
+
+use coltsfootkeel_model::{AccessDigest, Located, RawAccess, RawFleet, ShiftState};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::admin_api::{AdminApi, run_long};
+use crate::admin_call::AdminCall;
+use crate::admin_change::{ChangeAnswer, FleetEdit};
+use crate::admin_collections::{Collection, RecordPut, unplaced};
+use crate::admin_fault::{AdminFault, FindingOrigin};
+use crate::admin_reads::{AdminResult, not_found, record_name};
+use crate::entry_service::json_response;
+
+/// The random bytes of an access key.
+const ACCESS_KEY_BYTES: usize = 32;
+
+/// The operating system's source of random bytes.
+const RANDOM_SOURCE: &str = "/dev/urandom";
+
+/// What a call that grants an access key sends.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GrantBody {
+    label: String,
+}
+
+/// The answer to a grant.
+#[derive(Debug, Serialize)]
+struct GrantAnswer {
+    /// The key. A repeat of the call has none, because only the digest is stored.
+    access_key: Option<String>,
+    label: String,
+    #[serde(flatten)]
+    change: ChangeAnswer,
+}
+
+/// Replaces the whole document.
+pub async fn put_config(api: Arc<AdminApi>, call: AdminCall) -> AdminResult {
+    if call.expected_generation()?.is_none() {
+        let text = "If-Match is missing; send the generation that the document is based on";
+        return Err(AdminFault::Malformed(text.to_string()));
+    }
+    let text = call.body.clone();
+    let edit: FleetEdit = Box::new(move |fleet| {
+        *fleet = RawFleet::read("document", &text);
+        Ok(())
+    });
+    change(&api, &call, FindingOrigin::SentText, edit).await
+}
+
+/// Creates or replaces a record.
+pub async fn put_record(
+    api: Arc<AdminApi>,
+    call: AdminCall,
+    collection: &'static Collection,
+) -> AdminResult {
+    let put = RecordPut {
+        name: record_name(&call),
+        text: call.body.clone(),
+        pool: call.query.pool.clone(),
+    };
+    let edit: FleetEdit = Box::new(move |fleet| (collection.put)(fleet, &put));
+    change(&api, &call, FindingOrigin::StoredText, edit).await
+}
+
+/// Removes a record.
+pub async fn delete_record(
+    api: Arc<AdminApi>,
+    call: AdminCall,
+    collection: &'static Collection,
+) -> AdminResult {
+    let name = record_name(&call);
+    let edit: FleetEdit = Box::new(move |fleet| {
+        if (collection.remove)(fleet, &name) {
+            Ok(())
+        } else {
+            Err(not_found(collection, &name))
+        }
+    });
+    change(&api, &call, FindingOrigin::StoredText, edit).await
+}
+
+/// Sets the state of a shift.
+pub async fn set_shift(api: Arc<AdminApi>, call: AdminCall, state: ShiftState) -> AdminResult {
+    let name = record_name(&call);
+    let edit: FleetEdit = Box::new(move |fleet| {
+        let mut shifts = fleet.shifts.iter_mut();
+        let shift = shifts.find(|shift| shift.name.value == name);
+        let shift = shift.ok_or_else(|| AdminFault::NotFound(format!("shift {name}")))?;
+        shift.state = Located::unplaced(state);
+        Ok(())
+    });
+    change(&api, &call, FindingOrigin::StoredText, edit).await
+}
+
+/// Creates an access key. It is shown in this answer only.
+pub async fn grant_key(api: Arc<AdminApi>, call: AdminCall) -> AdminResult {
+    let body: GrantBody = serde_json::from_str(&call.body).map_err(|error| {
+        AdminFault::Malformed(format!("body: expected {{\"label\": \"...\"}}: {error}"))
+    })?;
+    let key = run_long(random_key).await?;
+    let access = RawAccess {
+        label: unplaced(&body.label),
+        sha256: unplaced(&AccessDigest::of_key(&key).to_string()),
+    };
+    let name = call.param("name").to_string();
+    let edit: FleetEdit = Box::new(move |fleet| add_access(fleet, &name, access));
+    let change = api.change(&call, FindingOrigin::StoredText, edit).await?;
+    let answer = GrantAnswer {
+        access_key: (!change.repeated).then_some(key),
+        label: body.label,
+        change,
+    };
+    Ok(json_response(StatusCode::CREATED, &answer))
+}
+
+/// Withdraws an access key.
+pub async fn withdraw_key(api: Arc<AdminApi>, call: AdminCall) -> AdminResult {
+    let name = call.param("name").to_string();
+    let label = call.param("label").to_string();
+    let edit: FleetEdit = Box::new(move |fleet| {
+        let keys = access_keys(fleet, &name)?;
+        let before = keys.len();
+        keys.retain(|access| access.label.value != label);
+        if keys.len() < before {
+            return Ok(());
+        }
+        let text = format!("access key {label} of client account {name}");
+        Err(AdminFault::NotFound(text))
+    });
+    change(&api, &call, FindingOrigin::StoredText, edit).await
+}
+
+async fn change(
+    api: &AdminApi,
+    call: &AdminCall,
+    origin: FindingOrigin,
+    edit: FleetEdit,
+) -> AdminResult {
+    let answer = api.change(call, origin, edit).await?;
+    Ok(json_response(StatusCode::OK, &answer))
+}
+
+fn access_keys<'a>(
+    fleet: &'a mut RawFleet,
+    name: &str,
+) -> Result<&'a mut Vec<RawAccess>, AdminFault> {
+    let mut accounts = fleet.client_accounts.iter_mut();
+    let account = accounts.find(|account| account.name.value == name);
+    let account = account.ok_or_else(|| AdminFault::NotFound(format!("client account {name}")))?;
+    Ok(&mut account.access_keys)
+}
+
+fn add_access(fleet: &mut RawFleet, name: &str, access: RawAccess) -> Result<(), AdminFault> {
+    let keys = access_keys(fleet, name)?;
+    let label = &access.label.value;
+    if keys.iter().any(|known| known.label.value == *label) {
+        let text = format!("client account {name} has a key {label} already; use another label");
+        return Err(AdminFault::Exists(text));
+    }
+    keys.push(access);
+    Ok(())
+}
+
+fn random_key() -> Result<String, AdminFault> {
+    let mut bytes = [0; ACCESS_KEY_BYTES];
+    File::open(RANDOM_SOURCE)
+        .and_then(|mut source| source.read_exact(&mut bytes))
+        .map_err(|error| AdminFault::Internal(format!("{RANDOM_SOURCE}: {error}")))?;
+    Ok(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+}
--- a/crates/daemon/src/control_event.rs
+++ b/crates/daemon/src/control_event.rs
@@ -11,6 +11,7 @@
 use coltsfootkeel_protocol::PeerBody;
 use tokio::sync::oneshot;
 
+use crate::admin_control::AdminQuestion;
 use crate::peer_client::PeerEvent;
 use crate::peer_server::PeerSender;
 use crate::state_dump::StateDump;
@@ -83,6 +84,8 @@
     },
     /// Somebody wants a dump of the state.
     Dump(oneshot::Sender<StateDump>),
+    /// The administration API asks.
+    Admin(AdminQuestion),
     /// The process is stopping: tell peers, leave the look-up.
     Leave,
     /// The process has stopped taking requests: release the seat, then answer.
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -237,6 +237,7 @@
             ControlEvent::Dump(reply) => {
                 let _ = reply.send(self.dump(now));
             }
+            ControlEvent::Admin(question) => self.answer_admin(question, now),
             ControlEvent::Leave => {
                 self.send_heartbeats(now);
                 self.publish_entries(now);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::admin_service::AdminService;
+use crate::admin_router::admin_service;
 use crate::control_event::ControlEvent;
 use crate::control_loop::ControlLoop;
 use crate::daemon_metrics::DaemonMetrics;
@@ -134,7 +134,7 @@
         ..limits
     };
     let entry_service = Arc::new(EntryService::new(Arc::clone(shared)));
-    let admin_service = Arc::new(AdminService::new(Arc::clone(shared)));
+    let admin_service = Arc::new(admin_service(Arc::clone(shared)));
     tokio::spawn(serve(entry, entry_service, limits, entry_stop.clone()));
     tokio::spawn(serve(
         admin,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,7 +4,16 @@
 //! thread owns all decision state and publishes whole snapshots. [`run_daemon`] assembles both.
 
 mod access_watch;
-mod admin_service;
+mod admin_api;
+mod admin_call;
+mod admin_change;
+mod admin_collections;
+mod admin_control;
+mod admin_fault;
+mod admin_progress;
+mod admin_reads;
+mod admin_router;
+mod admin_writes;
 mod answer_body;
 mod answer_relay;
 mod caller_request;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -19,10 +19,12 @@
 mod findings;
 mod fleet;
 mod fleet_check;
+mod fleet_diff;
 mod generation;
 mod keys;
 mod raw_fleet;
 mod raw_reader;
+mod raw_records;
 mod route_table;
 
 pub use access_table::{AccessDigest, AccessGrant, AccessTable};
@@ -35,6 +37,7 @@
     IsolationRule, LinkRecord, LinkTable, PoolRecord, RegionRecord, RouteRecord, SeatRecord,
     ShiftCap, ShiftRecord, ShiftState, SiteRecord, UpstreamRecord, WorkClass,
 };
+pub use fleet_diff::{ChangeKind, RecordChange, fleet_diff};
 pub use generation::{ConfigVersion, ContentDigest, GenerationNumber};
 pub use keys::{
     AccountKey, DepartmentKey, DomainKey, PoolKey, RegionKey, RouteKey, SeatKey, ShiftKey, SiteKey,
--- a/crates/model/src/raw_fleet.rs
+++ b/crates/model/src/raw_fleet.rs
@@ -205,6 +205,19 @@
     Department,
 }
 
+impl DrainKind {
+    /// Returns the text that stands for the kind in a document.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Upstream => "upstream",
+            Self::Instance => "instance",
+            Self::Region => "region",
+            Self::Department => "department",
+        }
+    }
+}
+
 /// A drain.
 #[derive(Debug, Clone, Serialize)]
 pub struct RawDrain {
--- a/crates/model/src/raw_reader.rs
+++ b/crates/model/src/raw_reader.rs
@@ -122,13 +122,13 @@
     }
 }
 
-fn read_department(reader: &mut MappingReader<'_>) -> RawDepartment {
+pub(crate) fn read_department(reader: &mut MappingReader<'_>) -> RawDepartment {
     RawDepartment {
         name: reader.text("name"),
     }
 }
 
-fn read_account(reader: &mut MappingReader<'_>) -> RawAccount {
+pub(crate) fn read_account(reader: &mut MappingReader<'_>) -> RawAccount {
     RawAccount {
         name: reader.text("name"),
         department: reader.text("department"),
@@ -141,7 +141,7 @@
     }
 }
 
-fn read_pool(reader: &mut MappingReader<'_>) -> RawPool {
+pub(crate) fn read_pool(reader: &mut MappingReader<'_>) -> RawPool {
     RawPool {
         name: reader.text("name"),
         health_path: reader.text_or("health_path", DEFAULT_HEALTH_PATH),
@@ -150,7 +150,7 @@
     }
 }
 
-fn read_upstream(reader: &mut MappingReader<'_>) -> RawUpstream {
+pub(crate) fn read_upstream(reader: &mut MappingReader<'_>) -> RawUpstream {
     RawUpstream {
         name: reader.text("name"),
         address: reader.text("address"),
@@ -160,7 +160,7 @@
     }
 }
 
-fn read_route(reader: &mut MappingReader<'_>) -> RawRoute {
+pub(crate) fn read_route(reader: &mut MappingReader<'_>) -> RawRoute {
     RawRoute {
         name: reader.text("name"),
         department: reader.text("department"),
@@ -190,7 +190,7 @@
     raw
 }
 
-fn read_shift(reader: &mut MappingReader<'_>) -> RawShift {
+pub(crate) fn read_shift(reader: &mut MappingReader<'_>) -> RawShift {
     RawShift {
         name: reader.text("name"),
         route: reader.text("route"),
@@ -225,7 +225,7 @@
     }
 }
 
-fn read_drain(reader: &mut MappingReader<'_>) -> RawDrain {
+pub(crate) fn read_drain(reader: &mut MappingReader<'_>) -> RawDrain {
     let kind = reader.choice_or("kind", &DRAIN_KINDS, DrainKind::Upstream);
     RawDrain {
         kind,
