tool: commands for configuration, records, keys, shifts and drains

Cause: operators work from a command line; errors are to say what to do and exit codes to tell conflicts apart. Ruled out: the client of volo-http, because each request passes its name resolution and load balancing, and it hides whether a request was sent. Change: gumdrop commands with examples on each help, one hyper connection a call, offline checks with the model's readers, a random write id on each change that is named when an answer is lost. daemon: summaries of key grants, withdrawals and shift actions; all findings of a whole document in one answer.

--- a/crates/daemon/src/admin_change.rs
+++ b/crates/daemon/src/admin_change.rs
@@ -17,6 +17,16 @@
 /// An edit of the newest document.
 pub type FleetEdit = Box<dyn FnOnce(&mut RawFleet) -> Result<(), AdminFault> + Send>;
 
+/// A change of the newest document.
+pub struct ChangeRequest {
+    /// What the change does; without it, the changed records are listed.
+    pub summary: Option<String>,
+    /// Where the places of findings point.
+    pub origin: FindingOrigin,
+    /// The edit.
+    pub edit: FleetEdit,
+}
+
 /// The answer to a change.
 #[derive(Debug, Serialize)]
 pub struct ChangeAnswer {
@@ -49,8 +59,7 @@
     pub async fn change(
         &self,
         call: &AdminCall,
-        origin: FindingOrigin,
-        edit: FleetEdit,
+        request: ChangeRequest,
     ) -> Result<ChangeAnswer, AdminFault> {
         let id = call.change_id()?;
         let base = self.newest().await?;
@@ -65,8 +74,12 @@
         }
         let operator = call.operator.clone();
         let summary = call.summary().map(str::to_string);
+        let request = ChangeRequest {
+            summary: summary.or(request.summary),
+            ..request
+        };
         let from = base.clone();
-        let draft = run_long(move || draft(&from, &operator, origin, summary, edit)).await?;
+        let draft = run_long(move || draft(&from, &operator, request)).await?;
         let Some(draft) = draft else {
             let text = "the document is like that already";
             return self.answer(id, base.generation, text, Made::Nothing).await;
@@ -151,15 +164,19 @@
 fn draft(
     base: &BaseDocument,
     operator: &OperatorSettings,
-    origin: FindingOrigin,
-    summary: Option<String>,
-    edit: FleetEdit,
+    request: ChangeRequest,
 ) -> Result<Option<FleetDraft>, AdminFault> {
+    let ChangeRequest {
+        summary,
+        origin,
+        edit,
+    } = request;
     let before = base.read();
     let mut after = before.clone();
     edit(&mut after)?;
     if !after.findings.is_empty() {
-        return Err(AdminFault::findings(&after.findings, origin));
+        // A record that could not be read looks removed, so the scope cannot be judged.
+        return check_fleet(after, origin).map(|()| None);
     }
     let changes = fleet_diff(&before, &after);
     check_scope(operator, &changes)?;
--- a/crates/daemon/src/admin_writes.rs
+++ b/crates/daemon/src/admin_writes.rs
@@ -10,7 +10,7 @@
 
 use crate::admin_api::{AdminApi, run_long};
 use crate::admin_call::AdminCall;
-use crate::admin_change::{ChangeAnswer, FleetEdit};
+use crate::admin_change::{ChangeAnswer, ChangeRequest, FleetEdit};
 use crate::admin_collections::{Collection, RecordPut, unplaced};
 use crate::admin_fault::{AdminFault, FindingOrigin};
 use crate::admin_reads::{AdminResult, not_found, record_name};
@@ -50,7 +50,12 @@
         *fleet = RawFleet::read("document", &text);
         Ok(())
     });
-    change(&api, &call, FindingOrigin::SentText, edit).await
+    let request = ChangeRequest {
+        summary: None,
+        origin: FindingOrigin::SentText,
+        edit,
+    };
+    change(&api, &call, request).await
 }
 
 /// Creates or replaces a record.
@@ -65,7 +70,8 @@
         pool: call.query.pool.clone(),
     };
     let edit: FleetEdit = Box::new(move |fleet| (collection.put)(fleet, &put));
-    change(&api, &call, FindingOrigin::StoredText, edit).await
+    let request = stored_change(None, edit);
+    change(&api, &call, request).await
 }
 
 /// Removes a record.
@@ -82,7 +88,8 @@
             Err(not_found(collection, &name))
         }
     });
-    change(&api, &call, FindingOrigin::StoredText, edit).await
+    let request = stored_change(None, edit);
+    change(&api, &call, request).await
 }
 
 /// Sets the state of a shift.
@@ -95,7 +102,14 @@
         shift.state = Located::unplaced(state);
         Ok(())
     });
-    change(&api, &call, FindingOrigin::StoredText, edit).await
+    let verb = match state {
+        ShiftState::Planned => "planned",
+        ShiftState::Active => "started",
+        ShiftState::Paused => "paused",
+    };
+    let summary = format!("{verb} shift {}", record_name(&call));
+    let request = stored_change(Some(summary), edit);
+    change(&api, &call, request).await
 }
 
 /// Creates an access key. It is shown in this answer only.
@@ -110,7 +124,13 @@
     };
     let name = call.param("name").to_string();
     let edit: FleetEdit = Box::new(move |fleet| add_access(fleet, &name, access));
-    let change = api.change(&call, FindingOrigin::StoredText, edit).await?;
+    let summary = format!(
+        "granted access key {} to client account {}",
+        body.label,
+        call.param("name")
+    );
+    let request = stored_change(Some(summary), edit);
+    let change = api.change(&call, request).await?;
     let answer = GrantAnswer {
         access_key: (!change.repeated).then_some(key),
         label: body.label,
@@ -133,16 +153,25 @@
         let text = format!("access key {label} of client account {name}");
         Err(AdminFault::NotFound(text))
     });
-    change(&api, &call, FindingOrigin::StoredText, edit).await
+    let summary = format!(
+        "withdrew access key {} of client account {}",
+        call.param("label"),
+        call.param("name")
+    );
+    let request = stored_change(Some(summary), edit);
+    change(&api, &call, request).await
 }
 
-async fn change(
-    api: &AdminApi,
-    call: &AdminCall,
-    origin: FindingOrigin,
-    edit: FleetEdit,
-) -> AdminResult {
-    let answer = api.change(call, origin, edit).await?;
+fn stored_change(summary: Option<String>, edit: FleetEdit) -> ChangeRequest {
+    ChangeRequest {
+        summary,
+        origin: FindingOrigin::StoredText,
+        edit,
+    }
+}
+
+async fn change(api: &AdminApi, call: &AdminCall, request: ChangeRequest) -> AdminResult {
+    let answer = api.change(call, request).await?;
     Ok(json_response(StatusCode::OK, &answer))
 }
 
--- /dev/null
+++ b/crates/tool/src/record_kinds.rs
@@ -0,0 +1,96 @@
+//! The kinds of records that commands list, show, put and remove.
+
+use coltsfootkeel_model::{
+    FindingList, RawAccount, RawDepartment, RawDrain, RawPool, RawRoute, RawShift, RawUpstream,
+};
+
+/// A kind of record.
+#[derive(Debug)]
+pub struct RecordKind {
+    /// The command.
+    pub command: &'static str,
+    /// The path of the collection.
+    pub path: &'static str,
+    /// The columns of the table.
+    pub columns: &'static [&'static str],
+    /// Reads a record and returns its name in a path.
+    pub name_of: fn(&str, &str) -> Result<String, FindingList>,
+}
+
+/// Departments.
+pub const DEPARTMENT: RecordKind = RecordKind {
+    command: "department",
+    path: "/v1/departments",
+    columns: &["name"],
+    name_of: |file, text| Ok(RawDepartment::read(file, text)?.name.value),
+};
+
+/// Client accounts.
+pub const ACCOUNT: RecordKind = RecordKind {
+    command: "account",
+    path: "/v1/client-accounts",
+    columns: &["name", "department", "rate_per_s", "burst"],
+    name_of: |file, text| Ok(RawAccount::read(file, text)?.name.value),
+};
+
+/// Routes.
+pub const ROUTE: RecordKind = RecordKind {
+    command: "route",
+    path: "/v1/routes",
+    columns: &[
+        "name",
+        "department",
+        "path_prefix",
+        "pool",
+        "class",
+        "open",
+        "deadline_ms",
+    ],
+    name_of: |file, text| Ok(RawRoute::read(file, text)?.name.value),
+};
+
+/// Pools.
+pub const POOL: RecordKind = RecordKind {
+    command: "pool",
+    path: "/v1/pools",
+    columns: &["name", "health_path", "load_path"],
+    name_of: |file, text| Ok(RawPool::read(file, text)?.name.value),
+};
+
+/// Upstreams.
+pub const UPSTREAM: RecordKind = RecordKind {
+    command: "upstream",
+    path: "/v1/upstreams",
+    columns: &[
+        "name",
+        "pool",
+        "address",
+        "failure_domain",
+        "slots",
+        "connections",
+    ],
+    name_of: |file, text| Ok(RawUpstream::read(file, text)?.name.value),
+};
+
+/// Shifts.
+pub const SHIFT: RecordKind = RecordKind {
+    command: "shift",
+    path: "/v1/shifts",
+    columns: &["name", "route", "from", "to", "cap", "state"],
+    name_of: |file, text| Ok(RawShift::read(file, text)?.name.value),
+};
+
+/// Drains.
+pub const DRAIN: RecordKind = RecordKind {
+    command: "drain",
+    path: "/v1/drains",
+    columns: &["kind", "name"],
+    name_of: |file, text| {
+        let drain = RawDrain::read(file, text)?;
+        Ok(format!(
+            "{}/{}",
+            drain.kind.value.as_str(),
+            drain.name.value
+        ))
+    },
+};
--- /dev/null
+++ b/crates/tool/src/status_commands.rs
@@ -0,0 +1,70 @@
+//! The commands `status`, `dump` and `history`.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+use crate::command_line::HistoryOptions;
+use crate::text_output::{cell, progress_text, table};
+use crate::tool_context::ToolContext;
+use crate::tool_error::ToolError;
+
+/// Shows the generation in force, where it is in force, and faults.
+///
+/// # Errors
+///
+/// Returns why it failed.
+pub async fn status(context: &ToolContext) -> Result<(), ToolError> {
+    let answer = context.get("/v1/status").await?;
+    context.print(&answer, status_text);
+    Ok(())
+}
+
+/// Prints the dump of the instance, always as JSON.
+///
+/// # Errors
+///
+/// Returns why it failed.
+pub async fn dump(context: &ToolContext) -> Result<(), ToolError> {
+    let answer = context.get("/v1/dump").await?;
+    println!("{answer:#}");
+    Ok(())
+}
+
+/// Lists the last commits, newest first.
+///
+/// # Errors
+///
+/// Returns why it failed.
+pub async fn history(context: &ToolContext, options: &HistoryOptions) -> Result<(), ToolError> {
+    let answer = context
+        .get(&format!("/v1/generations?limit={}", options.limit))
+        .await?;
+    context.print(&answer["items"], |items| {
+        let items = items.as_array().map_or(&[][..], Vec::as_slice);
+        table(
+            items,
+            &["generation", "operator", "time_unix_ms", "summary"],
+        )
+    });
+    Ok(())
+}
+
+fn status_text(answer: &Value) -> String {
+    let platform = if answer["platform_reached"] == true {
+        "reached"
+    } else {
+        "not reached"
+    };
+    let mut text = format!(
+        "instance    {}\nseat        {}\ngeneration  {}\nplatform    {platform}\n{}",
+        cell(&answer["instance"]),
+        cell(&answer["seat"]),
+        answer["generation"],
+        progress_text(answer)
+    );
+    for fault in answer["faults"].as_array().into_iter().flatten() {
+        let _ = write!(text, "\nfault: {}", cell(fault));
+    }
+    text
+}
--- /dev/null
+++ b/crates/tool/src/text_output.rs
@@ -0,0 +1,127 @@
+//! Tables and texts for people.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+/// Formats a list of JSON objects as a table of the given columns.
+#[must_use]
+pub fn table(items: &[Value], columns: &[&str]) -> String {
+    let mut rows = vec![columns.iter().map(|name| name.to_uppercase()).collect()];
+    for item in items {
+        let cells = columns.iter().map(|column| cell(&item[*column]));
+        rows.push(cells.collect::<Vec<_>>());
+    }
+    let mut text = String::new();
+    for row in &rows {
+        for (index, cell) in row.iter().enumerate() {
+            let width = rows.iter().map(|row| row[index].chars().count()).max();
+            let width = width.unwrap_or_default();
+            let _ = write!(text, "{cell:<width$}  ");
+        }
+        text.truncate(text.trim_end().len());
+        text.push('\n');
+    }
+    text
+}
+
+/// Formats the fields of a JSON object, one a line.
+#[must_use]
+pub fn fields(item: &Value) -> String {
+    let Some(object) = item.as_object() else {
+        return cell(item);
+    };
+    let width = object.keys().map(String::len).max().unwrap_or_default();
+    let mut text = String::new();
+    for (name, value) in object {
+        let _ = write!(text, "{name:<width$}  {}\n", cell(value));
+    }
+    text
+}
+
+/// Formats one value: texts without quotes, lists of texts with commas, anything else as JSON.
+#[must_use]
+pub fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_string(),
+        Value::String(text) => text.clone(),
+        Value::Array(items) if items.is_empty() => "-".to_string(),
+        Value::Array(items) if items.iter().all(Value::is_string) => {
+            items.iter().map(cell).collect::<Vec<_>>().join(", ")
+        }
+        other => other.to_string(),
+    }
+}
+
+/// Formats the answer to a change.
+#[must_use]
+pub fn change_text(answer: &Value) -> String {
+    let generation = &answer["generation"];
+    if answer["changed"] == false {
+        return format!("nothing to change; generation {generation} stays");
+    }
+    let again = if answer["repeated"] == true {
+        " by an earlier call"
+    } else {
+        ""
+    };
+    format!(
+        "accepted at generation {generation}{again}: {}\n{}",
+        cell(&answer["summary"]),
+        progress_text(answer)
+    )
+}
+
+/// Formats where a generation is in force.
+#[must_use]
+pub fn progress_text(answer: &Value) -> String {
+    let mut text = format!(
+        "in force on {} of {} instances",
+        answer["in_force"], answer["known"]
+    );
+    for (field, label) in [("behind", "behind"), ("unheard", "not heard")] {
+        if answer[field]
+            .as_array()
+            .is_some_and(|names| !names.is_empty())
+        {
+            let _ = write!(text, "\n{label}: {}", cell(&answer[field]));
+        }
+    }
+    text
+}
+
+/// Formats a refusal for findings like the messages of a compiler.
+#[must_use]
+pub fn findings_text(message: &str, body: &Value, file: &str) -> String {
+    let mut text = message.to_string();
+    for finding in body["findings"].as_array().into_iter().flatten() {
+        let place = match (finding["line"].as_u64(), finding["column"].as_u64()) {
+            (Some(line), Some(column)) => format!("{file}:{line}:{column}: "),
+            _ => String::new(),
+        };
+        let field = cell(&finding["field"]);
+        let _ = write!(text, "\n{place}{field}: {}", cell(&finding["expected"]));
+    }
+    text
+}
+
+/// Formats a conflict with the changes that came first.
+#[must_use]
+pub fn conflict_text(message: &str, body: &Value) -> String {
+    let mut text = format!("{message}\nchanges since then:");
+    for change in body["changes"].as_array().into_iter().flatten() {
+        let _ = write!(
+            text,
+            "\n  generation {} by {}: {}",
+            change["generation"],
+            cell(&change["operator"]),
+            cell(&change["summary"])
+        );
+    }
+    let generation = &body["generation"];
+    let _ = write!(
+        text,
+        "\nlook at them with 'coltsfootkeel config diff FILE', then repeat with --expect {generation}"
+    );
+    text
+}
--- /dev/null
+++ b/crates/tool/src/tool_context.rs
@@ -0,0 +1,170 @@
+//! What all commands share: where the daemon is, who calls, and how to print.
+
+use std::net::SocketAddr;
+
+use http::{Method, StatusCode};
+use serde_json::Value;
+
+use crate::admin_client::{ClientAnswer, ClientCall};
+use crate::command_line::CommandLine;
+use crate::text_output::{conflict_text, findings_text};
+use crate::tool_error::ToolError;
+
+const ADMIN_VARIABLE: &str = "COLTSFOOTKEEL_ADMIN";
+const TOKEN_VARIABLE: &str = "COLTSFOOTKEEL_TOKEN";
+
+/// What all commands share.
+#[derive(Debug)]
+pub struct ToolContext {
+    /// Whether to print JSON instead of tables.
+    pub json: bool,
+    admin: Option<String>,
+    token: Option<String>,
+    write_id: Option<String>,
+}
+
+impl ToolContext {
+    /// Takes the options, or the environment where an option is absent.
+    #[must_use]
+    pub fn new(line: &CommandLine) -> Self {
+        let or_variable =
+            |option: &Option<String>, name| option.clone().or_else(|| std::env::var(name).ok());
+        Self {
+            json: line.json,
+            admin: or_variable(&line.admin, ADMIN_VARIABLE),
+            token: or_variable(&line.token, TOKEN_VARIABLE),
+            write_id: line.write_id.clone(),
+        }
+    }
+
+    /// Reads from the administration API.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon refuses the call or is not reached.
+    pub async fn get(&self, path: &str) -> Result<Value, ToolError> {
+        self.call(&ClientCall::get(path), "").await
+    }
+
+    /// Makes a change. `file` is the name of the file whose text is sent, for findings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the daemon refuses the change or is not reached.
+    pub async fn change(&self, change: ToolChange<'_>) -> Result<Value, ToolError> {
+        let random = || format!("{:032x}", fastrand::u128(..));
+        let call = ClientCall {
+            method: change.method,
+            path: change.path,
+            headers: change.headers,
+            body: change.body,
+            write_id: Some(self.write_id.clone().unwrap_or_else(random)),
+        };
+        self.call(&call, change.file).await
+    }
+
+    /// Prints JSON if it is wanted, or else the text.
+    pub fn print(&self, value: &Value, text: impl FnOnce(&Value) -> String) {
+        if self.json {
+            println!("{value:#}");
+        } else {
+            println!("{}", text(value).trim_end());
+        }
+    }
+
+    async fn call(&self, call: &ClientCall, file: &str) -> Result<Value, ToolError> {
+        let address = self.address()?;
+        let answer = call.send(address, self.token.as_deref()).await?;
+        if answer.status.is_success() {
+            return Ok(answer.json());
+        }
+        let error = refusal(&answer, file);
+        if self.json {
+            println!("{:#}", answer.json());
+        }
+        Err(error)
+    }
+
+    fn address(&self) -> Result<SocketAddr, ToolError> {
+        let Some(text) = &self.admin else {
+            let text =
+                format!("expected --admin ADDRESS or {ADMIN_VARIABLE}, such as 127.0.0.1:7201");
+            return Err(ToolError::Usage(text));
+        };
+        parse_address("--admin", text)
+    }
+}
+
+/// A change to be made.
+#[derive(Debug)]
+pub struct ToolChange<'a> {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: String,
+    /// The name of the file that the body comes from.
+    pub file: &'a str,
+}
+
+impl ToolChange<'_> {
+    /// Makes a change without a body.
+    #[must_use]
+    pub fn new(method: Method, path: String) -> Self {
+        Self {
+            method,
+            path,
+            headers: Vec::new(),
+            body: String::new(),
+            file: "",
+        }
+    }
+}
+
+/// Reads an IP address with a port.
+///
+/// # Errors
+///
+/// Returns an error that names the option.
+pub fn parse_address(option: &str, text: &str) -> Result<SocketAddr, ToolError> {
+    text.parse().map_err(|_| {
+        ToolError::Usage(format!(
+            "{option} {text}: expected an IP address with a port, such as 127.0.0.1:7201"
+        ))
+    })
+}
+
+fn refusal(answer: &ClientAnswer, file: &str) -> ToolError {
+    let body = answer.json();
+    let message = match body["message"].as_str() {
+        Some(message) => message.to_string(),
+        None => format!("the daemon answered with status {}", answer.status),
+    };
+    match (answer.status, body["error"].as_str()) {
+        (StatusCode::CONFLICT, Some("conflict")) => {
+            ToolError::Conflict(conflict_text(&message, &body))
+        }
+        (StatusCode::UNPROCESSABLE_ENTITY, Some("findings")) => {
+            ToolError::Refused(findings_text(&message, &body, file))
+        }
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) => {
+            ToolError::NotReached(outcome_text(&message, &body))
+        }
+        (StatusCode::UNAUTHORIZED, _) => ToolError::Refused(format!(
+            "the token is not that of an operator; set --token or {TOKEN_VARIABLE}"
+        )),
+        _ => ToolError::Refused(message),
+    }
+}
+
+fn outcome_text(message: &str, body: &Value) -> String {
+    match body["write_id"].as_str() {
+        Some(id) => format!(
+            "the outcome is unknown and the change may have been made; repeat the command with --write-id {id} to learn it"
+        ),
+        None => message.to_string(),
+    }
+}
