--- a/crates/daemon/src/admin_api.rs
+++ b/crates/daemon/src/admin_api.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_decisions::FleetView;
-use coltsfootkeel_model::{FleetConfig, GenerationNumber, RawFleet};
+use coltsfootkeel_model::{GenerationNumber, RawFleet};
 use coltsfootkeel_platform::{
     CommitRecord, ConfigStore, LoadedConfig, ObjectClient, RestoreOutcome,
 };
@@ -95,12 +95,10 @@
             .as_ref()
             .map_or(0, |stored| stored.manifest.generation);
         if let (Some(own), true) = (&own, generation < own_generation) {
-            match self.configs.restore(own, stored.as_ref()).await? {
-                RestoreOutcome::Restored => {}
-                _ => {
-                    let text = "its older data are being replaced by the generation in force";
-                    return Err(AdminFault::PlatformDown(text.to_string()));
-                }
+            let outcome = self.configs.restore(own, stored.as_ref()).await?;
+            if !matches!(outcome, RestoreOutcome::Restored) {
+                let text = "its older data are being replaced by the generation in force";
+                return Err(AdminFault::PlatformDown(text.to_string()));
             }
             return Ok(BaseDocument::new(Some(Arc::clone(own)), true));
         }
@@ -184,18 +182,3 @@
         Err(error) => Err(AdminFault::Internal(error.to_string())),
     }
 }
-
-/// Checks a document that is to be committed.
-///
-/// # Errors
-///
-/// Returns all its findings.
-pub fn check_fleet(
-    fleet: RawFleet,
-    origin: crate::admin_fault::FindingOrigin,
-) -> Result<(), AdminFault> {
-    match FleetConfig::try_from(fleet) {
-        Ok(_) => Ok(()),
-        Err(findings) => Err(AdminFault::findings(&findings, origin)),
-    }
-}
--- a/crates/daemon/src/admin_call.rs
+++ b/crates/daemon/src/admin_call.rs
@@ -3,7 +3,7 @@
 use coltsfootkeel_model::{AccessDigest, ContentDigest};
 use coltsfootkeel_settings::OperatorSettings;
 use http::header::{AUTHORIZATION, IF_MATCH};
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, HeaderValue, Method, Uri};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 use volo_http::request::Request;
@@ -145,7 +145,7 @@
             Some(value) => checked_key(value.to_str().unwrap_or_default())?,
             None => format!("{:032x}", fastrand::u128(..)),
         };
-        let if_match = self.headers.get(IF_MATCH).map(|value| value.as_bytes());
+        let if_match = self.headers.get(IF_MATCH).map(HeaderValue::as_bytes);
         let call = format!(
             "{}\n{}\n{}\n{:?}\n{}",
             self.operator.name, self.method, self.uri, if_match, self.body
--- a/crates/daemon/src/admin_change.rs
+++ b/crates/daemon/src/admin_change.rs
@@ -9,9 +9,10 @@
 use coltsfootkeel_settings::OperatorSettings;
 use serde::Serialize;
 
-use crate::admin_api::{AdminApi, BaseDocument, check_fleet, run_long};
+use crate::admin_api::{AdminApi, BaseDocument, run_long};
 use crate::admin_call::{AdminCall, ChangeId};
-use crate::admin_fault::{AdminFault, FindingOrigin};
+use crate::admin_fault::AdminFault;
+use crate::admin_findings::{FindingOrigin, check_fleet};
 use crate::admin_progress::ProgressAnswer;
 
 /// An edit of the newest document.
--- a/crates/daemon/src/admin_collections.rs
+++ b/crates/daemon/src/admin_collections.rs
@@ -7,7 +7,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::admin_fault::{AdminFault, FindingOrigin};
+use crate::admin_fault::AdminFault;
+use crate::admin_findings::sent_findings;
 
 /// A record with its name.
 pub type NamedRecord = (String, Value);
@@ -174,8 +175,7 @@
     read: fn(&str, &str) -> Result<T, FindingList>,
     name_of: fn(&T) -> String,
 ) -> Result<T, AdminFault> {
-    let record = read("body", &put.text)
-        .map_err(|findings| AdminFault::findings(&findings, FindingOrigin::SentText))?;
+    let record = read("body", &put.text).map_err(|findings| sent_findings(&findings))?;
     let name = name_of(&record);
     if name != put.name {
         let text = format!("the path names {} and the body names {name}", put.name);
--- a/crates/daemon/src/admin_fault.rs
+++ b/crates/daemon/src/admin_fault.rs
@@ -1,12 +1,13 @@
 //! Why a call of an operator is refused, and the answer that says so.
 
-use coltsfootkeel_model::{FindingList, RecordChange};
+use coltsfootkeel_model::RecordChange;
 use coltsfootkeel_platform::{CommitRecord, ConfigError};
 use http::StatusCode;
 use serde::Serialize;
 use thiserror::Error;
 use volo_http::response::Response;
 
+use crate::admin_findings::FindingAnswer;
 use crate::entry_service::json_response;
 
 /// Why a call of an operator is refused.
@@ -78,30 +79,6 @@
     Internal(String),
 }
 
-/// One finding with its place in the text that was sent, if it has one.
-#[derive(Debug, Serialize)]
-pub struct FindingAnswer {
-    /// The line, counted from one.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub line: Option<u32>,
-    /// The column, counted from one.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub column: Option<u32>,
-    /// The field.
-    pub field: String,
-    /// What is expected.
-    pub expected: String,
-}
-
-/// Where the places of findings point.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FindingOrigin {
-    /// Into the text that the operator sent.
-    SentText,
-    /// Into the stored document, which the operator does not see, so places are left out.
-    StoredText,
-}
-
 /// The body of a refusal.
 #[derive(Debug, Serialize)]
 struct FaultAnswer<'a> {
@@ -122,23 +99,6 @@
 }
 
 impl AdminFault {
-    /// Lists the findings of a document.
-    #[must_use]
-    pub fn findings(list: &FindingList, origin: FindingOrigin) -> Self {
-        let findings = list.sorted().into_iter().map(|finding| {
-            let is_placed = origin == FindingOrigin::SentText && finding.place.line > 0;
-            FindingAnswer {
-                line: is_placed.then_some(finding.place.line),
-                column: is_placed.then_some(finding.place.column),
-                field: finding.field,
-                expected: finding.expected,
-            }
-        });
-        Self::Findings {
-            findings: findings.collect(),
-        }
-    }
-
     /// Makes the answer.
     #[must_use]
     pub fn response(&self) -> Response {
--- a/crates/daemon/src/admin_writes.rs
+++ b/crates/daemon/src/admin_writes.rs
@@ -1,5 +1,6 @@
 //! Handlers that change the configuration.
 
+use std::fmt::Write;
 use std::fs::File;
 use std::io::Read;
 use std::sync::Arc;
@@ -12,7 +13,8 @@
 use crate::admin_call::AdminCall;
 use crate::admin_change::{ChangeAnswer, ChangeRequest, FleetEdit};
 use crate::admin_collections::{Collection, RecordPut, unplaced};
-use crate::admin_fault::{AdminFault, FindingOrigin};
+use crate::admin_fault::AdminFault;
+use crate::admin_findings::FindingOrigin;
 use crate::admin_reads::{AdminResult, not_found, record_name};
 use crate::entry_service::json_response;
 
@@ -201,5 +203,9 @@
     File::open(RANDOM_SOURCE)
         .and_then(|mut source| source.read_exact(&mut bytes))
         .map_err(|error| AdminFault::Internal(format!("{RANDOM_SOURCE}: {error}")))?;
-    Ok(bytes.iter().map(|byte| format!("{byte:02x}")).collect())
+    let mut key = String::with_capacity(2 * ACCESS_KEY_BYTES);
+    for byte in bytes {
+        let _ = write!(key, "{byte:02x}");
+    }
+    Ok(key)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 mod admin_collections;
 mod admin_control;
 mod admin_fault;
+mod admin_findings;
 mod admin_progress;
 mod admin_reads;
 mod admin_router;
--- a/crates/tool/src/command_examples.rs
+++ b/crates/tool/src/command_examples.rs
@@ -156,7 +156,7 @@
     }
     text.push_str("\nExamples:\n");
     for example in examples_of(&path) {
-        let _ = write!(text, "  {example}\n");
+        let _ = writeln!(text, "  {example}");
     }
     let _ = write!(text, "\n{EXIT_CODES}\n");
     text
--- a/crates/tool/src/config_commands.rs
+++ b/crates/tool/src/config_commands.rs
@@ -6,7 +6,7 @@
 
 use crate::command_line::{ApplyOptions, ConfigCommand, ConfigGroup, FileOptions};
 use crate::missing;
-use crate::text_output::change_text;
+use crate::text_output::{change_text, print_text};
 use crate::tool_context::{ToolChange, ToolContext};
 use crate::tool_error::ToolError;
 
@@ -84,11 +84,11 @@
 async fn show(context: &ToolContext) -> Result<(), ToolError> {
     let answer: Value = context.get("/v1/config").await?;
     if context.json {
-        println!("{answer:#}");
+        print_text(&format!("{answer:#}"));
         return Ok(());
     }
     eprintln!("generation {}", answer["generation"]);
-    println!("{:#}", answer["document"]);
+    print_text(&format!("{:#}", answer["document"]));
     Ok(())
 }
 
@@ -98,7 +98,7 @@
         Ok(_) => Ok(text),
         Err(findings) => {
             let count = findings.sorted().len();
-            let text = format!("{count} findings, nothing was applied:\n{findings}");
+            let text = format!("{count} findings:\n{findings}");
             Err(ToolError::Refused(text.trim_end().to_string()))
         }
     }
--- a/crates/tool/src/main.rs
+++ b/crates/tool/src/main.rs
@@ -31,7 +31,7 @@
         Err(error) => return fail(&ToolError::Usage(error.to_string())),
     };
     if line.help_requested() {
-        print!("{}", command_examples::help_text(&line));
+        text_output::print_text(&command_examples::help_text(&line));
         return ExitCode::SUCCESS;
     }
     if line.version {
--- a/crates/tool/src/status_commands.rs
+++ b/crates/tool/src/status_commands.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 
 use crate::command_line::HistoryOptions;
-use crate::text_output::{cell, progress_text, table};
+use crate::text_output::{cell, print_text, progress_text, table};
 use crate::tool_context::ToolContext;
 use crate::tool_error::ToolError;
 
@@ -27,7 +27,7 @@
 /// Returns why it failed.
 pub async fn dump(context: &ToolContext) -> Result<(), ToolError> {
     let answer = context.get("/v1/dump").await?;
-    println!("{answer:#}");
+    print_text(&format!("{answer:#}"));
     Ok(())
 }
 
--- a/crates/tool/src/text_output.rs
+++ b/crates/tool/src/text_output.rs
@@ -4,6 +4,13 @@
 
 use serde_json::Value;
 
+/// Prints a text and a line end. A reader that has gone, such as `head`, is no error.
+pub fn print_text(text: &str) {
+    let mut output = std::io::stdout().lock();
+    let _ = std::io::Write::write_all(&mut output, text.trim_end().as_bytes());
+    let _ = std::io::Write::write_all(&mut output, b"\n");
+}
+
 /// Formats a list of JSON objects as a table of the given columns.
 #[must_use]
 pub fn table(items: &[Value], columns: &[&str]) -> String {
@@ -34,7 +41,7 @@
     let width = object.keys().map(String::len).max().unwrap_or_default();
     let mut text = String::new();
     for (name, value) in object {
-        let _ = write!(text, "{name:<width$}  {}\n", cell(value));
+        let _ = writeln!(text, "{name:<width$}  {}", cell(value));
     }
     text
 }
@@ -99,7 +106,10 @@
             (Some(line), Some(column)) => format!("{file}:{line}:{column}: "),
             _ => String::new(),
         };
-        let field = cell(&finding["field"]);
+        let field = match finding["record"].as_str() {
+            Some(record) => format!("{record}: {}", cell(&finding["field"])),
+            None => cell(&finding["field"]),
+        };
         let _ = write!(text, "\n{place}{field}: {}", cell(&finding["expected"]));
     }
     text
@@ -107,8 +117,12 @@
 
 /// Formats a conflict with the changes that came first.
 #[must_use]
-pub fn conflict_text(message: &str, body: &Value) -> String {
-    let mut text = format!("{message}\nchanges since then:");
+pub fn conflict_text(body: &Value) -> String {
+    let generation = &body["generation"];
+    let mut text = format!(
+        "the configuration is at generation {generation}, not {}; nothing was applied\nchanges since then:",
+        body["expected_generation"]
+    );
     for change in body["changes"].as_array().into_iter().flatten() {
         let _ = write!(
             text,
@@ -118,10 +132,9 @@
             cell(&change["summary"])
         );
     }
-    let generation = &body["generation"];
     let _ = write!(
         text,
-        "\nlook at them with 'coltsfootkeel config diff FILE', then repeat with --expect {generation}"
+        "\nlook at 'coltsfootkeel config show', then repeat the command; 'config apply' with --expect {generation}"
     );
     text
 }
--- a/crates/tool/src/tool_context.rs
+++ b/crates/tool/src/tool_context.rs
@@ -7,7 +7,7 @@
 
 use crate::admin_client::{ClientAnswer, ClientCall};
 use crate::command_line::CommandLine;
-use crate::text_output::{conflict_text, findings_text};
+use crate::text_output::{conflict_text, findings_text, print_text};
 use crate::tool_error::ToolError;
 
 const ADMIN_VARIABLE: &str = "COLTSFOOTKEEL_ADMIN";
@@ -66,9 +66,9 @@
     /// Prints JSON if it is wanted, or else the text.
     pub fn print(&self, value: &Value, text: impl FnOnce(&Value) -> String) {
         if self.json {
-            println!("{value:#}");
+            print_text(&format!("{value:#}"));
         } else {
-            println!("{}", text(value).trim_end());
+            print_text(&text(value));
         }
     }
 
@@ -80,7 +80,7 @@
         }
         let error = refusal(&answer, file);
         if self.json {
-            println!("{:#}", answer.json());
+            print_text(&format!("{:#}", answer.json()));
         }
         Err(error)
     }
@@ -144,9 +144,7 @@
         None => format!("the daemon answered with status {}", answer.status),
     };
     match (answer.status, body["error"].as_str()) {
-        (StatusCode::CONFLICT, Some("conflict")) => {
-            ToolError::Conflict(conflict_text(&message, &body))
-        }
+        (StatusCode::CONFLICT, Some("conflict")) => ToolError::Conflict(conflict_text(&body)),
         (StatusCode::UNPROCESSABLE_ENTITY, Some("findings")) => {
             ToolError::Refused(findings_text(&message, &body, file))
         }
