daemon: a commit tells which of two simultaneous calls with one key made it

Ruled out: comparing times of commits, because two daemons may commit in the same millisecond. Change: the write id ends with a number of the attempt; a conflict is searched for the call's own commit; a manifest that changes while older data are written over is read again, up to 3 times. fleet_diff lists upstreams by themselves. Conclusion: the tests now also cover an unknown outcome (504), a platform that lost data and simultaneous grants.

--- a/crates/daemon/src/admin_api.rs
+++ b/crates/daemon/src/admin_api.rs
@@ -6,7 +6,7 @@
 use coltsfootkeel_decisions::FleetView;
 use coltsfootkeel_model::{GenerationNumber, RawFleet};
 use coltsfootkeel_platform::{
-    CommitRecord, ConfigStore, LoadedConfig, ObjectClient, RestoreOutcome,
+    CommitRecord, ConfigStore, LoadedConfig, ObjectClient, RestoreOutcome, StoredManifest,
 };
 use tokio::sync::oneshot;
 
@@ -19,6 +19,9 @@
 /// Time the control thread has to answer.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How often a manifest with older data is written over, while other daemons do the same.
+const RESTORE_ATTEMPTS: u32 = 3;
+
 /// What the handlers share.
 #[derive(Debug)]
 pub struct AdminApi {
@@ -88,30 +91,32 @@
     ///
     /// Returns a fault if the platform cannot be read.
     pub async fn newest(&self) -> Result<BaseDocument, AdminFault> {
-        let stored = self.configs.read_manifest().await?;
-        let own = self.in_force().await?;
-        let own_generation = own.as_ref().map_or(0, |own| own.manifest.generation);
-        let generation = stored
-            .as_ref()
-            .map_or(0, |stored| stored.manifest.generation);
-        if let (Some(own), true) = (&own, generation < own_generation) {
-            let outcome = self.configs.restore(own, stored.as_ref()).await?;
-            if !matches!(outcome, RestoreOutcome::Restored) {
-                let text = "its older data are being replaced by the generation in force";
-                return Err(AdminFault::PlatformDown(text.to_string()));
+        for _ in 0..RESTORE_ATTEMPTS {
+            let stored = self.configs.read_manifest().await?;
+            let own = self.in_force().await?;
+            let Some(own) = own.filter(|own| is_older(stored.as_ref(), own)) else {
+                return self.load(stored).await;
+            };
+            let outcome = self.configs.restore(&own, stored.as_ref()).await?;
+            if matches!(outcome, RestoreOutcome::Restored) {
+                return Ok(BaseDocument::new(Some(own), true));
             }
-            return Ok(BaseDocument::new(Some(Arc::clone(own)), true));
+            // The manifest has changed since it was read, so it is read again.
         }
-        let Some(stored) = stored else {
+        let text = "its older data are being replaced by the generation in force";
+        Err(AdminFault::PlatformDown(text.to_string()))
+    }
+
+    async fn load(&self, stored: Option<StoredManifest>) -> Result<BaseDocument, AdminFault> {
+        let Some(StoredManifest { manifest, .. }) = stored else {
             return Ok(BaseDocument::new(None, true));
         };
-        if let Some(own) = own.filter(|own| own.manifest == stored.manifest) {
+        let own = self.in_force().await?;
+        if let Some(own) = own.filter(|own| own.manifest == manifest) {
             return Ok(BaseDocument::new(Some(own), true));
         }
-        let loaded = LoadedConfig {
-            document: self.configs.load_document(&stored.manifest).await?,
-            manifest: stored.manifest,
-        };
+        let document = self.configs.load_document(&manifest).await?;
+        let loaded = LoadedConfig { manifest, document };
         Ok(BaseDocument::new(Some(Arc::new(loaded)), true))
     }
 
@@ -169,6 +174,10 @@
     }
 }
 
+fn is_older(stored: Option<&StoredManifest>, own: &LoadedConfig) -> bool {
+    stored.is_none_or(|stored| stored.manifest.generation < own.manifest.generation)
+}
+
 /// Runs work that may take long, such as reading a large document, on a thread for it.
 ///
 /// # Errors
--- a/crates/daemon/src/admin_call.rs
+++ b/crates/daemon/src/admin_call.rs
@@ -14,7 +14,7 @@
 /// The largest body in bytes. A document with 630,000 blocks has about 35 MB.
 const MAX_BODY_BYTES: usize = 128 * 1024 * 1024;
 
-/// The longest idempotency key in bytes. With its digest it fits into the write id of a commit.
+/// The longest idempotency key in bytes. With what follows it fits into the write id of a commit.
 const MAX_KEY_BYTES: usize = 64;
 
 /// The hexadecimal digits of a change's digest that follow the idempotency key in a write id.
@@ -54,17 +54,46 @@
 pub struct ChangeId {
     /// The idempotency key of the caller, or a random one.
     pub key: String,
-    /// The write id of the commit: the key and a digest of the call.
+    /// The key with a digest of the call.
+    call: String,
+    /// The write id of the commit: that of the call and a number of this attempt. With the number, a commit with this
+    /// write id was made by this attempt and not by a simultaneous one, which may have granted another access key.
     pub write_id: String,
 }
 
+/// How an earlier commit relates to a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EarlierCommit {
+    /// It has another key.
+    Unrelated,
+    /// It was made by the same call.
+    SameCall,
+    /// It was made by another call with the same key.
+    SameKey,
+}
+
 impl ChangeId {
-    /// Tells whether a commit was made with the same key, perhaps by another call.
+    fn new(key: String, call_digest: &str) -> Self {
+        let call = format!("{key}.{}", &call_digest[..DIGEST_DIGITS]);
+        let write_id = format!("{call}.{:08x}", fastrand::u32(..));
+        Self {
+            key,
+            call,
+            write_id,
+        }
+    }
+
+    /// Compares the write id of an earlier commit.
     #[must_use]
-    pub fn has_key_of(&self, write_id: &str) -> bool {
-        let rest = write_id.strip_prefix(self.key.as_str());
-        let digest = rest.and_then(|rest| rest.strip_prefix('.'));
-        digest.is_some_and(|digest| digest.len() == DIGEST_DIGITS && !digest.contains('.'))
+    pub fn compare(&self, write_id: &str) -> EarlierCommit {
+        let Some((call, _)) = write_id.rsplit_once('.') else {
+            return EarlierCommit::Unrelated;
+        };
+        match call.rsplit_once('.') {
+            Some(_) if call == self.call => EarlierCommit::SameCall,
+            Some((key, _)) if key == self.key => EarlierCommit::SameKey,
+            _ => EarlierCommit::Unrelated,
+        }
     }
 }
 
@@ -151,8 +180,7 @@
             self.operator.name, self.method, self.uri, if_match, self.body
         );
         let digest = ContentDigest::of_text(&call).to_string();
-        let write_id = format!("{key}.{}", &digest[..DIGEST_DIGITS]);
-        Ok(ChangeId { key, write_id })
+        Ok(ChangeId::new(key, &digest))
     }
 }
 
--- a/crates/daemon/src/admin_change.rs
+++ b/crates/daemon/src/admin_change.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::admin_api::{AdminApi, BaseDocument, run_long};
-use crate::admin_call::{AdminCall, ChangeId};
+use crate::admin_call::{AdminCall, ChangeId, EarlierCommit};
 use crate::admin_fault::AdminFault;
 use crate::admin_findings::{FindingOrigin, check_fleet};
 use crate::admin_progress::ProgressAnswer;
@@ -86,12 +86,14 @@
             return self.answer(id, base.generation, text, Made::Nothing).await;
         };
         let summary = draft.summary.clone();
-        let generation = self.commit(call, &id, &base, draft).await?;
-        log::info!(
-            operator = call.operator.name.as_str(), generation;
-            "admin: Committed a change: {summary}"
-        );
-        self.answer(id, generation, &summary, Made::Now).await
+        let (generation, made) = self.commit(call, &id, &base, draft).await?;
+        if made == Made::Now {
+            log::info!(
+                operator = call.operator.name.as_str(), generation;
+                "admin: Committed a change: {summary}"
+            );
+        }
+        self.answer(id, generation, &summary, made).await
     }
 
     async fn commit(
@@ -100,7 +102,7 @@
         id: &ChangeId,
         base: &BaseDocument,
         draft: FleetDraft,
-    ) -> Result<u64, AdminFault> {
+    ) -> Result<(u64, Made), AdminFault> {
         let request = CommitRequest {
             expected_generation: base.generation,
             write_id: id.write_id.clone(),
@@ -110,9 +112,17 @@
             document: draft.document,
         };
         match self.configs.commit(&request).await? {
-            CommitOutcome::Committed(generation) => Ok(generation),
+            CommitOutcome::Committed(generation) => Ok((generation, Made::Now)),
             CommitOutcome::Conflict { current } => {
-                Err(overtaken(base.generation, current.as_ref()))
+                let commits = commits_of(current.as_ref());
+                match find_repeat(commits, id)? {
+                    Some(commit) => Ok((commit.generation, Made::Before)),
+                    None => Err(conflict(
+                        base.generation,
+                        generation_of(current.as_ref()),
+                        commits,
+                    )),
+                }
             }
             CommitOutcome::Unknown => Err(AdminFault::OutcomeUnknown {
                 write_id: id.key.clone(),
@@ -150,15 +160,14 @@
     commits: &'a [CommitRecord],
     id: &ChangeId,
 ) -> Result<Option<&'a CommitRecord>, AdminFault> {
-    let mut newest_first = commits.iter().rev();
-    let Some(commit) = newest_first.find(|commit| id.has_key_of(&commit.write_id)) else {
-        return Ok(None);
-    };
-    if commit.write_id == id.write_id {
-        Ok(Some(commit))
-    } else {
-        Err(AdminFault::KeyReused(commit.generation))
+    for commit in commits.iter().rev() {
+        match id.compare(&commit.write_id) {
+            EarlierCommit::Unrelated => {}
+            EarlierCommit::SameCall => return Ok(Some(commit)),
+            EarlierCommit::SameKey => return Err(AdminFault::KeyReused(commit.generation)),
+        }
     }
+    Ok(None)
 }
 
 /// Edits and checks the document. Returns nothing if the edit changes nothing.
@@ -234,10 +243,12 @@
     summary
 }
 
-fn overtaken(expected: u64, current: Option<&StoredManifest>) -> AdminFault {
-    let generation = current.map_or(0, |stored| stored.manifest.generation);
-    let commits = current.map_or(&[][..], |stored| &stored.manifest.commits);
-    conflict(expected, generation, commits)
+fn commits_of(stored: Option<&StoredManifest>) -> &[CommitRecord] {
+    stored.map_or(&[], |stored| &stored.manifest.commits)
+}
+
+fn generation_of(stored: Option<&StoredManifest>) -> u64 {
+    stored.map_or(0, |stored| stored.manifest.generation)
 }
 
 fn conflict(expected: u64, current: u64, commits: &[CommitRecord]) -> AdminFault {
--- a/crates/daemon/tests/admin_changes.rs
+++ b/crates/daemon/tests/admin_changes.rs
@@ -97,6 +97,78 @@
     assert_eq!(fleet.generation().await, 2);
 }
 
+/// Guards against an unknown outcome that is answered as a failure or a success, and against a repeat that makes the
+/// change again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unknown_outcome_is_learned_by_a_repeat() {
+    let first_port = FIRST_PORT + 60;
+    let fleet =
+        AdminFleet::start_behind_relay(Path::new(PROGRAM), Path::new(FOLDER), first_port).await;
+    let body = r#"{"name": "weddings"}"#;
+    let put = OperatorCall::new(Method::PUT, "/v1/departments/weddings", body);
+    let put = put.header("Idempotency-Key", "unknown-1");
+    let (status, answer) = fleet.call(&put).await;
+    assert_eq!(status, 504, "{answer}");
+    assert_eq!(answer["error"], "outcome_unknown", "{answer}");
+    assert_eq!(answer["write_id"], "unknown-1", "{answer}");
+    fleet.relay.as_ref().unwrap().restore();
+    let (status, answer) = fleet.call(&put).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(
+        (&answer["generation"], &answer["repeated"]),
+        (&Value::from(2), &Value::from(true))
+    );
+    assert_eq!(fleet.generation().await, 2);
+}
+
+/// Guards against two simultaneous calls with one key that make two generations or are refused as a conflict, and against
+/// a key that is shown by the call whose grant was not stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn simultaneous_calls_with_one_key_make_one_change() {
+    const ROUNDS: u64 = 8;
+    let fleet = start(1, 70).await;
+    for round in 0..ROUNDS {
+        let body = format!(r#"{{"label": "round-{round}"}}"#);
+        let key = format!("grant-{round}");
+        let path = "/v1/client-accounts/printers/access-keys";
+        let grant = OperatorCall::new(Method::POST, path, &body);
+        let grant = grant.header("Idempotency-Key", &key);
+        let (one, two) = tokio::join!(fleet.call(&grant), fleet.call(&grant));
+        let mut shown = Vec::new();
+        for (status, answer) in [one, two] {
+            assert_eq!(status, 201, "{round}: {answer}");
+            assert_eq!(answer["generation"], round + 2, "{round}: {answer}");
+            shown.extend(answer["access_key"].as_str().map(str::to_string));
+        }
+        assert_eq!(shown.len(), 1, "{round}: one of the two made the change");
+        let stored = fleet.get("/v1/client-accounts/printers").await.to_string();
+        assert!(stored.contains(&digest_of(&shown[0])), "{round}: {stored}");
+    }
+    assert_eq!(fleet.generation().await, ROUNDS + 1);
+}
+
+/// Guards against a change on top of older data of a restarted platform, which would revert what is in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_after_the_platform_lost_data_keeps_what_is_in_force() {
+    let fleet = start(1, 80).await;
+    let save = CallRequest::new(Method::PUT, "/v1/standin/save");
+    assert!(call_once(fleet.platform, &save).await.unwrap().status < 300);
+    let put = |path, body| OperatorCall::new(Method::PUT, path, body);
+    let first = put("/v1/departments/weddings", r#"{"name": "weddings"}"#);
+    assert_eq!(fleet.call(&first).await.0, 200);
+    fleet.wait_for(0, 2, 1).await;
+    fleet.set_faults(r#"{"revert": true}"#).await;
+    let second = put("/v1/departments/baptisms", r#"{"name": "baptisms"}"#);
+    let (status, answer) = fleet.call(&second).await;
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(answer["generation"], 3, "{answer}");
+    let names = fleet.get("/v1/departments").await["items"].to_string();
+    assert!(
+        names.contains("weddings") && names.contains("baptisms"),
+        "{names}"
+    );
+}
+
 /// Guards against two changes on one generation that are both accepted, and against a loser who is not told what came
 /// first.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/daemon/tests/admin_fleet/mod.rs
+++ b/crates/daemon/tests/admin_fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A platform stand-in in the test process and daemons as processes, for tests of the administration API.
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+pub mod write_relay;
+
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,6 +14,7 @@
 use http::Method;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use write_relay::WriteRelay;
 
 /// The token of an operator who may change everything.
 pub const FULL_TOKEN: &str = "full-operator-token";
@@ -31,6 +34,8 @@
 #[derive(Debug)]
 pub struct AdminFleet {
     pub platform: SocketAddr,
+    /// The relay between the daemons and the platform, if there is one.
+    pub relay: Option<WriteRelay>,
     pub folder: PathBuf,
     pub document: String,
     daemons: Vec<ChildProcess>,
@@ -67,6 +72,21 @@
 impl AdminFleet {
     /// Starts `count` daemons on the ports from `first_port`, and waits until all run generation 1.
     pub async fn start(program: &Path, folder: &Path, count: u16, first_port: u16) -> Self {
+        Self::launch(program, folder, count, first_port, false).await
+    }
+
+    /// Starts daemons that reach the platform through a relay.
+    pub async fn start_behind_relay(program: &Path, folder: &Path, first_port: u16) -> Self {
+        Self::launch(program, folder, 1, first_port, true).await
+    }
+
+    async fn launch(
+        program: &Path,
+        folder: &Path,
+        count: u16,
+        first_port: u16,
+        has_relay: bool,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let platform = listener.local_addr().unwrap();
         tokio::spawn(serve_platform(listener, 0));
@@ -74,6 +94,7 @@
         std::fs::create_dir_all(&folder).unwrap();
         let mut fleet = Self {
             platform,
+            relay: None,
             document: fleet_document(count),
             folder,
             daemons: Vec::new(),
@@ -81,6 +102,9 @@
         };
         let file = fleet.write("fleet.yaml", &fleet.document);
         commit_fleet(platform, &file).await.unwrap();
+        if has_relay {
+            fleet.relay = Some(WriteRelay::start(platform).await);
+        }
         for index in 0..count {
             let text = fleet.settings(index, count);
             let settings = fleet.write(&format!("daemon-{index}.yaml"), &text);
@@ -189,7 +213,9 @@
             self.address(index, 2),
             digest_of(FULL_TOKEN),
             digest_of(TEAM_TOKEN),
-            self.platform,
+            self.relay
+                .as_ref()
+                .map_or(self.platform, |relay| relay.address),
             neighbours.join(", "),
         )
     }
--- a/crates/model/src/fleet_diff.rs
+++ b/crates/model/src/fleet_diff.rs
@@ -110,8 +110,13 @@
         let departments = vec![record.department.value.clone()];
         list.add("client account", &record.name.value, record, departments);
     }
-    for record in &fleet.pools {
-        list.add("pool", &record.name.value, record, Vec::new());
+    for pool in &fleet.pools {
+        let paths = (&pool.health_path, &pool.load_path);
+        list.add("pool", &pool.name.value, &paths, Vec::new());
+        for record in &pool.upstreams {
+            let placed = (&pool.name, record);
+            list.add("upstream", &record.name.value, &placed, Vec::new());
+        }
     }
     for record in &fleet.routes {
         let departments = vec![record.department.value.clone()];
--- a/crates/model/tests/fleet_diff.rs
+++ b/crates/model/tests/fleet_diff.rs
@@ -63,6 +63,12 @@
             label: "upstream belongs to no department",
             from: "slots: 9",
             to: "slots: 8",
+            changes: &[("changed upstream od-1", &[])],
+        },
+        DiffCase {
+            label: "pool belongs to no department",
+            from: "{name: desk, upstreams",
+            to: "{name: desk, load_path: /other, upstreams",
             changes: &[("changed pool desk", &[])],
         },
         DiffCase {
