--- a/crates/daemon/src/control_event.rs
+++ b/crates/daemon/src/control_event.rs
@@ -8,7 +8,7 @@
 };
 use coltsfootkeel_model::{ConfigVersion, FindingList, FleetConfig};
 use coltsfootkeel_platform::{InstanceEntry, LoadedConfig, StoredManifest, StoredSeat};
-use coltsfootkeel_protocol::PeerBody;
+use coltsfootkeel_protocol::{PeerBody, SeatAnswer};
 use tokio::sync::oneshot;
 
 use crate::admin_control::AdminQuestion;
@@ -68,7 +68,12 @@
     /// What the platform says about a seat.
     Seat(SeatNews),
     /// A request's upstream crashed.
-    Crash(CrashReport),
+    Crash {
+        /// The crash and the request.
+        report: CrashReport,
+        /// Answered when request threads see the crash in the table of suspects.
+        published: oneshot::Sender<()>,
+    },
     /// A request that is like a suspect was answered in full.
     Success(SuspectFingerprint),
     /// An upstream was seen leaving.
@@ -92,31 +97,42 @@
     Release(oneshot::Sender<()>),
 }
 
-/// What the platform says about a seat.
+/// What the platform or a peer says about a seat.
 #[derive(Debug)]
 pub enum SeatNews {
     /// The seat was read.
     Read {
         /// The name of the seat.
         seat: String,
-        /// When the question was sent.
-        asked: MonotonicTime,
         /// What the platform holds.
         stored: StoredSeat,
     },
+    /// A seat could not be read.
+    ReadFailed,
     /// A claim of this instance took effect.
     Claimed {
-        /// The name of the seat.
-        seat: String,
-        /// What was there before.
-        before: StoredSeat,
         /// What the platform holds now.
         stored: StoredSeat,
     },
-    /// A question about the seat failed.
-    Failed {
-        /// The name of the seat.
-        seat: String,
+    /// A claim did not take effect and will not.
+    ClaimLost,
+    /// It cannot be told whether a claim took effect.
+    ClaimUnknown,
+    /// The holder's rewrite of its seat ended.
+    Rewritten {
+        /// The number of the confirmation.
+        round: u64,
+        /// What the platform holds now.
+        stored: StoredSeat,
+        /// Whether this instance still holds the seat.
+        is_own: bool,
+    },
+    /// A peer answered a probe.
+    Answered {
+        /// The incarnation of the peer.
+        peer: u64,
+        /// The answer.
+        answer: SeatAnswer,
     },
     /// The seat was released.
     Released,
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -5,12 +5,13 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
-    ClearReport, CrashId, CrashReport, Incarnation, LedgerOutput, PeerAge, SuspectFingerprint,
+    ClearReport, ConfigAge, CrashId, CrashReport, Incarnation, LedgerOutput, PeerAge,
+    SuspectFingerprint,
 };
 use coltsfootkeel_model::{ConfigVersion, ContentDigest, GenerationNumber};
 use coltsfootkeel_protocol::{
     CrashNumber, DrainNotice, HeartbeatMessage, LoanGrant, LoanRequest, LoanReturn, PeerBody,
-    SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
+    SuspectClearance, SuspectNotice,
 };
 
 use crate::config_pull::answer_pull;
@@ -46,7 +47,11 @@
                 return Some(PeerBody::ConfigPush(push));
             }
             PeerBody::SeatProbe(probe) => {
-                return Some(PeerBody::SeatAnswer(self.answer_probe(&probe)));
+                return Some(PeerBody::SeatAnswer(self.answer_probe(
+                    sender.incarnation,
+                    &probe,
+                    now,
+                )));
             }
             PeerBody::SuspectNotice(notice) => {
                 if let Some(report) = read_notice(notice)
@@ -81,6 +86,8 @@
         now: MonotonicTime,
     ) {
         self.learn_addresses(&message.known_peers);
+        self.seat
+            .note_heard(message.incarnation, &message.seats, now);
         let Some(version) = version_of(&message) else {
             return;
         };
@@ -100,6 +107,7 @@
                 version,
                 age: (reported != AGE_UNKNOWN).then(|| Duration::from_millis(reported)),
                 platform_reached: message.platform_reached,
+                had_contact: message.platform_contact,
             };
             age.note_peer(&sender.instance, report, now);
         }
@@ -109,13 +117,11 @@
             leaving: message.leaving,
             headroom_percent: message.headroom_percent,
         };
-        let was_leaving = self
-            .peers
-            .find(&sender.instance)
-            .is_some_and(|record| record.leaving);
-        let leaving = facts.leaving;
+        let record = self.peers.find(&sender.instance);
+        let is_known =
+            record.is_some_and(|record| record.heard.is_some() && record.leaving == facts.leaving);
         self.peers.note_heartbeat(&sender.instance, facts, now);
-        if leaving != was_leaving {
+        if !is_known {
             self.publish_entries(now);
         }
         self.publish_replay_place(now);
@@ -151,16 +157,12 @@
                 .collect(),
             leaving: self.shared.is_leaving(),
             config_age_ms: age.map_or(AGE_UNKNOWN, millis),
-            platform_reached: self.age.as_ref().is_some_and(|age| age.platform_reached()),
+            platform_reached: self.age.as_ref().is_some_and(ConfigAge::platform_reached),
             in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
             headroom_percent: self.headroom_percent(),
-            known_peers: self
-                .peers
-                .addresses()
-                .iter()
-                .map(ToString::to_string)
-                .collect(),
+            known_peers: self.known_addresses(),
             incarnation: self.shared.incarnation,
+            platform_contact: self.age.as_ref().is_some_and(ConfigAge::had_contact),
         }
     }
 
@@ -228,15 +230,6 @@
         }
     }
 
-    fn answer_probe(&self, probe: &SeatProbe) -> SeatAnswer {
-        let held = self.seat.held().is_some_and(|held| held.name == probe.seat);
-        SeatAnswer {
-            seat: probe.seat.clone(),
-            held,
-            claimed: held && self.shared.incarnation != probe.incarnation,
-        }
-    }
-
     /// Takes in a crash that this instance saw, and tells the peers.
     pub(crate) fn handle_crash(&mut self, report: &CrashReport, now: MonotonicTime) {
         log::warn!(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 mod control_event;
 mod control_loop;
 mod control_messages;
+mod control_seat;
 mod daemon;
 mod daemon_metrics;
 mod entry_service;
@@ -58,4 +59,5 @@
 mod upstream_probe;
 
 pub use daemon::{StartError, run_daemon};
+pub use http_listener::RouterService;
 pub use log_setup::set_up as set_up_logs;
--- a/crates/daemon/src/platform_task.rs
+++ b/crates/daemon/src/platform_task.rs
@@ -48,12 +48,6 @@
         }
     }
 
-    /// Returns the store of configurations.
-    #[must_use]
-    pub fn configs(&self) -> &ConfigStore {
-        &self.configs
-    }
-
     /// Watches the manifest until `stop` is cancelled.
     pub async fn watch_manifest(self, stop: CancellationToken) {
         let mut revision = StoreRevision::NOW;
@@ -137,43 +131,67 @@
             }
             Ok(_) => {}
             Err(error) => {
-                log::warn!("config: Writing generation {generation} back failed: {error}")
+                log::warn!("config: Writing generation {generation} back failed: {error}");
             }
         }
     }
 
     /// Reads a seat.
     pub async fn read_seat(self, seat: String) {
-        let asked = self.shared.clock.now();
         let news = match self.seats.read(&seat).await {
-            Ok(stored) => SeatNews::Read {
-                seat,
-                asked,
-                stored,
-            },
-            Err(_) => SeatNews::Failed { seat },
+            Ok(stored) => SeatNews::Read { seat, stored },
+            Err(_) => SeatNews::ReadFailed,
         };
         self.shared.report(ControlEvent::Seat(news));
     }
 
     /// Claims a seat that is still as it was read.
     pub async fn claim_seat(self, seat: String, seen: StoredSeat) {
-        let holder = SeatHolder {
-            instance: self.shared.settings.instance.clone(),
-            incarnation: self.shared.incarnation,
-            peer_address: self.shared.settings.peer.advertise,
-        };
-        let news = match self.seats.claim(&seat, &seen, holder).await {
-            Ok(ClaimOutcome::Claimed(stored)) => SeatNews::Claimed {
-                seat,
-                before: seen,
-                stored,
-            },
-            Ok(_) | Err(_) => SeatNews::Failed { seat },
+        let news = match self.seats.claim(&seat, &seen, self.own_holder()).await {
+            Ok(ClaimOutcome::Claimed(stored)) => SeatNews::Claimed { stored },
+            // An earlier try whose answer was lost may have taken effect.
+            Ok(ClaimOutcome::Lost(stored)) if self.is_own(&stored) => SeatNews::Claimed { stored },
+            Ok(ClaimOutcome::Lost(_)) => SeatNews::ClaimLost,
+            Ok(ClaimOutcome::Unknown) | Err(_) => {
+                tokio::time::sleep(RETRY_DELAY).await;
+                SeatNews::ClaimUnknown
+            }
         };
         self.shared.report(ControlEvent::Seat(news));
     }
 
+    /// Writes a held seat anew, so that a claim of it that is still on its way fails.
+    pub async fn rewrite_seat(self, seat: String, held: StoredSeat, round: u64) {
+        let (stored, is_own) = match self.seats.claim(&seat, &held, self.own_holder()).await {
+            Ok(ClaimOutcome::Claimed(stored)) => (stored, true),
+            Ok(ClaimOutcome::Lost(stored)) => {
+                let is_own = self.is_own(&stored);
+                (stored, is_own)
+            }
+            Ok(ClaimOutcome::Unknown) | Err(_) => return,
+        };
+        self.shared.report(ControlEvent::Seat(SeatNews::Rewritten {
+            round,
+            stored,
+            is_own,
+        }));
+    }
+
+    fn own_holder(&self) -> SeatHolder {
+        let settings = &self.shared.settings;
+        SeatHolder {
+            instance: settings.instance.clone(),
+            incarnation: self.shared.incarnation,
+            peer_address: settings.peer.advertise,
+            failure_domain: settings.failure_domain.clone(),
+        }
+    }
+
+    fn is_own(&self, stored: &StoredSeat) -> bool {
+        let holder = stored.occupancy.holder.as_ref();
+        holder.is_some_and(|holder| holder.incarnation == self.shared.incarnation)
+    }
+
     /// Releases a seat.
     pub async fn release_seat(self, seat: String, held: StoredSeat) {
         match self.seats.release(&seat, &held).await {
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -1,5 +1,6 @@
 //! Carries one request: admission, rate, slot, attempts and the answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,11 +10,13 @@
 };
 use coltsfootkeel_model::UpstreamKey;
 use http::HeaderMap;
+use http::request::Parts;
+use tokio::sync::oneshot;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
 use crate::answer_relay::{RelayedAnswer, relay_answer};
-use crate::caller_request::{CallerBody, CallerHead};
+use crate::caller_request::{CallerBody, CallerHead, discard_body};
 use crate::control_event::ControlEvent;
 use crate::header_rules;
 use crate::refusal_answer::refusal_response;
@@ -23,8 +26,18 @@
 use crate::slot_wait::{SlotGuard, WaitFailure};
 use crate::upstream_attempt::{AttemptResult, run_attempt};
 
-/// Time to find out whether an upstream that broke a connection still accepts new ones.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pauses before the connects that show whether an upstream that broke a connection has crashed.
+const CRASH_CHECKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
+
+/// Time for one of these connects. A new connection takes about 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time the control thread has to publish a crash.
+const PUBLISH_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Carries a caller's request and returns what the caller gets.
 pub async fn carry_request(shared: &Arc<SharedState>, request: Request) -> Response {
@@ -36,7 +49,7 @@
         Err(refusal) => {
             shared.metrics.count_refusal(refusal.kind());
             log::debug!(request_id = request_id.as_str(), run = refusal.mark().code(); "entry: Refused a request: {}.", refusal.kind().code());
-            refusal_response(&refusal, &request_id)
+            refusal_response(refusal, &request_id)
         }
     };
     if shared.is_leaving() {
@@ -54,16 +67,22 @@
     request_id: String,
 ) -> Result<Response, Refusal> {
     let max_body_bytes = shared.settings.entry.max_body_bytes;
-    let head = CallerHead::read(&request, max_body_bytes).map_err(refuse_unattempted)?;
-    let context = RequestContext::admit(shared, head, request_id).map_err(refuse_unattempted)?;
-    context.take_token().await.map_err(refuse_unattempted)?;
     let (parts, body) = request.into_parts();
+    let context = match admit(shared, &parts, request_id).await {
+        Ok(context) => context,
+        Err(kind) => {
+            discard_body(body).await;
+            return Err(refuse_unattempted(kind));
+        }
+    };
     let mut headers = parts.headers;
     header_rules::clean_request(&mut headers);
     let body = CallerBody::read(&context.head, body, max_body_bytes)
         .await
         .map_err(refuse_unattempted)?;
-    check_suspect(&context, &body)?;
+    if is_suspect(&context, &body) {
+        return Err(refuse_unattempted(RefusalKind::CrashSuspect));
+    }
     let run = RequestRun {
         context,
         headers,
@@ -75,19 +94,27 @@
     run.carry().await.map(RelayedAnswer::into_response)
 }
 
+async fn admit(
+    shared: &Arc<SharedState>,
+    parts: &Parts,
+    request_id: String,
+) -> Result<RequestContext, RefusalKind> {
+    let head = CallerHead::read(parts, shared.settings.entry.max_body_bytes)?;
+    let context = RequestContext::admit(shared, head, request_id)?;
+    context.take_token().await?;
+    Ok(context)
+}
+
 /// A request without an attempt did not run, so a repeat is safe whatever its method.
 fn refuse_unattempted(kind: RefusalKind) -> Refusal {
     Refusal::before_attempt(kind, true)
 }
 
-fn check_suspect(context: &RequestContext, body: &CallerBody) -> Result<(), Refusal> {
+/// Tells whether requests like this one have crashed upstreams.
+fn is_suspect(context: &RequestContext, body: &CallerBody) -> bool {
     let suspects = context.shared.suspects.load();
-    let is_refused = suspects.suspects_head(|| context.suspect_head().fingerprint())
-        && suspects.refuses(context.fingerprint(body.fingerprint_digest()));
-    if is_refused {
-        return Err(refuse_unattempted(RefusalKind::CrashSuspect));
-    }
-    Ok(())
+    suspects.suspects_head(|| context.suspect_head().fingerprint())
+        && suspects.refuses(context.fingerprint(body.fingerprint_digest()))
 }
 
 /// A request that is ready to be sent.
@@ -168,6 +195,14 @@
             ) {
                 self.report_crash(chosen.key).await;
             }
+            if is_suspect(&self.context, &self.body) {
+                let history = attempt.finish(end);
+                return Err(Refusal::new(RefusalKind::CrashSuspect, history, false));
+            }
+            if self.context.is_withdrawn() {
+                let history = attempt.finish(end);
+                return Err(Refusal::new(RefusalKind::KeyWithdrawn, history, false));
+            }
             let facts = self.retry_facts();
             let retries = &self.context.shared.retries;
             match next_step(attempt, end, &facts, || retries.try_retry()) {
@@ -290,24 +325,41 @@
         }
     }
 
-    /// Reports the request as a suspect if its upstream no longer accepts connections.
+    /// Reports the request as a suspect if its upstream no longer accepts connections, and waits until request threads
+    /// see the report, so that the next attempt takes it into account.
     async fn report_crash(&self, upstream: UpstreamKey) {
         let record = &self.context.snapshot.config.upstreams[upstream];
-        let connect = tokio::net::TcpStream::connect(record.address);
-        let is_alive = matches!(
-            tokio::time::timeout(CRASH_CHECK_TIMEOUT, connect).await,
-            Ok(Ok(_))
-        );
-        if is_alive {
+        if accepts_connections(record.address).await {
             return;
         }
         let digest = self.body.fingerprint_digest();
-        self.context.shared.report(ControlEvent::Crash(CrashReport {
-            crash: CrashId {
-                upstream: record.name.clone(),
-                number: fastrand::u64(..),
+        let (published, seen) = oneshot::channel();
+        self.context.shared.report(ControlEvent::Crash {
+            report: CrashReport {
+                crash: CrashId {
+                    upstream: record.name.clone(),
+                    number: fastrand::u64(..),
+                },
+                fingerprints: vec![self.context.fingerprint(digest)],
             },
-            fingerprints: vec![self.context.fingerprint(digest)],
-        }));
+            published,
+        });
+        let _ = tokio::time::timeout(PUBLISH_TIMEOUT, seen).await;
+    }
+}
+
+/// Tells whether an upstream that broke a connection goes on accepting new ones. A process that is ending may accept
+/// one more before its listener is closed, so one success proves nothing.
+async fn accepts_connections(address: SocketAddr) -> bool {
+    for pause in CRASH_CHECKS {
+        tokio::time::sleep(pause).await;
+        let connect = tokio::net::TcpStream::connect(address);
+        if !matches!(
+            tokio::time::timeout(CONNECT_TIMEOUT, connect).await,
+            Ok(Ok(_))
+        ) {
+            return false;
+        }
     }
+    true
 }
--- a/crates/model/src/fleet_check.rs
+++ b/crates/model/src/fleet_check.rs
@@ -17,10 +17,11 @@
     AccountKey, DepartmentKey, DomainKey, PoolKey, RegionKey, RouteKey, SeatKey, ShiftKey, SiteKey,
     UpstreamKey,
 };
-use crate::raw_fleet::{DrainKind, RawAccount, RawCap, RawFleet, RawRoute, RawUpstream};
+use crate::raw_fleet::{DrainKind, RawAccount, RawCap, RawFleet, RawLink, RawRoute};
 use crate::route_table::RouteTable;
 
 const MAX_NAME_LENGTH: usize = 63;
+const LINK_FIELD: &str = "links.between";
 
 impl TryFrom<RawFleet> for FleetConfig {
     type Error = FindingList;
@@ -39,43 +40,47 @@
 /// The names of one kind of record and their keys.
 #[derive(Debug)]
 struct NameTable<'a, K> {
+    /// The kind of record with its article.
     kind: &'static str,
+    /// The path of the field that holds the name.
+    field: &'static str,
     findings: &'a FindingList,
     keys: HashMap<String, K>,
 }
 
 impl<'a, K: ArenaKey> NameTable<'a, K> {
-    fn new(kind: &'static str, findings: &'a FindingList) -> Self {
+    fn new(kind: &'static str, field: &'static str, findings: &'a FindingList) -> Self {
         Self {
             kind,
+            field,
             findings,
             keys: HashMap::new(),
         }
     }
 
     fn define(&mut self, name: &Located<String>, key: K) {
+        if name.value.is_empty() {
+            return;
+        }
         if !is_name(&name.value) {
             let expected = format!(
                 "expected a name of lower-case letters, digits and '-', at most {MAX_NAME_LENGTH} long"
             );
-            self.findings.report(name.place, self.kind, expected);
+            self.findings.report(name.place, self.field, expected);
         }
         if self.keys.insert(name.value.clone(), key).is_some() {
             let expected = format!(
                 "expected a unique name, but '{}' is defined twice",
                 name.value
             );
-            self.findings.report(name.place, self.kind, expected);
+            self.findings.report(name.place, self.field, expected);
         }
     }
 
     fn resolve(&self, field: &str, name: &Located<String>) -> Option<K> {
         let key = self.keys.get(&name.value).copied();
-        if key.is_none() {
-            let expected = format!(
-                "expected the name of a {}, found '{}'",
-                self.kind, name.value
-            );
+        if key.is_none() && !name.value.is_empty() {
+            let expected = format!("expected the name of {}, found '{}'", self.kind, name.value);
             self.findings.report(name.place, field, expected);
         }
         key
@@ -89,6 +94,11 @@
     }
 }
 
+/// The checks of one document.
+///
+/// A record with a fault still defines its name, so that references to it are not reported as
+/// dangling. It shares its key with the next record of its kind; such a configuration is never
+/// returned.
 #[derive(Debug)]
 struct FleetCheck<'a> {
     raw: &'a RawFleet,
@@ -109,16 +119,16 @@
         let findings = &raw.findings;
         Self {
             raw,
-            region_names: NameTable::new("region", findings),
-            domain_names: NameTable::new("failure domain", findings),
-            seat_names: NameTable::new("seat", findings),
-            department_names: NameTable::new("department", findings),
-            account_names: NameTable::new("client account", findings),
-            pool_names: NameTable::new("pool", findings),
-            upstream_names: NameTable::new("upstream", findings),
-            route_names: NameTable::new("route", findings),
-            shift_names: NameTable::new("shift", findings),
-            site_names: NameTable::new("site", findings),
+            region_names: NameTable::new("a region", "regions.name", findings),
+            domain_names: NameTable::new("a failure domain", "regions.failure_domains", findings),
+            seat_names: NameTable::new("a seat", "seats.name", findings),
+            department_names: NameTable::new("a department", "departments.name", findings),
+            account_names: NameTable::new("a client account", "client_accounts.name", findings),
+            pool_names: NameTable::new("a pool", "pools.name", findings),
+            upstream_names: NameTable::new("an upstream", "pools.upstreams.name", findings),
+            route_names: NameTable::new("a route", "routes.name", findings),
+            shift_names: NameTable::new("a shift", "shifts.name", findings),
+            site_names: NameTable::new("a site", "sites.name", findings),
         }
     }
 
@@ -198,6 +208,8 @@
         }
         let mut seats = Arena::new();
         for raw in &self.raw.seats {
+            self.seat_names
+                .define(&raw.name, SeatKey::from_index(seats.len()));
             let Some(domain) = self
                 .domain_names
                 .resolve("seats.failure_domain", &raw.failure_domain)
@@ -208,7 +220,6 @@
                 name: raw.name.value.clone(),
                 domain,
             });
-            self.seat_names.define(&raw.name, seat);
             domains[domain].seats.push(seat);
         }
         seats
@@ -229,29 +240,35 @@
         let mut accounts = Arena::new();
         let mut access = AccessTable::default();
         for raw in &self.raw.client_accounts {
+            let account = AccountKey::from_index(accounts.len());
+            self.account_names.define(&raw.name, account);
+            self.access_keys(raw, AccessGrant { account }, &mut access);
             let department = self
                 .department_names
                 .resolve("client_accounts.department", &raw.department);
             let Some(department) = department else {
                 continue;
             };
-            let account = accounts.push(AccountRecord {
+            accounts.push(AccountRecord {
                 name: raw.name.value.clone(),
                 department,
                 rate_per_s: raw.rate_per_s.value,
                 burst: raw.burst.value,
             });
-            self.account_names.define(&raw.name, account);
-            self.access_keys(raw, AccessGrant { account }, &mut access);
         }
         (accounts, access)
     }
 
     fn access_keys(&self, raw: &RawAccount, grant: AccessGrant, access: &mut AccessTable) {
         const FIELD: &str = "client_accounts.access_keys.sha256";
+        let mut labels = HashSet::new();
         for key in &raw.access_keys {
+            if !labels.insert(key.label.value.as_str()) {
+                let expected = "expected a label that no other key of the account has";
+                self.report_text(&key.label, "client_accounts.access_keys.label", expected);
+            }
             let Some(digest) = AccessDigest::from_hex(&key.sha256.value) else {
-                self.report(&key.sha256, FIELD, "expected 64 hexadecimal digits");
+                self.report_text(&key.sha256, FIELD, "expected 64 hexadecimal digits");
                 continue;
             };
             if !access.insert(digest, grant) {
@@ -281,15 +298,25 @@
                 );
             }
             for raw_upstream in &raw.upstreams {
-                let Some(record) = self.upstream(raw_upstream, pool, domains) else {
+                let upstream = UpstreamKey::from_index(upstreams.len());
+                self.upstream_names.define(&raw_upstream.name, upstream);
+                let address = self.address(&raw_upstream.address, &mut addresses);
+                let domain = self.domain_names.resolve(
+                    "pools.upstreams.failure_domain",
+                    &raw_upstream.failure_domain,
+                );
+                let (Some(address), Some(domain)) = (address, domain) else {
                     continue;
                 };
-                if !addresses.insert(record.address) {
-                    let expected = "expected an address that no other upstream has";
-                    self.report(&raw_upstream.address, "pools.upstreams.address", expected);
-                }
-                let upstream = upstreams.push(record);
-                self.upstream_names.define(&raw_upstream.name, upstream);
+                upstreams.push(UpstreamRecord {
+                    name: raw_upstream.name.value.clone(),
+                    pool,
+                    address,
+                    domain,
+                    region: domains[domain].region,
+                    slots: narrow(raw_upstream.slots.value),
+                    connections: narrow(raw_upstream.connections.value),
+                });
                 members.push(upstream);
             }
             self.pool_names.define(&raw.name, pool);
@@ -305,34 +332,27 @@
 
     fn path(&self, field: &str, path: &Located<String>) -> String {
         if !path.value.starts_with('/') {
-            self.report(path, field, "expected a path that starts with '/'");
+            self.report_text(path, field, "expected a path that starts with '/'");
         }
         path.value.clone()
     }
 
-    fn upstream(
+    fn address(
         &self,
-        raw: &RawUpstream,
-        pool: PoolKey,
-        domains: &Arena<DomainKey, DomainRecord>,
-    ) -> Option<UpstreamRecord> {
-        let address = raw.address.value.parse::<SocketAddr>();
-        if address.is_err() {
+        text: &Located<String>,
+        addresses: &mut HashSet<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        const FIELD: &str = "pools.upstreams.address";
+        let Ok(address) = text.value.parse() else {
             let expected = "expected an IP address and port such as 10.0.0.7:8080";
-            self.report(&raw.address, "pools.upstreams.address", expected);
+            self.report_text(text, FIELD, expected);
+            return None;
+        };
+        if !addresses.insert(address) {
+            let expected = "expected an address that no other upstream has";
+            self.report(text, FIELD, expected);
         }
-        let domain = self
-            .domain_names
-            .resolve("pools.upstreams.failure_domain", &raw.failure_domain)?;
-        Some(UpstreamRecord {
-            name: raw.name.value.clone(),
-            pool,
-            address: address.ok()?,
-            domain,
-            region: domains[domain].region,
-            slots: narrow(raw.slots.value),
-            connections: narrow(raw.connections.value),
-        })
+        Some(address)
     }
 
     fn routes(
@@ -343,17 +363,18 @@
         let mut table = RouteTable::default();
         let mut prefixes = HashSet::new();
         for raw in &self.raw.routes {
+            let route = RouteKey::from_index(routes.len());
+            self.route_names.define(&raw.name, route);
+            let prefix = &raw.path_prefix;
+            if !prefixes.insert(prefix.value.as_str()) {
+                let expected = "expected a prefix that no other route has";
+                self.report_text(prefix, "routes.path_prefix", expected);
+            }
             let Some(record) = self.route(raw, accounts) else {
                 continue;
             };
-            if !prefixes.insert(record.path_prefix.clone()) {
-                let expected = "expected a prefix that no other route has";
-                self.report(&raw.path_prefix, "routes.path_prefix", expected);
-            }
-            let prefix = record.path_prefix.clone();
-            let route = routes.push(record);
-            table.insert(&prefix, route);
-            self.route_names.define(&raw.name, route);
+            table.insert(&prefix.value, route);
+            routes.push(record);
         }
         (routes, table)
     }
@@ -364,10 +385,10 @@
         accounts: &Arena<AccountKey, AccountRecord>,
     ) -> Option<RouteRecord> {
         let prefix = &raw.path_prefix;
-        if !prefix.value.starts_with('/') || prefix.value.starts_with("/v1/") {
-            let expected =
-                "expected a path that starts with '/' and not with '/v1/', which the system uses";
-            self.report(prefix, "routes.path_prefix", expected);
+        let reserved = prefix.value == "/v1" || prefix.value.starts_with("/v1/");
+        if !prefix.value.starts_with('/') || reserved {
+            let expected = "expected a path that starts with '/' and is outside of '/v1', which the system uses";
+            self.report_text(prefix, "routes.path_prefix", expected);
         }
         let department = self
             .department_names
@@ -413,17 +434,22 @@
     ) -> Arena<ShiftKey, ShiftRecord> {
         let mut shifts = Arena::new();
         for raw in &self.raw.shifts {
+            let key = ShiftKey::from_index(shifts.len());
+            self.shift_names.define(&raw.name, key);
             let cap = self.cap(&raw.cap);
             let from = self.region_names.resolve("shifts.from", &raw.from);
             let to = self.region_names.resolve("shifts.to", &raw.to);
             let route = self.route_names.resolve("shifts.route", &raw.route);
-            if raw.from.value == raw.to.value {
+            if from.is_some() && from == to {
                 self.report(&raw.to, "shifts.to", "expected another region than 'from'");
             }
             let (Some(route), Some(from), Some(to), Some(cap)) = (route, from, to, cap) else {
                 continue;
             };
-            let key = shifts.push(ShiftRecord {
+            if routes.get(route).is_none() {
+                continue;
+            }
+            shifts.push(ShiftRecord {
                 name: raw.name.value.clone(),
                 route,
                 from,
@@ -431,7 +457,6 @@
                 cap,
                 state: raw.state.value,
             });
-            self.shift_names.define(&raw.name, key);
             routes[route].shifts.push(key);
         }
         shifts
@@ -466,27 +491,39 @@
 
     fn links(&self) -> LinkTable {
         let mut links = LinkTable::default();
+        let mut pairs = HashSet::new();
         for raw in &self.raw.links {
-            let regions = self.region_names.resolve_all("links.between", &raw.between);
+            let Some((one, other)) = self.link_ends(raw) else {
+                continue;
+            };
+            if !pairs.insert((one.min(other), one.max(other))) {
+                let expected = "expected a pair of regions that no other link has";
+                self.raw.findings.report(raw.place, LINK_FIELD, expected);
+            }
             let link = LinkRecord {
                 capacity_mbit_per_s: raw.capacity_mbit_per_s.value,
                 latency: Duration::from_millis(raw.latency_ms.value),
             };
-            match regions[..] {
-                [one, other] if one != other => links.insert(one, other, link),
-                _ => {
-                    let place = raw.capacity_mbit_per_s.place;
-                    self.raw.findings.report(
-                        place,
-                        "links.between",
-                        "expected two different regions",
-                    );
-                }
-            }
+            links.insert(one, other, link);
         }
         links
     }
 
+    fn link_ends(&self, raw: &RawLink) -> Option<(RegionKey, RegionKey)> {
+        let regions = self.region_names.resolve_all(LINK_FIELD, &raw.between);
+        if regions.len() < raw.between.len() {
+            return None;
+        }
+        match regions[..] {
+            [one, other] if one != other => Some((one, other)),
+            _ => {
+                let expected = "expected two different regions";
+                self.raw.findings.report(raw.place, LINK_FIELD, expected);
+                None
+            }
+        }
+    }
+
     fn drains(&self) -> DrainSet {
         let mut drains = DrainSet::default();
         for raw in &self.raw.drains {
@@ -514,7 +551,7 @@
         for raw in &self.raw.blocks {
             let block = ClientBlock::try_from(raw.block.value.as_str());
             if let Err(error) = &block {
-                self.report(&raw.block, "blocks.block", &error.to_string());
+                self.report_text(&raw.block, "blocks.block", &error.to_string());
             }
             let site = self.site_names.resolve("blocks.site", &raw.site);
             if let (Ok(block), Some(site)) = (block, site) {
@@ -524,6 +561,13 @@
         BlockTable::build(&blocks)
     }
 
+    /// Reports a fault of a text. The reader has already reported an empty one.
+    fn report_text(&self, text: &Located<String>, field: &str, expected: &str) {
+        if !text.value.is_empty() {
+            self.report(text, field, expected);
+        }
+    }
+
     fn report(&self, value: &Located<String>, field: &str, expected: &str) {
         self.raw.findings.report(value.place, field, expected);
     }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -136,6 +136,9 @@
     /// The incarnation of the sender, so that a replaced instance is noticed on an old connection.
     #[prost(uint64, tag = "10")]
     pub incarnation: u64,
+    /// Whether the sender has reached the platform itself since it started or was last paused.
+    #[prost(bool, tag = "11")]
+    pub platform_contact: bool,
 }
 
 /// What a loan is of.
@@ -208,6 +211,9 @@
     /// The name of the account, upstream or shift.
     #[prost(string, tag = "3")]
     pub name: String,
+    /// The tokens handed back, in milli-tokens.
+    #[prost(int64, tag = "4")]
+    pub tokens: i64,
 }
 
 /// Asks for one part of the configuration in force at the receiver.
@@ -250,6 +256,9 @@
     /// The incarnation of the holder the sender has in mind.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// The number of the sender's confirmation, repeated in the answer.
+    #[prost(uint64, tag = "3")]
+    pub round: u64,
 }
 
 /// Answers a probe.
@@ -261,9 +270,12 @@
     /// Whether the sender holds the seat.
     #[prost(bool, tag = "2")]
     pub held: bool,
-    /// Whether the sender has claimed the seat from another holder.
+    /// Whether the sender has claimed the seat, or may have, from the holder in the question.
     #[prost(bool, tag = "3")]
     pub claimed: bool,
+    /// The number of the confirmation from the question.
+    #[prost(uint64, tag = "4")]
+    pub round: u64,
 }
 
 /// Asks the owner of an idempotency key whether a request may run.
--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -1,5 +1,6 @@
 //! The checked settings.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -142,8 +143,6 @@
     /// Checks every field before the first `?`, so that all faults are reported together.
     fn run(&self) -> Option<DaemonSettings> {
         let raw = self.raw;
-        self.name("instance", &raw.instance);
-        self.name("failure_domain", &raw.failure_domain);
         let entry = self.listener("entry", &raw.entry);
         let peer = self.listener("peer", &raw.peer);
         let admin = self.listener("admin", &raw.admin);
@@ -157,11 +156,8 @@
             .iter()
             .filter_map(|text| self.address("neighbours", text));
         let neighbours = neighbours.collect();
-        let operators = raw
-            .operators
-            .iter()
-            .filter_map(|raw| self.operator(raw))
-            .collect();
+        let operators = self.operators();
+        self.listeners();
         self.token(&raw.peer_token);
         let (entry_listen, entry_advertise) = entry?;
         let (peer_listen, peer_advertise) = peer?;
@@ -200,25 +196,66 @@
     }
 
     fn listener(&self, field: &str, raw: &RawListener) -> Option<(SocketAddr, SocketAddr)> {
-        let listen = self.address(&format!("{field}.listen"), &raw.listen);
-        let advertise = match &raw.advertise {
-            Some(text) => self.address(&format!("{field}.advertise"), text),
-            None => listen,
+        let listen_field = format!("{field}.listen");
+        let listen = self.address(&listen_field, &raw.listen);
+        let (advertise, place, field) = match &raw.advertise {
+            Some(text) => {
+                let field = format!("{field}.advertise");
+                (self.address(&field, text), text, field)
+            }
+            None => (listen, &raw.listen, listen_field),
         };
         if let Some(address) = advertise
             && address.ip().is_unspecified()
         {
             let expected = "expected an address that others can use; set 'advertise'";
-            self.report(&raw.listen, field, expected);
+            self.report(place, &field, expected);
         }
         Some((listen?, advertise?))
     }
 
+    /// Checks that no two listeners have one address. Port 0 stands for any free port.
+    fn listeners(&self) {
+        let raw = self.raw;
+        let sections = [
+            ("entry.listen", &raw.entry.listen),
+            ("peer.listen", &raw.peer.listen),
+            ("admin.listen", &raw.admin.listen),
+        ];
+        let mut addresses = HashSet::new();
+        for (field, text) in sections {
+            let Ok(address) = text.value.parse::<SocketAddr>() else {
+                continue;
+            };
+            if address.port() != 0 && !addresses.insert(address) {
+                let expected = "expected an address that no other listener has";
+                self.report(text, field, expected);
+            }
+        }
+    }
+
+    fn operators(&self) -> Vec<OperatorSettings> {
+        let mut tokens = HashSet::new();
+        let mut operators = Vec::new();
+        for raw in &self.raw.operators {
+            let Some(operator) = self.operator(raw) else {
+                continue;
+            };
+            if !tokens.insert(operator.token_digest) {
+                let field = "admin.operators.token_sha256";
+                let expected = "expected a token that no other operator has";
+                self.report(&raw.token_sha256, field, expected);
+            }
+            operators.push(operator);
+        }
+        operators
+    }
+
     fn address(&self, field: &str, text: &Located<String>) -> Option<SocketAddr> {
         let address = text.value.parse();
         if address.is_err() {
             let expected = "expected an IP address and port such as 10.0.0.7:7001";
-            self.report(text, field, expected);
+            self.report_text(text, field, expected);
         }
         address.ok()
     }
@@ -227,7 +264,7 @@
         let digest = AccessDigest::from_hex(&raw.token_sha256.value);
         if digest.is_none() {
             let field = "admin.operators.token_sha256";
-            self.report(&raw.token_sha256, field, "expected 64 hexadecimal digits");
+            self.report_text(&raw.token_sha256, field, "expected 64 hexadecimal digits");
         }
         Some(OperatorSettings {
             name: raw.name.value.clone(),
@@ -243,13 +280,14 @@
     fn token(&self, token: &Located<String>) {
         if token.value.len() < MIN_TOKEN_LENGTH {
             let expected = format!("expected a token of at least {MIN_TOKEN_LENGTH} characters");
-            self.report(token, "peer.token", &expected);
+            self.report_text(token, "peer.token", &expected);
         }
     }
 
-    fn name(&self, field: &str, name: &Located<String>) {
-        if name.value.is_empty() {
-            self.report(name, field, "expected a name");
+    /// Reports a fault of a text. The reader has already reported an empty one.
+    fn report_text(&self, text: &Located<String>, field: &str, expected: &str) {
+        if !text.value.is_empty() {
+            self.report(text, field, expected);
         }
     }
 
