--- a/crates/daemon/src/control_seat.rs
+++ b/crates/daemon/src/control_seat.rs
@@ -27,7 +27,7 @@
             Some(ClaimStep::Probe) => self.probe_holder(),
             Some(ClaimStep::Update) => self.send_claim(),
             Some(ClaimStep::Claimed { idle_since, sent }) => {
-                self.finish_claim(idle_since, sent, now)
+                self.finish_claim(idle_since, sent, now);
             }
             Some(ClaimStep::Refused) => self.seat.start_over(),
             Some(ClaimStep::Wait) | None => {}
