tool: questionnaire check and generate

Cause: the commands were only a place holder until the package was there. Change: both call coltsfootkeel-questionnaire; the document goes to standard output, the explanations to standard error. Conclusion: the questionnaire can be used from the command line.

--- a/crates/tool/src/questionnaire_commands.rs
+++ b/crates/tool/src/questionnaire_commands.rs
@@ -1,6 +1,9 @@
-//! The commands `questionnaire`, which the package `coltsfootkeel-questionnaire` does the work for.
+//! The commands `questionnaire`: the package `coltsfootkeel-questionnaire` does the work.
+
+use coltsfootkeel_questionnaire::{TeamAnswers, generate, parse};
 
 use crate::command_line::{QuestionnaireCommand, QuestionnaireGroup};
+use crate::config_commands::read_file;
 use crate::missing;
 use crate::tool_error::ToolError;
 
@@ -8,16 +11,28 @@
 ///
 /// # Errors
 ///
-/// Returns why it failed.
+/// Returns why it failed, with all findings of a questionnaire that has faults.
 pub fn run(group: QuestionnaireGroup) -> Result<(), ToolError> {
     let command = group.command;
     match command.ok_or_else(|| missing("command of questionnaire"))? {
-        QuestionnaireCommand::Check(options) => not_available("check", &options.file),
-        QuestionnaireCommand::Generate(options) => not_available("generate", &options.file),
+        QuestionnaireCommand::Check(options) => {
+            read_answers(&options.file)?;
+            println!("{}: no findings", options.file);
+        }
+        QuestionnaireCommand::Generate(options) => {
+            let generated = generate(&read_answers(&options.file)?);
+            // The document alone goes to standard output, so that it can be written to a file.
+            print!("{}", generated.document);
+            for explanation in &generated.explanations {
+                eprintln!("{explanation}");
+            }
+        }
     }
+    Ok(())
 }
 
-fn not_available(command: &str, file: &str) -> Result<(), ToolError> {
-    let text = format!("questionnaire {command} {file}: not available in this version");
-    Err(ToolError::Refused(text))
+fn read_answers(file: &str) -> Result<TeamAnswers, ToolError> {
+    let text = read_file(file)?;
+    parse(file, &text)
+        .map_err(|findings| ToolError::Refused(findings.to_string().trim_end().to_string()))
 }
