standins: the first run shows a few requests and their answers

Cause: the README's first command is to end in answered requests on a machine that may have no other HTTP client. Conclusion: the first run shows the main job.

--- a/crates/standins/src/command_line.rs
+++ b/crates/standins/src/command_line.rs
@@ -177,4 +177,7 @@
     /// Address for the platform stand-in (default: 127.0.0.1:7000).
     #[options(no_short, meta = "ADDRESS")]
     pub platform: Option<SocketAddr>,
+    /// Send a few requests with this access key and print the answers.
+    #[options(no_short, meta = "KEY")]
+    pub demo: Option<String>,
 }
--- a/crates/standins/src/fleet_launch.rs
+++ b/crates/standins/src/fleet_launch.rs
@@ -17,6 +17,7 @@
 use crate::child_process::{ChildProcess, sibling_program};
 use crate::http_call::{CallRequest, KeptConnection, call_once};
 
+const DAEMON_PREFIX: &str = "daemon ";
 const CONFIGURATION_FILE: &str = "fleet.yaml";
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_PAUSE: Duration = Duration::from_millis(50);
@@ -122,6 +123,16 @@
         Ok(fleet)
     }
 
+    /// Returns the addresses at which the daemons listen for callers.
+    #[must_use]
+    pub fn daemon_entries(&self) -> Vec<SocketAddr> {
+        let daemons = self
+            .parts
+            .iter()
+            .filter(|part| part.name.starts_with(DAEMON_PREFIX));
+        daemons.map(|part| part.address).collect()
+    }
+
     /// Waits until a child ends, which none does by itself.
     pub async fn wait_for_end(&mut self) -> FleetError {
         loop {
@@ -273,7 +284,7 @@
     for settings in settings_files(folder)? {
         let stem = settings.file_stem().unwrap_or_default();
         let part = FleetPart {
-            name: format!("daemon {}", stem.display()),
+            name: format!("{DAEMON_PREFIX}{}", stem.display()),
             address: entry_address(&settings)?,
             test: ReadyTest::Path("/v1/ready"),
         };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod child_process;
 mod cut_relay;
 mod fault_plan;
+mod fleet_demo;
 mod fleet_launch;
 mod http_call;
 mod instance_list;
@@ -29,6 +30,7 @@
 pub use child_process::{ChildProcess, sibling_program};
 pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
 pub use fault_plan::ControlChange;
+pub use fleet_demo::show_requests;
 pub use fleet_launch::{FleetError, FleetOptions, RunningFleet, commit_fleet, read_fleet};
 pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
 pub use instance_list::{InstanceDetails, InstanceList, InstanceListing};
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -12,6 +12,7 @@
     AccountMix, CallRequest, ComparePlan, CrashMode, FleetOptions, LoadBound, LoadPlan,
     OrderCounter, PlatformOptions, RawLoad, RunningFleet, UpstreamHandle, UpstreamOptions,
     UpstreamTraits, read_fleet, run_compare, run_load, run_platform as serve_platform_standin,
+    show_requests,
 };
 use command_line::{
     Command, CommandLine, CompareCommand, DEFAULT_PLATFORM, FleetCommand, LoadCommand,
@@ -24,6 +25,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 const DEFAULT_LOAD_TIME: Duration = Duration::from_secs(5);
+const DEMO_PAUSE: Duration = Duration::from_secs(2);
 
 /// The platform's list of instances lags by this time.
 const INSTANCE_LAG_MS: u64 = 1_000;
@@ -211,7 +213,12 @@
             stopped = &mut signals => return Ok(stopped?),
         };
         print!("{fleet}");
-        println!("ready; Ctrl-C ends all processes");
+        if let Some(key) = &command.demo {
+            // Heartbeats come once a second; after two the instances know each other.
+            tokio::time::sleep(DEMO_PAUSE).await;
+            show_requests(&fleet.daemon_entries(), key).await?;
+        }
+        println!("\nready; Ctrl-C ends all processes");
         tokio::select! {
             error = fleet.wait_for_end() => Err(error.into()),
             stopped = &mut signals => Ok(stopped?),
