daemon: shares wait for the other seats when the list of seats changes

Cause: with a seat added, the others still used their larger old shares while the new one spent its own, so all together passed the limit until every instance ran the new generation. Change: ShareBook uses the smaller of the old and the new share until every seat, also one that is no longer named, is known to run the generation; a silent seat counts only if its failure domain is heard. Ruled out: waiting at every change; if the seats stay the same, the shares of all seats rise or fall together.

--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -9,8 +9,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
     ConfigAge, ConfigSource, DocumentOutcome, EntryBook, EntryInstance, GenerationTracker,
-    LedgerSettings, LoanLedger, LoanPolicy, OfferVerdict, RetryRefill, SPEND_LEASE, SeatRoster,
-    SuspectList,
+    LOAN_LIFE, LedgerSettings, LoanLedger, LoanPolicy, OfferVerdict, RetryRefill, SEAT_LEASE,
+    SPEND_LEASE, SeatEvidence, SeatRoster, SuspectList, with_drift_margin,
 };
 use coltsfootkeel_model::{ConfigVersion, DomainKey, FleetConfig};
 use coltsfootkeel_platform::{LoadedConfig, StoredManifest};
@@ -26,6 +26,7 @@
 use crate::peer_table::{PeerTable, domain_named};
 use crate::platform_task::{PlatformCaller, version_of};
 use crate::seat_keeper::SeatKeeper;
+use crate::share_book::{SeatPlace, seat_places};
 use crate::shared_state::{ReplayPlace, SharedState};
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::upstream_probe::{ProbeTarget, probe_upstream};
@@ -60,6 +61,8 @@
     pub(crate) loaded: Option<Arc<LoadedConfig>>,
     pub(crate) home: Option<HomePlace>,
     pub(crate) listed: Vec<String>,
+    /// The seats of the configuration before.
+    former_seats: Vec<SeatPlace>,
     entry_book: EntryBook,
     retry_refill: RetryRefill,
     fetching: Option<(ConfigVersion, MonotonicTime)>,
@@ -98,6 +101,7 @@
             loaded: None,
             home: None,
             listed: Vec::new(),
+            former_seats: Vec::new(),
             entry_book: EntryBook::new(),
             retry_refill: RetryRefill::new(now),
             fetching: None,
@@ -168,6 +172,7 @@
         self.send_heartbeats(now);
         self.seek_seat();
         self.set_lenders(now);
+        self.advance_shares(now);
         self.publish_entries(now);
         if self.suspects.expire(now) {
             self.publish_suspects();
@@ -400,6 +405,9 @@
         let home = HomePlace { domain, region };
         let seat = self.seat_key(&config);
         let before = self.config.take();
+        if let Some(before) = &before {
+            self.former_seats = seat_places(before);
+        }
         let snapshot = self.builder.build(
             Arc::clone(&config),
             version,
@@ -515,6 +523,52 @@
             .set_slot_lenders(config, &mut self.builder.ledger, in_domain);
     }
 
+    /// Moves shares on that wait until every seat runs the configuration in force.
+    fn advance_shares(&mut self, now: MonotonicTime) {
+        if !self.builder.shares.is_moving() {
+            return;
+        }
+        let evidence = self.seat_evidence(now);
+        self.builder.advance_shares(evidence, now);
+    }
+
+    /// Tells whether every seat, also one that the configuration no longer names, is known to run it. A seat that is
+    /// silent counts only if its failure domain is heard: a holder that is cut off keeps using its old share.
+    fn seat_evidence(&self, now: MonotonicTime) -> SeatEvidence {
+        let (Some(config), Some(version)) = (&self.config, self.tracker.in_force()) else {
+            return SeatEvidence::Open;
+        };
+        let own: Vec<String> = self
+            .seat
+            .held()
+            .map(|held| held.name.clone())
+            .into_iter()
+            .collect();
+        let silence = with_drift_margin(LOAN_LIFE + SEAT_LEASE);
+        let has_reached = |seat: &str, silence: Duration| {
+            let seats = std::iter::once(seat);
+            self.tracker
+                .seats_have_reached(seats, &own, version.generation, silence, now)
+        };
+        let is_heard = |domain: &str| {
+            domain == self.shared.settings.failure_domain
+                || self
+                    .peers
+                    .heard(now)
+                    .any(|record| record.peer.failure_domain == domain)
+        };
+        let is_settled = |place: &SeatPlace| {
+            has_reached(&place.seat, Duration::MAX)
+                || (is_heard(&place.failure_domain) && has_reached(&place.seat, silence))
+        };
+        let current = seat_places(config);
+        if current.iter().chain(&self.former_seats).all(is_settled) {
+            SeatEvidence::Settled
+        } else {
+            SeatEvidence::Open
+        }
+    }
+
     fn judge_upstreams(&mut self, now: MonotonicTime) {
         use coltsfootkeel_decisions::HealthChangeKind;
         for change in self.builder.judge.judge(now) {
--- a/crates/daemon/src/limit_book.rs
+++ b/crates/daemon/src/limit_book.rs
@@ -9,6 +9,8 @@
 use coltsfootkeel_model::{DomainKey, FleetConfig, SeatKey, ShiftCap};
 use coltsfootkeel_protocol::LimitKind;
 
+use crate::share_book::{RateShare, ShareList, SlotShare};
+
 /// Milli-tokens in one token.
 const MILLI: i64 = 1_000;
 
@@ -55,11 +57,6 @@
         self.names.get(&key)
     }
 
-    /// Iterates over all limits.
-    pub fn iter(&self) -> impl Iterator<Item = (&LimitName, LimitKey)> {
-        self.keys.iter().map(|(name, key)| (name, *key))
-    }
-
     /// Returns the rate limit of this name, and makes it if it is new.
     pub fn rate(
         &mut self,
@@ -90,41 +87,33 @@
         key
     }
 
-    /// Sets the shares of `seat` for all limits of a configuration. Limits that are gone get none.
-    pub fn set_shares(
+    /// Returns the shares of `seat` in all limits of a configuration.
+    pub fn shares(
         &mut self,
         config: &FleetConfig,
         seat: Option<SeatKey>,
         ledger: &mut LoanLedger,
         now: MonotonicTime,
-    ) {
-        self.clear_shares(ledger);
-        for (_, account) in config.accounts.iter() {
-            let total = RateAmount {
-                rate: milli(account.rate_per_s),
-                burst: milli(account.burst),
-            };
-            let name = LimitName::new(LimitKind::AccountRate, &account.name);
-            self.set_rate(config, seat, name, total, ledger, now);
-        }
-        for (_, shift) in config.shifts.iter() {
-            if let ShiftCap::Rate(rate_per_s) = shift.cap {
-                let total = RateAmount {
-                    rate: milli(rate_per_s),
-                    burst: milli(rate_per_s.div_ceil(SHIFT_BURST_PARTS)),
-                };
-                let name = LimitName::new(LimitKind::ShiftRate, &shift.name);
-                self.set_rate(config, seat, name, total, ledger, now);
-            }
+    ) -> ShareList {
+        let mut shares = ShareList::default();
+        let seats: Vec<SeatKey> = config.seats.keys().collect();
+        for (name, total) in rate_totals(config) {
+            let split = split_rate(total, seats.len(), &name.name);
+            let share = position_of(&seats, seat)
+                .map_or_else(RateAmount::default, |position| split[position]);
+            let key = self.rate(name, ledger, now);
+            shares.rates.insert(key, RateShare { total, share });
         }
         for (_, upstream) in config.upstreams.iter() {
             let name = LimitName::new(LimitKind::UpstreamSlots, &upstream.name);
             let holders = &config.domains[upstream.domain].seats;
-            let shares = split_slots(upstream.slots, holders.len(), &upstream.name);
-            let share = position_of(holders, seat).map_or(0, |position| shares[position]);
+            let split = split_slots(upstream.slots, holders.len(), &upstream.name);
+            let share = position_of(holders, seat).map_or(0, |position| split[position]);
             let key = self.slots(name, ledger, now);
-            ledger.set_slot_share(key, upstream.slots, share);
+            let total = upstream.slots;
+            shares.slots.insert(key, SlotShare { total, share });
         }
+        shares
     }
 
     /// Sets whom to ask for slots: the instances in the upstream's own failure domain hold them.
@@ -142,40 +131,34 @@
         }
     }
 
-    fn set_rate(
-        &mut self,
-        config: &FleetConfig,
-        seat: Option<SeatKey>,
-        name: LimitName,
-        total: RateAmount,
-        ledger: &mut LoanLedger,
-        now: MonotonicTime,
-    ) {
-        let seats: Vec<SeatKey> = config.seats.keys().collect();
-        let shares = split_rate(total, seats.len(), &name.name);
-        let share =
-            position_of(&seats, seat).map_or_else(RateAmount::default, |position| shares[position]);
-        let key = self.rate(name, ledger, now);
-        ledger.set_rate_share(key, total, share);
-    }
-
-    fn clear_shares(&self, ledger: &mut LoanLedger) {
-        for (_, key) in self.iter() {
-            match key {
-                LimitKey::Rate(key) => {
-                    ledger.set_rate_share(key, RateAmount::default(), RateAmount::default());
-                }
-                LimitKey::Slots(key) => ledger.set_slot_share(key, 0, 0),
-            }
-        }
-    }
-
     fn insert(&mut self, name: LimitName, key: LimitKey) {
         self.keys.insert(name.clone(), key);
         self.names.insert(key, name);
     }
 }
 
+/// Returns the totals of all rate limits.
+fn rate_totals(config: &FleetConfig) -> Vec<(LimitName, RateAmount)> {
+    let mut totals = Vec::new();
+    for (_, account) in config.accounts.iter() {
+        let total = RateAmount {
+            rate: milli(account.rate_per_s),
+            burst: milli(account.burst),
+        };
+        totals.push((LimitName::new(LimitKind::AccountRate, &account.name), total));
+    }
+    for (_, shift) in config.shifts.iter() {
+        if let ShiftCap::Rate(rate_per_s) = shift.cap {
+            let total = RateAmount {
+                rate: milli(rate_per_s),
+                burst: milli(rate_per_s.div_ceil(SHIFT_BURST_PARTS)),
+            };
+            totals.push((LimitName::new(LimitKind::ShiftRate, &shift.name), total));
+        }
+    }
+    totals
+}
+
 fn position_of(seats: &[SeatKey], seat: Option<SeatKey>) -> Option<usize> {
     seats.iter().position(|known| Some(*known) == seat)
 }
--- /dev/null
+++ b/crates/daemon/src/share_book.rs
@@ -0,0 +1,166 @@
+//! The shares of this instance's seat, and how they change with the list of seats.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{
+    LoanLedger, RateAmount, RateLimitKey, SeatEvidence, ShareTransition, SlotLimitKey,
+};
+use coltsfootkeel_model::FleetConfig;
+
+/// A rate limit's total and the share of the seat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RateShare {
+    /// The total of the limit.
+    pub total: RateAmount,
+    /// The share of the seat.
+    pub share: RateAmount,
+}
+
+/// An upstream's slots and the share of the seat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlotShare {
+    /// All slots of the upstream.
+    pub total: u32,
+    /// The share of the seat.
+    pub share: u32,
+}
+
+/// A seat and its failure domain, by name, because keys are those of one generation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeatPlace {
+    /// The name of the seat.
+    pub seat: String,
+    /// The name of its failure domain.
+    pub failure_domain: String,
+}
+
+/// Returns the seats of a configuration.
+#[must_use]
+pub fn seat_places(config: &FleetConfig) -> Vec<SeatPlace> {
+    let seats = config.seats.iter();
+    seats
+        .map(|(_, seat)| SeatPlace {
+            seat: seat.name.clone(),
+            failure_domain: config.domains[seat.domain].name.clone(),
+        })
+        .collect()
+}
+
+/// The shares of one generation.
+#[derive(Debug, Clone, Default)]
+pub struct ShareList {
+    /// The rate limits.
+    pub rates: HashMap<RateLimitKey, RateShare>,
+    /// The slot limits.
+    pub slots: HashMap<SlotLimitKey, SlotShare>,
+}
+
+/// What decides whether a change of shares must wait for the other seats.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShareChange {
+    /// The seats are the same, or this instance took or lost its seat: the shares of all seats rise or fall together, or
+    /// the seat rests by itself.
+    AtOnce,
+    /// The list of seats changed, so some shares rise while others fall.
+    SeatsMoved,
+}
+
+/// A share on its way, with the total it belongs to.
+#[derive(Debug)]
+struct MovingShare<T, S> {
+    total: T,
+    transition: ShareTransition<S>,
+}
+
+/// The shares in use and those on their way.
+#[derive(Debug, Default)]
+pub struct ShareBook {
+    current: ShareList,
+    rates: HashMap<RateLimitKey, MovingShare<RateAmount, RateAmount>>,
+    slots: HashMap<SlotLimitKey, MovingShare<u32, u32>>,
+}
+
+impl ShareBook {
+    /// Takes over the shares of a configuration. Limits that it no longer names get none.
+    pub fn set(
+        &mut self,
+        shares: ShareList,
+        change: ShareChange,
+        longest_deadline: Duration,
+        ledger: &mut LoanLedger,
+    ) {
+        self.clear_missing(&shares, ledger);
+        for (key, new) in &shares.rates {
+            let old = self
+                .current
+                .rates
+                .get(key)
+                .map_or_else(RateAmount::default, |old| old.share);
+            self.rates.remove(key);
+            if change == ShareChange::SeatsMoved && old != new.share {
+                let transition = ShareTransition::of_rate(old, new.share);
+                let total = new.total;
+                self.rates.insert(*key, MovingShare { total, transition });
+                ledger.set_rate_share(*key, total, old.at_most(new.share));
+            } else {
+                ledger.set_rate_share(*key, new.total, new.share);
+            }
+        }
+        for (key, new) in &shares.slots {
+            let old = self.current.slots.get(key).map_or(0, |old| old.share);
+            self.slots.remove(key);
+            if change == ShareChange::SeatsMoved && old != new.share {
+                let transition = ShareTransition::of_slots(old, new.share, longest_deadline);
+                let total = new.total;
+                self.slots.insert(*key, MovingShare { total, transition });
+                ledger.set_slot_share(*key, total, old.min(new.share));
+            } else {
+                ledger.set_slot_share(*key, new.total, new.share);
+            }
+        }
+        self.current = shares;
+    }
+
+    /// Tells whether shares are on their way.
+    #[must_use]
+    pub fn is_moving(&self) -> bool {
+        !self.rates.is_empty() || !self.slots.is_empty()
+    }
+
+    /// Moves shares on by what is known of the other seats. Called once a second while shares are on their way.
+    pub fn advance(&mut self, evidence: SeatEvidence, ledger: &mut LoanLedger, now: MonotonicTime) {
+        self.rates.retain(|key, moving| {
+            moving.transition.observe(evidence, now);
+            ledger.set_rate_share(*key, moving.total, moving.transition.share(now));
+            !moving.transition.is_done(now)
+        });
+        self.slots.retain(|key, moving| {
+            moving.transition.observe(evidence, now);
+            ledger.set_slot_share(*key, moving.total, moving.transition.share(now));
+            !moving.transition.is_done(now)
+        });
+    }
+
+    fn clear_missing(&mut self, shares: &ShareList, ledger: &mut LoanLedger) {
+        for key in self
+            .current
+            .rates
+            .keys()
+            .filter(|key| !shares.rates.contains_key(key))
+        {
+            ledger.set_rate_share(*key, RateAmount::default(), RateAmount::default());
+            self.rates.remove(key);
+        }
+        for key in self
+            .current
+            .slots
+            .keys()
+            .filter(|key| !shares.slots.contains_key(key))
+        {
+            ledger.set_slot_share(*key, 0, 0);
+            self.slots.remove(key);
+        }
+    }
+}
--- a/crates/daemon/src/snapshot_builder.rs
+++ b/crates/daemon/src/snapshot_builder.rs
@@ -7,7 +7,8 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
-    HealthJudge, LinkBook, LoanLedger, RampPolicy, RateHandle, ShiftBook, TierTable, UpstreamLane,
+    HealthJudge, LinkBook, LoanLedger, RampPolicy, RateHandle, SeatEvidence, ShiftBook, TierTable,
+    UpstreamLane,
 };
 use coltsfootkeel_model::{ConfigVersion, FleetConfig, SeatKey};
 use coltsfootkeel_protocol::LimitKind;
@@ -15,6 +16,7 @@
 use crate::access_watch::WatchTable;
 use crate::fleet_snapshot::{FleetSnapshot, HomePlace, UpstreamState};
 use crate::limit_book::{LimitBook, LimitName};
+use crate::share_book::{ShareBook, ShareChange, seat_places};
 use crate::slot_wait::SlotWait;
 use crate::upstream_link::UpstreamLink;
 
@@ -25,6 +27,8 @@
     pub ledger: LoanLedger,
     /// Their names.
     pub limits: LimitBook,
+    /// The shares of this instance's seat.
+    pub shares: ShareBook,
     /// The health of upstreams.
     pub judge: HealthJudge,
     /// The counts of shifts.
@@ -43,6 +47,7 @@
         Self {
             ledger,
             limits: LimitBook::default(),
+            shares: ShareBook::default(),
             judge: HealthJudge::new(RampPolicy::LINEAR),
             shifts: ShiftBook::new(),
             links: LinkBook::new(),
@@ -63,7 +68,7 @@
         now: MonotonicTime,
     ) -> FleetSnapshot {
         self.ledger.set_longest_deadline(longest_deadline(&config));
-        self.limits.set_shares(&config, seat, &mut self.ledger, now);
+        self.set_shares(&config, seat, share_change(before, &config), now);
         self.watches = self.watches.advance(before, &config);
         self.keep_links(&config);
         let accounts = config
@@ -120,13 +125,30 @@
         seat: Option<SeatKey>,
         now: MonotonicTime,
     ) {
-        self.limits.set_shares(config, seat, &mut self.ledger, now);
+        self.set_shares(config, seat, ShareChange::AtOnce, now);
         // The buckets of the links are shared with the published snapshot, so the meter made here is not needed.
         let _ = self
             .links
             .apply(config, home.region, usize::from(seat.is_some()), now);
     }
 
+    fn set_shares(
+        &mut self,
+        config: &FleetConfig,
+        seat: Option<SeatKey>,
+        change: ShareChange,
+        now: MonotonicTime,
+    ) {
+        let shares = self.limits.shares(config, seat, &mut self.ledger, now);
+        self.shares
+            .set(shares, change, longest_deadline(config), &mut self.ledger);
+    }
+
+    /// Moves shares on that wait for the other seats.
+    pub fn advance_shares(&mut self, evidence: SeatEvidence, now: MonotonicTime) {
+        self.shares.advance(evidence, &mut self.ledger, now);
+    }
+
     /// Wakes one waiting request in each pool, because slots also become free by loans and by ramps.
     pub fn wake_waiters(&self, now: MonotonicTime) {
         for wait in self.waits.values() {
@@ -170,6 +192,15 @@
     }
 }
 
+/// Tells whether the list of seats changed. Without a configuration before, this instance has just started: its seat was
+/// nobody's, or rests by itself after the claim.
+fn share_change(before: Option<&FleetConfig>, config: &FleetConfig) -> ShareChange {
+    match before {
+        Some(before) if seat_places(before) != seat_places(config) => ShareChange::SeatsMoved,
+        _ => ShareChange::AtOnce,
+    }
+}
+
 fn longest_deadline(config: &FleetConfig) -> Duration {
     let deadlines = config.routes.iter().map(|(_, route)| route.deadline);
     deadlines.max().unwrap_or_default()
