--- /dev/null
+++ b/crates/daemon/src/control_config.rs
@@ -0,0 +1,190 @@
+//! Which configuration is in force, from the platform, peers and neighbours.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{ConfigAge, ConfigSource, DocumentOutcome, OfferVerdict};
+use coltsfootkeel_model::{ConfigVersion, FleetConfig};
+use coltsfootkeel_platform::{LoadedConfig, StoredManifest};
+
+use crate::config_pull::pull_config;
+use crate::control_event::FetchedDocument;
+use crate::control_loop::{ControlLoop, VersionSighting};
+use crate::fleet_snapshot::HomePlace;
+use crate::peer_table::domain_named;
+use crate::platform_task::version_of;
+use crate::share_book::seat_places;
+
+/// A fetch that has not ended after this time is started again.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
+
+impl ControlLoop {
+    pub(crate) fn handle_manifest(
+        &mut self,
+        asked: MonotonicTime,
+        stored: Option<StoredManifest>,
+        now: MonotonicTime,
+    ) {
+        if let Some(age) = &mut self.age {
+            age.note_reached(true);
+        }
+        let Some(stored) = stored else {
+            if let (Some(_), Some(loaded)) = (self.tracker.offer_empty_platform(), &self.loaded) {
+                tokio::spawn(self.platform.clone().restore(Arc::clone(loaded), None));
+            }
+            return;
+        };
+        let version = version_of(&stored.manifest);
+        self.platform_version = Some(VersionSighting { version, at: asked });
+        let verdict = self.tracker.offer(ConfigSource::Platform, version, now);
+        if let Some(age) = &mut self.age
+            && verdict.confirms_ours()
+        {
+            age.note_confirmed(asked);
+        }
+        match verdict {
+            OfferVerdict::Fetch if self.start_fetch(version, now) => {
+                tokio::spawn(self.platform.clone().fetch_document(stored.manifest));
+            }
+            OfferVerdict::OverwriteStale => {
+                if let Some(loaded) = &self.loaded {
+                    tokio::spawn(
+                        self.platform
+                            .clone()
+                            .restore(Arc::clone(loaded), Some(stored)),
+                    );
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Considers a version that a peer runs.
+    pub(crate) fn consider_peer_version(
+        &mut self,
+        instance: &str,
+        version: ConfigVersion,
+        now: MonotonicTime,
+    ) {
+        let verdict = self.tracker.offer(ConfigSource::Peer, version, now);
+        let Some(record) = self.peers.find(instance) else {
+            return;
+        };
+        let handle = record.peer.handle.clone();
+        if verdict == OfferVerdict::Fetch && self.start_fetch(version, now) {
+            tokio::spawn(pull_config(Arc::clone(&self.shared), handle, version));
+        }
+    }
+
+    /// Tells whether a fetch of `version` is to start: one at a time, and again if it takes too long.
+    pub(crate) fn start_fetch(&mut self, version: ConfigVersion, now: MonotonicTime) -> bool {
+        let is_busy = self.fetching.is_some_and(|fetching| {
+            fetching.version == version && now.since(fetching.at) < FETCH_TIMEOUT
+        });
+        if !is_busy {
+            self.fetching = Some(VersionSighting { version, at: now });
+        }
+        !is_busy
+    }
+
+    pub(crate) fn handle_document(&mut self, document: FetchedDocument, now: MonotonicTime) {
+        self.fetching = None;
+        let FetchedDocument {
+            source,
+            version,
+            loaded,
+            checked,
+        } = document;
+        let findings = checked.as_ref().err().map(ToString::to_string);
+        let text = &loaded.document;
+        let outcome = self
+            .tracker
+            .take_document(source, version, text, findings, now);
+        match (outcome, checked) {
+            (DocumentOutcome::InForce, Ok(config)) => {
+                self.put_in_force(Arc::new(config), loaded, version, now);
+                self.confirm_age(version, now);
+            }
+            (DocumentOutcome::Bad, Err(findings)) => {
+                log::error!(
+                    "config: Generation {} failed its checks: {findings}",
+                    version.generation
+                );
+            }
+            (outcome, _) => log::debug!(
+                "config: Generation {} was not taken: {outcome:?}",
+                version.generation
+            ),
+        }
+    }
+
+    /// A version that the platform named while its document was fetched counts as confirmed since then.
+    pub(crate) fn confirm_age(&mut self, version: ConfigVersion, now: MonotonicTime) {
+        if let (Some(age), Some(seen)) = (&mut self.age, self.platform_version)
+            && seen.version == version
+        {
+            age.note_confirmed(seen.at);
+        }
+        self.publish_age(now);
+    }
+
+    pub(crate) fn put_in_force(
+        &mut self,
+        config: Arc<FleetConfig>,
+        loaded: Arc<LoadedConfig>,
+        version: ConfigVersion,
+        now: MonotonicTime,
+    ) {
+        let Some(domain) = domain_named(&config, &self.shared.settings.failure_domain) else {
+            let name = &self.shared.settings.failure_domain;
+            log::error!(
+                "config: Generation {} has no failure domain '{name}' of this instance.",
+                version.generation
+            );
+            return;
+        };
+        let region = config.domains[domain].region;
+        let home = HomePlace { domain, region };
+        let seat = self.seat_key(&config);
+        let before = self.config.take();
+        if let Some(before) = &before {
+            self.former_seats = seat_places(before);
+        }
+        let snapshot = self.builder.build(
+            Arc::clone(&config),
+            version,
+            home,
+            seat,
+            before.as_deref(),
+            now,
+        );
+        self.shared.snapshot.store(Some(Arc::new(snapshot)));
+        match &mut self.age {
+            Some(age) => age.apply(domain),
+            None => self.age = Some(ConfigAge::new(domain)),
+        }
+        self.config = Some(config);
+        self.loaded = Some(loaded);
+        self.home = Some(home);
+        log::info!("config: Generation {} is in force.", version.generation);
+        self.publish_replay_place(now);
+        self.set_lenders(now);
+        self.publish_entries(now);
+        self.send_heartbeats(now);
+        self.seek_seat();
+    }
+
+    pub(crate) fn publish_age(&mut self, now: MonotonicTime) {
+        let (Some(config), Some(age), Some(version)) =
+            (&self.config, &mut self.age, self.tracker.in_force())
+        else {
+            return;
+        };
+        let region_name = &self.shared.settings.platform.region;
+        let region = config.regions.find(|region| region.name == *region_name);
+        if let Some(region) = region {
+            age.publish(&self.shared.doubt, config, region, version, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control_publish.rs
@@ -0,0 +1,82 @@
+//! What request threads see of peers, seats and suspects.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{EntryInstance, SeatRoster};
+
+use crate::control_loop::ControlLoop;
+use crate::shared_state::ReplayPlace;
+
+impl ControlLoop {
+    /// Publishes who owns idempotency keys, from the seats of the configuration and the last heartbeats.
+    pub(crate) fn publish_replay_place(&mut self, now: MonotonicTime) {
+        let Some(config) = &self.config else { return };
+        let names: Vec<String> = config
+            .seats
+            .iter()
+            .map(|(_, seat)| seat.name.clone())
+            .collect();
+        let mut holders = HashMap::new();
+        for record in self.peers.heard(now) {
+            for seat in &record.seats {
+                holders.insert(seat.clone(), record.peer.instance.clone());
+            }
+        }
+        let place = self.shared.replay_place.load();
+        self.shared.replay_place.store(Arc::new(ReplayPlace {
+            roster: next_roster(&place.roster, now, names),
+            tenure: place.tenure.clone(),
+            holders,
+        }));
+    }
+
+    /// Publishes the live entry instances for look-ups.
+    pub(crate) fn publish_entries(&mut self, now: MonotonicTime) {
+        let (Some(config), Some(home)) = (&self.config, self.home) else {
+            return;
+        };
+        let mut live = self.peers.entries(config, now);
+        live.push(EntryInstance {
+            name: self.shared.settings.instance.clone(),
+            domain: home.domain,
+            address: self.shared.settings.entry.advertise,
+            leaving: self.shared.is_leaving(),
+            headroom_percent: self.headroom_percent(),
+        });
+        let table = self.entry_book.build(config, &live);
+        self.shared.entries.store(Some(Arc::new(table)));
+    }
+
+    /// Returns the part of the slots held by this instance that is free, in percent.
+    pub(crate) fn headroom_percent(&self) -> u32 {
+        let snapshot = self.shared.snapshot.load();
+        let Some(snapshot) = snapshot.as_ref() else {
+            return 0;
+        };
+        let lanes = || snapshot.lanes.iter().map(|(_, lane)| &lane.slots);
+        let capacity: u64 = lanes().map(|slots| u64::from(slots.capacity())).sum();
+        let used: u64 = lanes()
+            .map(|slots| u64::from(slots.used().min(slots.capacity())))
+            .sum();
+        match (100 * (capacity - used)).checked_div(capacity) {
+            Some(percent) => u32::try_from(percent).unwrap_or(100),
+            // Without slots of its own the instance borrows, so nothing is known of its headroom.
+            None => 100,
+        }
+    }
+
+    pub(crate) fn publish_suspects(&self) {
+        self.shared.suspects.store(Arc::new(self.suspects.table()));
+    }
+}
+
+/// The first list is no change: nothing is known of earlier ones.
+fn next_roster(roster: &SeatRoster, now: MonotonicTime, names: Vec<String>) -> SeatRoster {
+    if roster.is_empty() {
+        SeatRoster::new(names)
+    } else {
+        roster.updated(now, names)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control_upstreams.rs
@@ -0,0 +1,59 @@
+//! Health and probes of upstreams.
+
+use std::sync::Arc;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::HealthChangeKind;
+use coltsfootkeel_model::DomainKey;
+
+use crate::control_loop::ControlLoop;
+use crate::upstream_probe::{ProbeTarget, probe_upstream};
+
+impl ControlLoop {
+    pub(crate) fn judge_upstreams(&mut self, now: MonotonicTime) {
+        for change in self.builder.judge.judge(now) {
+            log::info!("health: Upstream {}: {:?}.", change.upstream, change.kind);
+            match change.kind {
+                HealthChangeKind::DrainStarted => self.tell_draining(&change.upstream, true),
+                HealthChangeKind::DrainEnded => self.tell_draining(&change.upstream, false),
+                _ => {}
+            }
+        }
+    }
+
+    /// Probes the upstreams of the own failure domain; drains seen there are told to the peers.
+    pub(crate) fn probe_upstreams(&self) {
+        let Some(home) = self.home else { return };
+        for target in self.probe_targets(|domain| domain == home.domain) {
+            self.spawn_probe(target);
+        }
+    }
+
+    /// Returns the upstreams of the failure domains for which `is_wanted` holds.
+    pub(crate) fn probe_targets(&self, is_wanted: impl Fn(DomainKey) -> bool) -> Vec<ProbeTarget> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let upstreams = config
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| is_wanted(upstream.domain));
+        upstreams
+            .map(|(_, upstream)| {
+                let pool = &config.pools[upstream.pool];
+                ProbeTarget {
+                    upstream: upstream.name.clone(),
+                    address: upstream.address,
+                    health_path: pool.health_path.clone(),
+                    load_path: pool.load_path.clone(),
+                    slots: upstream.slots,
+                }
+            })
+            .collect()
+    }
+
+    /// Probes an upstream; the result comes as an event.
+    pub(crate) fn spawn_probe(&self, target: ProbeTarget) {
+        tokio::spawn(probe_upstream(Arc::clone(&self.shared), target));
+    }
+}
