capacity: a program that measures the slopes of docs/CAPACITY.md

Cause: the design page asks for costs derived from measured slopes. Ruled out: a counting allocator, since unsafe code is forbidden in the workspace; memory is read from /proc instead. Change: the package coltsfootkeel-capacity with one module for each group of slopes. Conclusion: replay memory, grant handling and the idle fleet are not measured right yet.

--- /dev/null
+++ b/crates/capacity/src/look_up_cost.rs
@@ -0,0 +1,133 @@
+//! Memory and time of look-ups, and the time to build their tables.
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+
+use coltsfootkeel_decisions::{EntryBook, EntryTable};
+use coltsfootkeel_model::{ArenaKey, BlockTable, ClientBlock, FleetConfig, SiteKey};
+
+use crate::figure_table::{FigureTable, decimal_text};
+use crate::process_figures::{nanos_per_call, processor_time};
+use crate::random_sequence::RandomSequence;
+use crate::sample_fleet::{FleetSize, SITES, live_instances};
+
+const BLOCK_COUNTS: [usize; 3] = [10_000, 100_000, 630_000];
+const INSTANCE_COUNTS: [usize; 3] = [7, 100, 550];
+
+/// So many clients in random order that the caches hold no more than in operation.
+const CLIENTS: usize = 1 << 20;
+
+/// Measures look-ups in tables of growing size.
+#[must_use]
+pub fn look_up_table() -> FigureTable {
+    let mut table = FigureTable::new(
+        "Look-up: 120 sites, 11 regions, 35 failure domains",
+        &[
+            "blocks",
+            "instances",
+            "ranges",
+            "bytes/block",
+            "build ms",
+            "find ns",
+            "look-up ns",
+        ],
+    );
+    let config = FleetSize::SMALLEST.config();
+    for block_count in BLOCK_COUNTS {
+        let blocks = random_blocks(block_count);
+        let start = processor_time();
+        let sites = BlockTable::build(&blocks);
+        let build = processor_time().saturating_sub(start);
+        let clients = random_clients(&blocks);
+        let find = nanos_per_client(&clients, |client| sites.find(client));
+        for instances in INSTANCE_COUNTS {
+            let entries = entries_of(&config, instances);
+            let look_up = nanos_per_client(&clients, |client| {
+                entries.rank_for_site(sites.find(client), client)
+            });
+            table.add([
+                block_count.to_string(),
+                instances.to_string(),
+                sites.range_count().to_string(),
+                decimal_text(sites.memory_bytes() as f64 / block_count as f64, 1),
+                decimal_text(build.as_secs_f64() * 1e3, 1),
+                decimal_text(find, 0),
+                decimal_text(look_up, 0),
+            ]);
+        }
+    }
+    table
+}
+
+/// Measures building the table of live instances.
+#[must_use]
+pub fn entry_table() -> FigureTable {
+    let mut table = FigureTable::new(
+        "Table of live instances, built once a second and at each change",
+        &["instances", "build µs"],
+    );
+    let config = FleetSize::SMALLEST.config();
+    for instances in INSTANCE_COUNTS {
+        let live = live_instances(instances);
+        let mut book = EntryBook::new();
+        let build = nanos_per_call(|| book.build(&config, &live));
+        table.add([instances.to_string(), decimal_text(build / 1e3, 0)]);
+    }
+    table
+}
+
+fn entries_of(config: &FleetConfig, instances: usize) -> EntryTable {
+    EntryBook::new().build(config, &live_instances(instances))
+}
+
+fn nanos_per_client<T>(clients: &[IpAddr], look_up: impl Fn(IpAddr) -> T) -> f64 {
+    let pass = || {
+        for client in clients {
+            black_box(look_up(*client));
+        }
+    };
+    nanos_per_call(pass) / clients.len() as f64
+}
+
+/// One block in ten is of IPv6; prefixes have 16 to 24 bits, or 32 to 48.
+fn random_blocks(count: usize) -> Vec<(ClientBlock, SiteKey)> {
+    let mut random = RandomSequence(1);
+    (0..count)
+        .map(|_| {
+            let site = SiteKey::from_index(random.below(SITES));
+            (random_block(&mut random), site)
+        })
+        .collect()
+}
+
+fn random_block(random: &mut RandomSequence) -> ClientBlock {
+    let text = if random.below(10) == 0 {
+        let length = 32 + random.below(17);
+        let bits = random.address_128() >> (128 - length) << (128 - length);
+        format!("{}/{length}", Ipv6Addr::from_bits(bits))
+    } else {
+        let length = 16 + random.below(9);
+        let bits = random.address_32() >> (32 - length) << (32 - length);
+        format!("{}/{length}", Ipv4Addr::from_bits(bits))
+    };
+    ClientBlock::try_from(text.as_str()).expect("a valid block")
+}
+
+fn random_clients(blocks: &[(ClientBlock, SiteKey)]) -> Vec<IpAddr> {
+    let mut random = RandomSequence(2);
+    (0..CLIENTS)
+        .map(|_| {
+            let (block, _) = blocks[random.below(blocks.len())];
+            match block.address() {
+                IpAddr::V4(address) => {
+                    let host = random.address_32() & 0xff;
+                    IpAddr::V4(Ipv4Addr::from_bits(address.to_bits() | host))
+                }
+                IpAddr::V6(address) => {
+                    let host = random.address_128() & 0xffff;
+                    IpAddr::V6(Ipv6Addr::from_bits(address.to_bits() | host))
+                }
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/capacity/src/main.rs
@@ -0,0 +1,67 @@
+//! The program `coltsfootkeel-capacity`: prints the slopes from which `docs/CAPACITY.md` is worked out.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use coltsfootkeel_capacity::{
+    FleetSize, document_table, entry_table, heartbeat_table, idle_fleet_table, loan_table,
+    look_up_table, measure_document, message_table, replay_table, request_table, tick_table,
+};
+use gumdrop::Options;
+
+/// Options of the program.
+#[derive(Debug, Options)]
+struct CapacityOptions {
+    /// Print this help.
+    help: bool,
+    /// Folder of the fleet that is measured when idle.
+    #[options(no_short, meta = "FOLDER", default = "examples/first-run")]
+    fleet: PathBuf,
+    /// Measure only one document and print its raw figures: seats,accounts,upstreams,routes,blocks.
+    #[options(no_short, meta = "COUNTS")]
+    document: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let options = CapacityOptions::parse_args_default_or_exit();
+    if let Some(counts) = &options.document {
+        return measure_one_document(counts);
+    }
+    println!("{}", look_up_table());
+    println!("{}", entry_table());
+    match document_table() {
+        Ok(table) => println!("{table}"),
+        Err(error) => eprintln!("configuration document: not measured: {error}"),
+    }
+    println!("{}", message_table());
+    println!("{}", tick_table());
+    println!("{}", heartbeat_table());
+    println!("{}", loan_table());
+    println!("{}", replay_table());
+    println!("{}", request_table());
+    match idle_fleet_table(&options.fleet) {
+        Ok(table) => println!("{table}"),
+        Err(error) => println!("idle fleet: not run: {error}"),
+    }
+    ExitCode::SUCCESS
+}
+
+fn measure_one_document(counts: &str) -> ExitCode {
+    let counts: Vec<usize> = counts
+        .split(',')
+        .filter_map(|count| count.parse().ok())
+        .collect();
+    let [seats, accounts, upstreams, routes, blocks] = counts[..] else {
+        eprintln!("--document: expected five counts, such as 7,1,1,1,0");
+        return ExitCode::FAILURE;
+    };
+    let size = FleetSize {
+        seats,
+        accounts,
+        upstreams,
+        routes,
+        blocks,
+    };
+    println!("{}", measure_document(size));
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/capacity/src/replay_cost.rs
@@ -0,0 +1,86 @@
+//! Memory of the replay memory for each key it keeps.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{
+    IdempotencyKey, ReplayDecision, ReplayEnd, ReplayLimits, ReplayMemory, RequestDigest,
+};
+
+use crate::figure_table::{FigureTable, bytes_text, decimal_text};
+use crate::process_figures::{processor_time, resident_memory};
+
+/// The daemon keeps at most this many keys.
+const KEYS: usize = 100_000;
+
+const LIMITS: ReplayLimits = ReplayLimits {
+    entries: KEYS,
+    account_entries: KEYS,
+    answer_bytes: 1 << 30,
+    account_answer_bytes: 1 << 30,
+};
+
+struct ReplayCase {
+    name: &'static str,
+    answer_bytes: usize,
+}
+
+const CASES: [ReplayCase; 2] = [
+    ReplayCase {
+        name: "no answer kept",
+        answer_bytes: 0,
+    },
+    ReplayCase {
+        name: "answers of 512 bytes",
+        answer_bytes: 512,
+    },
+];
+
+/// Measures the memory of kept keys, each of 48 bytes.
+#[must_use]
+pub fn replay_table() -> FigureTable {
+    let mut table = FigureTable::new(
+        "Replay memory: 100,000 keys of 48 bytes",
+        &["case", "MiB", "bytes/key", "ns/request"],
+    );
+    for case in CASES {
+        let before = resident_memory();
+        let start = processor_time();
+        let memory = filled(&case);
+        let elapsed = processor_time().saturating_sub(start);
+        let grown = resident_memory().saturating_sub(before);
+        drop(memory);
+        table.add([
+            case.name.to_owned(),
+            bytes_text(grown),
+            decimal_text(grown as f64 / KEYS as f64, 0),
+            decimal_text(elapsed.as_secs_f64() * 1e9 / KEYS as f64, 0),
+        ]);
+    }
+    table
+}
+
+fn filled(case: &ReplayCase) -> ReplayMemory<Vec<u8>> {
+    let memory = ReplayMemory::new(1, LIMITS);
+    let now = MonotonicTime::from_millis(1_000);
+    for number in 0..KEYS {
+        let text = format!("penang-a-1.0123456789abcdef.{number:020}");
+        let key = IdempotencyKey::try_from(text).expect("a valid key");
+        let digest = RequestDigest(number as u64);
+        let decision = memory.begin(now, "hotel-group", &key, digest, Duration::from_secs(10));
+        let ReplayDecision::Run(ticket) = decision else {
+            continue;
+        };
+        let end = if case.answer_bytes == 0 {
+            ReplayEnd::AnswerNotKept
+        } else {
+            ReplayEnd::Answered {
+                answer: Arc::new(vec![1; case.answer_bytes]),
+                bytes: case.answer_bytes,
+            }
+        };
+        memory.finish(now, "hotel-group", &key, ticket, end);
+    }
+    memory
+}
--- /dev/null
+++ b/crates/capacity/src/request_cost.rs
@@ -0,0 +1,169 @@
+//! Cost of admission and of the selection of an upstream for each request.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use coltsfootkeel_counters::{MonotonicTime, RateBucket, SlotCounter, TimeLease};
+use coltsfootkeel_decisions::{
+    ChoicePolicy, ChoiceRequest, ChoiceStart, HealthJudge, LinkBook, LinkMeter, RampPolicy,
+    TierTable, UpstreamLane, admit_request,
+};
+use coltsfootkeel_model::{
+    AccessDigest, Arena, ArenaKey, DomainKey, FleetConfig, RegionKey, UpstreamKey,
+};
+
+use crate::figure_table::{FigureTable, decimal_text};
+use crate::sample_fleet::FleetSize;
+
+/// Today's largest pool has 20 upstreams.
+const SIZE: FleetSize = FleetSize {
+    seats: 7,
+    accounts: 8,
+    upstreams: 20,
+    routes: 8,
+    blocks: 0,
+};
+
+const REQUESTS: u64 = 500_000;
+const RUNS: usize = 7;
+const THREAD_COUNTS: [u64; 2] = [1, 4];
+
+/// Measures admission and selection together, in wall-clock time.
+#[must_use]
+pub fn request_table() -> FigureTable {
+    let mut table = FigureTable::new(
+        "Request: admission (route, key, lease, token) and selection (two choices, slot) in wall-clock time",
+        &["threads", "admission ns", "selection ns", "together ns"],
+    );
+    let path = RequestPath::new(SIZE.config());
+    for threads in THREAD_COUNTS {
+        let admission = path.median(threads, RequestPath::admit);
+        let selection = path.median(threads, RequestPath::select);
+        let together = path.median(threads, |path, random| {
+            path.admit(random);
+            path.select(random);
+        });
+        table.add([
+            threads.to_string(),
+            decimal_text(admission, 0),
+            decimal_text(selection, 0),
+            decimal_text(together, 0),
+        ]);
+    }
+    table
+}
+
+struct RequestPath {
+    config: FleetConfig,
+    paths: Vec<String>,
+    digests: Vec<AccessDigest>,
+    buckets: Vec<RateBucket>,
+    lease: TimeLease,
+    tiers: TierTable,
+    lanes: Arena<UpstreamKey, UpstreamLane>,
+    links: LinkMeter,
+}
+
+impl RequestPath {
+    fn new(config: FleetConfig) -> Self {
+        let now = MonotonicTime::from_millis(0);
+        let records = HealthJudge::new(RampPolicy::LINEAR).apply(&config, now);
+        let lanes = records
+            .iter()
+            .map(|(_, health)| {
+                let slots = Arc::new(SlotCounter::new());
+                slots.set_capacity(9);
+                health.record_success(Duration::from_millis(20));
+                UpstreamLane {
+                    slots,
+                    health: Arc::clone(health),
+                }
+            })
+            .collect();
+        let lease = TimeLease::new();
+        lease.renew(now, Duration::from_hours(1));
+        let buckets = (0..SIZE.accounts).map(|_| full_bucket()).collect();
+        let digests = config.access.iter().map(|(digest, _)| digest).collect();
+        Self {
+            paths: (0..SIZE.routes)
+                .map(|route| format!("/path-{route}/orders/17"))
+                .collect(),
+            digests,
+            buckets,
+            lease,
+            tiers: TierTable::build(&config, DomainKey::from_index(0)),
+            lanes,
+            links: LinkBook::new().apply(&config, RegionKey::from_index(0), 1, now),
+            config,
+        }
+    }
+
+    fn admit(&self, random: u64) {
+        let path = &self.paths[position(random, self.paths.len())];
+        let digest = self.digests[position(random, self.digests.len())];
+        let admitted = admit_request(&self.config, path, Some(digest));
+        let account = admitted.ok().and_then(|admitted| admitted.account);
+        if let Some(account) = account
+            && self.lease.is_valid(MonotonicTime::from_millis(1))
+        {
+            black_box(self.buckets[account.index()].try_take(1_000));
+        }
+    }
+
+    fn select(&self, random: u64) {
+        let chosen = self.tiers.choose(ChoiceRequest {
+            pool: ArenaKey::from_index(0),
+            start: ChoiceStart::Home,
+            tried: &[],
+            random,
+            lanes: &self.lanes,
+            links: &self.links,
+            policy: ChoicePolicy::TWO_CHOICES,
+        });
+        if let Some(upstream) = black_box(chosen) {
+            self.lanes[upstream].slots.put_back();
+        }
+    }
+
+    fn median(&self, threads: u64, step: fn(&Self, u64)) -> f64 {
+        let mut times: Vec<f64> = (0..RUNS).map(|_| self.run(threads, step)).collect();
+        times.sort_by(f64::total_cmp);
+        times[RUNS / 2]
+    }
+
+    fn run(&self, threads: u64, step: fn(&Self, u64)) -> f64 {
+        thread::scope(|scope| {
+            let started: Vec<_> = (0..threads)
+                .map(|seed| scope.spawn(move || self.run_thread(seed, step)))
+                .collect();
+            let times = started
+                .into_iter()
+                .map(|thread| thread.join().unwrap_or(f64::NAN));
+            times.sum::<f64>() / threads as f64
+        })
+    }
+
+    fn run_thread(&self, seed: u64, step: fn(&Self, u64)) -> f64 {
+        let start = Instant::now();
+        let mut random = seed;
+        for _ in 0..REQUESTS {
+            random = random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(1);
+            step(self, random ^ (random >> 33));
+        }
+        start.elapsed().as_secs_f64() * 1e9 / REQUESTS as f64
+    }
+}
+
+/// The bucket holds enough for all runs, because an empty one would be cheaper.
+fn full_bucket() -> RateBucket {
+    let bucket = RateBucket::new();
+    bucket.set_capacity(i64::MAX / 4);
+    bucket.refill(i64::MAX / 4);
+    bucket
+}
+
+fn position(random: u64, count: usize) -> usize {
+    usize::try_from((random >> 40) % count as u64).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/capacity/src/tick_cost.rs
@@ -0,0 +1,122 @@
+//! Processor time of one tick of the ledger.
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_decisions::{Incarnation, LoanLedger, LoanPeer, RateAmount};
+
+use crate::figure_table::{FigureTable, decimal_text};
+use crate::loan_exchange::SETTINGS;
+use crate::process_figures::nanos_per_call;
+
+struct TickCase {
+    accounts: usize,
+    upstreams: usize,
+}
+
+const CASES: [TickCase; 7] = [
+    TickCase {
+        accounts: 8,
+        upstreams: 34,
+    },
+    TickCase {
+        accounts: 100,
+        upstreams: 0,
+    },
+    TickCase {
+        accounts: 1_000,
+        upstreams: 0,
+    },
+    TickCase {
+        accounts: 10_000,
+        upstreams: 0,
+    },
+    TickCase {
+        accounts: 0,
+        upstreams: 100,
+    },
+    TickCase {
+        accounts: 0,
+        upstreams: 1_000,
+    },
+    TickCase {
+        accounts: 0,
+        upstreams: 10_000,
+    },
+];
+
+/// Daemons make a hundred ticks a second.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Measures ticks without demand and with demand of one request a tick for each account.
+#[must_use]
+pub fn tick_table() -> FigureTable {
+    let mut table = FigureTable::new(
+        "Ledger: one tick, of 100 a second",
+        &[
+            "accounts",
+            "upstreams",
+            "idle tick µs",
+            "idle % of a core",
+            "busy tick µs",
+            "busy % of a core",
+        ],
+    );
+    for case in CASES {
+        let idle = tick_ns(&case, false);
+        let busy = tick_ns(&case, true);
+        let core = |ns: f64| decimal_text(ns * TICKS_PER_S / 1e7, 3);
+        table.add([
+            case.accounts.to_string(),
+            case.upstreams.to_string(),
+            decimal_text(idle / 1e3, 1),
+            core(idle),
+            decimal_text(busy / 1e3, 1),
+            core(busy),
+        ]);
+    }
+    table
+}
+
+/// The shares suffice for the demand, so that no ask is sent.
+fn tick_ns(case: &TickCase, is_busy: bool) -> f64 {
+    let mut now_ms = 1_000;
+    let start = MonotonicTime::from_millis(now_ms);
+    let mut ledger = LoanLedger::new(SETTINGS, start);
+    let share = RateAmount {
+        rate: 1_000_000,
+        burst: 500_000,
+    };
+    let rates: Vec<_> = (0..case.accounts)
+        .map(|_| {
+            let key = ledger.add_rate_limit(start);
+            ledger.set_rate_share(key, share, share);
+            ledger.rate_handle(key)
+        })
+        .collect();
+    let slots: Vec<_> = (0..case.upstreams)
+        .map(|_| {
+            let key = ledger.add_slot_limit(start);
+            ledger.set_slot_share(key, 9, 9);
+            ledger.slot_handle(key)
+        })
+        .collect();
+    let peers = (0..549).map(|peer| LoanPeer {
+        incarnation: Incarnation(peer),
+        is_near: peer < 15,
+    });
+    ledger.set_rate_lenders(peers.collect());
+    ledger.open_new_seat(None);
+    nanos_per_call(|| {
+        now_ms += 10;
+        if is_busy {
+            for handle in &rates {
+                handle.bucket.try_take(1_000);
+            }
+            for handle in &slots {
+                if handle.counter.try_take() {
+                    handle.counter.put_back();
+                }
+            }
+        }
+        ledger.tick(MonotonicTime::from_millis(now_ms))
+    })
+}
