capacity: grants, replay memory and the idle fleet are measured as they run

Cause: the first trial timed grants that no ask waited for, measured memory that had been freed before, and met ports in use. Ruled out: stopping the other fleet, which belongs to other work; a longer loop in place of exact readings, because a document is read once. Change: grants answer real asks; replay memory is measured first; the fleet runs from a copy of its files with ports 20,000 higher; readings of processor time sleep for 1 µs first, which makes the kernel bring them up to date.

--- a/crates/capacity/src/document_cost.rs
+++ b/crates/capacity/src/document_cost.rs
@@ -68,6 +68,10 @@
 }
 
 /// Measures one document in this process. The memory is right only in a process that has done nothing else.
+///
+/// # Panics
+///
+/// Panics if the sample has faults, which would be one of this package.
 #[must_use]
 pub fn measure_document(size: FleetSize) -> DocumentCost {
     let text = size.document();
@@ -93,39 +97,36 @@
     cost
 }
 
+#[derive(Debug, Clone)]
 struct DocumentCase {
     grows: &'static str,
     count: usize,
     size: FleetSize,
 }
 
+const RECORD_COUNTS: [usize; 3] = [100, 1_000, 10_000];
+const BLOCK_COUNTS: [usize; 3] = [10_000, 100_000, 630_000];
+
 fn cases() -> Vec<DocumentCase> {
     let base = FleetSize::SMALLEST;
-    let grown: [(&'static str, &[usize], fn(FleetSize, usize) -> FleetSize); 4] = [
-        ("accounts", &[100, 1_000, 10_000], |size, accounts| {
-            FleetSize { accounts, ..size }
-        }),
-        ("upstreams", &[100, 1_000, 10_000], |size, upstreams| {
-            FleetSize { upstreams, ..size }
-        }),
-        ("routes", &[100, 1_000, 10_000], |size, routes| FleetSize {
-            routes,
-            ..size
-        }),
-        ("blocks", &[10_000, 100_000, 630_000], |size, blocks| {
-            FleetSize { blocks, ..size }
-        }),
-    ];
-    grown
-        .into_iter()
-        .flat_map(|(grows, counts, grow)| {
-            counts.iter().map(move |&count| DocumentCase {
-                grows,
-                count,
-                size: grow(base, count),
-            })
-        })
-        .collect()
+    let case = |grows, count, size| DocumentCase { grows, count, size };
+    let accounts = RECORD_COUNTS.map(|accounts| {
+        let size = FleetSize { accounts, ..base };
+        case("accounts", accounts, size)
+    });
+    let upstreams = RECORD_COUNTS.map(|upstreams| {
+        let size = FleetSize { upstreams, ..base };
+        case("upstreams", upstreams, size)
+    });
+    let routes = RECORD_COUNTS.map(|routes| {
+        let size = FleetSize { routes, ..base };
+        case("routes", routes, size)
+    });
+    let blocks = BLOCK_COUNTS.map(|blocks| {
+        let size = FleetSize { blocks, ..base };
+        case("blocks", blocks, size)
+    });
+    [accounts, upstreams, routes, blocks].concat()
 }
 
 /// Measures documents of growing size, each in a process of its own.
--- a/crates/capacity/src/idle_fleet.rs
+++ b/crates/capacity/src/idle_fleet.rs
@@ -1,5 +1,7 @@
 //! Memory, processor time and bytes of daemons that carry no requests.
 
+use std::env;
+use std::fmt::Write;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -12,7 +14,10 @@
 use crate::figure_table::{FigureTable, bytes_text, decimal_text};
 use crate::process_figures::ProcessFigures;
 
-const PLATFORM: &str = "127.0.0.1:7000";
+/// The fleet runs on ports of its own, because another one with the ports of its files may run on this machine.
+const PORT_OFFSET: u16 = 20_000;
+const PLATFORM: &str = "127.0.0.1:27000";
+const LOCAL: &str = "127.0.0.1:";
 
 /// Connections and seats are settled after this time.
 const SETTLE: Duration = Duration::from_secs(10);
@@ -28,6 +33,9 @@
     /// The ports may belong to another fleet on this machine, which must not be disturbed.
     #[error("{PLATFORM} is in use: {0}")]
     PortInUse(std::io::Error),
+    /// The files cannot be copied.
+    #[error("cannot copy the files of the fleet: {0}")]
+    Files(std::io::Error),
     /// The runtime of this program did not start.
     #[error("cannot start the runtime: {0}")]
     Runtime(std::io::Error),
@@ -53,15 +61,46 @@
         .enable_all()
         .build()
         .map_err(IdleFleetError::Runtime)?;
-    let options = FleetOptions {
-        folder: folder.to_owned(),
-        platform,
-    };
-    let fleet = runtime.block_on(RunningFleet::start(&options))?;
-    thread::sleep(SETTLE);
-    let table = observe();
-    drop(fleet);
-    Ok(table)
+    let copy = env::temp_dir().join(format!("coltsfootkeel-capacity-{}", std::process::id()));
+    let observed = copy_files(folder, &copy)
+        .map_err(IdleFleetError::Files)
+        .and_then(|()| {
+            let options = FleetOptions {
+                folder: copy.clone(),
+                platform,
+            };
+            let fleet = runtime.block_on(RunningFleet::start(&options))?;
+            thread::sleep(SETTLE);
+            let table = observe();
+            drop(fleet);
+            Ok(table)
+        });
+    // The copy is of no use whether or not the fleet ran.
+    let _ = fs::remove_dir_all(&copy);
+    observed
+}
+
+fn copy_files(folder: &Path, copy: &Path) -> std::io::Result<()> {
+    fs::create_dir_all(copy)?;
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        let text = fs::read_to_string(entry.path())?;
+        fs::write(copy.join(entry.file_name()), with_moved_ports(&text))?;
+    }
+    Ok(())
+}
+
+fn with_moved_ports(text: &str) -> String {
+    let mut parts = text.split(LOCAL);
+    let mut moved = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let digits = part.find(|sign: char| !sign.is_ascii_digit());
+        let (port, rest) = part.split_at(digits.unwrap_or(part.len()));
+        let port = port.parse().map_or(0, |port: u16| port + PORT_OFFSET);
+        // Writing to a string cannot fail.
+        let _ = write!(moved, "{LOCAL}{port}{rest}");
+    }
+    moved
 }
 
 fn observe() -> FigureTable {
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -33,4 +33,4 @@
 pub use replay_cost::replay_table;
 pub use request_cost::request_table;
 pub use sample_fleet::FleetSize;
-pub use tick_cost::tick_table;
+pub use tick_cost::{lender_table, tick_table};
--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -4,8 +4,9 @@
 use std::process::ExitCode;
 
 use coltsfootkeel_capacity::{
-    FleetSize, document_table, entry_table, heartbeat_table, idle_fleet_table, loan_table,
-    look_up_table, measure_document, message_table, replay_table, request_table, tick_table,
+    FleetSize, document_table, entry_table, heartbeat_table, idle_fleet_table, lender_table,
+    loan_table, look_up_table, measure_document, message_table, replay_table, request_table,
+    tick_table,
 };
 use gumdrop::Options;
 
@@ -27,6 +28,7 @@
     if let Some(counts) = &options.document {
         return measure_one_document(counts);
     }
+    println!("{}", replay_table());
     println!("{}", look_up_table());
     println!("{}", entry_table());
     match document_table() {
@@ -35,9 +37,9 @@
     }
     println!("{}", message_table());
     println!("{}", tick_table());
+    println!("{}", lender_table());
     println!("{}", heartbeat_table());
     println!("{}", loan_table());
-    println!("{}", replay_table());
     println!("{}", request_table());
     match idle_fleet_table(&options.fleet) {
         Ok(table) => println!("{table}"),
--- a/crates/capacity/src/message_cost.rs
+++ b/crates/capacity/src/message_cost.rs
@@ -1,14 +1,15 @@
 //! Bytes and processor time of control messages.
 
 use std::collections::{HashMap, HashSet};
+use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::BytesMut;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{
-    ConfigAge, ConfigSource, GenerationTracker, Incarnation, LoanAmount, LoanAsk, LoanLedger,
-    LoanPeer, PeerAge, RateAmount, SeatRoster,
+    ConfigAge, ConfigSource, GenerationTracker, Incarnation, LedgerSettings, LoanLedger, LoanPeer,
+    PeerAge, RateAmount, SeatRoster,
 };
 use coltsfootkeel_model::{ArenaKey, ConfigVersion, ContentDigest, DomainKey, GenerationNumber};
 use coltsfootkeel_protocol::{
@@ -19,7 +20,7 @@
 
 use crate::figure_table::{FigureTable, decimal_text};
 use crate::loan_exchange::SETTINGS;
-use crate::process_figures::nanos_per_call;
+use crate::process_figures::{nanos_per_call, processor_time};
 
 const INSTANCE_COUNTS: [usize; 4] = [7, 35, 100, 550];
 
@@ -202,62 +203,60 @@
     }
 }
 
-/// Returns the processor time to answer an ask and to take a grant. Each answered loan is returned, so that the
-/// lender's list does not grow.
+/// Grants that one step of the measurement takes.
+const GRANTS: usize = 1_000;
+
+/// Returns the processor time to answer an ask and to take a grant.
 fn loan_handling() -> (f64, f64) {
+    let mut exchanges: Vec<(f64, f64)> = (0..21).map(|_| time_exchange()).collect();
+    let middle = exchanges.len() / 2;
+    exchanges.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let ask = exchanges[middle].0;
+    exchanges.sort_by(|one, other| one.1.total_cmp(&other.1));
+    (ask, exchanges[middle].1)
+}
+
+/// One instance without shares asks another for a loan of each of many limits.
+fn time_exchange() -> (f64, f64) {
     let start = MonotonicTime::from_millis(1_000);
+    let settings = LedgerSettings {
+        asks_per_s: u32::try_from(GRANTS).unwrap_or(u32::MAX),
+        ..SETTINGS
+    };
     let total = RateAmount {
         rate: 120_000,
         burst: 60_000,
     };
-    let mut lender = LoanLedger::new(SETTINGS, start);
-    let key = lender.add_rate_limit(start);
-    lender.set_rate_share(key, total, total);
+    let mut lender = LoanLedger::new(settings, start);
+    let mut borrower = LoanLedger::new(settings, start);
+    for _ in 0..GRANTS {
+        let key = lender.add_rate_limit(start);
+        lender.set_rate_share(key, total, total);
+        let key = borrower.add_rate_limit(start);
+        borrower.set_rate_share(key, total, RateAmount::default());
+        borrower.rate_handle(key).short.record();
+    }
     lender.open_new_seat(None);
-    lender.tick(start);
-    let mut borrower = LoanLedger::new(SETTINGS, start);
-    let own = borrower.add_rate_limit(start);
-    borrower.set_rate_share(own, total, RateAmount::default());
     borrower.set_rate_lenders(vec![LoanPeer {
         incarnation: Incarnation(1),
         is_near: true,
     }]);
-    let mut loan = 0;
-    let ask_ns = nanos_per_call(|| {
-        loan += 1;
-        let ask = LoanAsk {
-            loan,
-            line: loan,
-            limit: coltsfootkeel_decisions::LimitKey::Rate(key),
-            amount: LoanAmount::Rate(RateAmount {
-                rate: 12_000,
-                burst: 6_000,
-            }),
-            life: Duration::from_secs(2),
-        };
-        let grant = lender.answer_ask(Incarnation(2), ask, start);
-        let end = coltsfootkeel_decisions::LoanReturn {
-            line: loan,
-            limit: ask.limit,
-            tokens: 0,
-        };
-        lender.take_return(Incarnation(2), end, start);
-        if loan.is_multiple_of(1_000) {
-            lender.tick(start);
-        }
-        grant
-    });
-    let grant = coltsfootkeel_decisions::LoanGrant {
-        loan: 1,
-        amount: LoanAmount::Rate(RateAmount {
-            rate: 12_000,
-            burst: 6_000,
-        }),
-        tokens: 0,
-    };
-    let grant_ns = nanos_per_call(|| {
-        // One ask is sent and answered at each step; the clock moves so that the budget allows it.
-        borrower.take_grant(Incarnation(1), grant, start)
-    });
-    (ask_ns, grant_ns)
+    let now = start + Duration::from_secs(1);
+    lender.tick(now);
+    let asks = borrower.tick(now).asks;
+    let asked = processor_time();
+    let grants: Vec<_> = asks
+        .iter()
+        .filter_map(|ask| lender.answer_ask(Incarnation(2), ask.message, now))
+        .collect();
+    let answered = processor_time();
+    for grant in &grants {
+        black_box(borrower.take_grant(Incarnation(1), *grant, now));
+    }
+    let taken = processor_time();
+    let each = |time: Duration| time.as_secs_f64() * 1e9 / grants.len().max(1) as f64;
+    (
+        each(answered.saturating_sub(asked)),
+        each(taken.saturating_sub(answered)),
+    )
 }
--- a/crates/capacity/src/process_figures.rs
+++ b/crates/capacity/src/process_figures.rs
@@ -2,13 +2,18 @@
 
 use std::fs;
 use std::hint::black_box;
+use std::thread;
 use std::time::Duration;
 
 /// Runs of a loop, of which the median counts, because other programs share the machine.
 const RUNS: usize = 5;
 
-/// The kernel brings the time of a running thread up to date at each of its ticks, so a shorter loop would be rounded.
-const SHORTEST_RUN: Duration = Duration::from_millis(60);
+/// A shorter loop would be disturbed by the sleep before each reading.
+const SHORTEST_RUN: Duration = Duration::from_millis(30);
+
+/// The kernel brings the time of a running thread up to date when the thread leaves the processor, and otherwise only
+/// every few milliseconds.
+const READING_SLEEP: Duration = Duration::from_micros(1);
 
 /// What `/proc` tells about one process.
 #[derive(Debug, Clone, Copy, Default)]
@@ -39,6 +44,7 @@
 /// Returns the processor time of the calling thread.
 #[must_use]
 pub fn processor_time() -> Duration {
+    thread::sleep(READING_SLEEP);
     run_time(&fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default())
 }
 
--- a/crates/capacity/src/replay_cost.rs
+++ b/crates/capacity/src/replay_cost.rs
@@ -37,20 +37,22 @@
     },
 ];
 
-/// Measures the memory of kept keys, each of 48 bytes.
+/// Measures the memory of kept keys, each of 48 bytes. It is right only in a process that has freed little memory
+/// before, since freed memory stays resident and is used again.
 #[must_use]
 pub fn replay_table() -> FigureTable {
     let mut table = FigureTable::new(
         "Replay memory: 100,000 keys of 48 bytes",
         &["case", "MiB", "bytes/key", "ns/request"],
     );
+    let mut kept = Vec::new();
     for case in CASES {
         let before = resident_memory();
         let start = processor_time();
         let memory = filled(&case);
         let elapsed = processor_time().saturating_sub(start);
         let grown = resident_memory().saturating_sub(before);
-        drop(memory);
+        kept.push(memory);
         table.add([
             case.name.to_owned(),
             bytes_text(grown),
--- a/crates/capacity/src/tick_cost.rs
+++ b/crates/capacity/src/tick_cost.rs
@@ -2,10 +2,12 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::{Incarnation, LoanLedger, LoanPeer, RateAmount};
+use coltsfootkeel_model::{ArenaKey, DomainKey, FleetConfig};
 
 use crate::figure_table::{FigureTable, decimal_text};
 use crate::loan_exchange::SETTINGS;
 use crate::process_figures::nanos_per_call;
+use crate::sample_fleet::{DOMAINS, FleetSize};
 
 struct TickCase {
     accounts: usize,
@@ -76,6 +78,74 @@
     table
 }
 
+struct LenderCase {
+    peers: usize,
+    upstreams: usize,
+}
+
+const LENDER_CASES: [LenderCase; 4] = [
+    LenderCase {
+        peers: 6,
+        upstreams: 34,
+    },
+    LenderCase {
+        peers: 549,
+        upstreams: 34,
+    },
+    LenderCase {
+        peers: 549,
+        upstreams: 1_000,
+    },
+    LenderCase {
+        peers: 549,
+        upstreams: 2_750,
+    },
+];
+
+/// Measures the lists of lenders, which the daemon makes once a second for each upstream from all peers, with the same
+/// search for the failure domain by name.
+#[must_use]
+pub fn lender_table() -> FigureTable {
+    let mut table = FigureTable::new(
+        "Lists of lenders for the slots of each upstream, made once a second",
+        &["peers", "upstreams", "ms", "% of a core"],
+    );
+    let config = FleetSize::SMALLEST.config();
+    for case in LENDER_CASES {
+        let nanos = lender_ns(&config, &case);
+        table.add([
+            case.peers.to_string(),
+            case.upstreams.to_string(),
+            decimal_text(nanos / 1e6, 3),
+            decimal_text(nanos / 1e7, 3),
+        ]);
+    }
+    table
+}
+
+fn lender_ns(config: &FleetConfig, case: &LenderCase) -> f64 {
+    let now = MonotonicTime::from_millis(1_000);
+    let mut ledger = LoanLedger::new(SETTINGS, now);
+    let keys: Vec<_> = (0..case.upstreams)
+        .map(|_| ledger.add_slot_limit(now))
+        .collect();
+    let peers: Vec<(u64, String)> = (0..case.peers)
+        .map(|peer| (peer as u64, format!("d{}", peer % DOMAINS)))
+        .collect();
+    nanos_per_call(|| {
+        for (index, key) in keys.iter().enumerate() {
+            let near = Some(DomainKey::from_index(index % DOMAINS));
+            let lender = |(incarnation, name): &(u64, String)| LoanPeer {
+                incarnation: Incarnation(*incarnation),
+                is_near: config.domains.find(|domain| domain.name == *name) == near,
+            };
+            let mut lenders: Vec<LoanPeer> = peers.iter().map(lender).collect();
+            lenders.retain(|lender| lender.is_near);
+            ledger.set_slot_lenders(*key, lenders);
+        }
+    })
+}
+
 /// The shares suffice for the demand, so that no ask is sent.
 fn tick_ns(case: &TickCase, is_busy: bool) -> f64 {
     let mut now_ms = 1_000;
