capacity: the program prints its own peak memory

Cause: the run is to stay well below 8 GiB, and nothing showed that it does. Ruled out: a limit of the system, which would end the run without a figure. Change: the peak is printed last; a daemon that ends while it is observed no longer shifts the rows of the others.

--- a/crates/capacity/src/idle_fleet.rs
+++ b/crates/capacity/src/idle_fleet.rs
@@ -108,16 +108,15 @@
         "Idle fleet: each daemon over 10 s",
         &["process", "resident MiB", "% of a core", "write KB/s"],
     );
-    let daemons = own_daemons();
-    let before: Vec<Observation> = daemons
-        .iter()
-        .filter_map(|id| Observation::of(*id))
+    let before: Vec<(u32, Observation)> = own_daemons()
+        .into_iter()
+        .filter_map(|id| Some((id, Observation::of(id)?)))
         .collect();
     let loopback = loopback_bytes();
     thread::sleep(OBSERVED);
     let seconds = OBSERVED.as_secs_f64();
     let loopback = loopback_bytes().saturating_sub(loopback);
-    for (id, before) in daemons.iter().zip(&before) {
+    for (id, before) in &before {
         let Some(after) = Observation::of(*id) else {
             continue;
         };
@@ -133,7 +132,7 @@
             decimal_text(written as f64 / 1e3 / seconds, 2),
         ]);
     }
-    let shared = loopback as f64 / 1e3 / seconds / daemons.len().max(1) as f64;
+    let shared = loopback as f64 / 1e3 / seconds / before.len().max(1) as f64;
     table.add([
         "loopback of the whole machine by daemon".to_owned(),
         "-".to_owned(),
@@ -177,7 +176,6 @@
         let line = status.lines().find_map(|line| line.strip_prefix(name));
         line.map(str::trim)
     };
-    // The kernel keeps 15 characters of a name.
     field("PPid:") == Some(parent.to_string().as_str()) && field("Name:") == Some("coltsfootkeeld")
 }
 
--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 
 use coltsfootkeel_capacity::{
-    FleetSize, document_table, entry_table, heartbeat_table, idle_fleet_table, lender_table,
-    loan_table, look_up_table, measure_document, message_table, replay_table, request_table,
-    tick_table,
+    FleetSize, bytes_text, document_table, entry_table, heartbeat_table, idle_fleet_table,
+    lender_table, loan_table, look_up_table, measure_document, message_table, peak_memory,
+    replay_table, request_table, tick_table,
 };
 use gumdrop::Options;
 
@@ -45,6 +45,8 @@
         Ok(table) => println!("{table}"),
         Err(error) => println!("idle fleet: not run: {error}"),
     }
+    let peak = bytes_text(peak_memory());
+    println!("Peak memory of this program, without the processes it starts: {peak} MiB");
     ExitCode::SUCCESS
 }
 
