daemon, decisions: slots are borrowed where they are wanted, one at a time

Ruled out: a separate reserve for shifts; borrowing ahead without demand. Change: a shift without a slot records a shortage at its destination; a shortage names one upstream, in the home region first; a lender keeps one slot of each upstream it holds more than one of; deadlines are per upstream, also for the rest after a takeover. The waits of a request together are bounded by its class, and the control thread wakes waiters only where a slot is free.

--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -148,7 +148,7 @@
         self.send_loans(output);
         self.builder.links.refill(now);
         self.retry_refill.refill(now, &self.shared.retries);
-        self.builder.wake_waiters(now);
+        self.wake_waiters(now);
         if self.ticks.is_multiple_of(TICKS_PER_ROUND) {
             self.round(now);
         }
--- a/crates/daemon/src/control_upstreams.rs
+++ b/crates/daemon/src/control_upstreams.rs
@@ -56,4 +56,23 @@
     pub(crate) fn spawn_probe(&self, target: ProbeTarget) {
         tokio::spawn(probe_upstream(Arc::clone(&self.shared), target));
     }
+
+    /// Wakes one waiting request in each pool with a free slot, because slots also become free by loans and by ramps.
+    pub(crate) fn wake_waiters(&self, now: MonotonicTime) {
+        let snapshot = self.shared.snapshot.load();
+        let Some(snapshot) = snapshot.as_ref() else {
+            return;
+        };
+        for (pool, wait) in snapshot.waits.iter() {
+            let upstreams = &snapshot.config.pools[pool].upstreams;
+            let has_free = || {
+                upstreams
+                    .iter()
+                    .any(|key| snapshot.lanes[*key].cost().is_some())
+            };
+            if wait.has_waiters() && has_free() {
+                wait.wake(now);
+            }
+        }
+    }
 }
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -6,9 +6,9 @@
 
 use coltsfootkeel_decisions::{
     AttemptEnd, ChoicePolicy, ChoiceRequest, ChoiceStart, CrashId, CrashReport, NextStep, Refusal,
-    RefusalKind, RetryFacts, RunHistory, ShiftMove, next_step,
+    RefusalKind, RetryFacts, RunHistory, ShiftMove, longest_wait, next_step,
 };
-use coltsfootkeel_model::UpstreamKey;
+use coltsfootkeel_model::{RegionKey, UpstreamKey};
 use http::HeaderMap;
 use http::request::Parts;
 use tokio::sync::oneshot;
@@ -270,13 +270,20 @@
         {
             return Ok(chosen);
         }
+        let home = self.context.snapshot.home.region;
+        let mut shortage_region = Some(home);
+        // The bound of the class holds for all waits of the request together.
+        let until = self
+            .context
+            .deadline
+            .min(self.context.now() + longest_wait(route.class));
         loop {
-            self.record_shortage();
+            self.record_shortage(shortage_region);
+            // A request that waits again has found no slot near, so the next one may be anywhere.
+            shortage_region = None;
             let account = self.context.admitted.account;
             let now = self.context.now();
-            let waited = wait
-                .wait(now, route.class, account, self.context.deadline)
-                .await;
+            let waited = wait.wait(now, route.class, account, until).await;
             if let Some(chosen) = self.choose_upstream(tried, shift) {
                 return Ok(chosen);
             }
@@ -301,7 +308,8 @@
             if chosen.is_some() {
                 return chosen;
             }
-            // The destination has no room: the request stays and is not counted as moved.
+            // The destination has no room: the request stays and is not counted as moved. A loan lets a later one move.
+            self.record_shortage(Some(shift_move.to));
             self.context.snapshot.shifts.give_back(shift_move);
             *shift = None;
         }
@@ -326,11 +334,22 @@
         Some(ChosenUpstream { key, slot })
     }
 
-    /// Tells the control thread that slots of this pool are wanted, so that it borrows some.
-    fn record_shortage(&self) {
+    /// Tells the control thread that a slot is wanted in a region, so that it borrows one. One upstream is named at
+    /// random: naming all would borrow a slot of each for one request.
+    fn record_shortage(&self, region: Option<RegionKey>) {
         let snapshot = &self.context.snapshot;
-        for upstream in &snapshot.config.pools[self.context.route().pool].upstreams {
-            snapshot.upstreams[*upstream].short.record();
+        let config = &snapshot.config;
+        let pool = &config.pools[self.context.route().pool].upstreams;
+        let wanted: Vec<UpstreamKey> = pool
+            .iter()
+            .copied()
+            .filter(|key| region.is_none_or(|region| config.upstreams[*key].region == region))
+            .filter(|key| snapshot.lanes[*key].health.is_usable())
+            .collect();
+        if !wanted.is_empty() {
+            snapshot.upstreams[wanted[fastrand::usize(..wanted.len())]]
+                .short
+                .record();
         }
     }
 
--- a/crates/daemon/src/snapshot_builder.rs
+++ b/crates/daemon/src/snapshot_builder.rs
@@ -10,7 +10,7 @@
     HealthJudge, LinkBook, LoanLedger, RampPolicy, RateHandle, SeatEvidence, ShiftBook, TierTable,
     UpstreamLane,
 };
-use coltsfootkeel_model::{ConfigVersion, FleetConfig, SeatKey};
+use coltsfootkeel_model::{ConfigVersion, FleetConfig, PoolKey, SeatKey};
 use coltsfootkeel_protocol::LimitKind;
 
 use crate::access_watch::WatchTable;
@@ -67,7 +67,6 @@
         before: Option<&FleetConfig>,
         now: MonotonicTime,
     ) -> FleetSnapshot {
-        self.ledger.set_longest_deadline(longest_deadline(&config));
         self.set_shares(&config, seat, share_change(before, &config), now);
         self.watches = self.watches.advance(before, &config);
         self.keep_links(&config);
@@ -140,6 +139,12 @@
         now: MonotonicTime,
     ) {
         let shares = self.limits.shares(config, seat, &mut self.ledger, now);
+        for (_, upstream) in config.upstreams.iter() {
+            let name = LimitName::new(LimitKind::UpstreamSlots, &upstream.name);
+            let key = self.limits.slots(name, &mut self.ledger, now);
+            self.ledger
+                .set_slot_deadline(key, pool_deadline(config, upstream.pool));
+        }
         self.shares
             .set(shares, change, longest_deadline(config), &mut self.ledger);
     }
@@ -149,13 +154,6 @@
         self.shares.advance(evidence, &mut self.ledger, now);
     }
 
-    /// Wakes one waiting request in each pool, because slots also become free by loans and by ramps.
-    pub fn wake_waiters(&self, now: MonotonicTime) {
-        for wait in self.waits.values() {
-            wait.wake(now);
-        }
-    }
-
     fn rate_handle(&mut self, kind: LimitKind, name: &str, now: MonotonicTime) -> RateHandle {
         let key = self
             .limits
@@ -166,7 +164,7 @@
     fn pool_waits(
         &mut self,
         config: &FleetConfig,
-    ) -> coltsfootkeel_model::Arena<coltsfootkeel_model::PoolKey, Arc<SlotWait>> {
+    ) -> coltsfootkeel_model::Arena<PoolKey, Arc<SlotWait>> {
         let mut waits = HashMap::new();
         let mut arena = coltsfootkeel_model::Arena::new();
         for (_, pool) in config.pools.iter() {
@@ -202,6 +200,18 @@
 }
 
 fn longest_deadline(config: &FleetConfig) -> Duration {
-    let deadlines = config.routes.iter().map(|(_, route)| route.deadline);
-    deadlines.max().unwrap_or_default()
+    let pools = config.pools.keys();
+    pools
+        .map(|pool| pool_deadline(config, pool))
+        .max()
+        .unwrap_or_default()
+}
+
+/// Returns the longest deadline of the routes that use a pool.
+fn pool_deadline(config: &FleetConfig, pool: PoolKey) -> Duration {
+    let routes = config.routes.iter().filter(|(_, route)| route.pool == pool);
+    routes
+        .map(|(_, route)| route.deadline)
+        .max()
+        .unwrap_or_default()
 }
--- a/crates/decisions/src/ledger_answers.rs
+++ b/crates/decisions/src/ledger_answers.rs
@@ -48,7 +48,7 @@
             }
             (LimitKey::Slots(key), LoanAmount::Slots(asked)) => {
                 // A request may start at the end of the loan and then run for the longest deadline.
-                let held_for = ask.life + self.settings.longest_deadline;
+                let held_for = ask.life + self.slot_deadline(key);
                 let loan = given(borrower, ask, asked, held_for, now);
                 (LoanAmount::Slots(self.answer_slots(key, ask, loan, now)), 0)
             }
--- a/crates/decisions/src/loan_ledger.rs
+++ b/crates/decisions/src/loan_ledger.rs
@@ -25,7 +25,7 @@
     pub policy: LoanPolicy,
     /// The most asks sent per second, renewals included.
     pub asks_per_s: u32,
-    /// The longest deadline of any request on any instance.
+    /// The longest deadline of any request on an upstream for which no own one is set.
     pub longest_deadline: Duration,
 }
 
@@ -68,16 +68,24 @@
 /// What the seat allows.
 #[derive(Debug, Clone, Copy)]
 enum SeatUse {
-    /// The instance has no seat, or must not use the one it has. The times hold for a reopened seat.
-    Closed {
-        rates_from: MonotonicTime,
-        slots_from: MonotonicTime,
-    },
-    /// The instance uses the shares of its seat from these times on.
-    Open {
-        rates_from: MonotonicTime,
-        slots_from: MonotonicTime,
-    },
+    /// The instance has no seat, or must not use the one it has. The rest holds for a reopened seat.
+    Closed(SeatRest),
+    /// The instance uses the shares of its seat as far as they do not rest.
+    Open(SeatRest),
+}
+
+/// Since when the former holder of a seat did nothing; nothing if there was none.
+#[derive(Debug, Clone, Copy)]
+struct SeatRest {
+    idle_since: Option<MonotonicTime>,
+}
+
+impl SeatRest {
+    /// Tells whether what lived for `length` when the former holder stopped has ended.
+    fn is_over(self, length: Duration, now: MonotonicTime) -> bool {
+        self.idle_since
+            .is_none_or(|idle| now >= idle + with_drift_margin(length))
+    }
 }
 
 /// Owns the limits of one instance. Only the control thread calls it.
@@ -103,10 +111,7 @@
             settings,
             rates: Arena::new(),
             slots: Arena::new(),
-            seat: SeatUse::Closed {
-                rates_from: now,
-                slots_from: now,
-            },
+            seat: SeatUse::Closed(SeatRest { idle_since: None }),
             rate_lenders: Vec::new(),
             requests: LoanRequests::new(settings.asks_per_s, now),
             seen: SeenAsks::default(),
@@ -114,11 +119,6 @@
         }
     }
 
-    /// Changes the longest deadline of any request. A new configuration may allow longer ones.
-    pub fn set_longest_deadline(&mut self, longest_deadline: Duration) {
-        self.settings.longest_deadline = longest_deadline;
-    }
-
     /// Adds a rate limit without a share.
     pub fn add_rate_limit(&mut self, now: MonotonicTime) -> RateLimitKey {
         self.rates.push(RateLimit::new(now))
@@ -157,6 +157,13 @@
         self.slots[key].set_share(total, share);
     }
 
+    /// Sets the longest deadline of a request on an upstream, which bounds how long its slots are missing when a
+    /// borrower is cut off. It is never lowered: requests with the longer one may still run.
+    pub fn set_slot_deadline(&mut self, key: SlotLimitKey, longest: Duration) {
+        let known = self.slots[key].deadline.unwrap_or_default();
+        self.slots[key].deadline = Some(known.max(longest));
+    }
+
     /// Sets the instances to ask for a loan of a rate.
     pub fn set_rate_lenders(&mut self, peers: Vec<LoanPeer>) {
         self.rate_lenders = peers;
@@ -173,44 +180,21 @@
     /// Loans that the former holder gave may still be in use, and its requests may still run, so
     /// each share is used only when these must have ended. Buckets start empty.
     pub fn open_new_seat(&mut self, idle_since: Option<MonotonicTime>) {
-        let slot_time = LOAN_LIFE + self.settings.longest_deadline;
-        let after = |length| {
-            idle_since.map_or_else(MonotonicTime::default, |idle| {
-                idle + with_drift_margin(length)
-            })
-        };
-        self.seat = SeatUse::Open {
-            rates_from: after(LOAN_LIFE),
-            slots_from: after(slot_time),
-        };
+        self.seat = SeatUse::Open(SeatRest { idle_since });
     }
 
     /// Stops using the shares of the seat, because it is lost or must be confirmed.
     pub fn close_seat(&mut self, now: MonotonicTime) {
-        if let SeatUse::Open {
-            rates_from,
-            slots_from,
-        } = self.seat
-        {
-            self.seat = SeatUse::Closed {
-                rates_from,
-                slots_from,
-            };
+        if let SeatUse::Open(rest) = self.seat {
+            self.seat = SeatUse::Closed(rest);
         }
         self.use_shares(now);
     }
 
     /// Uses the shares again after the seat was confirmed.
     pub fn reopen_seat(&mut self) {
-        if let SeatUse::Closed {
-            rates_from,
-            slots_from,
-        } = self.seat
-        {
-            self.seat = SeatUse::Open {
-                rates_from,
-                slots_from,
-            };
+        if let SeatUse::Closed(rest) = self.seat {
+            self.seat = SeatUse::Open(rest);
         }
     }
 
@@ -243,21 +227,28 @@
     }
 
     fn use_shares(&mut self, now: MonotonicTime) {
-        let (rates_open, slots_open) = match self.seat {
-            SeatUse::Closed { .. } => (false, false),
-            SeatUse::Open {
-                rates_from,
-                slots_from,
-            } => (now >= rates_from, now >= slots_from),
+        let open = match self.seat {
+            SeatUse::Closed(_) => None,
+            SeatUse::Open(rest) => Some(rest),
         };
+        let is_usable = |length| open.is_some_and(|rest| rest.is_over(length, now));
+        let rates_open = is_usable(LOAN_LIFE);
         for key in self.rates.keys() {
             self.rates[key].use_share(rates_open, now);
         }
         for key in self.slots.keys() {
+            let slots_open = is_usable(LOAN_LIFE + self.slot_deadline(key));
             self.slots[key].use_share(slots_open, now);
         }
     }
 
+    /// Returns the longest time for which a request holds a slot of an upstream.
+    pub(crate) fn slot_deadline(&self, key: SlotLimitKey) -> Duration {
+        self.slots[key]
+            .deadline
+            .unwrap_or(self.settings.longest_deadline)
+    }
+
     /// Tells whether ticks come in time. After a gap the seat may be lost, so nothing may be lent
     /// until the daemon has checked it and ticked.
     pub(crate) fn is_ticking(&self, now: MonotonicTime) -> bool {
--- a/crates/decisions/src/slot_limit.rs
+++ b/crates/decisions/src/slot_limit.rs
@@ -15,6 +15,8 @@
 
 #[derive(Debug)]
 pub(crate) struct SlotLimit {
+    /// The longest deadline of a request on the upstream, if it is known.
+    pub(crate) deadline: Option<Duration>,
     counter: Arc<SlotCounter>,
     short: Arc<ShortCounter>,
     total: u32,
@@ -36,6 +38,7 @@
 impl SlotLimit {
     pub(crate) fn new(now: MonotonicTime) -> Self {
         Self {
+            deadline: None,
             counter: Arc::default(),
             short: Arc::default(),
             total: 0,
@@ -97,7 +100,8 @@
         self.advance(now);
         let given: u32 = self.given.iter().map(|loan| loan.amount).sum();
         let free = self.base.saturating_sub(given);
-        let spare = self.held().saturating_sub(self.peak.value()).min(free);
+        let kept = self.peak.value().max(self.reserve());
+        let spare = self.held().saturating_sub(kept).min(free);
         let amount = self.counter.give_up(loan.amount.min(spare));
         if amount > 0 {
             self.given.push(GivenLoan { amount, ..loan });
@@ -105,6 +109,12 @@
         amount
     }
 
+    /// Returns the slots that are not lent even if they were never used: if the borrowers are cut off, the upstream
+    /// would otherwise be without work until the longest deadline has passed.
+    fn reserve(&self) -> u32 {
+        u32::from(self.base > 1)
+    }
+
     /// Extends a loan as a whole unless the lender is short, and returns its slots or zero.
     pub(crate) fn renew(&mut self, wanted: GivenLoan<u32>, now: MonotonicTime) -> u32 {
         self.advance(now);
