--- a/crates/standins/src/child_process.rs
+++ b/crates/standins/src/child_process.rs
@@ -23,13 +23,33 @@
         I: IntoIterator<Item = S>,
         S: AsRef<OsStr>,
     {
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command.args(arguments).stdin(Stdio::null());
+        Self::spawn(name, command)
+    }
+
+    /// Starts `program` with `arguments`; its standard output is discarded.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the program cannot be started.
+    pub fn start_quiet<I, S>(name: &str, program: &Path, arguments: I) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+    {
+        let mut command = Command::new(program);
+        command
             .args(arguments)
             .stdin(Stdio::null())
-            .spawn()?;
+            .stdout(Stdio::null());
+        Self::spawn(name, command)
+    }
+
+    fn spawn(name: &str, mut command: Command) -> io::Result<Self> {
         Ok(Self {
             name: name.to_owned(),
-            child,
+            child: command.spawn()?,
         })
     }
 
--- a/crates/standins/src/command_line.rs
+++ b/crates/standins/src/command_line.rs
@@ -31,6 +31,8 @@
     Compare(CompareCommand),
     /// Start the programs of the workspace for the first run.
     Fleet(FleetCommand),
+    /// Run the scenarios of the experiment against example fleets and print a table.
+    Experiment(ExperimentCommand),
 }
 
 /// Options of `platform`.
@@ -66,6 +68,9 @@
     /// With --fleet: only the upstreams of this pool.
     #[options(no_short, meta = "NAME")]
     pub pool: Option<String>,
+    /// With --fleet: only the upstreams of this region.
+    #[options(no_short, meta = "NAME")]
+    pub region: Option<String>,
     /// Work time of a request in ms, unless it has X-Work-Ms.
     #[options(no_short, meta = "MS", default = "0")]
     pub work_ms: u64,
@@ -178,3 +183,22 @@
     #[options(no_short, meta = "ADDRESS")]
     pub platform: Option<SocketAddr>,
 }
+
+/// Options of `experiment`.
+#[derive(Debug, Options)]
+pub struct ExperimentCommand {
+    /// Print this help.
+    pub help: bool,
+    /// Folders with the fleet.yaml of an example.
+    #[options(free, required)]
+    pub folders: Vec<PathBuf>,
+    /// Run only this scenario; may be repeated (default: all).
+    #[options(no_short, meta = "NAME")]
+    pub scenario: Vec<String>,
+    /// Seed of the arrival times and the choice of routes.
+    #[options(no_short, meta = "N", default = "1")]
+    pub seed: u64,
+    /// Threads of the load generator.
+    #[options(no_short, meta = "N", default = "3")]
+    pub threads: usize,
+}
--- a/crates/standins/src/http_call.rs
+++ b/crates/standins/src/http_call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http::{HeaderMap, Method, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -153,6 +154,18 @@
         })
     }
 
+    /// Tells whether the connection can carry another exchange. It sees a close that arrived between exchanges.
+    pub fn is_usable(&mut self) -> bool {
+        let ended = self
+            .driver
+            .as_mut()
+            .is_none_or(|driver| driver.now_or_never().is_some());
+        if ended {
+            self.driver = None;
+        }
+        !ended && !self.sender.is_closed()
+    }
+
     /// Sends `request` and waits for the whole answer.
     ///
     /// After an error the connection is of no further use.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,10 +3,18 @@
 //! [`UpstreamHandle`] runs an upstream with slots, faults on order and a record of what it ran. [`call_once`] and
 //! [`KeptConnection`] send one HTTP request and tell how far a failed one came. [`CutRelay`] stands between two
 //! processes and cuts, holds or delays what passes. [`run_load`] and [`run_compare`] measure, and [`RunningFleet`]
-//! starts the programs of the workspace for the first run.
+//! starts the programs of the workspace for the first run. [`run_experiment`] starts an example fleet for each of
+//! its scenarios and prints what callers saw.
 
 mod child_process;
 mod cut_relay;
+mod experiment_fleet;
+mod experiment_gate;
+mod experiment_load;
+mod experiment_plan;
+mod experiment_run;
+mod experiment_score;
+mod experiment_table;
 mod fault_plan;
 mod fleet_launch;
 mod http_call;
@@ -28,6 +36,10 @@
 
 pub use child_process::{ChildProcess, sibling_program};
 pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
+pub use experiment_fleet::ExperimentError;
+pub use experiment_load::{CallEnd, CallRecord};
+pub use experiment_run::{ExperimentOptions, run_experiment};
+pub use experiment_score::{JudgedCall, RecoveryTime, judge_calls, recovery_time};
 pub use fault_plan::ControlChange;
 pub use fleet_launch::{FleetError, FleetOptions, RunningFleet, commit_fleet, read_fleet};
 pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -9,13 +9,14 @@
 use std::time::Duration;
 
 use coltsfootkeel_standins::{
-    AccountMix, CallRequest, ComparePlan, CrashMode, FleetOptions, LoadBound, LoadPlan,
-    OrderCounter, PlatformOptions, RawLoad, RunningFleet, UpstreamHandle, UpstreamOptions,
-    UpstreamTraits, read_fleet, run_compare, run_load, run_platform as serve_platform_standin,
+    AccountMix, CallRequest, ComparePlan, CrashMode, ExperimentOptions, FleetOptions, LoadBound,
+    LoadPlan, OrderCounter, PlatformOptions, RawLoad, RunningFleet, UpstreamHandle,
+    UpstreamOptions, UpstreamTraits, read_fleet, run_compare, run_experiment, run_load,
+    run_platform as serve_platform_standin,
 };
 use command_line::{
-    Command, CommandLine, CompareCommand, DEFAULT_PLATFORM, FleetCommand, LoadCommand,
-    PlatformCommand, UpstreamCommand,
+    Command, CommandLine, CompareCommand, DEFAULT_PLATFORM, ExperimentCommand, FleetCommand,
+    LoadCommand, PlatformCommand, UpstreamCommand,
 };
 use gumdrop::Options;
 use http::Method;
@@ -38,6 +39,7 @@
         Some(Command::Load(command)) => run_load_command(&command),
         Some(Command::Compare(command)) => run_compare_command(&command),
         Some(Command::Fleet(command)) => run_fleet(command),
+        Some(Command::Experiment(command)) => run_experiment_command(command),
         None => Err("expected a command; see --help".into()),
     };
     match result {
@@ -77,7 +79,12 @@
             let fleet = read_fleet(file)?;
             let chosen = fleet.upstreams.iter().filter(|(_, upstream)| {
                 let pool = &fleet.pools[upstream.pool].name;
+                let region = &fleet.regions[upstream.region].name;
                 command.pool.as_ref().is_none_or(|wanted| wanted == pool)
+                    && command
+                        .region
+                        .as_ref()
+                        .is_none_or(|wanted| wanted == region)
             });
             chosen
                 .map(|(_, upstream)| {
@@ -219,6 +226,20 @@
     })
 }
 
+fn run_experiment_command(command: ExperimentCommand) -> Result<(), ProgramError> {
+    let options = ExperimentOptions {
+        folders: command.folders,
+        scenarios: command.scenario,
+        seed: command.seed,
+    };
+    runtime(command.threads)?.block_on(async {
+        tokio::select! {
+            ended = run_experiment(&options) => Ok(ended?),
+            stopped = wait_for_signal() => Ok(stopped?),
+        }
+    })
+}
+
 async fn wait_for_signal() -> io::Result<()> {
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut terminate = signal(SignalKind::terminate())?;
