daemon: a replacement finds the lost seat, and slots do not rest after a planned stop

A replacement that read the seats before it had heard its peers claimed a living holder's seat and waited for ever (no seat within 52 s); and slots rested for about 68 s after each restart, also after a planned stop, so an upgrade had to wait after each instance. Ruled out: a time limit for a claim, because a slow platform would end claims that are right. Change: a claim of a seat whose holder is heard is given up and another seat is sought. A daemon that leaves lends nothing more; if none of its slots is lent or in use when it releases its seat, the seat's object says so and its next holder uses the slots at once. Conclusion: after a kill the slots still rest for the longest deadline of their pool, because former requests may run.

--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -189,6 +189,10 @@
         message: &LoanRequest,
         now: MonotonicTime,
     ) -> Option<LoanGrant> {
+        if self.shared.is_leaving() {
+            // A loan given now would make the seat's next holder wait.
+            return None;
+        }
         let ask = loan_messages::read_ask(message, &self.builder.limits)?;
         let borrower = Incarnation(sender.incarnation);
         let grant = self.builder.ledger.answer_ask(borrower, ask, now)?;
--- a/crates/daemon/src/control_seat.rs
+++ b/crates/daemon/src/control_seat.rs
@@ -105,6 +105,7 @@
         done: tokio::sync::oneshot::Sender<()>,
         now: MonotonicTime,
     ) {
+        let settled = !self.builder.ledger.has_lent_slots();
         self.builder.ledger.close_seat(now);
         let Some(held) = self.seat.release() else {
             let _ = done.send(());
@@ -113,7 +114,7 @@
         self.use_seat(None, now);
         let platform = self.platform.clone();
         tokio::spawn(async move {
-            platform.release_seat(held.name, held.stored).await;
+            platform.release_seat(held.name, held.stored, settled).await;
             let _ = done.send(());
         });
     }
@@ -155,13 +156,17 @@
             return;
         };
         let (name, stored) = (claimed.name.clone(), claimed.stored.clone());
+        let is_settled = claimed.is_settled;
         log::info!("seat: Claimed {name} at epoch {}.", stored.occupancy.epoch);
         let incarnation = self.shared.incarnation;
         let tenure = match idle_since {
             None => SeatTenure::first(now, name.clone(), incarnation),
             Some(_) => SeatTenure::claimed(now, name.clone(), incarnation),
         };
-        self.builder.ledger.open_new_seat(idle_since);
+        match idle_since {
+            Some(released) if is_settled => self.builder.ledger.open_settled_seat(released),
+            _ => self.builder.ledger.open_new_seat(idle_since),
+        }
         self.seat.hold(name, stored, sent);
         self.use_seat(Some(tenure), now);
     }
--- a/crates/daemon/src/platform_task.rs
+++ b/crates/daemon/src/platform_task.rs
@@ -192,9 +192,9 @@
         holder.is_some_and(|holder| holder.incarnation == self.shared.incarnation)
     }
 
-    /// Releases a seat.
-    pub async fn release_seat(self, seat: String, held: StoredSeat) {
-        match self.seats.release(&seat, &held).await {
+    /// Releases a seat. `settled` tells whether no request of its slots runs anywhere.
+    pub async fn release_seat(self, seat: String, held: StoredSeat, settled: bool) {
+        match self.seats.release(&seat, &held, settled).await {
             Ok(ReleaseOutcome::Released) => log::info!("seat: Released {seat}."),
             Ok(_) => log::warn!("seat: {seat} was no longer held when it was to be released."),
             Err(error) => log::warn!("seat: Releasing {seat} failed: {error}"),
--- a/crates/daemon/src/seat_keeper.rs
+++ b/crates/daemon/src/seat_keeper.rs
@@ -29,6 +29,8 @@
     pub name: String,
     /// What the platform held before.
     pub stored: StoredSeat,
+    /// Whether the former holder released it when no request of its slots was running anywhere.
+    pub is_settled: bool,
     /// How far the claim has come.
     pub claim: SeatClaim,
 }
@@ -156,6 +158,7 @@
                     holder.is_some_and(|holder| holder.failure_domain == claimant.failure_domain);
                 SeatPhase::Claiming(Box::new(ClaimedSeat {
                     claim: SeatClaim::new(state, is_same, now),
+                    is_settled: holder.is_none() && stored.occupancy.settled,
                     name,
                     stored,
                 }))
@@ -196,14 +199,21 @@
     }
 
     /// Notes that an instance was heard which holds `seats` or has this incarnation.
+    ///
+    /// A claim of a seat whose holder lives would wait for ever, so another seat is sought, unless an update is on its
+    /// way whose outcome decides.
     pub fn note_heard(&mut self, incarnation: u64, seats: &[String], now: MonotonicTime) {
         let Some(claimed) = self.claiming_mut() else {
             return;
         };
         let holder = claimed.stored.occupancy.holder.as_ref();
         let is_holder = holder.is_some_and(|holder| holder.incarnation == incarnation);
-        if is_holder || seats.contains(&claimed.name) {
-            claimed.claim.holder_heard(now);
+        if !is_holder && !seats.contains(&claimed.name) {
+            return;
+        }
+        claimed.claim.holder_heard(now);
+        if !claimed.claim.is_claiming() {
+            self.start_over();
         }
     }
 }
--- a/crates/decisions/src/loan_ledger.rs
+++ b/crates/decisions/src/loan_ledger.rs
@@ -74,10 +74,13 @@
     Open(SeatRest),
 }
 
-/// Since when the former holder of a seat did nothing; nothing if there was none.
+/// How long the shares of a claimed seat rest.
 #[derive(Debug, Clone, Copy)]
 struct SeatRest {
+    /// Since when the former holder did nothing; nothing if there was none.
     idle_since: Option<MonotonicTime>,
+    /// Whether no request on the former holder's slots was running any more.
+    is_settled: bool,
 }
 
 impl SeatRest {
@@ -111,7 +114,10 @@
             settings,
             rates: Arena::new(),
             slots: Arena::new(),
-            seat: SeatUse::Closed(SeatRest { idle_since: None }),
+            seat: SeatUse::Closed(SeatRest {
+                idle_since: None,
+                is_settled: false,
+            }),
             rate_lenders: Vec::new(),
             requests: LoanRequests::new(settings.asks_per_s, now),
             seen: SeenAsks::default(),
@@ -180,7 +186,26 @@
     /// Loans that the former holder gave may still be in use, and its requests may still run, so
     /// each share is used only when these must have ended. Buckets start empty.
     pub fn open_new_seat(&mut self, idle_since: Option<MonotonicTime>) {
-        self.seat = SeatUse::Open(SeatRest { idle_since });
+        self.seat = SeatUse::Open(SeatRest {
+            idle_since,
+            is_settled: false,
+        });
+    }
+
+    /// Uses the shares of a seat that its former holder released at `released` while none of its slots was lent or in use,
+    /// so that only the shares of rates rest.
+    pub fn open_settled_seat(&mut self, released: MonotonicTime) {
+        self.seat = SeatUse::Open(SeatRest {
+            idle_since: Some(released),
+            is_settled: true,
+        });
+    }
+
+    /// Tells whether slots of this seat are lent. A seat that is released while none are lent and no request runs here is
+    /// settled.
+    #[must_use]
+    pub fn has_lent_slots(&self) -> bool {
+        self.slots.iter().any(|(_, limit)| limit.is_lent())
     }
 
     /// Stops using the shares of the seat, because it is lost or must be confirmed.
@@ -237,7 +262,8 @@
             self.rates[key].use_share(rates_open, now);
         }
         for key in self.slots.keys() {
-            let slots_open = is_usable(LOAN_LIFE + self.slot_deadline(key));
+            let slots_open = open.is_some_and(|rest| rest.is_settled)
+                || is_usable(LOAN_LIFE + self.slot_deadline(key));
             self.slots[key].use_share(slots_open, now);
         }
     }
--- a/crates/decisions/src/slot_limit.rs
+++ b/crates/decisions/src/slot_limit.rs
@@ -109,6 +109,11 @@
         amount
     }
 
+    /// Tells whether slots are lent or in use.
+    pub(crate) fn is_lent(&self) -> bool {
+        !self.given.is_empty() || self.counter.used() > 0
+    }
+
     /// Returns the slots that are not lent even if they were never used: if the borrowers are cut off, the upstream
     /// would otherwise be without work until the longest deadline has passed.
     fn reserve(&self) -> u32 {
--- a/crates/platform/src/seat_store.rs
+++ b/crates/platform/src/seat_store.rs
@@ -34,6 +34,9 @@
     pub holder: Option<SeatHolder>,
     /// How often the seat has been claimed.
     pub epoch: u64,
+    /// Whether the last holder released it when no request on the slots of its upstreams was running.
+    #[serde(default)]
+    pub settled: bool,
 }
 
 /// A seat as it was read.
@@ -128,6 +131,7 @@
         let occupancy = SeatOccupancy {
             holder: Some(holder),
             epoch: seen.occupancy.epoch + 1,
+            settled: false,
         };
         match self.write(seat, seen, &occupancy).await? {
             WriteOutcome::Written(version) => Ok(ClaimOutcome::Claimed(StoredSeat {
@@ -141,7 +145,8 @@
         }
     }
 
-    /// Frees a seat if it is still as its holder read or claimed it.
+    /// Frees a seat if it is still as its holder read or claimed it. `settled` tells its next holder that no request on
+    /// its slots is running.
     ///
     /// # Errors
     ///
@@ -150,10 +155,12 @@
         &self,
         seat: &str,
         held: &StoredSeat,
+        settled: bool,
     ) -> Result<ReleaseOutcome, SeatError> {
         let occupancy = SeatOccupancy {
             holder: None,
             epoch: held.occupancy.epoch,
+            settled,
         };
         match self.write(seat, held, &occupancy).await? {
             WriteOutcome::Written(_) => Ok(ReleaseOutcome::Released),
--- a/crates/platform/tests/seat_claims.rs
+++ b/crates/platform/tests/seat_claims.rs
@@ -160,7 +160,7 @@
             claim(&seats, &held, 5).await;
         }
         platform.set_faults(case.faults).await;
-        let outcome = seats.release(SEAT, &held).await.unwrap();
+        let outcome = seats.release(SEAT, &held, true).await.unwrap();
         assert!((case.expected)(&outcome), "{}: {outcome:?}", case.name);
         let stored = seats.read(SEAT).await.unwrap();
         assert_eq!(
--- a/crates/process-tests/src/fleet_files.rs
+++ b/crates/process-tests/src/fleet_files.rs
@@ -76,7 +76,8 @@
     platform: SocketAddr,
     neighbours: &[SocketAddr],
 ) -> String {
-    let daemon = &plan.daemons[index];
+    let daemon = plan.daemons.iter().chain(&plan.spares).nth(index);
+    let daemon = daemon.expect("the plan names the daemon");
     let region = &plan.regions[0].0;
     let token = AccessDigest::of_key(OPERATOR_TOKEN);
     let neighbours: Vec<String> = neighbours
--- a/crates/process-tests/src/fleet_plan.rs
+++ b/crates/process-tests/src/fleet_plan.rs
@@ -44,6 +44,8 @@
     pub accounts: Vec<PlannedAccount>,
     /// Daemons.
     pub daemons: Vec<PlannedDaemon>,
+    /// Daemons without a seat of their own; a test starts them.
+    pub spares: Vec<PlannedDaemon>,
     /// Further lines of the configuration's list of routes.
     pub routes: String,
     /// Further sections of the configuration.
@@ -76,6 +78,7 @@
             upstreams: (0..count).map(upstream).collect(),
             accounts: vec![account],
             daemons: (0..count).map(daemon).collect(),
+            spares: Vec::new(),
             routes: String::new(),
             sections: String::new(),
         }
@@ -93,6 +96,26 @@
         self
     }
 
+    /// Adds a daemon that has no seat of its own, as a replacement for another one.
+    #[must_use]
+    pub fn spare(mut self, instance: &str, failure_domain: &str) -> Self {
+        self.spares.push(PlannedDaemon {
+            instance: instance.to_string(),
+            failure_domain: failure_domain.to_string(),
+        });
+        self
+    }
+
+    /// Puts all daemons into the failure domain of the first one.
+    #[must_use]
+    pub fn in_one_domain(mut self) -> Self {
+        let domain = self.daemons[0].failure_domain.clone();
+        for daemon in &mut self.daemons {
+            daemon.failure_domain.clone_from(&domain);
+        }
+        self
+    }
+
     /// Adds sections to the configuration.
     #[must_use]
     pub fn section(mut self, text: &str) -> Self {
--- a/crates/process-tests/src/test_fleet.rs
+++ b/crates/process-tests/src/test_fleet.rs
@@ -60,10 +60,10 @@
         for index in 0..fleet.upstreams.len() {
             fleet.start_upstream(plan, index);
         }
-        for index in 0..fleet.daemons.len() {
+        for index in 0..plan.daemons.len() {
             fleet.start_daemon(index);
         }
-        fleet.wait_until_settled(fleet.daemons.len()).await;
+        fleet.wait_until_settled(plan.daemons.len()).await;
         fleet
     }
 
@@ -77,6 +77,7 @@
         let addresses: Vec<DaemonAddresses> = plan
             .daemons
             .iter()
+            .chain(&plan.spares)
             .map(|_| DaemonAddresses {
                 entry: free_port(),
                 peer: free_port(),
--- a/crates/process-tests/tests/failures.rs
+++ b/crates/process-tests/tests/failures.rs
@@ -388,3 +388,42 @@
     let answer = fleet.send(0, request, KEY).await.expect("the next answer");
     assert!(answer.body == body, "the next answer is not whole");
 }
+
+/// Guards against a replacement that waits for ever for a seat whose holder lives, while another seat of its failure
+/// domain is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn replacement_takes_the_seat_that_was_lost() {
+    let plan = FleetPlan::with_daemons(2)
+        .in_one_domain()
+        .spare("daemon-9", "home-0");
+    let mut fleet = TestFleet::start(&plan).await;
+    let lost = fleet.dump(1).await.expect("a dump")["seat"].clone();
+    fleet.kill_daemon(1);
+    fleet.start_daemon(2);
+    wait_for("the replacement holds the lost seat", async || {
+        let dump = fleet.dump(2).await;
+        dump.is_some_and(|dump| dump["seat"] == lost)
+    })
+    .await;
+    let kept = fleet.dump(0).await.expect("a dump")["seat"].clone();
+    assert_ne!(kept, lost, "the living holder keeps its seat");
+}
+
+/// Guards against slots that rest after a planned stop although no request is running: an upgrade would have to wait for
+/// the longest deadline after each instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_do_not_rest_after_a_planned_stop() {
+    let mut fleet = TestFleet::start(&FleetPlan::with_daemons(1)).await;
+    fleet.signal_daemon(0, Signal::SIGTERM);
+    wait_for("the daemon ends with success", async || {
+        fleet.has_ended_well(0)
+    })
+    .await;
+    fleet.start_daemon(0);
+    fleet.wait_until_settled(1).await;
+    let answer = fleet
+        .call(0, Method::GET, "/open/1", KEY)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{:?}", answer.body);
+}
