--- a/crates/standins/src/load_compare.rs
+++ b/crates/standins/src/load_compare.rs
@@ -70,9 +70,9 @@
     pub added_p50_us: f64,
     /// Added at the 99th percentile, in microseconds.
     pub added_p99_us: f64,
-    /// The median through the entry instance divided by the direct one.
+    /// What is added at the median, divided by the direct one.
     pub ratio_p50: f64,
-    /// The 99th percentile through the entry instance divided by the direct one.
+    /// What is added at the 99th percentile, divided by the direct one.
     pub ratio_p99: f64,
 }
 
@@ -83,8 +83,8 @@
             entry,
             added_p50_us: entry.p50_us - direct.p50_us,
             added_p99_us: entry.p99_us - direct.p99_us,
-            ratio_p50: entry.p50_us / direct.p50_us,
-            ratio_p99: entry.p99_us / direct.p99_us,
+            ratio_p50: (entry.p50_us - direct.p50_us) / direct.p50_us,
+            ratio_p99: (entry.p99_us - direct.p99_us) / direct.p99_us,
         }
     }
 }
@@ -105,7 +105,7 @@
         }
         write!(
             formatter,
-            "added      p50 {:.1} us ({:.2} times direct), p99 {:.1} us ({:.2} times direct)",
+            "added      p50 {:.1} us, {:.2} times the direct call; p99 {:.1} us, {:.2} times",
             self.added_p50_us, self.ratio_p50, self.added_p99_us, self.ratio_p99
         )
     }
