--- a/crates/daemon/src/http_listener.rs
+++ b/crates/daemon/src/http_listener.rs
@@ -14,7 +14,7 @@
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use volo::net::Address;
@@ -102,7 +102,7 @@
             () = stop.token.cancelled() => return,
             accepted = accept(&listener, &permits) => accepted,
         };
-        let (stream, peer, permit) = match accepted {
+        let accepted = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("listener: Accepting a connection failed: {error}");
@@ -113,13 +113,18 @@
         let service = Arc::clone(&service);
         let token = stop.token.clone();
         stop.connections.spawn(async move {
-            serve_connection(stream, peer, service, limits, token).await;
-            drop(permit);
+            serve_connection(accepted.stream, accepted.peer, service, limits, token).await;
+            drop(accepted.permit);
         });
     }
 }
 
-type AcceptedStream = (TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit);
+/// A connection and its place among the connections that are allowed.
+struct AcceptedStream {
+    stream: TcpStream,
+    peer: SocketAddr,
+    permit: OwnedSemaphorePermit,
+}
 
 async fn accept(
     listener: &TcpListener,
@@ -131,7 +136,11 @@
         .map_err(std::io::Error::other)?;
     let (stream, peer) = listener.accept().await?;
     stream.set_nodelay(true)?;
-    Ok((stream, peer, permit))
+    Ok(AcceptedStream {
+        stream,
+        peer,
+        permit,
+    })
 }
 
 async fn serve_connection<S: HttpService>(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -64,5 +64,4 @@
 mod upstream_probe;
 
 pub use daemon::{StartError, run_daemon};
-pub use http_listener::RouterService;
 pub use log_setup::set_up as set_up_logs;
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use coltsfootkeel_decisions::{
-    AttemptEnd, ChoicePolicy, ChoiceRequest, ChoiceStart, CrashId, CrashReport, NextStep, Refusal,
-    RefusalKind, RetryFacts, RunHistory, ShiftMove, longest_wait, next_step,
+    AttemptEnd, ChoicePolicy, ChoiceRequest, ChoiceStart, CrashId, CrashReport, NextStep,
+    OpenAttempt, Refusal, RefusalKind, RetryFacts, RunHistory, ShiftMove, longest_wait, next_step,
 };
 use coltsfootkeel_model::{RegionKey, UpstreamKey};
 use http::HeaderMap;
 use http::request::Parts;
 use tokio::sync::oneshot;
+use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -160,81 +161,92 @@
         let mut shift = self.decide_shift();
         loop {
             if self.context.remaining().is_zero() {
-                let kind = RefusalKind::DeadlinePassed;
-                return Err(Refusal::new(kind, history, self.is_repeat_safe()));
+                return Err(self.refuse(RefusalKind::DeadlinePassed, history));
             }
             let chosen = match self.find_upstream(&tried, &mut shift).await {
                 Ok(chosen) => chosen,
-                Err(kind) => return Err(Refusal::new(kind, history, self.is_repeat_safe())),
+                Err(kind) => return Err(self.refuse(kind, history)),
             };
             let Some(body) = self.body.take() else {
-                return Err(Refusal::new(
-                    RefusalKind::UpstreamFailed,
-                    history,
-                    self.is_repeat_safe(),
-                ));
+                return Err(self.refuse(RefusalKind::UpstreamFailed, history));
             };
-            tried.push(chosen.key);
+            let upstream = chosen.key;
+            tried.push(upstream);
             let attempt = history.start_attempt();
-            let result =
-                run_attempt(&self.context, &self.headers, chosen.key, &chosen.slot, body).await;
-            let end = match result {
-                AttemptResult::Answered(response) => {
-                    match relay_answer(&self.context, &self.body, chosen.key, chosen.slot, response)
-                        .await
-                    {
-                        Ok(answer) => {
-                            let _ = attempt.finish(AttemptEnd::Answered);
-                            return Ok(answer);
-                        }
-                        Err(end) => end,
-                    }
+            match self.send_to(chosen, body).await {
+                Ok(answer) => {
+                    let _ = attempt.finish(AttemptEnd::Answered);
+                    return Ok(answer);
                 }
-                AttemptResult::Failed { end, body } => {
-                    if let Some(body) = body {
-                        self.body.put_back(body);
-                    }
-                    drop(chosen.slot);
-                    end
-                }
-            };
-            if matches!(
-                end,
-                AttemptEnd::ConnectionBroken | AttemptEnd::AnswerTruncated
-            ) {
-                self.report_crash(chosen.key).await;
-            }
-            if is_suspect(&self.context, &self.body) {
-                let history = attempt.finish(end);
-                return Err(Refusal::new(RefusalKind::CrashSuspect, history, false));
+                Err(end) => history = self.after_failure(attempt, upstream, end).await?,
             }
-            if self.context.is_withdrawn() {
-                let history = attempt.finish(end);
-                return Err(Refusal::new(RefusalKind::KeyWithdrawn, history, false));
+        }
+    }
+
+    /// Sends the request to one upstream. A body that was certainly not used is kept for the next one.
+    async fn send_to(
+        &mut self,
+        chosen: ChosenUpstream,
+        body: Body,
+    ) -> Result<RelayedAnswer, AttemptEnd> {
+        let ChosenUpstream { key, slot } = chosen;
+        match run_attempt(&self.context, &self.headers, key, &slot, body).await {
+            AttemptResult::Answered(response) => {
+                relay_answer(&self.context, &self.body, key, slot, response).await
             }
-            let facts = self.retry_facts();
-            let retries = &self.context.shared.retries;
-            match next_step(attempt, end, &facts, || retries.try_retry()) {
-                NextStep::Retry {
-                    history: so_far,
-                    wait,
-                } => {
-                    self.context.shared.metrics.count_retry();
-                    history = so_far;
-                    tokio::time::sleep(wait).await;
-                }
-                NextStep::Refuse(refusal) => return Err(refusal),
-                NextStep::Deliver(history) => {
-                    return Err(Refusal::new(
-                        RefusalKind::UpstreamFailed,
-                        history,
-                        self.is_repeat_safe(),
-                    ));
+            AttemptResult::Failed { end, body } => {
+                if let Some(body) = body {
+                    self.body.put_back(body);
                 }
+                Err(end)
+            }
+        }
+    }
+
+    /// Decides whether the request is tried again after a failed attempt, and waits until then.
+    async fn after_failure(
+        &self,
+        attempt: OpenAttempt,
+        upstream: UpstreamKey,
+        end: AttemptEnd,
+    ) -> Result<RunHistory, Refusal> {
+        if matches!(
+            end,
+            AttemptEnd::ConnectionBroken | AttemptEnd::AnswerTruncated
+        ) {
+            self.report_crash(upstream).await;
+        }
+        if is_suspect(&self.context, &self.body) {
+            return Err(Refusal::new(
+                RefusalKind::CrashSuspect,
+                attempt.finish(end),
+                false,
+            ));
+        }
+        if self.context.is_withdrawn() {
+            return Err(Refusal::new(
+                RefusalKind::KeyWithdrawn,
+                attempt.finish(end),
+                false,
+            ));
+        }
+        let facts = self.retry_facts();
+        let retries = &self.context.shared.retries;
+        match next_step(attempt, end, &facts, || retries.try_retry()) {
+            NextStep::Retry { history, wait } => {
+                self.context.shared.metrics.count_retry();
+                tokio::time::sleep(wait).await;
+                Ok(history)
             }
+            NextStep::Refuse(refusal) => Err(refusal),
+            NextStep::Deliver(history) => Err(self.refuse(RefusalKind::UpstreamFailed, history)),
         }
     }
 
+    fn refuse(&self, kind: RefusalKind, history: RunHistory) -> Refusal {
+        Refusal::new(kind, history, self.is_repeat_safe())
+    }
+
     fn is_repeat_safe(&self) -> bool {
         self.context.idempotent || self.context.head.idempotency_key.is_some()
     }
--- a/crates/process-tests/src/fleet_files.rs
+++ b/crates/process-tests/src/fleet_files.rs
@@ -24,11 +24,12 @@
 /// Returns the configuration of a plan. Writing to a string cannot fail.
 pub fn configuration(plan: &FleetPlan, upstreams: &[SocketAddr]) -> String {
     let mut text = String::from("regions:\n");
-    for (region, domains) in &plan.regions {
+    for region in &plan.regions {
         let _ = writeln!(
             text,
-            "  - {{name: {region}, failure_domains: [{}]}}",
-            domains.join(", ")
+            "  - {{name: {}, failure_domains: [{}]}}",
+            region.name,
+            region.failure_domains.join(", ")
         );
     }
     text.push_str("seats:\n");
@@ -78,7 +79,7 @@
 ) -> String {
     let daemon = plan.daemons.iter().chain(&plan.spares).nth(index);
     let daemon = daemon.expect("the plan names the daemon");
-    let region = &plan.regions[0].0;
+    let region = &plan.regions[0].name;
     let token = AccessDigest::of_key(OPERATOR_TOKEN);
     let neighbours: Vec<String> = neighbours
         .iter()
--- a/crates/process-tests/src/fleet_plan.rs
+++ b/crates/process-tests/src/fleet_plan.rs
@@ -33,11 +33,20 @@
     pub failure_domain: String,
 }
 
+/// A region.
+#[derive(Debug, Clone)]
+pub struct PlannedRegion {
+    /// The name.
+    pub name: String,
+    /// The names of its failure domains.
+    pub failure_domains: Vec<String>,
+}
+
 /// A fleet with one pool, which all routes use.
 #[derive(Debug, Clone)]
 pub struct FleetPlan {
-    /// Regions, each with its failure domains.
-    pub regions: Vec<(String, Vec<String>)>,
+    /// Regions.
+    pub regions: Vec<PlannedRegion>,
     /// Upstreams.
     pub upstreams: Vec<PlannedUpstream>,
     /// Accounts.
@@ -74,7 +83,10 @@
             burst: 10_000,
         };
         Self {
-            regions: vec![("home".to_string(), (0..count).map(domain).collect())],
+            regions: vec![PlannedRegion {
+                name: "home".to_string(),
+                failure_domains: (0..count).map(domain).collect(),
+            }],
             upstreams: (0..count).map(upstream).collect(),
             accounts: vec![account],
             daemons: (0..count).map(daemon).collect(),
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -8,6 +8,6 @@
 mod free_ports;
 mod test_fleet;
 
-pub use fleet_plan::{FleetPlan, PlannedAccount, PlannedDaemon, PlannedUpstream};
+pub use fleet_plan::{FleetPlan, PlannedAccount, PlannedDaemon, PlannedRegion, PlannedUpstream};
 pub use free_ports::free_port;
 pub use test_fleet::{TestFleet, wait_for};
--- a/crates/settings/src/daemon_settings.rs
+++ b/crates/settings/src/daemon_settings.rs
@@ -134,6 +134,13 @@
     }
 }
 
+/// Where a listener listens and where others reach it.
+#[derive(Debug)]
+struct ListenerAddresses {
+    listen: SocketAddr,
+    advertise: SocketAddr,
+}
+
 #[derive(Debug)]
 struct SettingsCheck<'a> {
     raw: &'a RawSettings,
@@ -159,27 +166,27 @@
         let operators = self.operators();
         self.listeners();
         self.token(&raw.peer_token);
-        let (entry_listen, entry_advertise) = entry?;
-        let (peer_listen, peer_advertise) = peer?;
+        let entry = entry?;
+        let peer = peer?;
         Some(DaemonSettings {
             instance: raw.instance.value.clone(),
             failure_domain: raw.failure_domain.value.clone(),
             threads: whole(raw.threads.value),
             entry: EntrySettings {
-                listen: entry_listen,
-                advertise: entry_advertise,
+                listen: entry.listen,
+                advertise: entry.advertise,
                 max_body_bytes: raw.max_body_bytes.value,
                 max_connections: whole(raw.max_connections.value),
                 header_timeout: Duration::from_millis(raw.header_timeout_ms.value),
             },
             peer: PeerSettings {
-                listen: peer_listen,
-                advertise: peer_advertise,
+                listen: peer.listen,
+                advertise: peer.advertise,
                 token_digest: AccessDigest::of_key(&raw.peer_token.value),
                 neighbours,
             },
             admin: AdminSettings {
-                listen: admin?.0,
+                listen: admin?.listen,
                 operators,
             },
             platform: PlatformSettings {
@@ -195,7 +202,7 @@
         })
     }
 
-    fn listener(&self, field: &str, raw: &RawListener) -> Option<(SocketAddr, SocketAddr)> {
+    fn listener(&self, field: &str, raw: &RawListener) -> Option<ListenerAddresses> {
         let listen_field = format!("{field}.listen");
         let listen = self.address(&listen_field, &raw.listen);
         let (advertise, place, field) = match &raw.advertise {
@@ -211,7 +218,10 @@
             let expected = "expected an address that others can use; set 'advertise'";
             self.report(place, &field, expected);
         }
-        Some((listen?, advertise?))
+        Some(ListenerAddresses {
+            listen: listen?,
+            advertise: advertise?,
+        })
     }
 
     /// Checks that no two listeners have one address. Port 0 stands for any free port.
