--- a/crates/process-tests/src/fleet_files.rs
+++ b/crates/process-tests/src/fleet_files.rs
@@ -58,7 +58,7 @@
         );
     }
     text.push_str(
-        "routes:\n  - {name: work, department: testing, path_prefix: /orders, pool: pool}\n",
+        "routes:\n  - {name: orders, department: testing, path_prefix: /orders, pool: pool}\n",
     );
     text.push_str("  - {name: echo, department: testing, path_prefix: /echo, pool: pool, deadline_ms: 30000}\n");
     text.push_str(
--- a/crates/process-tests/tests/failures.rs
+++ b/crates/process-tests/tests/failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfootkeel_process_tests::{FleetPlan, TestFleet, wait_for};
+use coltsfootkeel_process_tests::{FleetPlan, PlannedRegion, TestFleet, wait_for};
 use coltsfootkeel_standins::{CallRequest, KeptConnection};
 use http::Method;
 use nix::sys::signal::Signal;
@@ -429,3 +429,31 @@
         .expect("an answer");
     assert_eq!(answer.status, 200, "{:?}", answer.body);
 }
+
+/// Guards against a shift that moves nothing while its home region has free slots, and against one that passes its cap.
+#[tokio::test(flavor = "multi_thread")]
+async fn shift_moves_requests_within_its_cap() {
+    let mut plan = FleetPlan::with_daemons(2).section(
+        "shifts:\n  - {name: out, route: orders, from: home, to: away, cap: {share_percent: 50}, state: active}\n",
+    );
+    let region = |name: &str, domain: &str| PlannedRegion {
+        name: name.to_string(),
+        failure_domains: vec![domain.to_string()],
+    };
+    plan.regions = vec![region("home", "home-0"), region("away", "home-1")];
+    let fleet = TestFleet::start(&plan).await;
+    let mut seen = 0;
+    // A slot at the destination is borrowed first, so the first requests may stay.
+    wait_for("requests move", async || {
+        let answer = fleet
+            .call(0, Method::GET, "/orders/1", KEY)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+        seen += 1;
+        let moved = fleet.record(1).await.expect("a record").totals.started;
+        assert!(moved * 2 <= seen, "{moved} of {seen} moved at a cap of 50%");
+        moved >= 20
+    })
+    .await;
+}
