daemon: one longest deadline and one conversion to milliseconds

Cause: the last read of the change found both written twice. Every route has a pool, so both deadlines were the same. Conclusion: behaviour is unchanged.

--- a/crates/daemon/src/control_dump.rs
+++ b/crates/daemon/src/control_dump.rs
@@ -1,12 +1,12 @@
 //! Fills the dump of the state.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_decisions::ConfigAge;
 
 use crate::control_loop::ControlLoop;
+use crate::control_messages::millis;
 use crate::fleet_snapshot::FleetSnapshot;
 use crate::state_dump::{AccountDump, ConfigDump, PeerDump, ShiftDump, StateDump, UpstreamDump};
 
@@ -121,7 +121,3 @@
         })
         .collect()
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/control_messages.rs
+++ b/crates/daemon/src/control_messages.rs
@@ -300,7 +300,8 @@
     })
 }
 
-fn millis(time: Duration) -> u64 {
+/// Returns a time in whole milliseconds, as messages and dumps carry it.
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::peer_messages::PeerMessages;
 use crate::peer_server::serve_peers;
 use crate::shared_state::{LOOKUP_LIFE, SharedState};
+use crate::snapshot_builder::longest_deadline;
 
 /// Callers may hold a look-up for its life, and their last request may still be on its way.
 const LEAVE_MARGIN: Duration = Duration::from_secs(1);
@@ -192,7 +193,10 @@
     shared.report(ControlEvent::Leave);
     tokio::time::sleep(LOOKUP_LIFE + LEAVE_MARGIN).await;
     entry_stop.stop();
-    let longest = longest_deadline(shared);
+    let snapshot = shared.snapshot.load_full();
+    let longest = snapshot.map_or(Duration::ZERO, |snapshot| {
+        longest_deadline(&snapshot.config)
+    });
     if tokio::time::timeout(longest + LEAVE_MARGIN, entry_stop.finished())
         .await
         .is_err()
@@ -203,14 +207,3 @@
     shared.report(ControlEvent::Release(done));
     let _ = tokio::time::timeout(RELEASE_TIMEOUT, released).await;
 }
-
-fn longest_deadline(shared: &SharedState) -> Duration {
-    let snapshot = shared.snapshot.load();
-    let routes = snapshot
-        .iter()
-        .flat_map(|snapshot| snapshot.config.routes.iter());
-    routes
-        .map(|(_, route)| route.deadline)
-        .max()
-        .unwrap_or_default()
-}
--- a/crates/daemon/src/snapshot_builder.rs
+++ b/crates/daemon/src/snapshot_builder.rs
@@ -199,7 +199,8 @@
     }
 }
 
-fn longest_deadline(config: &FleetConfig) -> Duration {
+/// Returns the longest deadline of all routes.
+pub fn longest_deadline(config: &FleetConfig) -> Duration {
     let pools = config.pools.keys();
     pools
         .map(|pool| pool_deadline(config, pool))
