--- a/crates/process-tests/src/test_fleet.rs
+++ b/crates/process-tests/src/test_fleet.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use coltsfootkeel_model::FleetConfig;
+use coltsfootkeel_platform::{CommitOutcome, CommitRequest, ConfigStore, ObjectClient};
 use coltsfootkeel_standins::{
     CallAnswer, CallError, CallRequest, ChildProcess, RecordAnswer, call_once, commit_fleet,
 };
@@ -341,6 +344,44 @@
         }
     }
 
+    /// Commits the configuration after a change of its text, and returns the generation.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the changed text is not valid or the platform does not take it.
+    pub async fn commit(&self, change: impl Fn(&str) -> String) -> u64 {
+        let file = self.configuration_file();
+        let text = std::fs::read_to_string(&file).expect("the configuration was written");
+        let text = change(&text);
+        write(&file, &text);
+        FleetConfig::parse("fleet.yaml", &text).expect("the changed configuration is valid");
+        let client = Arc::new(ObjectClient::new(self.platform, Duration::from_secs(2)));
+        let store = ConfigStore::new(client);
+        let manifest = store.read_manifest().await.expect("the platform answers");
+        let generation = manifest.map_or(0, |stored| stored.manifest.generation);
+        let request = CommitRequest {
+            expected_generation: generation,
+            write_id: format!("test-{generation}"),
+            operator: "test".to_string(),
+            summary: "change by a test".to_string(),
+            time_unix_ms: 0,
+            document: text,
+        };
+        match store.commit(&request).await {
+            Ok(CommitOutcome::Committed(generation)) => generation,
+            outcome => panic!("not committed: {outcome:?}"),
+        }
+    }
+
+    /// Waits until a daemon runs a generation.
+    pub async fn wait_for_generation(&self, daemon: usize, generation: u64) {
+        wait_for("the generation is in force", async || {
+            let dump = self.dump(daemon).await;
+            dump.is_some_and(|dump| dump["config"]["generation"].as_u64() == Some(generation))
+        })
+        .await;
+    }
+
     /// Returns the file of the configuration.
     #[must_use]
     pub fn configuration_file(&self) -> PathBuf {
--- /dev/null
+++ b/crates/process-tests/tests/failures.rs
@@ -0,0 +1,357 @@
+//! Promises under kills, pauses, outages and drains of real processes.
+
+use std::time::{Duration, Instant};
+
+use coltsfootkeel_process_tests::{FleetPlan, TestFleet, wait_for};
+use coltsfootkeel_standins::{CallRequest, KeptConnection};
+use http::Method;
+use nix::sys::signal::Signal;
+
+const KEY: &str = "test-key";
+
+/// Guards against a planned stop that cuts a long upload, a long answer, or a request on a kept connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_no_request() {
+    let mut fleet = TestFleet::start(&FleetPlan::with_daemons(2)).await;
+    let slow = CallRequest::new(Method::POST, "/work/slow").header("X-Work-Ms", "8000");
+    let upload = CallRequest::new(Method::POST, "/echo/upload")
+        .header("X-Work-Ms", "7000")
+        .body(vec![3; 4 * 1024 * 1024]);
+    let (slow, upload, stopped) = tokio::join!(
+        fleet.send(0, slow, KEY),
+        fleet.send(0, upload, KEY),
+        async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            fleet.signal_daemon(0, Signal::SIGTERM);
+            // The look-up of the other daemon leaves the stopping one out, and the stopping one still serves.
+            wait_for("the look-up leaves the stopping daemon out", async || {
+                let answer = fleet.look_up(1).await;
+                answer["entries"]
+                    .as_array()
+                    .is_some_and(|entries| entries.len() == 1)
+            })
+            .await;
+            fleet.call(0, Method::GET, "/work/late", KEY).await
+        }
+    );
+    assert_eq!(slow.expect("the long request is answered").status, 200);
+    let upload = upload.expect("the upload is answered");
+    assert_eq!((upload.status, upload.body.len()), (200, 4 * 1024 * 1024));
+    let late = stopped.expect("a caller with a cached look-up is answered");
+    assert_eq!(late.status, 200);
+    assert_eq!(late.header("connection"), Some("close"));
+    wait_for("the daemon ends with success", async || {
+        fleet.has_ended_well(0)
+    })
+    .await;
+}
+
+/// Guards against a second run when a caller sends a keyed request again, to the same or another instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_of_a_keyed_request_gets_the_first_answer() {
+    let fleet = TestFleet::start(&FleetPlan::with_daemons(3)).await;
+    let prefix = fleet.look_up(0).await["idempotency_prefix"]
+        .as_str()
+        .expect("a prefix")
+        .to_string();
+    for (index, key) in [
+        format!("{prefix}order-1"),
+        "order-without-prefix".to_string(),
+    ]
+    .iter()
+    .enumerate()
+    {
+        let request = CallRequest::new(Method::POST, "/work/confirm")
+            .header("Idempotency-Key", key)
+            .body("two towels");
+        let mut bodies = Vec::new();
+        for daemon in [0, 0, 1, 2] {
+            let answer = fleet
+                .send(daemon, request.clone(), KEY)
+                .await
+                .expect("an answer");
+            assert_eq!(answer.status, 200, "{key}: {:?}", answer.body);
+            bodies.push(answer.body);
+        }
+        assert!(
+            bodies.windows(2).all(|pair| pair[0] == pair[1]),
+            "{key}: the answers differ"
+        );
+        assert_eq!(
+            fleet.started_runs().await,
+            index as u64 + 1,
+            "{key}: ran more than once"
+        );
+    }
+}
+
+/// Guards against a second run after the instance that owned the key was killed in the middle of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_request_of_a_killed_instance_never_runs_twice() {
+    let mut fleet = TestFleet::start(&FleetPlan::with_daemons(2)).await;
+    let look_up = fleet.look_up(0).await;
+    let prefix = look_up["idempotency_prefix"]
+        .as_str()
+        .expect("a prefix")
+        .to_string();
+    let owner = usize::from(look_up["entries"][0]["instance"] != "daemon-0");
+    let request = CallRequest::new(Method::POST, "/work/confirm")
+        .header("Idempotency-Key", &format!("{prefix}order-2"))
+        .header("X-Work-Ms", "1500");
+    let entry = fleet.entry(owner);
+    let first = {
+        let request = request
+            .clone()
+            .header("Authorization", &format!("Bearer {KEY}"));
+        tokio::spawn(async move { coltsfootkeel_standins::call_once(entry, &request).await })
+    };
+    wait_for("the request runs", async || fleet.started_runs().await == 1).await;
+    fleet.kill_daemon(owner);
+    assert!(
+        first.await.expect("the task ends").is_err(),
+        "the caller sees that its request broke"
+    );
+    fleet.start_daemon(owner);
+    fleet.wait_until_settled(2).await;
+    for daemon in [owner, 1 - owner] {
+        let answer = fleet
+            .send(daemon, request.clone(), KEY)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, 409, "{:?}", answer.body);
+        assert_eq!(answer.header("coltsfootkeel-run"), Some("unknown"));
+    }
+    assert_eq!(fleet.started_runs().await, 1);
+}
+
+/// Guards against "not run" told to a caller whose request was running on an upstream that was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_on_a_killed_upstream_is_unknown() {
+    let mut fleet = TestFleet::start(&FleetPlan::with_daemons(1)).await;
+    let request = CallRequest::new(Method::POST, "/work/confirm").header("X-Work-Ms", "5000");
+    let entry = fleet.entry(0);
+    let sent = {
+        let request = request.header("Authorization", &format!("Bearer {KEY}"));
+        tokio::spawn(async move { coltsfootkeel_standins::call_once(entry, &request).await })
+    };
+    wait_for("the request runs", async || fleet.started_runs().await == 1).await;
+    fleet.kill_upstream(0);
+    let answer = sent.await.expect("the task ends").expect("an answer");
+    assert_eq!(
+        answer.header("coltsfootkeel-run"),
+        Some("unknown"),
+        "{:?}",
+        answer.body
+    );
+}
+
+/// Guards against a withdrawn key that goes on working, also on a connection that is already open.
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawn_key_stops_working_on_open_connections() {
+    let plan = FleetPlan::with_daemons(2).account("leaver", "leaver-key", 1_000, 1_000);
+    let fleet = TestFleet::start(&plan).await;
+    let request =
+        CallRequest::new(Method::GET, "/work/1").header("Authorization", "Bearer leaver-key");
+    let mut connection = KeptConnection::open(fleet.entry(1))
+        .await
+        .expect("a connection");
+    assert_eq!(
+        connection.call(&request).await.expect("an answer").status,
+        200
+    );
+    let long = request.clone().header("X-Work-Ms", "9000");
+    let entry = fleet.entry(0);
+    let running =
+        tokio::spawn(async move { coltsfootkeel_standins::call_once(entry, &long).await });
+    wait_for("the long request runs", async || {
+        fleet.started_runs().await == 2
+    })
+    .await;
+    let generation = fleet.commit(|text| without_keys_of(text, "leaver")).await;
+    for daemon in 0..2 {
+        fleet.wait_for_generation(daemon, generation).await;
+    }
+    assert_eq!(
+        connection.call(&request).await.expect("an answer").status,
+        401
+    );
+    if let Ok(answer) = running.await.expect("the task ends") {
+        assert_eq!(
+            answer.status, 401,
+            "an answer of a withdrawn key was passed on"
+        );
+    }
+}
+
+fn without_keys_of(text: &str, account: &str) -> String {
+    let name = format!("{{name: {account},");
+    text.lines()
+        .map(
+            |line| match (line.contains(&name), line.find("access_keys: [")) {
+                (true, Some(start)) => format!("{}access_keys: []}}\n", &line[..start]),
+                _ => format!("{line}\n"),
+            },
+        )
+        .collect()
+}
+
+/// Guards against a fleet that stops serving, or a new instance that cannot start, while the platform is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_outage_does_not_stop_the_fleet() {
+    let mut fleet = TestFleet::start(&FleetPlan::with_daemons(2)).await;
+    fleet.platform_faults(r#"{"down": "unavailable"}"#).await;
+    fleet.kill_daemon(1);
+    fleet.start_daemon(1);
+    wait_for(
+        "the new instance serves with the configuration of its neighbour",
+        async || {
+            fleet
+                .call(1, Method::GET, "/open/1", KEY)
+                .await
+                .is_ok_and(|answer| answer.status == 200)
+        },
+    )
+    .await;
+    assert_eq!(
+        fleet
+            .call(0, Method::GET, "/work/1", KEY)
+            .await
+            .expect("an answer")
+            .status,
+        200
+    );
+}
+
+/// Guards against a configuration that reverts when the platform comes back with older data.
+#[tokio::test(flavor = "multi_thread")]
+async fn older_data_of_the_platform_is_written_over() {
+    let mut fleet = TestFleet::start(&FleetPlan::with_daemons(2)).await;
+    let generation = fleet
+        .commit(|text| text.replace("burst: 10000", "burst: 9000"))
+        .await;
+    for daemon in 0..2 {
+        fleet.wait_for_generation(daemon, generation).await;
+    }
+    // The stand-in keeps its data in memory, so a new one has none.
+    fleet.kill_platform();
+    fleet.start_platform().await;
+    let request = CallRequest::new(Method::GET, "/v1/objects/config/manifest");
+    wait_for("the newer configuration is written back", async || {
+        let answer = coltsfootkeel_standins::call_once(fleet.platform(), &request).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    for daemon in 0..2 {
+        let dump = fleet.dump(daemon).await.expect("a dump");
+        assert_eq!(dump["config"]["generation"].as_u64(), Some(generation));
+    }
+}
+
+/// Guards against new work for an upstream that is leaving, seen by one instance only.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream_gets_no_new_work() {
+    let fleet = TestFleet::start(&FleetPlan::with_daemons(2)).await;
+    fleet.control_upstream(0, r#"{"draining": true}"#).await;
+    for daemon in 0..2 {
+        wait_for(
+            "each instance knows that the upstream is leaving",
+            async || {
+                let dump = fleet.dump(daemon).await.expect("a dump");
+                dump["upstreams"][0]["draining"] == true
+            },
+        )
+        .await;
+    }
+    let before = fleet.record(0).await.expect("a record").totals.started;
+    for index in 0..20 {
+        let answer = fleet
+            .call(index % 2, Method::GET, "/work/1", KEY)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, 200, "{:?}", answer.body);
+    }
+    assert_eq!(
+        fleet.record(0).await.expect("a record").totals.started,
+        before
+    );
+}
+
+/// Guards against a request that takes one upstream after the other with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_request_is_stopped() {
+    let mut plan = FleetPlan::with_daemons(2);
+    for index in 2..6 {
+        let mut upstream = plan.upstreams[index % 2].clone();
+        upstream.name = format!("upstream-{index}");
+        plan.upstreams.push(upstream);
+    }
+    let fleet = TestFleet::start(&plan).await;
+    let crash = CallRequest::new(Method::POST, "/work/poison")
+        .header("X-Crash", "yes")
+        .body("poison");
+    let mut refused = 0;
+    for index in 0..10 {
+        let answer = fleet
+            .send(index % 2, crash.clone(), KEY)
+            .await
+            .expect("an answer");
+        refused += u32::from(answer.status == 422);
+        // The caller waits for its answer before it sends again, and notices travel meanwhile.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let mut alive = 0;
+    for index in 0..plan.upstreams.len() {
+        alive += u32::from(fleet.record(index).await.is_some());
+    }
+    assert!(refused > 0, "the request was never refused");
+    assert!(alive >= 4, "only {alive} of 6 upstreams are left");
+    let other = fleet
+        .call(0, Method::GET, "/work/innocent", KEY)
+        .await
+        .expect("an answer");
+    assert_eq!(other.status, 200);
+}
+
+/// Guards against a paused daemon that spends its old share after it wakes, while loans and limits have moved on.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_daemon_spends_nothing_twice() {
+    let plan = FleetPlan::with_daemons(2).account("small", "small-key", 5, 5);
+    let fleet = TestFleet::start(&plan).await;
+    let started = Instant::now();
+    let mut answered = 0_u32;
+    for round in 0..3 {
+        fleet.signal_daemon(0, Signal::SIGSTOP);
+        for _ in 0..8 {
+            let answer = fleet
+                .call(1, Method::GET, "/work/rate", "small-key")
+                .await
+                .expect("an answer");
+            answered += u32::from(answer.status == 200);
+        }
+        fleet.signal_daemon(0, Signal::SIGCONT);
+        for _ in 0..8 {
+            let answer = fleet.call(0, Method::GET, "/work/rate", "small-key").await;
+            answered += u32::from(answer.is_ok_and(|answer| answer.status == 200));
+        }
+        let allowed = 5.0 + 5.0 * started.elapsed().as_secs_f64();
+        assert!(
+            f64::from(answered) <= allowed,
+            "round {round}: {answered} of {allowed} answered"
+        );
+    }
+}
+
+/// Guards against an answer that is passed on as complete although its upstream broke it off.
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_answer_is_never_passed_on_as_complete() {
+    let fleet = TestFleet::start(&FleetPlan::with_daemons(1)).await;
+    fleet.control_upstream(0, r#"{"truncate_next": 1}"#).await;
+    let body = vec![9; 1024 * 1024];
+    let request = CallRequest::new(Method::POST, "/echo/cut").body(body.clone());
+    match fleet.send(0, request.clone(), KEY).await {
+        Ok(answer) => assert_ne!(answer.status, 200, "a cut answer looked complete"),
+        Err(error) => assert!(error.to_string().contains("broken"), "{error}"),
+    }
+    let answer = fleet.send(0, request, KEY).await.expect("the next answer");
+    assert!(answer.body == body, "the next answer is not whole");
+}
