--- a/crates/daemon/src/replay_flow.rs
+++ b/crates/daemon/src/replay_flow.rs
@@ -52,9 +52,9 @@
     let claim = ReplayClaim::of(&run.context)?;
     let digest = RequestDigest(run.context.head.request_digest(run.body.bytes()));
     let remaining = run.context.remaining();
-    let decision = claim.begin(digest, remaining).await;
+    let decision = claim.begin(digest, remaining).await.map_err(refuse)?;
     if let Some(kind) = decision.refusal_kind() {
-        return Err(Refusal::new(kind, RunHistory::new(), true));
+        return Err(refuse(kind));
     }
     match decision {
         ReplayDecision::Run(ticket) => {
@@ -65,16 +65,17 @@
             });
             match carried.await {
                 Ok(outcome) => outcome.map(RelayedAnswer::into_response),
-                Err(_) => Err(unknown()),
+                Err(_) => Err(refuse(RefusalKind::OutcomeUnknown)),
             }
         }
         ReplayDecision::Answered(answer) => Ok(answer.to_response()),
-        _ => Err(unknown()),
+        _ => Err(refuse(RefusalKind::OutcomeUnknown)),
     }
 }
 
-fn unknown() -> Refusal {
-    Refusal::new(RefusalKind::OutcomeUnknown, RunHistory::new(), true)
+/// Refuses a request by what its key's owner said. The reason alone tells whether the request may have run.
+fn refuse(kind: RefusalKind) -> Refusal {
+    Refusal::new(kind, RunHistory::new(), true)
 }
 
 impl ReplayClaim {
@@ -95,15 +96,13 @@
         &self,
         digest: RequestDigest,
         remaining: Duration,
-    ) -> ReplayDecision<KeptAnswer> {
+    ) -> Result<ReplayDecision<KeptAnswer>, RefusalKind> {
         let peer = match &self.owner {
-            ReplayOwner::Gone => return ReplayDecision::Unknown,
+            ReplayOwner::Gone => return Ok(ReplayDecision::Unknown),
             ReplayOwner::Here => {
                 let now = self.shared.clock.now();
-                return self
-                    .shared
-                    .replays
-                    .begin(now, &self.account, &self.key, digest, remaining);
+                let replays = &self.shared.replays;
+                return Ok(replays.begin(now, &self.account, &self.key, digest, remaining));
             }
             ReplayOwner::Peer(peer) => peer,
         };
@@ -112,9 +111,9 @@
             .call(PeerBody::ReplayBegin(message), OWNER_TIMEOUT)
             .await;
         match answer {
-            Ok(PeerBody::ReplayVerdict(verdict)) => replay_messages::read_verdict(verdict),
+            Ok(PeerBody::ReplayVerdict(verdict)) => Ok(replay_messages::read_verdict(verdict)),
             // The owner may have noted the key, or may know it from before.
-            Ok(_) | Err(_) => ReplayDecision::Unknown,
+            Ok(_) | Err(_) => Err(RefusalKind::KeyOwnerUnreachable),
         }
     }
 
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -68,20 +68,22 @@
 ) -> Result<Response, Refusal> {
     let max_body_bytes = shared.settings.entry.max_body_bytes;
     let (parts, body) = request.into_parts();
+    let is_possible_repeat = is_possible_repeat(&parts);
+    let refuse = |kind| refuse_unattempted(kind, is_possible_repeat);
     let context = match admit(shared, &parts, request_id).await {
         Ok(context) => context,
         Err(kind) => {
             discard_body(body).await;
-            return Err(refuse_unattempted(kind));
+            return Err(refuse(kind));
         }
     };
     let mut headers = parts.headers;
     header_rules::clean_request(&mut headers);
     let body = CallerBody::read(&context.head, body, max_body_bytes)
         .await
-        .map_err(refuse_unattempted)?;
+        .map_err(refuse)?;
     if is_suspect(&context, &body) {
-        return Err(refuse_unattempted(RefusalKind::CrashSuspect));
+        return Err(refuse(RefusalKind::CrashSuspect));
     }
     let run = RequestRun {
         context,
@@ -94,6 +96,12 @@
     run.carry().await.map(RelayedAnswer::into_response)
 }
 
+/// Tells whether the caller may have sent the request before, so that "not run" about this send alone would mislead it.
+fn is_possible_repeat(parts: &Parts) -> bool {
+    let has_key = parts.headers.get(header_rules::IDEMPOTENCY_KEY_HEADER);
+    has_key.is_some_and(|key| !key.is_empty()) && !parts.method.is_idempotent()
+}
+
 async fn admit(
     shared: &Arc<SharedState>,
     parts: &Parts,
@@ -105,9 +113,14 @@
     Ok(context)
 }
 
-/// A request without an attempt did not run, so a repeat is safe whatever its method.
-fn refuse_unattempted(kind: RefusalKind) -> Refusal {
-    Refusal::before_attempt(kind, true)
+/// Refuses a request before its first attempt.
+fn refuse_unattempted(kind: RefusalKind, is_possible_repeat: bool) -> Refusal {
+    let history = if is_possible_repeat {
+        RunHistory::of_possible_repeat()
+    } else {
+        RunHistory::new()
+    };
+    Refusal::new(kind, history, true)
 }
 
 /// Tells whether requests like this one have crashed upstreams.
@@ -146,6 +159,10 @@
         let mut tried = Vec::new();
         let mut shift = self.decide_shift();
         loop {
+            if self.context.remaining().is_zero() {
+                let kind = RefusalKind::DeadlinePassed;
+                return Err(Refusal::new(kind, history, self.is_repeat_safe()));
+            }
             let chosen = match self.find_upstream(&tried, &mut shift).await {
                 Ok(chosen) => chosen,
                 Err(kind) => return Err(Refusal::new(kind, history, self.is_repeat_safe())),
--- a/crates/decisions/src/attempt_state.rs
+++ b/crates/decisions/src/attempt_state.rs
@@ -128,6 +128,16 @@
         }
     }
 
+    /// Makes the history of a request that its caller may have sent before under the same idempotency key. Until the
+    /// owner of the key has said that it is new, an earlier send may have run.
+    #[must_use]
+    pub const fn of_possible_repeat() -> Self {
+        Self {
+            mark: RunMark::Unknown,
+            attempts: 0,
+        }
+    }
+
     /// Starts an attempt.
     pub fn start_attempt(self) -> OpenAttempt {
         OpenAttempt {
--- a/crates/process-tests/tests/failures.rs
+++ b/crates/process-tests/tests/failures.rs
@@ -85,6 +85,39 @@
     }
 }
 
+/// Guards against "not run" told about a repeat whose first send did run: its caller would order again.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_repeat_of_a_keyed_request_is_not_called_not_run() {
+    let plan = FleetPlan::with_daemons(1).account("small", "small-key", 1, 1);
+    let fleet = TestFleet::start(&plan).await;
+    let request =
+        CallRequest::new(Method::POST, "/work/confirm").header("Idempotency-Key", "order-3");
+    // Buckets start empty, so the first send is repeated until it runs.
+    wait_for("the request runs", async || {
+        let answer = fleet
+            .send(0, request.clone(), "small-key")
+            .await
+            .expect("an answer");
+        answer.status == 200
+    })
+    .await;
+    for _ in 0..4 {
+        let answer = fleet
+            .send(0, request.clone(), "small-key")
+            .await
+            .expect("an answer");
+        if answer.status != 200 {
+            assert_eq!(
+                answer.header("coltsfootkeel-run"),
+                Some("unknown"),
+                "{:?}",
+                answer.body
+            );
+        }
+    }
+    assert_eq!(fleet.started_runs().await, 1);
+}
+
 /// Guards against a second run after the instance that owned the key was killed in the middle of the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn keyed_request_of_a_killed_instance_never_runs_twice() {
