--- /dev/null
+++ b/crates/daemon/src/crash_check.rs
@@ -0,0 +1,63 @@
+//! Finds out whether an upstream that broke a connection has crashed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootkeel_decisions::{CrashId, CrashReport};
+use coltsfootkeel_model::UpstreamKey;
+use tokio::sync::oneshot;
+
+use crate::caller_request::CallerBody;
+use crate::control_event::ControlEvent;
+use crate::request_context::RequestContext;
+
+/// Pauses before the connects that show whether an upstream that broke a connection has crashed.
+const CRASH_CHECKS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(80),
+];
+
+/// Time for one of these connects. A new connection takes about 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time the control thread has to publish a crash.
+const PUBLISH_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Reports the request as a suspect if its upstream no longer accepts connections, and waits until request threads see the
+/// report, so that the next attempt takes it into account.
+pub async fn report_crash(context: &RequestContext, body: &CallerBody, upstream: UpstreamKey) {
+    let record = &context.snapshot.config.upstreams[upstream];
+    if accepts_connections(record.address).await {
+        return;
+    }
+    let digest = body.fingerprint_digest();
+    let (published, seen) = oneshot::channel();
+    context.shared.report(ControlEvent::Crash {
+        report: CrashReport {
+            crash: CrashId {
+                upstream: record.name.clone(),
+                number: fastrand::u64(..),
+            },
+            fingerprints: vec![context.fingerprint(digest)],
+        },
+        published,
+    });
+    let _ = tokio::time::timeout(PUBLISH_TIMEOUT, seen).await;
+}
+
+/// Tells whether an upstream that broke a connection goes on accepting new ones. A process that is ending may accept
+/// one more before its listener is closed, so one success proves nothing.
+async fn accepts_connections(address: SocketAddr) -> bool {
+    for pause in CRASH_CHECKS {
+        tokio::time::sleep(pause).await;
+        let connect = tokio::net::TcpStream::connect(address);
+        if !matches!(
+            tokio::time::timeout(CONNECT_TIMEOUT, connect).await,
+            Ok(Ok(_))
+        ) {
+            return false;
+        }
+    }
+    true
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod control_seat;
 mod control_shares;
 mod control_upstreams;
+mod crash_check;
 mod daemon;
 mod daemon_metrics;
 mod entry_service;
--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -1,24 +1,21 @@
 //! Carries one request: admission, rate, slot, attempts and the answer.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use coltsfootkeel_decisions::{
-    AttemptEnd, ChoicePolicy, ChoiceRequest, ChoiceStart, CrashId, CrashReport, NextStep,
-    OpenAttempt, Refusal, RefusalKind, RetryFacts, RunHistory, ShiftMove, longest_wait, next_step,
+    AttemptEnd, ChoicePolicy, ChoiceRequest, ChoiceStart, NextStep, OpenAttempt, Refusal,
+    RefusalKind, RetryFacts, RunHistory, ShiftMove, longest_wait, next_step,
 };
 use coltsfootkeel_model::{RegionKey, UpstreamKey};
 use http::HeaderMap;
 use http::request::Parts;
-use tokio::sync::oneshot;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
 use crate::answer_relay::{RelayedAnswer, relay_answer};
 use crate::caller_request::{CallerBody, CallerHead, discard_body};
-use crate::control_event::ControlEvent;
+use crate::crash_check::report_crash;
 use crate::header_rules;
 use crate::refusal_answer::refusal_response;
 use crate::replay_flow;
@@ -27,19 +24,6 @@
 use crate::slot_wait::{SlotGuard, WaitFailure};
 use crate::upstream_attempt::{AttemptResult, run_attempt};
 
-/// Pauses before the connects that show whether an upstream that broke a connection has crashed.
-const CRASH_CHECKS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(20),
-    Duration::from_millis(80),
-];
-
-/// Time for one of these connects. A new connection takes about 1 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-
-/// Time the control thread has to publish a crash.
-const PUBLISH_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Carries a caller's request and returns what the caller gets.
 pub async fn carry_request(shared: &Arc<SharedState>, request: Request) -> Response {
     let _counted = InFlightGuard::new(shared);
@@ -214,7 +198,7 @@
             end,
             AttemptEnd::ConnectionBroken | AttemptEnd::AnswerTruncated
         ) {
-            self.report_crash(upstream).await;
+            report_crash(&self.context, &self.body, upstream).await;
         }
         if is_suspect(&self.context, &self.body) {
             return Err(Refusal::new(
@@ -364,42 +348,4 @@
                 .record();
         }
     }
-
-    /// Reports the request as a suspect if its upstream no longer accepts connections, and waits until request threads
-    /// see the report, so that the next attempt takes it into account.
-    async fn report_crash(&self, upstream: UpstreamKey) {
-        let record = &self.context.snapshot.config.upstreams[upstream];
-        if accepts_connections(record.address).await {
-            return;
-        }
-        let digest = self.body.fingerprint_digest();
-        let (published, seen) = oneshot::channel();
-        self.context.shared.report(ControlEvent::Crash {
-            report: CrashReport {
-                crash: CrashId {
-                    upstream: record.name.clone(),
-                    number: fastrand::u64(..),
-                },
-                fingerprints: vec![self.context.fingerprint(digest)],
-            },
-            published,
-        });
-        let _ = tokio::time::timeout(PUBLISH_TIMEOUT, seen).await;
-    }
-}
-
-/// Tells whether an upstream that broke a connection goes on accepting new ones. A process that is ending may accept
-/// one more before its listener is closed, so one success proves nothing.
-async fn accepts_connections(address: SocketAddr) -> bool {
-    for pause in CRASH_CHECKS {
-        tokio::time::sleep(pause).await;
-        let connect = tokio::net::TcpStream::connect(address);
-        if !matches!(
-            tokio::time::timeout(CONNECT_TIMEOUT, connect).await,
-            Ok(Ok(_))
-        ) {
-            return false;
-        }
-    }
-    true
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -71,6 +71,7 @@
 mod config_age;
 mod entry_ranking;
 mod generation_tracker;
+mod health_judge;
 mod link_meter;
 mod shift_meter;
 mod upstream_choice;
@@ -84,15 +85,15 @@
     ConfigFault, ConfigSource, DocumentOutcome, FleetView, GenerationTracker, OfferVerdict,
     ReportedFault,
 };
+pub use health_judge::{
+    HealthChange, HealthChangeKind, HealthJudge, LoadReport, ProbeResult, RampPolicy,
+};
 pub use link_meter::{LinkBook, LinkMeter};
 pub use shift_meter::{ShiftBook, ShiftMeter, ShiftMove, ShiftTable};
 pub use upstream_choice::{
     ChoicePolicy, ChoiceRequest, ChoiceStart, TierCandidates, TierTable, UpstreamLane,
 };
-pub use upstream_health::{
-    DrainSource, FULL_RAMP_PERMILLE, HealthChange, HealthChangeKind, HealthJudge, LoadReport,
-    ProbeResult, RampPolicy, UpstreamHealth,
-};
+pub use upstream_health::{DrainSource, FULL_RAMP_PERMILLE, UpstreamHealth};
 
 mod admission;
 
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -241,6 +241,20 @@
         readers
     }
 
+    /// Reads a list of records and reports the unknown fields of each. An absent field is an empty list.
+    pub fn records<T>(
+        &mut self,
+        field: &'static str,
+        read: impl Fn(&mut MappingReader<'_>) -> T,
+    ) -> Vec<T> {
+        let mut records = Vec::new();
+        for mut item in self.mappings(field) {
+            records.push(read(&mut item));
+            item.finish();
+        }
+        records
+    }
+
     /// Reads a mapping if the field is present.
     pub fn mapping(&mut self, field: &'static str) -> Option<MappingReader<'a>> {
         self.remember(field);
--- a/crates/questionnaire/src/answer_reader.rs
+++ b/crates/questionnaire/src/answer_reader.rs
@@ -39,36 +39,23 @@
     let answers = RawAnswers {
         regions_place,
         team: reader.text("team"),
-        regions: read_all(&mut reader, "regions", read_region),
-        links: read_all(&mut reader, "links", read_link),
-        departments: read_all(&mut reader, "departments", read_department),
-        callers: read_all(&mut reader, "callers", read_caller),
-        sites: read_all(&mut reader, "sites", read_site),
-        pools: read_all(&mut reader, "pools", read_pool),
-        services: read_all(&mut reader, "services", read_service),
+        regions: reader.records("regions", read_region),
+        links: reader.records("links", read_link),
+        departments: reader.records("departments", read_department),
+        callers: reader.records("callers", read_caller),
+        sites: reader.records("sites", read_site),
+        pools: reader.records("pools", read_pool),
+        services: reader.records("services", read_service),
         findings: FindingList::default(),
     };
     reader.finish();
     answers
 }
 
-fn read_all<T>(
-    reader: &mut MappingReader<'_>,
-    field: &'static str,
-    read: impl Fn(&mut MappingReader<'_>) -> T,
-) -> Vec<T> {
-    let mut records = Vec::new();
-    for mut item in reader.mappings(field) {
-        records.push(read(&mut item));
-        item.finish();
-    }
-    records
-}
-
 fn read_region(reader: &mut MappingReader<'_>) -> RawRegion {
     RawRegion {
         name: reader.text("name"),
-        failure_domains: read_all(reader, "failure_domains", |reader| RawDomain {
+        failure_domains: reader.records("failure_domains", |reader| RawDomain {
             name: reader.text("name"),
             entry_instances: reader.number("entry_instances", 1..=MAX_INSTANCES),
         }),
@@ -127,7 +114,7 @@
         connections: reader.number("connections", 1..=MAX_CONNECTIONS),
         health_path: reader.text_or("health_path", DEFAULT_HEALTH_PATH),
         load_path: reader.text_or("load_path", DEFAULT_LOAD_PATH),
-        upstreams: read_all(reader, "upstreams", |reader| RawUpstreams {
+        upstreams: reader.records("upstreams", |reader| RawUpstreams {
             failure_domain: reader.text("failure_domain"),
             addresses: reader.texts("addresses"),
         }),
--- a/crates/settings/src/raw_settings.rs
+++ b/crates/settings/src/raw_settings.rs
@@ -166,14 +166,9 @@
 }
 
 fn operators(reader: &mut MappingReader<'_>) -> Vec<RawOperator> {
-    let mut operators = Vec::new();
-    for mut item in reader.mappings("operators") {
-        operators.push(RawOperator {
-            name: item.text("name"),
-            token_sha256: item.text("token_sha256"),
-            departments: item.texts("departments"),
-        });
-        item.finish();
-    }
-    operators
+    reader.records("operators", |item| RawOperator {
+        name: item.text("name"),
+        token_sha256: item.text("token_sha256"),
+        departments: item.texts("departments"),
+    })
 }
