transport, insight: listeners, connections and logs move into packages of their own

Cause: a second program needs the same listener, upstream connections, platform connections and log set-up as the daemon. Ruled out: a dependency on the daemon package, which would bring its whole control loop along.

Change: code moves without a change of behaviour, but for three points: a caller states how long a kept connection may have been idle instead of a flag, the limits of a listener are asked for each connection, and the time to set up an upstream connection is 600 ms instead of 1 s.

--- a/crates/daemon/src/admin_router.rs
+++ b/crates/daemon/src/admin_router.rs
@@ -23,8 +23,8 @@
 use crate::admin_writes::{
     delete_record, grant_key, put_config, put_record, set_shift, withdraw_key,
 };
-use crate::http_listener::RouterService;
 use crate::shared_state::SharedState;
+use coltsfootkeel_transport::RouterService;
 
 type ResponseFuture = Pin<Box<dyn Future<Output = Response> + Send>>;
 
--- a/crates/daemon/src/answer_body.rs
+++ b/crates/daemon/src/answer_body.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::access_watch::AccessWatch;
-use crate::upstream_link::{LinkBody, LinkConnection};
+use coltsfootkeel_transport::{LinkBody, LinkConnection};
 
 /// How often a response that makes no progress checks whether its key was withdrawn.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/answer_relay.rs
+++ b/crates/daemon/src/answer_relay.rs
@@ -19,7 +19,7 @@
 use crate::kept_answer::KeptAnswer;
 use crate::request_context::RequestContext;
 use crate::slot_wait::SlotGuard;
-use crate::upstream_link::{LinkBody, LinkConnection};
+use coltsfootkeel_transport::{LinkBody, LinkConnection};
 
 /// An answer on its way to the caller.
 #[derive(Debug)]
@@ -151,7 +151,7 @@
 struct AnswerFinish {
     shared: Arc<crate::shared_state::SharedState>,
     context_snapshot: Arc<crate::fleet_snapshot::FleetSnapshot>,
-    link: Arc<crate::upstream_link::UpstreamLink>,
+    link: Arc<coltsfootkeel_transport::UpstreamLink>,
     slot: SlotGuard,
     region: coltsfootkeel_model::RegionKey,
     started: coltsfootkeel_counters::MonotonicTime,
--- a/crates/daemon/src/caller_request.rs
+++ b/crates/daemon/src/caller_request.rs
@@ -13,7 +13,7 @@
 use coltsfootkeel_decisions::{BodyDigest, FINGERPRINT_BODY_BYTES, RefusalKind};
 
 use crate::header_rules;
-use crate::prefixed_body::PrefixedBody;
+use coltsfootkeel_transport::PrefixedBody;
 
 /// Bodies up to this length in bytes are read before the request is sent, so that they can be sent again.
 pub const MAX_REPLAYABLE_BYTES: u64 = 64 * 1024;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -20,11 +20,11 @@
 use crate::control_loop::ControlLoop;
 use crate::daemon_metrics::DaemonMetrics;
 use crate::entry_service::EntryService;
-use crate::http_listener::{ListenerLimits, ListenerStop, serve};
 use crate::peer_messages::PeerMessages;
 use crate::peer_server::serve_peers;
 use crate::shared_state::{LOOKUP_LIFE, SharedState};
 use crate::snapshot_builder::longest_deadline;
+use coltsfootkeel_transport::{ListenerLimits, ListenerStop, serve};
 
 /// Callers may hold a look-up for its life, and their last request may still be on its way.
 const LEAVE_MARGIN: Duration = Duration::from_secs(1);
@@ -32,6 +32,9 @@
 /// Time the platform has to take the release of a seat. Without it, the seat is claimed after its lease.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The largest head of a request in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Connections of operators and of tools.
 const MAX_ADMIN_CONNECTIONS: usize = 256;
 
@@ -129,6 +132,7 @@
     let limits = ListenerLimits {
         max_connections: shared.settings.entry.max_connections,
         header_timeout: shared.settings.entry.header_timeout,
+        max_head_bytes: MAX_HEAD_BYTES,
     };
     let admin_limits = ListenerLimits {
         max_connections: MAX_ADMIN_CONNECTIONS,
@@ -136,11 +140,16 @@
     };
     let entry_service = Arc::new(EntryService::new(Arc::clone(shared)));
     let admin_service = Arc::new(admin_service(Arc::clone(shared)));
-    tokio::spawn(serve(entry, entry_service, limits, entry_stop.clone()));
+    tokio::spawn(serve(
+        entry,
+        entry_service,
+        move || limits,
+        entry_stop.clone(),
+    ));
     tokio::spawn(serve(
         admin,
         admin_service,
-        admin_limits,
+        move || admin_limits,
         admin_stop.clone(),
     ));
 }
--- a/crates/daemon/src/entry_service.rs
+++ b/crates/daemon/src/entry_service.rs
@@ -10,10 +10,10 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-use crate::http_listener::HttpService;
 use crate::lookup_answer::lookup_answer;
 use crate::request_flow::carry_request;
 use crate::shared_state::SharedState;
+use coltsfootkeel_transport::HttpService;
 
 /// Serves callers.
 #[derive(Debug)]
--- a/crates/daemon/src/fleet_snapshot.rs
+++ b/crates/daemon/src/fleet_snapshot.rs
@@ -11,7 +11,7 @@
 
 use crate::access_watch::WatchTable;
 use crate::slot_wait::SlotWait;
-use crate::upstream_link::UpstreamLink;
+use coltsfootkeel_transport::UpstreamLink;
 
 /// Where this instance stands.
 #[derive(Debug, Clone, Copy)]
--- a/crates/daemon/src/header_rules.rs
+++ b/crates/daemon/src/header_rules.rs
@@ -1,8 +1,9 @@
 //! Which headers pass between caller and upstream, and the headers the system adds.
 
+use coltsfootkeel_transport::remove_hop_headers;
 use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
-    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    TRANSFER_ENCODING,
 };
 
 /// Tells whether a request ran: `not-run`, `unknown` or `run`. Sent by upstreams and to callers.
@@ -21,22 +22,6 @@
 pub const IDEMPOTENCY_KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 
 const OWN_PREFIX: &str = "coltsfootkeel-";
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
-
-/// Headers that are meant for one hop only (RFC 9110, section 7.6.1).
-const HOP_HEADERS: [HeaderName; 9] = [
-    CONNECTION,
-    KEEP_ALIVE,
-    PROXY_CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// Removes from a caller's request what no upstream may see: the access key, the system's own headers,
 /// and headers of the hop.
 pub fn clean_request(headers: &mut HeaderMap) {
@@ -93,22 +78,6 @@
     headers.contains_key(HOST)
 }
 
-fn remove_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in &named {
-        headers.remove(name);
-    }
-    for name in &HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
 fn remove_own_headers(headers: &mut HeaderMap) {
     let own: Vec<HeaderName> = headers
         .keys()
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,7 +4,8 @@
 
 use std::process::ExitCode;
 
-use coltsfootkeel_daemon::{run_daemon, set_up_logs};
+use coltsfootkeel_daemon::run_daemon;
+use coltsfootkeel_insight::{LogTarget, set_up_logs};
 use coltsfootkeel_settings::DaemonSettings;
 use daemon_options::DaemonOptions;
 use gumdrop::Options;
@@ -53,6 +54,7 @@
         println!("{file}: the settings are valid");
         return Ok(());
     }
-    set_up_logs(settings.log).map_err(|error| format!("coltsfootkeeld: {error}\n"))?;
+    set_up_logs(settings.log, LogTarget::StandardError)
+        .map_err(|error| format!("coltsfootkeeld: {error}\n"))?;
     run_daemon(settings).map_err(|error| format!("coltsfootkeeld: {error}\n"))
 }
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -19,7 +19,7 @@
 use crate::fleet_snapshot::FleetSnapshot;
 use crate::kept_answer::KeptAnswer;
 use crate::peer_handle::PeerDirectory;
-use crate::process_clock::ProcessClock;
+use coltsfootkeel_transport::ProcessClock;
 
 /// How long a caller may cache the answer of a look-up.
 pub const LOOKUP_LIFE: Duration = Duration::from_secs(5);
--- a/crates/daemon/src/slot_wait.rs
+++ b/crates/daemon/src/slot_wait.rs
@@ -152,7 +152,7 @@
 pub struct SlotGuard {
     lane: UpstreamLane,
     wait: Arc<SlotWait>,
-    clock: crate::process_clock::ProcessClock,
+    clock: coltsfootkeel_transport::ProcessClock,
 }
 
 impl SlotGuard {
@@ -161,7 +161,7 @@
     pub fn new(
         lane: UpstreamLane,
         wait: Arc<SlotWait>,
-        clock: crate::process_clock::ProcessClock,
+        clock: coltsfootkeel_transport::ProcessClock,
     ) -> Self {
         Self { lane, wait, clock }
     }
--- a/crates/daemon/src/snapshot_builder.rs
+++ b/crates/daemon/src/snapshot_builder.rs
@@ -18,7 +18,7 @@
 use crate::limit_book::{LimitBook, LimitName};
 use crate::share_book::{ShareBook, ShareChange, seat_places};
 use crate::slot_wait::SlotWait;
-use crate::upstream_link::UpstreamLink;
+use coltsfootkeel_transport::UpstreamLink;
 
 /// State of request threads that must survive a change of the configuration, by name.
 #[derive(Debug)]
--- a/crates/daemon/src/upstream_attempt.rs
+++ b/crates/daemon/src/upstream_attempt.rs
@@ -12,7 +12,7 @@
 use crate::header_rules;
 use crate::request_context::RequestContext;
 use crate::slot_wait::SlotGuard;
-use crate::upstream_link::{LinkBody, SendFailure};
+use coltsfootkeel_transport::{LinkBody, ReuseRule, SendFailure};
 
 /// How often a request that waits for its upstream checks whether its access key was withdrawn.
 const WATCH_PERIOD: Duration = Duration::from_secs(1);
@@ -48,7 +48,12 @@
     let started = context.now();
     let request = upstream_request(context, headers, body);
     let link = &context.snapshot.upstreams[upstream].link;
-    let send = link.send(started, request, !context.idempotent);
+    let rule = if context.idempotent {
+        ReuseRule::REPEATABLE
+    } else {
+        ReuseRule::ONCE_ONLY
+    };
+    let send = link.send(started, request, rule);
     let outcome = match until_deadline(context, send).await {
         Ok(outcome) => outcome,
         Err(end) => {
--- a/crates/daemon/src/upstream_probe.rs
+++ b/crates/daemon/src/upstream_probe.rs
@@ -13,7 +13,7 @@
 
 use crate::control_event::ControlEvent;
 use crate::shared_state::SharedState;
-use crate::upstream_link::UpstreamLink;
+use coltsfootkeel_transport::{ReuseRule, UpstreamLink};
 
 /// Time a probe may take. It usually takes about 6 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -81,7 +81,10 @@
     let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
     let answer = async {
-        let response = link.send(shared.clock.now(), request, false).await.ok()?;
+        let response = link
+            .send(shared.clock.now(), request, ReuseRule::REPEATABLE)
+            .await
+            .ok()?;
         if !response.status().is_success() {
             return None;
         }
--- a/crates/daemon/src/log_setup.rs
+++ b/crates/insight/src/log_setup.rs
@@ -9,13 +9,23 @@
 use log::kv::{Error as FieldError, Key, Value, VisitSource};
 
 use crate::log_limit::LogLimit;
+use crate::log_queue::LogQueue;
 
-/// Sets up the logger of the process. Lines go to standard error.
+/// Where the lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogTarget {
+    /// To standard error, at once.
+    StandardError,
+    /// To standard output by a thread of its own. Lines that it cannot keep up with are dropped and counted.
+    QueuedOutput,
+}
+
+/// Sets up the logger of the process.
 ///
 /// # Errors
 ///
 /// Returns an error if a logger is already set.
-pub fn set_up(settings: LogSettings) -> Result<(), log::SetLoggerError> {
+pub fn set_up_logs(settings: LogSettings, target: LogTarget) -> Result<(), log::SetLoggerError> {
     let format = match settings.format {
         LogFormat::Text => text_line,
         LogFormat::Json => json_line,
@@ -32,14 +42,23 @@
                 format(&message.to_string(), record.level(), &fields)
             ));
         })
-        // A line is written at once, so that lines of several processes do not mix.
-        .chain(Output::writer(
-            Box::new(LineWriter::new(std::io::stderr())),
-            "\n",
-        ))
+        .chain(output(target))
         .apply()
 }
 
+fn output(target: LogTarget) -> Output {
+    match target {
+        // A line is written at once, so that lines of several processes do not mix.
+        LogTarget::StandardError => {
+            Output::writer(Box::new(LineWriter::new(std::io::stderr())), "\n")
+        }
+        LogTarget::QueuedOutput => {
+            let queue = LogQueue::start();
+            Output::call(move |record| queue.push(record.args().to_string()))
+        }
+    }
+}
+
 /// The key-value fields of a record, in the order in which they were given.
 #[derive(Debug, Default)]
 struct LineFields {
--- a/crates/platform/src/config_store.rs
+++ b/crates/platform/src/config_store.rs
@@ -7,8 +7,9 @@
 
 use crate::config_manifest::{COMMIT_HISTORY, CommitRecord, ConfigManifest, ContentHash};
 use crate::object_client::ObjectClient;
-use crate::object_types::{CallError, ObjectVersion, StoredObject, WriteCondition};
+use crate::object_types::{ObjectVersion, StoredObject, WriteCondition};
 use crate::resolved_write::{WriteOutcome, read_object, write_object};
+use coltsfootkeel_transport::CallError;
 
 /// The name of the manifest object.
 pub const MANIFEST_NAME: &str = "config/manifest";
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,12 +19,12 @@
 
 mod config_manifest;
 mod config_store;
-mod connection_set;
 mod object_client;
 mod object_types;
 mod resolved_write;
 mod seat_store;
 
+pub use coltsfootkeel_transport::{AnswerFailure, CallError, UnsentReason};
 pub use config_manifest::{
     COMMIT_HISTORY, CommitRecord, ConfigManifest, ContentHash, ManifestFault, RawManifest,
 };
@@ -34,8 +34,8 @@
 };
 pub use object_client::ObjectClient;
 pub use object_types::{
-    AnswerFailure, CallError, InstanceEntry, ObjectChange, ObjectEntry, ObjectVersion, SendFailure,
-    StoreRevision, StoredObject, WatchReport, WriteCondition,
+    InstanceEntry, ObjectChange, ObjectEntry, ObjectVersion, StoreRevision, StoredObject,
+    WatchReport, WriteCondition,
 };
 pub use seat_store::{
     ClaimOutcome, ReleaseOutcome, SEAT_PREFIX, SeatError, SeatHolder, SeatOccupancy, SeatStore,
--- a/crates/platform/src/object_client.rs
+++ b/crates/platform/src/object_client.rs
@@ -5,16 +5,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use coltsfootkeel_transport::{AnswerFailure, CallAnswer, CallError, ConnectionSet, UnsentReason};
 use http::header::{CONTENT_LENGTH, ETAG, HOST, IF_MATCH, IF_NONE_MATCH};
 use http::{HeaderMap, Method, Request, StatusCode, request};
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::connection_set::{CallAnswer, ConnectionSet};
 use crate::object_types::{
-    AnswerFailure, CallError, InstanceEntry, ObjectEntry, ObjectVersion, SendFailure,
-    StoreRevision, StoredObject, WatchReport, WriteCondition,
+    InstanceEntry, ObjectEntry, ObjectVersion, StoreRevision, StoredObject, WatchReport,
+    WriteCondition,
 };
 
 /// How many connections the client opens. A daemon holds one or two watches, and reads and writes
@@ -164,7 +164,7 @@
         let request = request
             .header(CONTENT_LENGTH, body.len())
             .body(Full::new(body))
-            .map_err(|error| CallError::NotSent(SendFailure::Request(error.to_string())))?;
+            .map_err(|error| CallError::NotSent(UnsentReason::Request(error.to_string())))?;
         let deadline = Instant::now() + timeout;
         self.connections.exchange(request, deadline).await
     }
@@ -199,7 +199,7 @@
 
 fn object_path(name: &str) -> Result<String, CallError> {
     if name.is_empty() {
-        let failure = SendFailure::Request("the name of the object is empty".to_string());
+        let failure = UnsentReason::Request("the name of the object is empty".to_string());
         return Err(CallError::NotSent(failure));
     }
     Ok(format!("/v1/objects/{}", encode_text(name)))
--- a/crates/platform/src/object_types.rs
+++ b/crates/platform/src/object_types.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 /// The version of an object. It changes with each write.
 ///
@@ -113,91 +112,3 @@
     /// Whether the instance is leaving.
     pub leaving: bool,
 }
-
-/// Why a call failed, and whether a write may have taken effect.
-#[derive(Debug, Error)]
-pub enum CallError {
-    /// The condition of a write does not hold. The write has not taken effect.
-    #[error("the object has changed")]
-    Conflict,
-    /// The call was not sent. A write has not taken effect.
-    #[error("the call was not sent: {0}")]
-    NotSent(#[source] SendFailure),
-    /// The platform refused the call. A write has not taken effect.
-    #[error("the platform refused the call with status {status}")]
-    Refused {
-        /// The HTTP status.
-        status: u16,
-    },
-    /// The call was sent, but its outcome is unknown. A write may have taken effect, or may do so
-    /// later.
-    #[error("the outcome of the call is unknown: {0}")]
-    Unknown(#[source] AnswerFailure),
-}
-
-impl CallError {
-    /// Tells whether a write has certainly not taken effect.
-    #[must_use]
-    pub fn is_known_not_applied(&self) -> bool {
-        !matches!(self, Self::Unknown(_))
-    }
-
-    /// Tells whether the same call may succeed later.
-    #[must_use]
-    pub fn is_transient(&self) -> bool {
-        match self {
-            Self::Conflict | Self::NotSent(SendFailure::Request(_)) => false,
-            Self::NotSent(_) | Self::Unknown(_) => true,
-            Self::Refused { status } => matches!(status, 408 | 429 | 503),
-        }
-    }
-}
-
-/// Why a call was not sent.
-#[derive(Debug, Error)]
-pub enum SendFailure {
-    /// The request could not be formed, for example because the name of the object is empty.
-    #[error("malformed request: {0}")]
-    Request(String),
-    /// All connections stayed in use until the call's time was up.
-    #[error("no free connection within the time limit")]
-    NoConnection,
-    /// The connection could not be opened before the call's time was up.
-    #[error("no connection to the platform within the time limit")]
-    ConnectTimeout,
-    /// The connection could not be opened.
-    #[error("cannot connect to the platform: {0}")]
-    Connect(#[source] std::io::Error),
-    /// The connection closed before the request was written.
-    #[error("connection closed before the request was sent: {0}")]
-    Closed(#[source] hyper::Error),
-}
-
-/// Why the answer to a call is missing.
-#[derive(Debug, Error)]
-pub enum AnswerFailure {
-    /// The call's time was up.
-    #[error("no answer within the time limit")]
-    Timeout,
-    /// The connection failed before the answer was complete.
-    #[error("connection failed: {0}")]
-    Connection(#[source] Box<dyn std::error::Error + Send + Sync>),
-    /// The answer is longer than the client reads.
-    #[error("the answer is longer than {limit_bytes} bytes")]
-    TooLong {
-        /// The limit in bytes.
-        limit_bytes: usize,
-    },
-    /// The platform failed while it handled the call.
-    #[error("the platform failed with status {status}")]
-    Status {
-        /// The HTTP status.
-        status: u16,
-    },
-    /// The answer has no readable version.
-    #[error("the answer has no readable ETag")]
-    NoVersion,
-    /// The answer is not the expected JSON.
-    #[error("malformed answer: {0}")]
-    Malformed(#[source] serde_json::Error),
-}
--- a/crates/platform/src/resolved_write.rs
+++ b/crates/platform/src/resolved_write.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 
 use crate::object_client::ObjectClient;
-use crate::object_types::{CallError, ObjectVersion, StoredObject, WriteCondition};
+use crate::object_types::{ObjectVersion, StoredObject, WriteCondition};
+use coltsfootkeel_transport::CallError;
 
 /// How often a read or write is attempted in total.
 const ATTEMPT_LIMIT: u32 = 4;
--- a/crates/platform/src/seat_store.rs
+++ b/crates/platform/src/seat_store.rs
@@ -8,8 +8,9 @@
 use thiserror::Error;
 
 use crate::object_client::ObjectClient;
-use crate::object_types::{CallError, ObjectVersion, StoredObject, WriteCondition};
+use crate::object_types::{ObjectVersion, StoredObject, WriteCondition};
 use crate::resolved_write::{WriteOutcome, read_object, write_object};
+use coltsfootkeel_transport::CallError;
 
 /// The start of the names of seat objects.
 pub const SEAT_PREFIX: &str = "seats/";
--- a/crates/platform/tests/object_calls.rs
+++ b/crates/platform/tests/object_calls.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use coltsfootkeel_platform::{
-    AnswerFailure, CallError, ObjectClient, ObjectVersion, SendFailure, StoreRevision,
+    AnswerFailure, CallError, ObjectClient, ObjectVersion, StoreRevision, UnsentReason,
     WriteCondition,
 };
 use support::{
@@ -80,7 +80,7 @@
             faults: NO_FAULT,
             object: "",
             length: 5,
-            expected: |error| matches!(error, CallError::NotSent(SendFailure::Request(_))),
+            expected: |error| matches!(error, CallError::NotSent(UnsentReason::Request(_))),
             known_not_applied: true,
             written: false,
         },
@@ -119,7 +119,7 @@
     let result = client.put("a", VALUE, WriteCondition::Absent).await;
     let error = result.unwrap_err();
     assert!(
-        matches!(error, CallError::NotSent(SendFailure::Connect(_))),
+        matches!(error, CallError::NotSent(UnsentReason::Connect(_))),
         "{error:?}"
     );
 }
@@ -276,7 +276,7 @@
     }
     let error = client.get("a").await.unwrap_err();
     assert!(
-        matches!(error, CallError::NotSent(SendFailure::NoConnection)),
+        matches!(error, CallError::NotSent(UnsentReason::NoConnection)),
         "{error:?}"
     );
     for watch in watches {
--- a/crates/platform/src/connection_set.rs
+++ b/crates/transport/src/connection_set.rs
@@ -14,16 +14,19 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
-use crate::object_types::{AnswerFailure, CallError, SendFailure};
+use crate::call_error::{AnswerFailure, CallError, UnsentReason};
 
 /// The longest answer in bytes. Values hold up to 1 MB; lists of names are longer.
 const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
 
 /// An answer whose body has been read completely.
 #[derive(Debug)]
-pub(crate) struct CallAnswer {
+pub struct CallAnswer {
+    /// The status.
     pub status: StatusCode,
+    /// The headers.
     pub headers: HeaderMap,
+    /// The whole body.
     pub body: Bytes,
 }
 
@@ -47,7 +50,7 @@
 /// `volo-http`'s client limits only idle connections, goes on connecting after a call has ended,
 /// and does not tell a request that was never sent from one whose outcome is unknown.
 #[derive(Debug)]
-pub(crate) struct ConnectionSet {
+pub struct ConnectionSet {
     address: SocketAddr,
     permits: Semaphore,
     idle: Mutex<Vec<CallConnection>>,
@@ -55,6 +58,7 @@
 
 impl ConnectionSet {
     /// Makes a set that opens at most `limit` connections.
+    #[must_use]
     pub fn new(address: SocketAddr, limit: usize) -> Self {
         Self {
             address,
@@ -66,6 +70,10 @@
     /// Sends a request and reads the whole answer.
     ///
     /// A connection returns to the set only after a complete exchange.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether the request was certainly not sent.
     pub async fn exchange(
         &self,
         mut request: Request<Full<Bytes>>,
@@ -98,7 +106,7 @@
                 // Each round uses up an idle connection, so the loop ends.
                 Some(unsent) if reused => request = unsent,
                 Some(_) => {
-                    let failure = SendFailure::Closed(error.into_error());
+                    let failure = UnsentReason::Closed(error.into_error());
                     return Err(CallError::NotSent(failure));
                 }
                 None => {
@@ -112,7 +120,7 @@
     async fn acquire(&self, deadline: Instant) -> Result<SemaphorePermit<'_>, CallError> {
         match timeout_at(deadline, self.permits.acquire()).await {
             Ok(Ok(permit)) => Ok(permit),
-            _ => Err(CallError::NotSent(SendFailure::NoConnection)),
+            _ => Err(CallError::NotSent(UnsentReason::NoConnection)),
         }
     }
 
@@ -120,16 +128,16 @@
         let connecting = async {
             let stream = TcpStream::connect(self.address)
                 .await
-                .map_err(SendFailure::Connect)?;
+                .map_err(UnsentReason::Connect)?;
             // Small requests must not wait for the acknowledgement of earlier ones.
-            stream.set_nodelay(true).map_err(SendFailure::Connect)?;
+            stream.set_nodelay(true).map_err(UnsentReason::Connect)?;
             handshake(TokioIo::new(stream))
                 .await
-                .map_err(SendFailure::Closed)
+                .map_err(UnsentReason::Closed)
         };
         let (sender, connection) = timeout_at(deadline, connecting)
             .await
-            .unwrap_or(Err(SendFailure::ConnectTimeout))
+            .unwrap_or(Err(UnsentReason::ConnectTimeout))
             .map_err(CallError::NotSent)?;
         let driver = tokio::spawn(async move {
             // An error reaches the caller through the exchange it breaks.
--- /dev/null
+++ b/crates/transport/src/hop_headers.rs
@@ -0,0 +1,39 @@
+//! Headers that concern one connection only.
+
+use http::header::{
+    CONNECTION, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Headers that are meant for one hop only (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [HeaderName; 9] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes the headers of one hop, those that the connection header names included.
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in &named {
+        headers.remove(name);
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- a/crates/daemon/src/http_listener.rs
+++ b/crates/transport/src/http_listener.rs
@@ -27,9 +27,6 @@
 /// keep a processor busy.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
-/// The largest head of a request in bytes; a longer one is answered with 431.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerLimits {
@@ -37,6 +34,8 @@
     pub max_connections: usize,
     /// The time a caller has to send the head of a request, and the longest time a connection stays idle.
     pub header_timeout: Duration,
+    /// The largest head of a request in bytes; a longer one is answered with 431.
+    pub max_head_bytes: usize,
 }
 
 /// Stops a listener and waits for its connections.
@@ -90,13 +89,16 @@
 }
 
 /// Accepts connections until the listener is stopped.
+///
+/// `limits` is asked for each connection, because they may change while the listener runs. The number of connections is
+/// the one at the start.
 pub async fn serve<S: HttpService>(
     listener: TcpListener,
     service: Arc<S>,
-    limits: ListenerLimits,
+    limits: impl Fn() -> ListenerLimits,
     stop: ListenerStop,
 ) {
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let permits = Arc::new(Semaphore::new(limits().max_connections));
     loop {
         let accepted = tokio::select! {
             () = stop.token.cancelled() => return,
@@ -112,6 +114,7 @@
         };
         let service = Arc::clone(&service);
         let token = stop.token.clone();
+        let limits = limits();
         stop.connections.spawn(async move {
             serve_connection(accepted.stream, accepted.peer, service, limits, token).await;
             drop(accepted.permit);
@@ -153,7 +156,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(limits.max_head_bytes)
         .serve_connection(TokioIo::new(stream), ConnectionService { service, peer });
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
--- a/crates/daemon/src/prefixed_body.rs
+++ b/crates/transport/src/prefixed_body.rs
@@ -15,6 +15,7 @@
 pub struct PrefixedBody {
     prefix: Option<Bytes>,
     rest: Body,
+    is_rest_read: bool,
 }
 
 impl PrefixedBody {
@@ -25,8 +26,10 @@
     /// Returns the error of the body if it breaks off.
     pub async fn read_ahead(mut body: Body, length: usize) -> Result<Self, BodyError> {
         let mut prefix = BytesMut::new();
+        let mut is_rest_read = false;
         while prefix.len() < length {
             let Some(frame) = body.frame().await else {
+                is_rest_read = true;
                 break;
             };
             // Trailers are dropped: they may not pass a hop unless both sides agreed on them.
@@ -36,10 +39,24 @@
         }
         Ok(Self {
             prefix: Some(prefix.freeze()),
+            is_rest_read: is_rest_read || body.is_end_stream(),
             rest: body,
         })
     }
 
+    /// Returns the whole body if it was read to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the body itself if more is to come.
+    pub fn into_whole(mut self) -> Result<Bytes, Self> {
+        if self.is_rest_read {
+            Ok(self.prefix.take().unwrap_or_default())
+        } else {
+            Err(self)
+        }
+    }
+
     /// Returns the bytes read ahead that were not yet yielded.
     #[must_use]
     pub fn prefix(&self) -> &[u8] {
--- a/crates/daemon/src/upstream_link.rs
+++ b/crates/transport/src/upstream_link.rs
@@ -19,15 +19,30 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
-/// Time to set up a connection. A new connection takes about 1 ms, so this bound is for lost packets.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// A connection that was idle for longer may just be closed by the upstream, so it is not used again.
-const MAX_IDLE: Duration = Duration::from_secs(4);
+/// Time to set up a connection. It takes about 1 ms and a round trip, so this bound is for lost packets and for
+/// upstreams that do not answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long a connection may have been idle for a request to use it.
+#[derive(Debug, Clone, Copy)]
+pub struct ReuseRule {
+    /// The longest idle time; nothing for a new connection.
+    pub max_idle: Option<Duration>,
+}
 
-/// The same bound for requests that must not be repeated: a connection that breaks while it is used leaves their
-/// outcome unknown.
-const MAX_IDLE_ONCE_ONLY: Duration = Duration::from_millis(500);
+impl ReuseRule {
+    /// For requests that may be repeated: a connection idle for longer may just be closed by the upstream.
+    pub const REPEATABLE: Self = Self {
+        max_idle: Some(Duration::from_secs(4)),
+    };
+    /// For requests that must not be repeated: a connection that breaks while it is used leaves their outcome
+    /// unknown.
+    pub const ONCE_ONLY: Self = Self {
+        max_idle: Some(Duration::from_millis(500)),
+    };
+    /// For upstreams whose kept connections are in doubt.
+    pub const NEW_CONNECTION: Self = Self { max_idle: None };
+}
 
 /// Why a request got no response head.
 #[derive(Debug)]
@@ -150,14 +165,10 @@
         &self,
         now: MonotonicTime,
         request: hyper::Request<Body>,
-        once_only: bool,
+        rule: ReuseRule,
     ) -> Result<hyper::Response<LinkBody>, SendFailure> {
-        let max_idle = if once_only {
-            MAX_IDLE_ONCE_ONLY
-        } else {
-            MAX_IDLE
-        };
-        let mut connection = match self.reuse(now, max_idle) {
+        let idle = rule.max_idle.and_then(|max_idle| self.reuse(now, max_idle));
+        let mut connection = match idle {
             Some(connection) => connection,
             None => match self.connect().await {
                 Ok(connection) => connection,
