--- /dev/null
+++ b/crates/entry/src/control_beats.rs
@@ -0,0 +1,188 @@
+//! What the control thread tells the other instances, and what it learns from them.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_protocol::{BeatMessage, CrashBeat, ObjectBeat, UpstreamBeat};
+use coltsfootkeel_steering::{short_hash, stable_hash};
+
+use crate::beat_socket::send_beat;
+use crate::control_loop::ControlLoop;
+
+/// Messages whose round trip can still be measured.
+const MEASURED_BEATS: usize = 64;
+/// A message is not older than this when it is handled, with room for a busy processor and a long way.
+const LONGEST_TRANSIT: Duration = Duration::from_millis(150);
+/// All instances must have been heard within this time to conclude that none of them reaches the store.
+const HEARD_LATELY: Duration = Duration::from_millis(500);
+
+impl ControlLoop {
+    /// Takes in a message of another instance.
+    pub(crate) fn hear(&mut self, message: BeatMessage, from: SocketAddr) {
+        let now = self.shared.clock.now();
+        if message.instance == self.shared.settings.instance {
+            return;
+        }
+        self.learn_objects(&message, now);
+        self.learn_crashes(&message, now);
+        self.confirm_by_peer(&message);
+        let incarnation = message.incarnation;
+        let echo = message.echo_number;
+        let held = Duration::from_micros(u64::from(message.echo_held_us));
+        let places = &self.shared.places;
+        let Some(hash) = self.peers.hear(message, from, places, now) else {
+            return;
+        };
+        let Some(peer) = self.peers.get(hash) else {
+            return;
+        };
+        self.quotas.hear(hash, &peer.last, now);
+        let sent = self.sent_beats.iter().find(|(number, _)| *number == echo);
+        if let Some((_, sent_at)) = sent {
+            let round_trip = now.since(*sent_at).saturating_sub(held);
+            self.shared.learn_distance(peer.region, round_trip);
+        }
+        log::trace!("peers: Heard incarnation {incarnation} from {from}.");
+    }
+
+    fn learn_objects(&self, message: &BeatMessage, now: MonotonicTime) {
+        for beat in &message.objects {
+            self.shared.warm.note(beat.object, beat.upstream, now);
+        }
+    }
+
+    fn learn_crashes(&mut self, message: &BeatMessage, now: MonotonicTime) {
+        for crash in &message.crashes {
+            self.crashes.add(crash.fingerprint, crash.upstream, now);
+        }
+        if !message.crashes.is_empty() {
+            self.publish_crashes();
+        }
+    }
+
+    /// Another instance with the same plan confirms it.
+    fn confirm_by_peer(&self, message: &BeatMessage) {
+        let own_version = self.plan.as_ref().map(|plan| plan.version);
+        let Some(age_ms) = message.plan_age_ms else {
+            return;
+        };
+        if own_version == Some(message.plan_version) {
+            let age = Duration::from_millis(u64::from(age_ms)) + LONGEST_TRANSIT;
+            let now = self.shared.clock.now_with_suspension();
+            self.shared.freshness.confirm(now - age);
+        }
+    }
+
+    /// While every registered instance is heard and none of them reaches the store, it takes no withdrawal from anyone.
+    pub(crate) fn confirm_by_silence(&self, now: MonotonicTime) {
+        let is_known = self.plan.is_some() && self.members.iter().next().is_some();
+        if !is_known || self.reaches_store() {
+            return;
+        }
+        let is_cut_off_too = |name: &str| {
+            let hash = stable_hash(name.as_bytes());
+            hash == self.shared.own_hash
+                || self.peers.get(hash).is_some_and(|peer| {
+                    now.since(peer.heard_at) < HEARD_LATELY && !peer.last.reaches_store
+                })
+        };
+        if self.members.iter().all(|(name, _)| is_cut_off_too(name)) {
+            let now = self.shared.clock.now_with_suspension();
+            self.shared.freshness.confirm(now - HEARD_LATELY);
+        }
+    }
+
+    /// Sends a message to every known instance.
+    pub(crate) fn send_beats(&mut self) {
+        let now = self.shared.clock.now();
+        self.beat_number += 1;
+        if self.sent_beats.len() >= MEASURED_BEATS {
+            self.sent_beats.pop_front();
+        }
+        self.sent_beats.push_back((self.beat_number, now));
+        let mut message = self.beat(now);
+        let own = self.shared.settings.peer;
+        let heard: Vec<(SocketAddr, u64, MonotonicTime)> = self
+            .peers
+            .live(now)
+            .map(|(_, peer)| (peer.address, peer.last.number, peer.heard_at))
+            .collect();
+        let mut told: HashSet<SocketAddr> = HashSet::from([own]);
+        for (address, number, heard_at) in heard {
+            message.echo_number = number;
+            let held_us = now.since(heard_at).as_micros();
+            message.echo_held_us = u32::try_from(held_us).unwrap_or(u32::MAX);
+            if told.insert(address) {
+                send_beat(&self.socket, &message, address);
+            }
+        }
+        message.echo_number = 0;
+        for address in self.members.addresses() {
+            if told.insert(address) {
+                send_beat(&self.socket, &message, address);
+            }
+        }
+    }
+
+    fn beat(&mut self, now: MonotonicTime) -> BeatMessage {
+        let shared = &self.shared;
+        let plan_age = shared.freshness.age(shared.clock.now_with_suspension());
+        let plan_version = self.plan.as_ref().map(|plan| plan.version);
+        let age_ms = u32::try_from(plan_age.as_millis()).unwrap_or(u32::MAX);
+        let objects = std::iter::from_fn(|| shared.object_notes.pop());
+        let crashes: Vec<_> = std::iter::from_fn(|| shared.crash_notes.pop()).collect();
+        let message = BeatMessage {
+            instance: shared.settings.instance.clone(),
+            incarnation: shared.incarnation,
+            number: self.beat_number,
+            entry_address: shared.settings.entry.to_string(),
+            domain: shared.settings.domain.clone(),
+            is_open: shared.is_open(),
+            is_leaving: shared.is_leaving(),
+            plan_version: plan_version.unwrap_or_default(),
+            plan_age_ms: plan_version.map(|_| age_ms),
+            reaches_store: self.reaches_store(),
+            loads: self.upstream_beats(),
+            accounts: self.quotas.beats(),
+            objects: objects
+                .map(|note| ObjectBeat {
+                    object: note.object,
+                    upstream: note.upstream,
+                })
+                .collect(),
+            crashes: crashes
+                .iter()
+                .map(|note| CrashBeat {
+                    fingerprint: note.fingerprint,
+                    upstream: note.upstream,
+                })
+                .collect(),
+            ..BeatMessage::default()
+        };
+        for note in &crashes {
+            self.crashes.add(note.fingerprint, note.upstream, now);
+        }
+        if !crashes.is_empty() {
+            self.publish_crashes();
+        }
+        message
+    }
+
+    fn upstream_beats(&self) -> Vec<UpstreamBeat> {
+        let snapshot = self.shared.snapshot.load();
+        let Some(snapshot) = snapshot.as_ref() else {
+            return Vec::new();
+        };
+        snapshot
+            .upstreams
+            .iter()
+            .map(|(_, listed)| UpstreamBeat {
+                upstream: short_hash(listed.state.hash),
+                in_flight: listed.state.own_in_flight(),
+            })
+            .filter(|beat| beat.in_flight > 0)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,34 @@
+//! The daemon on the users' platform: answers look-ups, and carries requests of callers to upstreams.
+//!
+//! Request threads load the published [`EntrySnapshot`](entry_snapshot::EntrySnapshot), resolve keys and use atomics.
+//! The control thread follows the store and the other instances and publishes whole snapshots. What is decided is in
+//! `coltsfootkeel-steering`; the platform's names are in `coltsfootkeel-adapter`.
+
+mod answer_stream;
+mod beat_socket;
+mod caller_body;
+mod control_beats;
+mod control_event;
+mod control_loop;
+mod entry_metrics;
+mod entry_program;
+mod entry_snapshot;
+mod health_check;
+mod http_services;
+mod member_list;
+mod peer_table;
+mod quota_book;
+mod rejection;
+mod request_context;
+mod request_flow;
+mod request_record;
+mod settings_follow;
+mod shared_state;
+mod snapshot_publisher;
+mod state_dump;
+mod store_watch;
+mod upstream_choice;
+mod upstream_exchange;
+mod upstream_registry;
+
+pub use entry_program::{StartError, run_entry};
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,65 @@
+//! The program `coltsfootkeel-entry`.
+
+mod entry_options;
+
+use std::process::ExitCode;
+
+use coltsfootkeel_adapter::{LocalSettings, SETTINGS_VARIABLE};
+use coltsfootkeel_entry::run_entry;
+use coltsfootkeel_insight::{LogTarget, set_up_logs};
+use coltsfootkeel_settings::{LogFormat, LogSettings};
+use entry_options::EntryOptions;
+use gumdrop::Options;
+
+/// Exit code for a command line that cannot be understood.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let options = match EntryOptions::parse_args_default(&arguments) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!("coltsfootkeel-entry: {error}; see coltsfootkeel-entry --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if options.help {
+        println!(
+            "coltsfootkeel-entry [--settings FILE] [--check]\n\n{}",
+            EntryOptions::usage()
+        );
+        return ExitCode::SUCCESS;
+    }
+    if options.version {
+        println!("coltsfootkeel-entry {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let named = options.settings.or(std::env::var(SETTINGS_VARIABLE).ok());
+    let Some(path) = named else {
+        eprintln!("coltsfootkeel-entry: neither --settings nor {SETTINGS_VARIABLE} names a file");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    match start(&path, options.check) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(text) => {
+            eprintln!("coltsfootkeel-entry: {text}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(path: &str, is_check: bool) -> Result<(), String> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("cannot read {path}: {error}"))?;
+    let settings = LocalSettings::parse(&text).map_err(|error| format!("{path}: {error}"))?;
+    if is_check {
+        println!("{path}: the settings are valid");
+        return Ok(());
+    }
+    let log = LogSettings {
+        level: log::LevelFilter::Info,
+        format: LogFormat::Json,
+    };
+    set_up_logs(log, LogTarget::QueuedOutput).map_err(|error| error.to_string())?;
+    run_entry(settings, path.to_string()).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/quota_book.rs
@@ -0,0 +1,90 @@
+//! The limits of all client accounts by name, so that they outlive a plan.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_protocol::{AccountBeat, BeatMessage};
+use coltsfootkeel_steering::{
+    AccountPlan, QuotaAccount, QuotaGate, QuotaLimit, QuotaReport, stable_hash,
+};
+
+#[derive(Debug)]
+struct BookEntry {
+    gate: Arc<QuotaGate>,
+    account: QuotaAccount,
+}
+
+/// The limits by the hash of the account's name.
+#[derive(Debug)]
+pub struct QuotaBook {
+    entries: HashMap<u64, BookEntry>,
+    is_first_start: bool,
+}
+
+impl QuotaBook {
+    /// Makes an empty book.
+    #[must_use]
+    pub fn new(is_first_start: bool) -> Self {
+        Self {
+            entries: HashMap::new(),
+            is_first_start,
+        }
+    }
+
+    /// Returns the gate of an account with the limit of a plan; nothing for an account without a limit.
+    pub fn gate(&mut self, plan: &AccountPlan, now: MonotonicTime) -> Option<Arc<QuotaGate>> {
+        let hash = stable_hash(plan.name.as_bytes());
+        let Some(rate_per_s) = plan.rate_per_s else {
+            self.entries.remove(&hash);
+            return None;
+        };
+        let limit = QuotaLimit {
+            rate_per_s,
+            burst: plan.burst,
+        };
+        let is_first_start = self.is_first_start;
+        let entry = self.entries.entry(hash).or_insert_with(|| BookEntry {
+            gate: Arc::default(),
+            account: QuotaAccount::new(limit, is_first_start, now),
+        });
+        entry.account.set_limit(limit);
+        Some(Arc::clone(&entry.gate))
+    }
+
+    /// Takes in what another instance reported.
+    pub fn hear(&mut self, peer: u64, message: &BeatMessage, now: MonotonicTime) {
+        for beat in &message.accounts {
+            if let Some(entry) = self.entries.get_mut(&beat.account) {
+                let report = QuotaReport {
+                    admitted: beat.admitted,
+                    demand: f64::from(beat.demand_milli) / 1_000.0,
+                };
+                entry.account.hear(peer, message.incarnation, report, now);
+            }
+        }
+    }
+
+    /// Refills all gates.
+    pub fn tick(&mut self, now: MonotonicTime, is_member: impl Fn(u64) -> bool) {
+        for entry in self.entries.values_mut() {
+            entry.account.forget(&is_member);
+            entry.account.tick(&entry.gate, now);
+        }
+    }
+
+    /// Returns what this instance reports.
+    #[must_use]
+    pub fn beats(&self) -> Vec<AccountBeat> {
+        let beat = |(hash, entry): (&u64, &BookEntry)| {
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let demand_milli = (entry.account.own_demand() * 1_000.0) as u32;
+            AccountBeat {
+                account: *hash,
+                admitted: entry.gate.admitted(),
+                demand_milli,
+            }
+        };
+        self.entries.iter().map(beat).collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/rejection.rs
@@ -0,0 +1,110 @@
+//! Answers of the product's own to requests that it does not serve.
+
+use std::time::Duration;
+
+use coltsfootkeel_adapter::{attempt_header, retry_header};
+use http::StatusCode;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+/// Why a request is not served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectKind {
+    /// There is no plan yet.
+    NotReady,
+    /// No route matches.
+    NoRoute,
+    /// The access key is missing or unknown.
+    UnknownKey,
+    /// A withdrawal of the key may have been missed.
+    StalePlan,
+    /// The client account is over its rate.
+    OverQuota,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The request cannot be read.
+    Malformed,
+    /// No upstream can answer in time.
+    NoRoom,
+    /// The process is about to stop.
+    Stopping,
+    /// Requests like this one crash upstreams.
+    Crashing,
+    /// The deadline or the route's timeout has passed.
+    TimedOut,
+    /// Upstreams failed.
+    UpstreamFailed,
+}
+
+impl RejectKind {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::NotReady => "not_ready",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::StalePlan => "stale_plan",
+            Self::OverQuota => "over_quota",
+            Self::TooLarge => "too_large",
+            Self::Malformed => "malformed",
+            Self::NoRoom => "no_room",
+            Self::Stopping => "stopping",
+            Self::Crashing => "crashing",
+            Self::TimedOut => "timed_out",
+            Self::UpstreamFailed => "upstream_failed",
+        }
+    }
+}
+
+/// A request that is not served.
+#[derive(Debug, Clone, Copy)]
+pub struct Rejection {
+    /// Why.
+    pub kind: RejectKind,
+    /// Whether an upstream may have run it.
+    pub may_have_run: bool,
+    /// When the caller should come back, if that makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+impl Rejection {
+    /// Makes the rejection of a request that has not run and will not.
+    #[must_use]
+    pub fn not_run(kind: RejectKind, retry_after: Option<Duration>) -> Self {
+        Self {
+            kind,
+            may_have_run: false,
+            retry_after,
+        }
+    }
+
+    /// Returns the status. 429 and 503 promise that the request has not run; 502 and 504 promise nothing.
+    #[must_use]
+    pub fn status(&self) -> StatusCode {
+        match self.kind {
+            RejectKind::NoRoute => StatusCode::NOT_FOUND,
+            RejectKind::UnknownKey => StatusCode::UNAUTHORIZED,
+            RejectKind::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RejectKind::Malformed => StatusCode::BAD_REQUEST,
+            RejectKind::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            RejectKind::TimedOut if self.may_have_run => StatusCode::GATEWAY_TIMEOUT,
+            _ if self.may_have_run => StatusCode::BAD_GATEWAY,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Makes the answer.
+    #[must_use]
+    pub fn to_response(self, attempt_id: Option<&str>) -> Response {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = self.status();
+        let after = self.retry_after.filter(|_| !self.may_have_run);
+        let headers = [
+            after.and_then(retry_header),
+            attempt_id.and_then(attempt_header),
+        ];
+        response.headers_mut().extend(headers.into_iter().flatten());
+        response
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request_context.rs
@@ -0,0 +1,207 @@
+//! What the steps of one request share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_adapter::CallerHead;
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{AccountKey, PoolKey, RouteKey};
+use coltsfootkeel_steering::{
+    QuotaGate, RegionSet, RoutePlan, TimeEstimate, combine, retry_after, stable_hash,
+};
+use http::header::{CONTENT_LENGTH, HOST};
+use http::request::Parts;
+
+use crate::entry_snapshot::{EntrySnapshot, ListedPool};
+use crate::rejection::{RejectKind, Rejection};
+use crate::shared_state::SharedState;
+
+/// How long a caller without a deadline is kept waiting at most, if its route allows it.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// An account over its rate has a share again after about this time.
+const QUOTA_RETRY: Duration = Duration::from_millis(500);
+
+/// One admitted request.
+#[derive(Debug)]
+pub struct RequestContext {
+    /// The shared state.
+    pub shared: Arc<SharedState>,
+    /// The plan in force when the request arrived.
+    pub snapshot: Arc<EntrySnapshot>,
+    /// What the caller said.
+    pub head: CallerHead,
+    /// Its route.
+    pub route: RouteKey,
+    /// Its pool.
+    pub pool: PoolKey,
+    /// Its account.
+    pub account: Option<AccountKey>,
+    /// The regions in which it may run.
+    pub regions: RegionSet,
+    /// Its rank; zero is the most urgent.
+    pub rank: u32,
+    /// The hash of the object that it concerns, if upstreams are faster with objects they know.
+    pub object: Option<u64>,
+    /// When it arrived.
+    pub arrived: MonotonicTime,
+    /// When it must have its final answer.
+    pub deadline: MonotonicTime,
+}
+
+impl RequestContext {
+    /// Checks whether a request may run.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not. It has not run then.
+    pub fn admit(
+        shared: &Arc<SharedState>,
+        parts: &Parts,
+        head: CallerHead,
+        arrived: MonotonicTime,
+    ) -> Result<Self, Rejection> {
+        let reject = |kind| Rejection::not_run(kind, None);
+        let snapshot = shared.snapshot.load_full();
+        let snapshot = snapshot.ok_or_else(|| reject(RejectKind::NotReady))?;
+        let plan = Arc::clone(&snapshot.plan);
+        let route = find_route(&snapshot, parts).ok_or_else(|| reject(RejectKind::NoRoute))?;
+        let route_plan = &plan.routes[route];
+        let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+        let patience = patience.min(route_plan.timeout);
+        let mut account = None;
+        if plan.has_accounts() && !route_plan.is_open {
+            if !shared.allows_keys() {
+                let after = retry_after(patience, fastrand::f64());
+                return Err(Rejection::not_run(RejectKind::StalePlan, Some(after)));
+            }
+            let key = head.access_key.as_deref();
+            account = key.and_then(|key| plan.account(key));
+            if account.is_none() {
+                return Err(reject(RejectKind::UnknownKey));
+            }
+        }
+        let pool = route_plan.pool(fastrand::f64());
+        let pool = pool.ok_or_else(|| reject(RejectKind::NoRoute))?;
+        let account_plan = account.map(|account| &plan.accounts[account]);
+        let object = head.object.as_deref().filter(|_| route_plan.is_sticky);
+        let route_hash = || stable_hash(route_plan.path_prefix.as_bytes());
+        Ok(Self {
+            shared: Arc::clone(shared),
+            rank: account_plan
+                .and_then(|plan| plan.rank)
+                .unwrap_or(route_plan.rank),
+            regions: account_plan.map_or(route_plan.regions, |plan| {
+                plan.regions.intersect(route_plan.regions)
+            }),
+            object: object.map(|object| combine(route_hash(), stable_hash(object.as_bytes()))),
+            snapshot,
+            head,
+            route,
+            pool,
+            account,
+            arrived,
+            deadline: arrived + patience,
+        })
+    }
+
+    /// Charges the account.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of an account over its rate.
+    pub fn charge(&self) -> Result<(), Rejection> {
+        match self.quota() {
+            Some(gate) if !gate.try_admit() => {
+                let after = QUOTA_RETRY.mul_f64(1.0 + fastrand::f64());
+                Err(Rejection::not_run(RejectKind::OverQuota, Some(after)))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Gives back the charge of a request that no upstream was sent.
+    pub fn refund(&self) {
+        if let Some(gate) = self.quota() {
+            gate.give_back();
+        }
+    }
+
+    fn quota(&self) -> Option<&QuotaGate> {
+        self.snapshot.quotas[self.account?].as_deref()
+    }
+
+    /// Returns the route.
+    #[must_use]
+    pub fn route_plan(&self) -> &RoutePlan {
+        &self.snapshot.plan.routes[self.route]
+    }
+
+    /// Returns the pool with its upstreams.
+    #[must_use]
+    pub fn listed_pool(&self) -> &ListedPool {
+        &self.snapshot.pools[self.pool]
+    }
+
+    /// Returns the name of the account.
+    #[must_use]
+    pub fn account_name(&self) -> Option<&str> {
+        let account = self.account?;
+        Some(&self.snapshot.plan.accounts[account].name)
+    }
+
+    /// Returns the expected service times.
+    #[must_use]
+    pub fn times(&self) -> TimeEstimate {
+        self.snapshot.times[self.route].estimate(self.route_plan().objective)
+    }
+
+    /// Returns what is left of the deadline.
+    #[must_use]
+    pub fn remaining(&self) -> Duration {
+        self.deadline.since(self.shared.clock.now())
+    }
+
+    /// Returns what is left of the objective.
+    #[must_use]
+    pub fn objective_left(&self) -> Duration {
+        let end = self.arrived + self.route_plan().objective;
+        end.since(self.shared.clock.now())
+    }
+
+    /// Returns when a caller that is refused now should come back.
+    #[must_use]
+    pub fn retry_after(&self) -> Duration {
+        let waited = self.shared.clock.now().since(self.arrived);
+        let patience = self.head.patience.unwrap_or(DEFAULT_PATIENCE);
+        retry_after(patience.saturating_sub(waited), fastrand::f64())
+    }
+
+    /// Returns the fingerprint of the request: a caller that sends it again sends the same.
+    #[must_use]
+    pub fn fingerprint(&self, parts: &Parts, body: &[u8]) -> u64 {
+        let path = stable_hash(parts.uri.path().as_bytes());
+        let query = stable_hash(parts.uri.query().unwrap_or_default().as_bytes());
+        let account = stable_hash(self.account_name().unwrap_or_default().as_bytes());
+        let target = combine(combine(path, query), account);
+        combine(
+            target,
+            combine(
+                stable_hash(parts.method.as_str().as_bytes()),
+                stable_hash(body),
+            ),
+        )
+    }
+}
+
+fn find_route(snapshot: &EntrySnapshot, parts: &Parts) -> Option<RouteKey> {
+    let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = named.or(parts.uri.host())?;
+    snapshot.plan.route(host, parts.uri.path())
+}
+
+/// Returns the length of the body if the head states it.
+#[must_use]
+pub fn body_length(parts: &Parts) -> Option<u64> {
+    let length = parts.headers.get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/entry/src/request_record.rs
@@ -0,0 +1,125 @@
+//! The log line of one request: what was decided, from which inputs, and the outcome.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use http::StatusCode;
+
+use crate::entry_metrics::CounterName;
+use crate::rejection::{RejectKind, Rejection};
+use crate::request_context::RequestContext;
+use crate::shared_state::SharedState;
+
+/// Collects what is known of a request and writes its line when it ends. A record that is dropped before tells that the
+/// caller left.
+#[derive(Debug)]
+pub struct RequestRecord {
+    shared: Arc<SharedState>,
+    /// The id that the caller gave.
+    pub attempt_id: String,
+    /// The route.
+    pub route: String,
+    /// The account.
+    pub account: String,
+    /// The version of the plan that decided.
+    pub plan_version: u64,
+    /// The upstreams that were tried, with how each attempt ended.
+    pub attempts: String,
+    /// Time spent waiting for an upstream.
+    pub waited: Duration,
+    arrived: MonotonicTime,
+    is_ended: bool,
+}
+
+impl RequestRecord {
+    /// Starts a record.
+    #[must_use]
+    pub fn new(shared: &Arc<SharedState>, attempt_id: &str, arrived: MonotonicTime) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            attempt_id: attempt_id.to_string(),
+            route: String::new(),
+            account: String::new(),
+            plan_version: 0,
+            attempts: String::new(),
+            waited: Duration::ZERO,
+            arrived,
+            is_ended: false,
+        }
+    }
+
+    /// Notes what the request was admitted to.
+    pub fn admitted(&mut self, context: &RequestContext) {
+        self.route.clone_from(&context.route_plan().name);
+        self.account = context.account_name().unwrap_or_default().to_string();
+        self.plan_version = context.snapshot.plan.version;
+    }
+
+    /// Notes an attempt.
+    pub fn attempted(&mut self, upstream: &str, end: &str) {
+        if !self.attempts.is_empty() {
+            self.attempts.push(' ');
+        }
+        self.attempts.push_str(upstream);
+        self.attempts.push(':');
+        self.attempts.push_str(end);
+    }
+
+    /// Writes the line of a request that an upstream answered.
+    pub fn answered(mut self, status: StatusCode) {
+        self.shared.metrics.count(CounterName::Answers);
+        self.write("answered", status.as_u16());
+    }
+
+    /// Writes the line of a request that was not served.
+    pub fn rejected(mut self, rejection: &Rejection) {
+        let counter = match rejection.kind {
+            RejectKind::OverQuota => CounterName::OverQuota,
+            _ if rejection.may_have_run => CounterName::Failures,
+            _ => CounterName::Refusals,
+        };
+        self.shared.metrics.count(counter);
+        if rejection.kind == RejectKind::NoRoom {
+            self.shared.metrics.count(CounterName::WrongfulRefusals);
+        }
+        self.write(rejection.kind.code(), rejection.status().as_u16());
+    }
+
+    fn write(&mut self, outcome: &str, status: u16) {
+        self.is_ended = true;
+        let now = self.shared.clock.now();
+        let took = now.since(self.arrived);
+        self.shared.metrics.latency.add(took);
+        let plan_age = self
+            .shared
+            .freshness
+            .age(self.shared.clock.now_with_suspension());
+        log::info!(
+            target: "request",
+            id = self.attempt_id.as_str(),
+            route = self.route.as_str(),
+            account = self.account.as_str(),
+            status = status,
+            attempts = self.attempts.as_str(),
+            waited_ms = milliseconds(self.waited),
+            took_ms = milliseconds(took),
+            plan = self.plan_version,
+            plan_age_ms = milliseconds(plan_age);
+            "request: {outcome}"
+        );
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.shared.metrics.count(CounterName::CallersGone);
+            self.write("caller_left", 0);
+        }
+    }
+}
+
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/state_dump.rs
@@ -0,0 +1,73 @@
+//! A dump of the process's state, on request.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use serde_json::{Value, json};
+
+use crate::entry_snapshot::{EntrySnapshot, ListedUpstream};
+use crate::shared_state::SharedState;
+
+/// Returns the state as JSON. Times are in milliseconds.
+#[must_use]
+pub fn dump_state(shared: &Arc<SharedState>) -> Value {
+    let snapshot = shared.snapshot.load();
+    let plan_age = shared.freshness.age(shared.clock.now_with_suspension());
+    let fleet = shared.fleet.load();
+    let instances: Vec<Value> = fleet
+        .instances
+        .iter()
+        .map(|instance| json!({"address": instance.address, "open": instance.is_open}))
+        .collect();
+    json!({
+        "instance": shared.settings.instance,
+        "incarnation": shared.incarnation,
+        "leaving": shared.is_leaving(),
+        "serves_keys": shared.allows_keys(),
+        "plan_age_ms": plan_age.as_millis(),
+        "in_flight": shared.in_flight.load(Ordering::Acquire),
+        "instances": instances,
+        "plan": snapshot.as_ref().map(|snapshot| dump_plan(shared, snapshot)),
+    })
+}
+
+fn dump_plan(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
+    let plan = &snapshot.plan;
+    let upstreams: Vec<Value> = snapshot
+        .upstreams
+        .iter()
+        .map(|(_, listed)| dump_upstream(shared, listed))
+        .collect();
+    let routes: Vec<Value> = plan
+        .routes
+        .iter()
+        .map(|(key, route)| {
+            let times = snapshot.times[key].estimate(route.objective);
+            json!({
+                "name": route.name,
+                "warm_ms": times.warm.as_millis(),
+                "cold_ms": times.cold.as_millis(),
+            })
+        })
+        .collect();
+    json!({"version": plan.version, "routes": routes, "upstreams": upstreams})
+}
+
+/// Tells of an upstream why it is used or not.
+fn dump_upstream(shared: &SharedState, listed: &ListedUpstream) -> Value {
+    let now = shared.clock.now();
+    let state = &listed.state;
+    json!({
+        "id": state.facts.id,
+        "address": listed.address,
+        "domain": shared.places.domains[state.facts.domain].name,
+        "slots": state.facts.slots,
+        "in_flight": state.in_flight(),
+        "usable": listed.is_usable,
+        "avoided": state.is_avoided(now),
+        "lost": state.is_lost(),
+        "other_upstream": state.is_other(),
+        "cold": state.is_cold(now),
+        "slowness": state.slowness(now),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/store_watch.rs
@@ -0,0 +1,132 @@
+//! Follows one kind of objects in the store: lists it, then watches it, and lists again when the history is gone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_adapter::{ObjectKind, StoreClient, WatchAnswer};
+use coltsfootkeel_counters::MonotonicTime;
+
+use crate::control_event::ControlEvent;
+use crate::entry_metrics::CounterName;
+use crate::shared_state::SharedState;
+
+/// The first pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause after a failed call. An entry that is missing for two seconds after the store's return is gone, so
+/// the return must be noticed well within that.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Follows a kind for as long as the process runs. Each watch waits up to `wait`.
+pub async fn follow_kind(
+    shared: Arc<SharedState>,
+    client: Arc<StoreClient>,
+    kind: ObjectKind,
+    wait: Duration,
+) {
+    let mut follow = KindFollow {
+        shared,
+        client,
+        kind,
+        wait,
+        pause: FIRST_PAUSE,
+        failing_since: None,
+    };
+    loop {
+        let revision = follow.list().await;
+        follow.watch(revision).await;
+    }
+}
+
+struct KindFollow {
+    shared: Arc<SharedState>,
+    client: Arc<StoreClient>,
+    kind: ObjectKind,
+    wait: Duration,
+    pause: Duration,
+    failing_since: Option<MonotonicTime>,
+}
+
+impl KindFollow {
+    /// Lists the kind until it succeeds, and returns the revision of the list.
+    async fn list(&mut self) -> u64 {
+        loop {
+            let asked_at = self.shared.clock.now_with_suspension();
+            self.shared.metrics.count(CounterName::StoreCalls);
+            match self.client.list(self.kind).await {
+                Ok(list) => {
+                    let outage = self.succeed();
+                    let revision = list.revision;
+                    self.shared.report(ControlEvent::Listed {
+                        kind: self.kind,
+                        list,
+                        asked_at,
+                        outage,
+                    });
+                    return revision;
+                }
+                Err(error) => self.fail(&error).await,
+            }
+        }
+    }
+
+    /// Watches the kind from a revision until the history is gone.
+    async fn watch(&mut self, mut revision: u64) {
+        loop {
+            let asked_at = self.shared.clock.now_with_suspension();
+            self.shared.metrics.count(CounterName::StoreCalls);
+            match self.client.watch(self.kind, revision, self.wait).await {
+                Ok(WatchAnswer::Changes {
+                    events,
+                    revision: next,
+                }) => {
+                    if self.failing_since.is_some() {
+                        // Entries may have lapsed while the store was away, so their absence is judged by a list.
+                        return;
+                    }
+                    self.pause = FIRST_PAUSE;
+                    revision = next;
+                    // A watch without changes was answered when its wait was over.
+                    let known_to = if events.is_empty() {
+                        asked_at + self.wait
+                    } else {
+                        asked_at
+                    };
+                    self.shared.report(ControlEvent::Changed {
+                        kind: self.kind,
+                        events,
+                        known_to: known_to.min(self.shared.clock.now_with_suspension()),
+                    });
+                }
+                Ok(WatchAnswer::HistoryGone) => {
+                    log::info!(
+                        "store: The history of {:?} is gone, listing again.",
+                        self.kind
+                    );
+                    return;
+                }
+                Err(error) => self.fail(&error).await,
+            }
+        }
+    }
+
+    fn succeed(&mut self) -> Duration {
+        self.pause = FIRST_PAUSE;
+        let Some(since) = self.failing_since.take() else {
+            return Duration::ZERO;
+        };
+        let outage = self.shared.clock.now_with_suspension().since(since);
+        log::info!(outage_ms:% = outage.as_millis(); "store: {:?} can be read again.", self.kind);
+        outage
+    }
+
+    async fn fail(&mut self, error: &coltsfootkeel_transport::CallError) {
+        self.shared.metrics.count(CounterName::StoreFailures);
+        if self.failing_since.is_none() {
+            self.failing_since = Some(self.shared.clock.now_with_suspension());
+            log::warn!("store: {:?} cannot be read: {error}.", self.kind);
+        }
+        // Instances that lost the store together come back spread out.
+        tokio::time::sleep(self.pause.mul_f64(0.5 + fastrand::f64())).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream_choice.rs
@@ -0,0 +1,185 @@
+//! Lists the upstreams that a request may go to, and takes the chosen one.
+
+use std::sync::Arc;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::UpstreamKey;
+use coltsfootkeel_steering::{
+    PlaceCandidate, PlaceChoice, PlaceTask, UpstreamState, WarmPlaces, cold_interval, combine,
+    short_hash,
+};
+
+use crate::entry_snapshot::{ListedUpstream, PoolState};
+use crate::request_context::RequestContext;
+use crate::shared_state::ObjectNote;
+
+/// A place at an upstream. Dropped, it is free again and the next request that waits has its turn.
+#[derive(Debug)]
+pub struct TakenPlace {
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// Why it was chosen.
+    pub choice: PlaceChoice<UpstreamKey>,
+    /// When it was taken.
+    pub started: MonotonicTime,
+    state: Arc<UpstreamState>,
+    pool: PoolState,
+}
+
+/// Requests that are woken when a place is free. The first may wait for an upstream that has none yet.
+const WOKEN: usize = 2;
+
+impl TakenPlace {
+    fn new(context: &RequestContext, choice: PlaceChoice<UpstreamKey>) -> Self {
+        let state = Arc::clone(&context.snapshot.upstreams[choice.key].state);
+        state.start();
+        Self {
+            key: choice.key,
+            choice,
+            started: context.shared.clock.now(),
+            state,
+            pool: context.listed_pool().state.clone(),
+        }
+    }
+}
+
+impl Drop for TakenPlace {
+    fn drop(&mut self) {
+        self.state.finish();
+        wake_waiting(&self.pool, WOKEN);
+    }
+}
+
+/// Gives the next requests that wait their turn.
+pub fn wake_waiting(pool: &PoolState, count: usize) {
+    for turn in pool.line.pop(count) {
+        // A request that left meanwhile needs no turn.
+        let _ = turn.send(());
+    }
+}
+
+/// Which upstreams are considered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChoiceTier {
+    /// Those that answer.
+    Sound,
+    /// Also those that failed lately, because no other is left.
+    Doubtful,
+}
+
+/// Takes a place at the best upstream that was not tried yet, if one can answer in time.
+pub fn take_place(context: &RequestContext, tried: &[UpstreamKey]) -> Option<TakenPlace> {
+    let now = context.shared.clock.now();
+    let warm = context
+        .object
+        .map(|object| context.shared.warm.places(object, now))
+        .unwrap_or_default();
+    let tier = choice_tier(context, tried, now);
+    let times = context.times();
+    let slot_time = context.listed_pool().state.slot_time.get();
+    let task = PlaceTask {
+        warm_time: times.warm,
+        cold_time: times.cold,
+        slot_time: slot_time.unwrap_or(times.cold),
+        objective_left: context.objective_left(),
+        deadline_left: context.remaining(),
+    };
+    let salt = context.object.unwrap_or_else(|| fastrand::u64(..));
+    let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
+    let upstreams = context.listed_pool().upstreams.iter().copied();
+    let candidates = upstreams
+        .filter(is_eligible)
+        .map(|key| candidate(context, key, salt, &warm, now));
+    let choice = task.choose(candidates)?;
+    let state = &context.snapshot.upstreams[choice.key].state;
+    if state.is_cold(now) && !take_cold_turn(context, state, now) {
+        return None;
+    }
+    if let Some(object) = context.object {
+        let upstream = short_hash(state.hash);
+        context.shared.warm.note(object, upstream, now);
+        // Without room the others learn of the place later.
+        let _ = context
+            .shared
+            .object_notes
+            .push(ObjectNote { object, upstream });
+    }
+    Some(TakenPlace::new(context, choice))
+}
+
+fn choice_tier(context: &RequestContext, tried: &[UpstreamKey], now: MonotonicTime) -> ChoiceTier {
+    let mut upstreams = context.listed_pool().upstreams.iter();
+    let is_sound = |key: &UpstreamKey| {
+        let listed = &context.snapshot.upstreams[*key];
+        is_allowed(context, listed) && !tried.contains(key) && is_sound(&listed.state, now)
+    };
+    if upstreams.any(is_sound) {
+        ChoiceTier::Sound
+    } else {
+        ChoiceTier::Doubtful
+    }
+}
+
+fn is_sound(state: &UpstreamState, now: MonotonicTime) -> bool {
+    !state.is_avoided(now) && !state.is_lost()
+}
+
+fn is_allowed(context: &RequestContext, listed: &ListedUpstream) -> bool {
+    listed.is_usable
+        && !listed.state.is_other()
+        && context.regions.contains(listed.state.facts.region)
+}
+
+fn is_eligible(
+    context: &RequestContext,
+    key: UpstreamKey,
+    tried: &[UpstreamKey],
+    tier: ChoiceTier,
+    now: MonotonicTime,
+) -> bool {
+    let listed = &context.snapshot.upstreams[key];
+    let state = &listed.state;
+    is_allowed(context, listed)
+        && !tried.contains(&key)
+        && !state.is_full(now)
+        && (tier == ChoiceTier::Doubtful || is_sound(state, now))
+        && (!state.is_cold(now) || state.cold_turn.get() <= now)
+}
+
+fn candidate(
+    context: &RequestContext,
+    key: UpstreamKey,
+    salt: u64,
+    warm: &WarmPlaces,
+    now: MonotonicTime,
+) -> PlaceCandidate<UpstreamKey> {
+    let state = &context.snapshot.upstreams[key].state;
+    PlaceCandidate {
+        key,
+        weight: combine(salt, state.hash),
+        distance: context.shared.distance(state.facts.region),
+        in_flight: state.in_flight(),
+        slots: state.facts.slots,
+        is_warm: warm.holds(state.hash),
+        slowness: state.slowness(now),
+    }
+}
+
+/// Takes this instance's next turn at a cold upstream.
+fn take_cold_turn(context: &RequestContext, state: &UpstreamState, now: MonotonicTime) -> bool {
+    let fleet = context.shared.fleet.load();
+    let cold_per_s = context.snapshot.plan.pools[context.pool].cold_per_s;
+    match cold_interval(
+        state.hash,
+        context.shared.own_hash,
+        &fleet.hashes,
+        cold_per_s,
+    ) {
+        Some(interval) => state.cold_turn.take_turn(now, interval),
+        None => {
+            // Other instances own its turns while it is cold.
+            state.cold_turn.advance(state.cold_until.get());
+            false
+        }
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,9 +17,11 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
+mod beat_message;
 mod frame_codec;
 mod messages;
 
+pub use beat_message::{AccountBeat, BeatMessage, CrashBeat, ObjectBeat, UpstreamBeat};
 pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 pub use messages::{
     AnswerHeader, ConfigPull, ConfigPush, CrashNumber, DrainNotice, HeartbeatMessage, HelloMessage,
--- /dev/null
+++ b/crates/steering/src/hashing.rs
@@ -0,0 +1,28 @@
+//! Hashes that all instances compute alike.
+
+/// The multiplier of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+/// The offset of the 64-bit FNV-1a hash.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Returns a 64-bit hash of some bytes (FNV-1a with a final mix). It is the same in all instances and versions.
+#[must_use]
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    let folded = bytes.iter().fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
+    });
+    mix(folded)
+}
+
+/// Combines two hashes into one whose bits all depend on both.
+#[must_use]
+pub fn combine(first: u64, second: u64) -> u64 {
+    mix(first ^ second.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+/// The finalizer of `SplitMix64`.
+fn mix(mut value: u64) -> u64 {
+    value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,64 @@
+//! Decisions of an entry instance on a fleet whose upstreams and instances come and go.
+//!
+//! Each module decides one matter from state and an explicit time, and names the load pattern it answers. Nothing here
+//! does I/O or knows how messages are encoded.
+//!
+//! ```
+//! use std::time::Duration;
+//! use coltsfootkeel_steering::{PlaceCandidate, PlaceTask};
+//!
+//! let task = PlaceTask {
+//!     warm_time: Duration::from_millis(200),
+//!     cold_time: Duration::from_millis(640),
+//!     slot_time: Duration::from_millis(200),
+//!     objective_left: Duration::from_millis(500),
+//!     deadline_left: Duration::from_secs(3),
+//! };
+//! let place = |key, is_warm| PlaceCandidate {
+//!     key,
+//!     is_warm,
+//!     weight: 1,
+//!     distance: Duration::from_millis(2),
+//!     in_flight: 9,
+//!     slots: 9,
+//!     slowness: 1.0,
+//! };
+//! let choice = task.choose([place("warm", true), place("other", false)].into_iter());
+//! assert_eq!(choice.map(|choice| choice.key), Some("warm"));
+//! ```
+
+mod atomic_time;
+mod cold_pace;
+mod crash_table;
+mod hashing;
+mod lookup_rank;
+mod placement;
+mod places;
+mod plan;
+mod plan_freshness;
+mod quota_share;
+mod raw_plan;
+mod retry_share;
+mod service_times;
+mod upstream_record;
+mod upstream_state;
+mod wait_line;
+mod warm_table;
+
+pub use atomic_time::AtomicTime;
+pub use cold_pace::cold_interval;
+pub use crash_table::CrashTable;
+pub use hashing::{combine, stable_hash};
+pub use lookup_rank::{InstanceView, LookupAsk, rank_instances};
+pub use placement::{PlaceCandidate, PlaceChoice, PlaceTask};
+pub use places::{DomainPlace, MAX_REGIONS, PlaceError, PlaceTable, RegionSet};
+pub use plan::{AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SplitShare, SteeringPlan};
+pub use plan_freshness::PlanFreshness;
+pub use quota_share::{QuotaAccount, QuotaGate, QuotaLimit, QuotaReport};
+pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget};
+pub use retry_share::{RetryBound, RetryShare};
+pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
+pub use upstream_record::{UpstreamPhase, UpstreamRecord};
+pub use upstream_state::{AttemptOutcome, UpstreamFacts, UpstreamState};
+pub use wait_line::{LinePlace, WaitLine, longest_wait, retry_after};
+pub use warm_table::{WarmPlaces, WarmTable, short_hash};
--- /dev/null
+++ b/crates/steering/src/quota_share.rs
@@ -0,0 +1,213 @@
+//! Rates of client accounts over all instances together.
+//!
+//! Load pattern: an account sends many times its rate, through any of the instances. Each instance reports what it
+//! admitted and what it was asked for; every instance counts the same bucket from these reports and spends its part of
+//! what is left, in proportion to the demand it sees. An instance that is not heard is taken to spend its last part.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+
+/// One request in the unit of the budgets.
+const TOKEN: i64 = 1_000;
+/// The part of the bucket's content that all instances together spend between two reports. Reports are late by one
+/// period and a crossing, in which the same content is spent again.
+const SPEND_PART: f64 = 0.35;
+/// A debt of the bucket is paid back within this time.
+const DEBT_PERIOD: Duration = Duration::from_secs(2);
+/// The part of the rate that an instance counts as demand without any, so that its first requests find a share.
+const IDLE_DEMAND: f64 = 0.02;
+/// The weight of one period in the average demand.
+const DEMAND_PART: f64 = 0.25;
+/// An instance not heard for longer is taken to go on spending its part.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+
+/// What request threads use of an account's limit.
+#[derive(Debug, Default)]
+pub struct QuotaGate {
+    budget: AtomicI64,
+    admitted: AtomicU64,
+    asked: AtomicU64,
+}
+
+impl QuotaGate {
+    /// Admits one request if the budget is not used up.
+    pub fn try_admit(&self) -> bool {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let taken = self
+            .budget
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |budget| {
+                // The last request may leave a debt, or a small share would never admit a whole request.
+                (budget > 0).then_some(budget - TOKEN)
+            });
+        let is_admitted = taken.is_ok();
+        if is_admitted {
+            self.admitted.fetch_add(1, Ordering::Relaxed);
+        }
+        is_admitted
+    }
+
+    /// Takes back the admission of a request that was never sent to an upstream.
+    pub fn give_back(&self) {
+        self.budget.fetch_add(TOKEN, Ordering::AcqRel);
+        self.admitted.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the requests admitted since the start.
+    #[must_use]
+    pub fn admitted(&self) -> u64 {
+        self.admitted.load(Ordering::Relaxed)
+    }
+}
+
+/// The limit of an account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaLimit {
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Requests at once beyond the rate.
+    pub burst: f64,
+}
+
+/// What another instance reported of an account.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaReport {
+    /// Requests it admitted since its start.
+    pub admitted: u64,
+    /// Requests a second it was asked for.
+    pub demand: f64,
+}
+
+#[derive(Debug)]
+struct PeerSpending {
+    incarnation: u64,
+    admitted: u64,
+    demand: f64,
+    heard_at: MonotonicTime,
+    /// Requests that were assumed while it was silent.
+    assumed: f64,
+}
+
+/// The count of one account's bucket, kept by the control thread.
+#[derive(Debug)]
+pub struct QuotaAccount {
+    limit: QuotaLimit,
+    level: f64,
+    ticked_at: MonotonicTime,
+    own_admitted: u64,
+    own_asked: u64,
+    own_demand: f64,
+    own_part: f64,
+    peers: HashMap<u64, PeerSpending>,
+}
+
+impl QuotaAccount {
+    /// Starts the count. An instance that starts while others run knows nothing of what was spent, so its bucket is
+    /// empty.
+    #[must_use]
+    pub fn new(limit: QuotaLimit, is_first_start: bool, now: MonotonicTime) -> Self {
+        Self {
+            level: if is_first_start { limit.burst } else { 0.0 },
+            limit,
+            ticked_at: now,
+            own_admitted: 0,
+            own_asked: 0,
+            own_demand: 0.0,
+            own_part: 0.0,
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Changes the limit.
+    pub fn set_limit(&mut self, limit: QuotaLimit) {
+        self.limit = limit;
+        self.level = self.level.min(limit.burst);
+    }
+
+    /// Returns the demand at this instance in requests a second.
+    #[must_use]
+    pub fn own_demand(&self) -> f64 {
+        self.own_demand
+    }
+
+    /// Counts what another instance reported.
+    pub fn hear(&mut self, peer: u64, incarnation: u64, report: QuotaReport, now: MonotonicTime) {
+        let spending = self.peers.entry(peer).or_insert(PeerSpending {
+            incarnation,
+            admitted: report.admitted,
+            demand: report.demand,
+            heard_at: now,
+            assumed: 0.0,
+        });
+        if spending.incarnation != incarnation {
+            spending.incarnation = incarnation;
+            spending.admitted = 0;
+        }
+        #[expect(clippy::cast_precision_loss)]
+        let spent = report.admitted.saturating_sub(spending.admitted) as f64;
+        self.level -= (spent - spending.assumed).max(0.0);
+        spending.admitted = spending.admitted.max(report.admitted);
+        spending.assumed = 0.0;
+        spending.demand = report.demand;
+        spending.heard_at = now;
+    }
+
+    /// Forgets an instance that is no longer a member.
+    pub fn forget(&mut self, is_member: impl Fn(u64) -> bool) {
+        self.peers.retain(|peer, _| is_member(*peer));
+    }
+
+    /// Refills the gate for the next period.
+    pub fn tick(&mut self, gate: &QuotaGate, now: MonotonicTime) {
+        let period = now.since(self.ticked_at).as_secs_f64();
+        self.ticked_at = now;
+        self.count_own(gate, period);
+        self.count_silent(period, now);
+        let refill = self.limit.rate_per_s * period;
+        self.level = (self.level + refill).min(self.limit.burst);
+        let floor = self.limit.rate_per_s * IDLE_DEMAND + f64::MIN_POSITIVE;
+        let demand = self.own_demand.max(floor);
+        let others: f64 = self.peers.values().map(|peer| peer.demand.max(floor)).sum();
+        self.own_part = demand / (demand + others);
+        let debt_part = self.level.min(0.0) / (self.limit.rate_per_s * DEBT_PERIOD.as_secs_f64());
+        let steady = refill * (1.0 + debt_part).max(0.0);
+        let spend = (steady + self.level.max(0.0) * SPEND_PART) * self.own_part;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
+        let allowance = (spend * TOKEN as f64) as i64;
+        // Only a debt is carried over: what was not spent is still in the bucket.
+        let _ = gate
+            .budget
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |budget| {
+                Some(budget.min(0) + allowance)
+            });
+    }
+
+    fn count_own(&mut self, gate: &QuotaGate, period: f64) {
+        let admitted = gate.admitted();
+        let asked = gate.asked.load(Ordering::Relaxed);
+        #[expect(clippy::cast_precision_loss)]
+        let spent = admitted as f64 - self.own_admitted as f64;
+        self.level -= spent;
+        self.own_admitted = admitted;
+        if period > 0.0 {
+            #[expect(clippy::cast_precision_loss)]
+            let demand = asked.saturating_sub(self.own_asked) as f64 / period;
+            self.own_demand += (demand - self.own_demand) * DEMAND_PART;
+        }
+        self.own_asked = asked;
+    }
+
+    /// Charges the bucket for instances that are not heard: they may be cut off and go on with their part.
+    fn count_silent(&mut self, period: f64, now: MonotonicTime) {
+        let total: f64 = self.own_demand + self.peers.values().map(|peer| peer.demand).sum::<f64>();
+        for peer in self.peers.values_mut() {
+            if now.since(peer.heard_at) > SILENT_AFTER && total > 0.0 {
+                let assumed = self.limit.rate_per_s * period * (peer.demand / total).min(1.0);
+                peer.assumed += assumed;
+                self.level -= assumed;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/upstream_state.rs
@@ -0,0 +1,248 @@
+//! What an instance knows of one upstream: requests in flight, how it answers, and whether it is cold or avoided.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{DomainKey, RegionKey};
+
+use crate::atomic_time::AtomicTime;
+use crate::hashing::stable_hash;
+
+/// The failure level at which an upstream is avoided, in thousandths. Two failures in a row pass it, while one failure
+/// in ten answers does not.
+const AVOID_LEVEL: u32 = 400;
+/// The highest failure level.
+const FULL_LEVEL: u32 = 1_000;
+/// How long an upstream is avoided at first; each further time lasts twice as long.
+const FIRST_AVOIDANCE: Duration = Duration::from_millis(800);
+/// The most doublings of [`FIRST_AVOIDANCE`].
+const MAX_DOUBLINGS: u32 = 3;
+/// After this time without avoidance the doublings start anew.
+const FORGET_AVOIDANCE: Duration = Duration::from_secs(10);
+/// How long an upstream that refused a request counts as full.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// The slowness of an upstream that answers as expected, in hundredths.
+const USUAL_SLOWNESS: u32 = 100;
+/// The highest slowness, in hundredths.
+const MAX_SLOWNESS: u32 = 2_000;
+/// Without answers, the slowness falls back to the usual within this time, so that the upstream is tried again.
+const FORGET_SLOWNESS: Duration = Duration::from_secs(4);
+
+/// How an attempt at an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// It answered.
+    Answered,
+    /// It answered that it failed.
+    Failed,
+    /// It refused the request because it is full.
+    Full,
+    /// It could not be connected, broke the connection, or did not answer in time.
+    Lost,
+}
+
+/// The facts that do not change while an upstream runs.
+#[derive(Debug)]
+pub struct UpstreamFacts {
+    /// Its id.
+    pub id: String,
+    /// Its failure domain.
+    pub domain: DomainKey,
+    /// The region of the failure domain.
+    pub region: RegionKey,
+    /// Requests it runs at once.
+    pub slots: u32,
+}
+
+/// One upstream, shared by all threads.
+#[derive(Debug)]
+pub struct UpstreamState {
+    /// The facts.
+    pub facts: UpstreamFacts,
+    /// A hash of the id that all instances share.
+    pub hash: u64,
+    /// When its coldness ends.
+    pub cold_until: AtomicTime,
+    /// The next turn of this instance at the upstream while it is cold.
+    pub cold_turn: AtomicTime,
+    own_in_flight: AtomicU32,
+    peer_in_flight: AtomicU32,
+    failure_level: AtomicU32,
+    avoided_times: AtomicU32,
+    avoid_until: AtomicTime,
+    full_until: AtomicTime,
+    slowness: AtomicU32,
+    slowness_at: AtomicTime,
+    is_lost: AtomicBool,
+    is_other: AtomicBool,
+    doubts_until: AtomicTime,
+}
+
+impl UpstreamState {
+    /// Makes the state of an upstream that is cold until `cold_until`.
+    #[must_use]
+    pub fn new(facts: UpstreamFacts, cold_until: MonotonicTime) -> Self {
+        let state = Self {
+            hash: stable_hash(facts.id.as_bytes()),
+            facts,
+            cold_until: AtomicTime::default(),
+            cold_turn: AtomicTime::default(),
+            own_in_flight: AtomicU32::new(0),
+            peer_in_flight: AtomicU32::new(0),
+            failure_level: AtomicU32::new(0),
+            avoided_times: AtomicU32::new(0),
+            avoid_until: AtomicTime::default(),
+            full_until: AtomicTime::default(),
+            slowness: AtomicU32::new(USUAL_SLOWNESS),
+            slowness_at: AtomicTime::default(),
+            is_lost: AtomicBool::new(false),
+            is_other: AtomicBool::new(false),
+            doubts_until: AtomicTime::default(),
+        };
+        state.cold_until.set(cold_until);
+        state
+    }
+
+    /// Counts a request that is sent to the upstream.
+    pub fn start(&self) {
+        self.own_in_flight.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the end of a request.
+    pub fn finish(&self) {
+        self.own_in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns the requests of this instance in flight.
+    #[must_use]
+    pub fn own_in_flight(&self) -> u32 {
+        self.own_in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests of all instances in flight, as far as the other instances reported them.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.own_in_flight() + self.peer_in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Sets the requests of the other instances in flight.
+    pub fn set_peer_in_flight(&self, count: u32) {
+        self.peer_in_flight.store(count, Ordering::Relaxed);
+    }
+
+    /// Records how an attempt ended.
+    pub fn record(&self, outcome: AttemptOutcome, now: MonotonicTime) {
+        let level = self.failure_level.load(Ordering::Relaxed);
+        let next = match outcome {
+            AttemptOutcome::Answered => level - level / 5,
+            AttemptOutcome::Failed | AttemptOutcome::Full => level + (FULL_LEVEL - level) / 5,
+            AttemptOutcome::Lost => level + (FULL_LEVEL - level) / 2,
+        };
+        self.failure_level.store(next, Ordering::Relaxed);
+        match outcome {
+            AttemptOutcome::Answered => self.is_lost.store(false, Ordering::Relaxed),
+            AttemptOutcome::Full => self.full_until.advance(now + FULL_PAUSE),
+            AttemptOutcome::Lost => self.is_lost.store(true, Ordering::Relaxed),
+            AttemptOutcome::Failed => {}
+        }
+        if next >= AVOID_LEVEL {
+            self.avoid(now);
+        }
+    }
+
+    /// Avoids the upstream for a while, longer each time.
+    pub fn avoid(&self, now: MonotonicTime) {
+        let until = self.avoid_until.get();
+        if until > now {
+            return;
+        }
+        let is_again = until > MonotonicTime::default() && now.since(until) < FORGET_AVOIDANCE;
+        let times = if is_again {
+            self.avoided_times.load(Ordering::Relaxed) + 1
+        } else {
+            0
+        };
+        self.avoided_times.store(times, Ordering::Relaxed);
+        self.avoid_until
+            .set(now + FIRST_AVOIDANCE * (1 << times.min(MAX_DOUBLINGS)));
+        // One more failure after the pause avoids it again.
+        self.failure_level.store(AVOID_LEVEL / 2, Ordering::Relaxed);
+    }
+
+    /// Tells whether the upstream is better left out while others can serve.
+    #[must_use]
+    pub fn is_avoided(&self, now: MonotonicTime) -> bool {
+        self.avoid_until.get() > now
+    }
+
+    /// Tells whether the upstream refused a request a moment ago because it was full.
+    #[must_use]
+    pub fn is_full(&self, now: MonotonicTime) -> bool {
+        self.full_until.get() > now
+    }
+
+    /// Tells whether the last attempt found the upstream gone, so that a health check must find it first.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.is_lost.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a health check found the upstream.
+    pub fn set_found(&self, cold_until: MonotonicTime) {
+        self.cold_until.advance(cold_until);
+        self.is_lost.store(false, Ordering::Relaxed);
+    }
+
+    /// Notes that another upstream answers at the address.
+    pub fn set_other(&self) {
+        self.is_other.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether another upstream answers at the address.
+    #[must_use]
+    pub fn is_other(&self) -> bool {
+        self.is_other.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the upstream sent bytes that belong to no request, or closes kept connections early.
+    pub fn doubt_connections(&self, until: MonotonicTime) {
+        self.doubts_until.advance(until);
+    }
+
+    /// Tells whether kept connections are in doubt.
+    #[must_use]
+    pub fn doubts_connections(&self, now: MonotonicTime) -> bool {
+        self.doubts_until.get() > now
+    }
+
+    /// Learns from the time an answer took and the time that was expected.
+    pub fn learn_slowness(&self, took: Duration, expected: Duration, now: MonotonicTime) {
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let seen =
+            ((ratio * f64::from(USUAL_SLOWNESS)) as u32).clamp(USUAL_SLOWNESS / 2, MAX_SLOWNESS);
+        let known = self.slowness.load(Ordering::Relaxed);
+        self.slowness
+            .store((known * 3 + seen) / 4, Ordering::Relaxed);
+        self.slowness_at.set(now);
+    }
+
+    /// Returns how many times longer than usual the upstream takes, one or more.
+    #[must_use]
+    pub fn slowness(&self, now: MonotonicTime) -> f64 {
+        let excess = self
+            .slowness
+            .load(Ordering::Relaxed)
+            .saturating_sub(USUAL_SLOWNESS);
+        let age = now.since(self.slowness_at.get()).as_secs_f64();
+        let kept = (1.0 - age / FORGET_SLOWNESS.as_secs_f64()).max(0.0);
+        1.0 + f64::from(excess) / f64::from(USUAL_SLOWNESS) * kept
+    }
+
+    /// Tells whether the upstream is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: MonotonicTime) -> bool {
+        self.cold_until.get() > now
+    }
+}
--- /dev/null
+++ b/crates/steering/src/warm_table.rs
@@ -0,0 +1,113 @@
+//! Remembers which upstreams handled an object lately.
+//!
+//! Load pattern: demand beyond what upstreams serve without affinity. An upstream that handled an object lately needs
+//! far less time for it, so each object is kept to as few upstreams as carry its load. Instances tell one another
+//! where they sent an object, so that all of them use the same places.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use papaya::HashMap;
+
+/// Places that are remembered of one object.
+const PLACES: usize = 8;
+/// An object that was not used for longer is taken as forgotten.
+const FORGET_AFTER: Duration = Duration::from_mins(1);
+
+/// The upstreams that handled one object: the upper half of a word is the upstream's hash, the lower half the time in
+/// milliseconds.
+#[derive(Debug, Default)]
+struct ObjectPlaces([AtomicU64; PLACES]);
+
+/// Copies of the places of one object, for one decision.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WarmPlaces([u32; PLACES]);
+
+impl WarmPlaces {
+    /// Tells whether an upstream handled the object lately.
+    #[must_use]
+    pub fn holds(&self, upstream: u64) -> bool {
+        self.0.contains(&short_hash(upstream))
+    }
+}
+
+/// Where objects were handled.
+#[derive(Debug, Default)]
+pub struct WarmTable {
+    objects: HashMap<u64, ObjectPlaces>,
+}
+
+impl WarmTable {
+    /// Notes that the upstream with this short hash handles an object.
+    pub fn note(&self, object: u64, short: u32, now: MonotonicTime) {
+        let objects = self.objects.pin();
+        let places = objects.get_or_insert_with(object, ObjectPlaces::default);
+        let word = u64::from(short) << 32 | u64::from(short_time(now));
+        let held = places.0.iter().find(|place| {
+            let known = place.load(Ordering::Relaxed);
+            hash_of(known) == short
+        });
+        let oldest = || {
+            let age = |place: &&AtomicU64| time_of(place.load(Ordering::Relaxed));
+            places.0.iter().min_by_key(age)
+        };
+        if let Some(place) = held.or_else(oldest) {
+            place.store(word, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns where an object was handled lately.
+    #[must_use]
+    pub fn places(&self, object: u64, now: MonotonicTime) -> WarmPlaces {
+        let objects = self.objects.pin();
+        let mut found = WarmPlaces::default();
+        let Some(places) = objects.get(&object) else {
+            return found;
+        };
+        for (place, slot) in places.0.iter().zip(&mut found.0) {
+            let word = place.load(Ordering::Relaxed);
+            if is_recent(word, now) {
+                *slot = hash_of(word);
+            }
+        }
+        found
+    }
+
+    /// Drops objects that were not used lately.
+    pub fn expire(&self, now: MonotonicTime) {
+        let is_used = |place: &AtomicU64| is_recent(place.load(Ordering::Relaxed), now);
+        self.objects
+            .pin()
+            .retain(|_, places| places.0.iter().any(is_used));
+    }
+}
+
+/// Returns the part of an upstream's hash that the table and the messages between instances carry. Never zero, which
+/// stands for no upstream.
+#[must_use]
+pub fn short_hash(upstream: u64) -> u32 {
+    hash_of(upstream).max(1)
+}
+
+fn hash_of(word: u64) -> u32 {
+    low_half(word >> 32)
+}
+
+fn time_of(word: u64) -> u32 {
+    low_half(word)
+}
+
+fn low_half(word: u64) -> u32 {
+    u32::try_from(word & u64::from(u32::MAX)).unwrap_or_default()
+}
+
+/// Milliseconds since the start of the process; they wrap after 49 days, which only makes objects look forgotten.
+fn short_time(now: MonotonicTime) -> u32 {
+    low_half(now.as_nanos() / 1_000_000)
+}
+
+fn is_recent(word: u64, now: MonotonicTime) -> bool {
+    let age = short_time(now).wrapping_sub(time_of(word));
+    word != 0 && u128::from(age) < FORGET_AFTER.as_millis()
+}
