steering: times by region, room for rare demand, first requests for new upstreams

Probes on routes without learned times waited out their deadline and got 503 (CONFIG): the first guess exceeded it. Small accounts were refused within their rate: an instance that sees little of an account had no share for its next request. Upstreams that joined got nothing while all objects were warm elsewhere.

Change: whole times are learned by route and region and first guesses are bounded by the deadline; a new place must be near enough for warm answers; a part of the bucket may be overdrawn by any instance; an untried upstream gets one request that may be repeated; kept connections serve once-only requests up to 3 s. Warm queues up to 1.5 slots.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -69,6 +69,8 @@
     /// Makes the state of a process that knows nothing yet.
     #[must_use]
     pub fn new(shared: Arc<SharedState>, client: Arc<StoreClient>, socket: Arc<UdpSocket>) -> Self {
+        let regions = shared.places.regions.len();
+        let publisher = SnapshotPublisher::new(shared.home.region, regions);
         Self {
             quotas: QuotaBook::new(shared.settings.is_first_start),
             shared,
@@ -84,7 +86,7 @@
             store_confirmed: None,
             registry: UpstreamRegistry::default(),
             evacuations: HashSet::new(),
-            publisher: SnapshotPublisher::default(),
+            publisher,
             checked_at: HashMap::new(),
             wanted_checks: HashSet::new(),
             cleared_at: MonotonicTime::default(),
@@ -122,7 +124,7 @@
                 kind,
                 events,
                 known_to,
-            } => self.take_changes(kind, events, known_to),
+            } => self.take_changes(kind, &events, known_to),
             ControlEvent::Beat { message, from } => self.hear(*message, from),
             ControlEvent::Checked { upstream, cold_for } => self.take_check(&upstream, cold_for),
             ControlEvent::Answered { fingerprint } => {
@@ -177,16 +179,11 @@
         }
     }
 
-    fn take_changes(
-        &mut self,
-        kind: ObjectKind,
-        events: Vec<ObjectEvent>,
-        known_to: MonotonicTime,
-    ) {
+    fn take_changes(&mut self, kind: ObjectKind, events: &[ObjectEvent], known_to: MonotonicTime) {
         let now = self.shared.clock.now();
         let mut is_changed = false;
         let mut is_usable = true;
-        for event in &events {
+        for event in events {
             let object = &event.object;
             match kind {
                 ObjectKind::Config if object.name == CONFIG_NAME && !event.is_removed => {
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{DomainKey, RegionKey};
+use coltsfootkeel_model::RegionKey;
 use coltsfootkeel_protocol::BeatMessage;
 use coltsfootkeel_steering::{InstanceView, PlaceTable, stable_hash};
 
@@ -21,8 +21,6 @@
     pub address: SocketAddr,
     /// Its region.
     pub region: RegionKey,
-    /// Its failure domain.
-    pub domain: DomainKey,
     /// Its address for callers.
     pub entry: SocketAddr,
     /// Its last message.
@@ -58,7 +56,6 @@
         let peer = KnownPeer {
             address,
             region: places.domains[domain].region,
-            domain,
             entry,
             last: message,
             heard_at: now,
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -5,7 +5,7 @@
 
 use coltsfootkeel_adapter::CallerHead;
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{AccountKey, PoolKey, RouteKey};
+use coltsfootkeel_model::{AccountKey, PoolKey, RegionKey, RouteKey};
 use coltsfootkeel_steering::{
     QuotaGate, RegionSet, RoutePlan, TimeEstimate, combine, retry_after, stable_hash,
 };
@@ -149,10 +149,20 @@
         Some(&self.snapshot.plan.accounts[account].name)
     }
 
-    /// Returns the expected service times.
+    /// Returns the expected times in a region.
     #[must_use]
-    pub fn times(&self) -> TimeEstimate {
-        self.snapshot.times[self.route].estimate(self.route_plan().objective)
+    pub fn times(&self, region: RegionKey) -> TimeEstimate {
+        let distance = self.shared.distance(region);
+        // Until times are learned, a route whose timeout is short is taken to have short requests.
+        let objective = self.route_plan().objective;
+        let first_guess = objective.min(self.deadline.since(self.arrived) / 2);
+        self.snapshot.times[self.route].estimate(region, distance, first_guess)
+    }
+
+    /// Returns the expected times in the instance's own region.
+    #[must_use]
+    pub fn home_times(&self) -> TimeEstimate {
+        self.times(self.shared.home.region)
     }
 
     /// Returns what is left of the deadline.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -135,7 +135,8 @@
                 Err(kind) => return self.give_up(kind, counted),
             };
             let end = self.attempt(&place, &mut body).await;
-            record.attempted(self.upstream_id(&place), end_code(&end));
+            let is_warm = place.choice.is_warm;
+            record.attempted(self.upstream_id(&place), is_warm, end_code(&end));
             self.learn(&place, &end, fingerprint);
             match self.after_attempt(&place, end, &mut body) {
                 AfterAttempt::Deliver(answer) => return Ok(self.deliver(*answer, place, counted)),
@@ -165,7 +166,10 @@
             return Ok(place);
         }
         let started = self.context.shared.clock.now();
-        let longest = longest_wait(self.context.objective_left(), self.context.times().warm);
+        let longest = longest_wait(
+            self.context.objective_left(),
+            self.context.home_times().warm,
+        );
         let until = started + longest;
         self.context.shared.metrics.count(CounterName::Waits);
         let line = &self.context.listed_pool().state.line;
@@ -189,7 +193,7 @@
         let Some(grace_left) = self.context.shared.grace_left() else {
             return Ok(());
         };
-        let needed = self.context.times().cold + STOP_MARGIN;
+        let needed = self.context.home_times().cold + STOP_MARGIN;
         if needed > grace_left {
             return Err(RejectKind::Stopping);
         }
@@ -283,17 +287,20 @@
     fn learn_time(&self, place: &TakenPlace) {
         let now = self.context.shared.clock.now();
         let listed = &self.context.snapshot.upstreams[place.key];
-        let distance = self.context.shared.distance(listed.state.facts.region);
-        let took = now.since(place.started).saturating_sub(distance);
-        self.context.listed_pool().state.slot_time.learn(took);
-        let times = self.context.times();
+        let region = listed.state.facts.region;
+        let distance = self.context.shared.distance(region);
+        let took = now.since(place.started);
+        let slot_time = &self.context.listed_pool().state.slot_time;
+        slot_time.learn(took.saturating_sub(distance));
+        let times = self.context.times(region);
         let expected = if place.choice.is_warm {
             times.warm
         } else {
             times.cold
         };
         if place.choice.queue.is_zero() {
-            self.context.snapshot.times[self.context.route].learn(place.choice.is_warm, took);
+            let learned = &self.context.snapshot.times[self.context.route];
+            learned.learn(region, times, place.choice.is_warm, took);
         }
         listed
             .state
@@ -340,7 +347,7 @@
             return AfterAttempt::Deliver(answer);
         }
         self.may_have_run = true;
-        let has_time = self.context.remaining() > self.context.times().warm;
+        let has_time = self.context.remaining() > self.context.home_times().warm;
         if has_time && self.context.route_plan().is_idempotent && self.may_send_again(body) {
             self.failure = Some(answer);
             return AfterAttempt::TryAgain;
--- a/crates/entry/src/request_record.rs
+++ b/crates/entry/src/request_record.rs
@@ -1,5 +1,6 @@
 //! The log line of one request: what was decided, from which inputs, and the outcome.
 
+use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
     pub account: String,
     /// The version of the plan that decided.
     pub plan_version: u64,
+    /// The hash of the object, if it has one.
+    pub object: u64,
     /// The upstreams that were tried, with how each attempt ended.
     pub attempts: String,
     /// Time spent waiting for an upstream.
@@ -42,6 +45,7 @@
             route: String::new(),
             account: String::new(),
             plan_version: 0,
+            object: 0,
             attempts: String::new(),
             waited: Duration::ZERO,
             arrived,
@@ -53,17 +57,18 @@
     pub fn admitted(&mut self, context: &RequestContext) {
         self.route.clone_from(&context.route_plan().name);
         self.account = context.account_name().unwrap_or_default().to_string();
+        self.object = context.object.unwrap_or_default();
         self.plan_version = context.snapshot.plan.version;
     }
 
     /// Notes an attempt.
-    pub fn attempted(&mut self, upstream: &str, end: &str) {
+    pub fn attempted(&mut self, upstream: &str, is_warm: bool, end: &str) {
         if !self.attempts.is_empty() {
             self.attempts.push(' ');
         }
-        self.attempts.push_str(upstream);
-        self.attempts.push(':');
-        self.attempts.push_str(end);
+        let place = if is_warm { "warm" } else { "new" };
+        // Writing to a string cannot fail.
+        let _ = write!(self.attempts, "{upstream}:{place}:{end}");
     }
 
     /// Writes the line of a request that an upstream answered.
@@ -101,6 +106,7 @@
             route = self.route.as_str(),
             account = self.account.as_str(),
             status = status,
+            object:% = format_args!("{:016x}", self.object),
             attempts = self.attempts.as_str(),
             waited_ms = milliseconds(self.waited),
             took_ms = milliseconds(took),
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use coltsfootkeel_adapter::{LocalSettings, UserBounds};
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
+use coltsfootkeel_model::{Arena, RegionKey};
 use coltsfootkeel_steering::{
     AtomicTime, CrashTable, InstanceView, PlaceTable, PlanFreshness, RetryBound, WarmTable,
     stable_hash,
@@ -30,8 +30,6 @@
 /// Where this instance stands.
 #[derive(Debug, Clone, Copy)]
 pub struct HomePlace {
-    /// Its failure domain.
-    pub domain: DomainKey,
     /// Its region.
     pub region: RegionKey,
 }
@@ -117,7 +115,6 @@
     ) -> Option<Self> {
         let domain = places.domain(&settings.domain)?;
         let home = HomePlace {
-            domain,
             region: places.domains[domain].region,
         };
         Some(Self {
--- a/crates/entry/src/snapshot_publisher.rs
+++ b/crates/entry/src/snapshot_publisher.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{Arena, PoolKey};
+use coltsfootkeel_model::{Arena, PoolKey, RegionKey};
 use coltsfootkeel_steering::{ServiceTimes, SteeringPlan};
 
 use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolState};
@@ -12,14 +12,31 @@
 use crate::upstream_registry::UpstreamRegistry;
 
 /// State by name.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SnapshotPublisher {
+    home: RegionKey,
+    regions: usize,
     pools: HashMap<String, PoolState>,
     /// By path prefix, which keeps its meaning when a route is renamed.
     times: HashMap<String, Arc<ServiceTimes>>,
 }
 
 impl SnapshotPublisher {
+    /// Makes a publisher without state for an instance in the region `home`.
+    #[must_use]
+    pub fn new(home: RegionKey, regions: usize) -> Self {
+        Self {
+            home,
+            regions,
+            pools: HashMap::new(),
+            times: HashMap::new(),
+        }
+    }
+
+    fn new_times(&self) -> Arc<ServiceTimes> {
+        Arc::new(ServiceTimes::new(self.home, self.regions))
+    }
+
     /// Builds a snapshot. State of pools and routes that the plan no longer names is dropped.
     pub fn build(
         &mut self,
@@ -51,7 +68,7 @@
             let known = self.times.get(&route.path_prefix);
             let entry = times_by_prefix
                 .entry(route.path_prefix.clone())
-                .or_insert_with(|| known.cloned().unwrap_or_default());
+                .or_insert_with(|| known.cloned().unwrap_or_else(|| self.new_times()));
             times.push(Arc::clone(entry));
         }
         self.times = times_by_prefix;
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -42,7 +42,9 @@
         .routes
         .iter()
         .map(|(key, route)| {
-            let times = snapshot.times[key].estimate(route.objective);
+            let home = shared.home.region;
+            let distance = shared.distance(home);
+            let times = snapshot.times[key].estimate(home, distance, route.objective);
             json!({
                 "name": route.name,
                 "warm_ms": times.warm.as_millis(),
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -1,6 +1,7 @@
 //! Lists the upstreams that a request may go to, and takes the chosen one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::UpstreamKey;
@@ -75,22 +76,23 @@
         .map(|object| context.shared.warm.places(object, now))
         .unwrap_or_default();
     let tier = choice_tier(context, tried, now);
-    let times = context.times();
     let slot_time = context.listed_pool().state.slot_time.get();
     let task = PlaceTask {
-        warm_time: times.warm,
-        cold_time: times.cold,
-        slot_time: slot_time.unwrap_or(times.cold),
+        slot_time: slot_time.unwrap_or(context.home_times().cold),
+        objective: context.route_plan().objective,
         objective_left: context.objective_left(),
         deadline_left: context.remaining(),
     };
     let salt = context.object.unwrap_or_else(|| fastrand::u64(..));
     let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
     let upstreams = context.listed_pool().upstreams.iter().copied();
-    let candidates = upstreams
+    let mut candidates = upstreams
         .filter(is_eligible)
         .map(|key| candidate(context, key, salt, &warm, now));
-    let choice = task.choose(candidates)?;
+    let choice = match untried_choice(context, candidates.clone()) {
+        Some(choice) => choice,
+        None => task.choose(&mut candidates)?,
+    };
     let state = &context.snapshot.upstreams[choice.key].state;
     if state.is_cold(now) && !take_cold_turn(context, state, now) {
         return None;
@@ -107,6 +109,26 @@
     Some(TakenPlace::new(context, choice))
 }
 
+/// Chooses an upstream that no instance has used, for a request that may be repeated.
+fn untried_choice(
+    context: &RequestContext,
+    mut candidates: impl Iterator<Item = PlaceCandidate<UpstreamKey>>,
+) -> Option<PlaceChoice<UpstreamKey>> {
+    if !context.route_plan().is_idempotent {
+        return None;
+    }
+    let untried = candidates.find(|candidate| {
+        let state = &context.snapshot.upstreams[candidate.key].state;
+        state.is_untried() && candidate.in_flight == 0
+    })?;
+    (untried.times.cold <= context.remaining()).then_some(PlaceChoice {
+        key: untried.key,
+        expected: untried.times.cold,
+        queue: Duration::ZERO,
+        is_warm: false,
+    })
+}
+
 fn choice_tier(context: &RequestContext, tried: &[UpstreamKey], now: MonotonicTime) -> ChoiceTier {
     let mut upstreams = context.listed_pool().upstreams.iter();
     let is_sound = |key: &UpstreamKey| {
@@ -157,7 +179,7 @@
     PlaceCandidate {
         key,
         weight: combine(salt, state.hash),
-        distance: context.shared.distance(state.facts.region),
+        times: context.times(state.facts.region),
         in_flight: state.in_flight(),
         slots: state.facts.slots,
         is_warm: warm.holds(state.hash),
@@ -169,17 +191,16 @@
 fn take_cold_turn(context: &RequestContext, state: &UpstreamState, now: MonotonicTime) -> bool {
     let fleet = context.shared.fleet.load();
     let cold_per_s = context.snapshot.plan.pools[context.pool].cold_per_s;
-    match cold_interval(
+    let interval = cold_interval(
         state.hash,
         context.shared.own_hash,
         &fleet.hashes,
         cold_per_s,
-    ) {
-        Some(interval) => state.cold_turn.take_turn(now, interval),
-        None => {
-            // Other instances own its turns while it is cold.
-            state.cold_turn.advance(state.cold_until.get());
-            false
-        }
-    }
+    );
+    let Some(interval) = interval else {
+        // Other instances own its turns while it is cold.
+        state.cold_turn.advance(state.cold_until.get());
+        return false;
+    };
+    state.cold_turn.take_turn(now, interval)
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -5,12 +5,11 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use coltsfootkeel_steering::{PlaceCandidate, PlaceTask};
+//! use coltsfootkeel_steering::{PlaceCandidate, PlaceTask, TimeEstimate};
 //!
 //! let task = PlaceTask {
-//!     warm_time: Duration::from_millis(200),
-//!     cold_time: Duration::from_millis(640),
 //!     slot_time: Duration::from_millis(200),
+//!     objective: Duration::from_millis(500),
 //!     objective_left: Duration::from_millis(500),
 //!     deadline_left: Duration::from_secs(3),
 //! };
@@ -18,7 +17,10 @@
 //!     key,
 //!     is_warm,
 //!     weight: 1,
-//!     distance: Duration::from_millis(2),
+//!     times: TimeEstimate {
+//!         warm: Duration::from_millis(200),
+//!         cold: Duration::from_millis(640),
+//!     },
 //!     in_flight: 9,
 //!     slots: 9,
 //!     slowness: 1.0,
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -6,8 +6,13 @@
 
 use std::time::Duration;
 
+use crate::service_times::TimeEstimate;
+
 /// The queue an upstream may have, as a part of its slots, before a warm request goes elsewhere.
-const QUEUE_PART: f64 = 0.8;
+const QUEUE_PART: f64 = 1.5;
+/// The part of the objective within which a warm answer must be expected at a new place. The rest is for the way
+/// between caller and instance, and for answers that take longer than usual.
+const NEAR_PART: f64 = 0.8;
 
 /// An upstream that may be chosen.
 #[derive(Debug, Clone, Copy)]
@@ -16,8 +21,8 @@
     pub key: K,
     /// The rendezvous weight of the upstream for the object.
     pub weight: u64,
-    /// The round trip to it.
-    pub distance: Duration,
+    /// Times to an answer without a queue.
+    pub times: TimeEstimate,
     /// Requests of all instances in flight.
     pub in_flight: u32,
     /// Requests it runs at once.
@@ -31,12 +36,10 @@
 /// What the decision knows of the request.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceTask {
-    /// Service time where the object was handled lately.
-    pub warm_time: Duration,
-    /// Service time anywhere else.
-    pub cold_time: Duration,
     /// Time that one slot of the pool is used by a request, on average.
     pub slot_time: Duration,
+    /// The whole objective.
+    pub objective: Duration,
     /// What is left of the objective.
     pub objective_left: Duration,
     /// What is left of the deadline.
@@ -56,32 +59,42 @@
     pub is_warm: bool,
 }
 
+/// How good a new place is: whether warm answers will meet the objective there, then the weight.
+type NewPlaceRank = (bool, u64);
+
 impl PlaceTask {
     /// Returns the expected time until a candidate's answer.
     fn choice<K: Copy>(&self, candidate: &PlaceCandidate<K>) -> PlaceChoice<K> {
         let service = if candidate.is_warm {
-            self.warm_time
+            candidate.times.warm
         } else {
-            self.cold_time
+            candidate.times.cold
         };
         let ahead = (candidate.in_flight + 1).saturating_sub(candidate.slots);
         let turns = f64::from(ahead) / f64::from(candidate.slots.max(1));
         let queue = self.slot_time.mul_f64(turns * candidate.slowness);
         PlaceChoice {
             key: candidate.key,
-            expected: candidate.distance + queue + service.mul_f64(candidate.slowness),
+            expected: queue + service.mul_f64(candidate.slowness),
             queue,
             is_warm: candidate.is_warm,
         }
     }
 
+    fn new_place_rank<K>(&self, candidate: &PlaceCandidate<K>) -> NewPlaceRank {
+        let warm = candidate.times.warm.mul_f64(candidate.slowness);
+        let is_near = warm <= self.objective.mul_f64(NEAR_PART);
+        // A slow upstream attracts fewer objects, alike at all instances.
+        (is_near, scaled_weight(candidate.weight, candidate.slowness))
+    }
+
     /// Chooses among candidates, or returns nothing if all are busy or too late.
     pub fn choose<K: Copy>(
         &self,
         candidates: impl Iterator<Item = PlaceCandidate<K>>,
     ) -> Option<PlaceChoice<K>> {
         let mut best_warm: Option<PlaceChoice<K>> = None;
-        let mut best_new: Option<(u64, PlaceChoice<K>)> = None;
+        let mut best_new: Option<(NewPlaceRank, PlaceChoice<K>)> = None;
         for candidate in candidates {
             let choice = self.choice(&candidate);
             if candidate.is_warm && has_queue_room(&candidate) {
@@ -89,21 +102,23 @@
                     best_warm = Some(choice);
                 }
             } else if candidate.in_flight < candidate.slots {
-                // A slow or distant upstream attracts fewer objects, alike at all instances.
-                let weight = scaled_weight(candidate.weight, candidate.slowness);
-                if best_new.is_none_or(|(best, _)| weight > best) {
-                    best_new = Some((weight, choice));
+                let rank = self.new_place_rank(&candidate);
+                if best_new.is_none_or(|(best, _)| rank > best) {
+                    best_new = Some((rank, choice));
                 }
             }
         }
-        let new_place = best_new.map(|(_, choice)| choice);
-        match (best_warm, new_place) {
-            (Some(warm), _) if warm.expected <= self.objective_left => Some(warm),
-            (Some(warm), Some(new)) if warm.expected <= new.expected => Some(warm),
-            (_, Some(new)) => Some(new),
+        let in_time = |choice: &PlaceChoice<K>| choice.expected <= self.objective_left;
+        let late_or_new = || match (best_warm, best_new) {
+            // The request is late either way; a new place that is near serves the next ones in time.
+            (Some(warm), Some(((false, _), new))) if warm.expected <= new.expected => Some(warm),
+            (_, Some((_, new))) => Some(new),
             (warm, None) => warm,
-        }
-        .filter(|choice| choice.expected <= self.deadline_left)
+        };
+        best_warm
+            .filter(in_time)
+            .or_else(late_or_new)
+            .filter(|choice| choice.expected <= self.deadline_left)
     }
 }
 
--- a/crates/steering/src/quota_share.rs
+++ b/crates/steering/src/quota_share.rs
@@ -19,6 +19,9 @@
 const DEBT_PERIOD: Duration = Duration::from_secs(2);
 /// The part of the rate that an instance counts as demand without any, so that its first requests find a share.
 const IDLE_DEMAND: f64 = 0.02;
+/// The part of the bucket's content that may be overdrawn, divided evenly: an instance that sees little of an account
+/// must still admit its next request.
+const OVERDRAFT_PART: f64 = 0.5;
 /// The weight of one period in the average demand.
 const DEMAND_PART: f64 = 0.25;
 /// An instance not heard for longer is taken to go on spending its part.
@@ -28,6 +31,7 @@
 #[derive(Debug, Default)]
 pub struct QuotaGate {
     budget: AtomicI64,
+    overdraft: AtomicI64,
     admitted: AtomicU64,
     asked: AtomicU64,
 }
@@ -36,11 +40,12 @@
     /// Admits one request if the budget is not used up.
     pub fn try_admit(&self) -> bool {
         self.asked.fetch_add(1, Ordering::Relaxed);
+        let lowest = -self.overdraft.load(Ordering::Relaxed);
         let taken = self
             .budget
             .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |budget| {
                 // The last request may leave a debt, or a small share would never admit a whole request.
-                (budget > 0).then_some(budget - TOKEN)
+                (budget > lowest).then_some(budget - TOKEN)
             });
         let is_admitted = taken.is_ok();
         if is_admitted {
@@ -174,8 +179,11 @@
         let debt_part = self.level.min(0.0) / (self.limit.rate_per_s * DEBT_PERIOD.as_secs_f64());
         let steady = refill * (1.0 + debt_part).max(0.0);
         let spend = (steady + self.level.max(0.0) * SPEND_PART) * self.own_part;
-        #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
-        let allowance = (spend * TOKEN as f64) as i64;
+        let allowance = to_units(spend);
+        #[expect(clippy::cast_precision_loss)]
+        let instances = (self.peers.len() + 1) as f64;
+        let overdraft = self.level.max(0.0) * OVERDRAFT_PART / instances;
+        gate.overdraft.store(to_units(overdraft), Ordering::Relaxed);
         // Only a debt is carried over: what was not spent is still in the bucket.
         let _ = gate
             .budget
@@ -211,3 +219,9 @@
         }
     }
 }
+
+fn to_units(requests: f64) -> i64 {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
+    let units = (requests * TOKEN as f64) as i64;
+    units
+}
--- a/crates/steering/src/service_times.rs
+++ b/crates/steering/src/service_times.rs
@@ -1,13 +1,20 @@
-//! Learns how long requests of a route take at an upstream that has handled their object lately, and at one that has
-//! not.
+//! Learns how long requests of a route take in each region: at an upstream that has handled their object lately, and at
+//! one that has not.
+//!
+//! What a route's requests pay for the way differs: a large body takes several round trips, and one that must not run
+//! twice often needs a new connection. So the whole time is learned for each region instead of adding a round trip.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use coltsfootkeel_model::{Arena, RegionKey};
+
 /// The part of the objective that a warm request is expected to take before one was seen.
 const FIRST_WARM_PART: f64 = 0.4;
-/// The part of the objective that a request at a new place is expected to take before one was seen.
-const FIRST_COLD_PART: f64 = 1.3;
+/// The part of the objective that a request at a new place is expected to take beyond that before one was seen.
+const FIRST_EXTRA_PART: f64 = 0.5;
+/// The round trips to another region that a request is expected to take before one was seen there.
+const FIRST_ROUND_TRIPS: u32 = 2;
 /// The weight of a new answer in the average.
 const LEARN_PART: f64 = 0.1;
 /// A warm request that took a larger part of the time of a cold one was not warm.
@@ -38,14 +45,16 @@
     }
 }
 
-/// The average service times of a route.
-#[derive(Debug, Default)]
+/// The average times of a route.
+#[derive(Debug)]
 pub struct ServiceTimes {
-    warm: AverageTime,
-    cold: AverageTime,
+    home: RegionKey,
+    warm: Arena<RegionKey, AverageTime>,
+    /// What a request at a new place takes longer.
+    extra: AverageTime,
 }
 
-/// The service times that a decision uses.
+/// The times that a decision uses, from sending a request to its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TimeEstimate {
     /// Where the object was handled lately.
@@ -55,27 +64,41 @@
 }
 
 impl ServiceTimes {
-    /// Returns the estimate for a route with this objective.
+    /// Makes the times of a route as seen from an instance in the region `home`.
     #[must_use]
-    pub fn estimate(&self, objective: Duration) -> TimeEstimate {
-        let warm = self.warm.get();
-        let cold = self.cold.get();
+    pub fn new(home: RegionKey, regions: usize) -> Self {
+        Self {
+            home,
+            warm: (0..regions).map(|_| AverageTime::default()).collect(),
+            extra: AverageTime::default(),
+        }
+    }
+
+    /// Returns the estimate for a region at this distance, for a route with this objective.
+    #[must_use]
+    pub fn estimate(
+        &self,
+        region: RegionKey,
+        distance: Duration,
+        objective: Duration,
+    ) -> TimeEstimate {
+        let warm = self.warm[region].get().unwrap_or_else(|| {
+            let at_home = self.warm[self.home].get();
+            at_home.unwrap_or(objective.mul_f64(FIRST_WARM_PART)) + distance * FIRST_ROUND_TRIPS
+        });
+        let extra = self.extra.get();
         TimeEstimate {
-            warm: warm.unwrap_or(objective.mul_f64(FIRST_WARM_PART)),
-            cold: cold.unwrap_or(objective.mul_f64(FIRST_COLD_PART)),
+            warm,
+            cold: warm + extra.unwrap_or(objective.mul_f64(FIRST_EXTRA_PART)),
         }
     }
 
     /// Learns from an answer that did not wait in a queue.
-    pub fn learn(&self, is_warm: bool, took: Duration) {
+    pub fn learn(&self, region: RegionKey, expected: TimeEstimate, is_warm: bool, took: Duration) {
         if !is_warm {
-            self.cold.learn(took);
-        } else if self
-            .cold
-            .get()
-            .is_none_or(|cold| took < cold.mul_f64(WARM_LIMIT))
-        {
-            self.warm.learn(took);
+            self.extra.learn(took.saturating_sub(expected.warm));
+        } else if took < expected.cold.mul_f64(WARM_LIMIT) || self.warm[region].get().is_none() {
+            self.warm[region].learn(took);
         }
     }
 }
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -74,6 +74,7 @@
     full_until: AtomicTime,
     slowness: AtomicU32,
     slowness_at: AtomicTime,
+    is_untried: AtomicBool,
     is_lost: AtomicBool,
     is_other: AtomicBool,
     doubts_until: AtomicTime,
@@ -96,6 +97,7 @@
             full_until: AtomicTime::default(),
             slowness: AtomicU32::new(USUAL_SLOWNESS),
             slowness_at: AtomicTime::default(),
+            is_untried: AtomicBool::new(true),
             is_lost: AtomicBool::new(false),
             is_other: AtomicBool::new(false),
             doubts_until: AtomicTime::default(),
@@ -106,6 +108,7 @@
 
     /// Counts a request that is sent to the upstream.
     pub fn start(&self) {
+        self.is_untried.store(false, Ordering::Relaxed);
         self.own_in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
@@ -129,6 +132,16 @@
     /// Sets the requests of the other instances in flight.
     pub fn set_peer_in_flight(&self, count: u32) {
         self.peer_in_flight.store(count, Ordering::Relaxed);
+        if count > 0 {
+            self.is_untried.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Tells whether no instance is known to have used the upstream. One that joins a pool whose objects are all warm
+    /// elsewhere gets its first request for that reason, so that its times are known when it is needed.
+    #[must_use]
+    pub fn is_untried(&self) -> bool {
+        self.is_untried.load(Ordering::Relaxed)
     }
 
     /// Records how an attempt ended.
--- a/crates/transport/src/upstream_link.rs
+++ b/crates/transport/src/upstream_link.rs
@@ -38,7 +38,7 @@
     /// For requests that must not be repeated: a connection that breaks while it is used leaves their outcome
     /// unknown.
     pub const ONCE_ONLY: Self = Self {
-        max_idle: Some(Duration::from_millis(500)),
+        max_idle: Some(Duration::from_secs(3)),
     };
     /// For upstreams whose kept connections are in doubt.
     pub const NEW_CONNECTION: Self = Self { max_idle: None };
