steering: a fixed order of upstreams for each object, and no new places in a loaded pool

After a restart the places chosen under load were not found again.

Change: weighted rendezvous order with a factor of 3 for the own region, the same at all instances and after a restart; a new place only below a pool load of 0.75; a late request uses free slots only and waits behind those in time; the age of a request that comes back is known from the time it states; where an object is new, an idempotent request is sent a second time 15 ms later, which is answered warm, and the first is cancelled; a pool in which a third of the upstreams refuse keeps its order. Accounts start with half of the tolerated excess instead of nothing.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -10,7 +10,7 @@
 };
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
-use coltsfootkeel_steering::{CrashTable, InstanceView, SteeringPlan};
+use coltsfootkeel_steering::{CrashTable, InstanceView, QuotaExcess, SteeringPlan};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -69,10 +69,16 @@
     /// Makes the state of a process that knows nothing yet.
     #[must_use]
     pub fn new(shared: Arc<SharedState>, client: Arc<StoreClient>, socket: Arc<UdpSocket>) -> Self {
+        let bounds = shared.settings.bounds;
+        let excess = QuotaExcess {
+            window: bounds.quota_window,
+            tolerance: bounds.quota_tolerance,
+            slack: bounds.quota_slack,
+        };
         let regions = shared.places.regions.len();
         let publisher = SnapshotPublisher::new(shared.home.region, regions);
         Self {
-            quotas: QuotaBook::new(shared.settings.is_first_start),
+            quotas: QuotaBook::new(shared.settings.is_first_start, excess),
             shared,
             client,
             socket,
@@ -229,6 +235,14 @@
         match SteeringPlan::build(raw, &self.shared.places) {
             Ok(plan) => {
                 log::info!(version = plan.version, revision = object.revision; "plan: In force.");
+                for (_, account) in plan.accounts.iter() {
+                    log::info!(
+                        account = account.name.as_str(),
+                        rate_per_s:? = account.rate_per_s,
+                        burst = account.burst;
+                        "plan: The limit of an account."
+                    );
+                }
                 self.plan = Some(Arc::new(plan));
                 self.publish();
                 true
--- a/crates/entry/src/quota_book.rs
+++ b/crates/entry/src/quota_book.rs
@@ -6,7 +6,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{AccountBeat, BeatMessage};
 use coltsfootkeel_steering::{
-    AccountPlan, QuotaAccount, QuotaGate, QuotaLimit, QuotaReport, stable_hash,
+    AccountPlan, QuotaAccount, QuotaExcess, QuotaGate, QuotaLimit, QuotaReport, stable_hash,
 };
 
 #[derive(Debug)]
@@ -20,15 +20,17 @@
 pub struct QuotaBook {
     entries: HashMap<u64, BookEntry>,
     is_first_start: bool,
+    excess: QuotaExcess,
 }
 
 impl QuotaBook {
-    /// Makes an empty book.
+    /// Makes an empty book. At the first start of the whole fleet nothing was spent.
     #[must_use]
-    pub fn new(is_first_start: bool) -> Self {
+    pub fn new(is_first_start: bool, excess: QuotaExcess) -> Self {
         Self {
             entries: HashMap::new(),
             is_first_start,
+            excess,
         }
     }
 
@@ -43,10 +45,14 @@
             rate_per_s,
             burst: plan.burst,
         };
-        let is_first_start = self.is_first_start;
+        let content = if self.is_first_start {
+            limit.burst
+        } else {
+            self.excess.start_content(limit)
+        };
         let entry = self.entries.entry(hash).or_insert_with(|| BookEntry {
             gate: Arc::default(),
-            account: QuotaAccount::new(limit, is_first_start, now),
+            account: QuotaAccount::new(limit, content, now),
         });
         entry.account.set_limit(limit);
         Some(Arc::clone(&entry.gate))
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -44,6 +44,8 @@
     pub object: Option<u64>,
     /// When it arrived.
     pub arrived: MonotonicTime,
+    /// How long before that its caller sent it first.
+    pub age: Duration,
     /// When it must have its final answer.
     pub deadline: MonotonicTime,
 }
@@ -94,6 +96,9 @@
                 plan.regions.intersect(route_plan.regions)
             }),
             object: object.map(|object| combine(route_hash(), stable_hash(object.as_bytes()))),
+            age: head.patience.map_or(Duration::ZERO, |patience| {
+                snapshot.times[route].age(patience)
+            }),
             snapshot,
             head,
             route,
@@ -174,8 +179,8 @@
     /// Returns what is left of the objective.
     #[must_use]
     pub fn objective_left(&self) -> Duration {
-        let end = self.arrived + self.route_plan().objective;
-        end.since(self.shared.clock.now())
+        let objective = self.route_plan().objective.saturating_sub(self.age);
+        (self.arrived + objective).since(self.shared.clock.now())
     }
 
     /// Returns when a caller that is refused now should come back.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use coltsfootkeel_adapter::read_caller_head;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::UpstreamKey;
-use coltsfootkeel_steering::{AttemptOutcome, LinePlace, longest_wait, short_hash};
+use coltsfootkeel_steering::{AttemptOutcome, LinePlace, line_rank, longest_wait, short_hash};
 use coltsfootkeel_transport::remove_hop_headers;
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
@@ -25,7 +27,7 @@
 use crate::request_context::{RequestContext, body_length};
 use crate::request_record::RequestRecord;
 use crate::shared_state::{CrashNote, InFlightGuard, SharedState};
-use crate::upstream_choice::{TakenPlace, take_place};
+use crate::upstream_choice::{TakenPlace, is_pool_doubtful, take_place};
 use crate::upstream_exchange::{
     AnswerContent, ExchangeEnd, ExchangeRequest, UpstreamAnswer, exchange,
 };
@@ -38,6 +40,8 @@
 const LEAST_PATIENCE: Duration = Duration::from_millis(700);
 /// After an answer that belonged to another request, requests that must not run twice get new connections.
 const DOUBT_PERIOD: Duration = Duration::from_secs(20);
+/// The time after which a first send has certainly begun to run, beyond the way to the upstream.
+const SECOND_SEND_DELAY: Duration = Duration::from_millis(15);
 /// The time that a stopping instance keeps for the answer itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -127,8 +131,8 @@
         }
         self.context.charge()?;
         let retries = &self.context.listed_pool().state.retries;
-        let instances = self.context.shared.fleet.load().hashes.len();
-        retries.count_request(self.context.shared.retry_bound(), instances);
+        let bound = self.context.shared.retry_bound();
+        retries.count_request(bound, self.context.shared.instance_count());
         loop {
             let place = match self.find_place(record).await {
                 Ok(place) => place,
@@ -166,14 +170,17 @@
             return Ok(place);
         }
         let started = self.context.shared.clock.now();
-        let longest = longest_wait(
-            self.context.objective_left(),
-            self.context.home_times().warm,
-        );
+        let warm = self.context.home_times().warm;
+        let objective_left = self.context.objective_left();
+        let longest = longest_wait(objective_left, self.context.remaining(), warm);
+        let line = &self.context.listed_pool().state.line;
+        let rank = line_rank(self.context.rank, objective_left, warm);
+        if self.expected_wait(line.ahead_of(rank)) > longest {
+            return Err(RejectKind::NoRoom);
+        }
         let until = started + longest;
         self.context.shared.metrics.count(CounterName::Waits);
-        let line = &self.context.listed_pool().state.line;
-        let turn = line.draw_place(self.context.rank);
+        let turn = line.draw_place(rank);
         let found = loop {
             if !self.wait_turn(turn, until).await {
                 break take_place(&self.context, &self.tried);
@@ -188,6 +195,21 @@
         found.ok_or(RejectKind::NoRoom)
     }
 
+    /// Returns how long the requests ahead in the line keep all slots of the pool busy.
+    fn expected_wait(&self, ahead: usize) -> Duration {
+        let pool = self.context.listed_pool();
+        let upstreams = pool.upstreams.iter();
+        let usable = upstreams
+            .map(|key| &self.context.snapshot.upstreams[*key])
+            .filter(|listed| listed.is_usable);
+        let slots: u32 = usable.map(|listed| listed.state.facts.slots).sum();
+        let instances = self.context.shared.instance_count();
+        let slot_time = pool.state.slot_time.get().unwrap_or_default();
+        // The other instances have lines of about the same length.
+        let turns = u32::try_from(ahead * instances).unwrap_or(u32::MAX);
+        slot_time.mul_f64(f64::from(turns) / f64::from(slots.max(1)))
+    }
+
     /// Refuses a request that a stopping process would cut.
     fn check_stop(&self) -> Result<(), RejectKind> {
         let Some(grace_left) = self.context.shared.grace_left() else {
@@ -221,16 +243,49 @@
         self.context.shared.metrics.count(counter);
         self.tried.push(place.key);
         self.sends += 1;
-        let request = ExchangeRequest {
+        let message = |body_of_send| ExchangeRequest {
             method: &self.parts.method,
             uri: &self.parts.uri,
             headers: &self.headers,
-            body: sent_body,
+            body: body_of_send,
             body_bytes: is_replayable.then_some(body.bytes().len() as u64),
             give_up_at: self.give_up_at(place, is_replayable),
         };
         let listed = &self.context.snapshot.upstreams[place.key];
-        exchange(&self.context, listed, request).await
+        let first = exchange(&self.context, listed, message(sent_body));
+        if !self.wants_second_send(place, body) {
+            return first.await;
+        }
+        let region = listed.state.facts.region;
+        let delay = self.context.shared.distance(region) + SECOND_SEND_DELAY;
+        let second = async {
+            tokio::time::sleep(delay).await;
+            let _counted = place.second_send();
+            let body = Body::from(Bytes::copy_from_slice(body.bytes()));
+            exchange(&self.context, listed, message(body)).await
+        };
+        first_answer(first, second).await
+    }
+
+    /// Decides whether a request is sent to its new place twice.
+    ///
+    /// Load pattern: objects that no upstream has handled lately, as after a start or a move. The first run takes several
+    /// times as long as those after it, and also as those that begin while it runs. The second send is answered in the time
+    /// of a warm one, and the first is cancelled, which frees its slot sooner.
+    fn wants_second_send(&self, place: &TakenPlace, body: &CallerBody) -> bool {
+        let route = self.context.route_plan();
+        let is_first_touch = !place.choice.is_warm && self.context.object.is_some();
+        is_first_touch
+            && route.is_idempotent
+            && body.is_replayable()
+            && place.choice.queue.is_zero()
+            && self.may_spare_retry()
+    }
+
+    fn may_spare_retry(&self) -> bool {
+        let shared = &self.context.shared;
+        let retries = &self.context.listed_pool().state.retries;
+        retries.try_spare_retry(shared.retry_bound(), shared.instance_count())
     }
 
     /// An upstream that went silent holds a request that may be repeated only for some times the expected time.
@@ -328,9 +383,15 @@
                     AfterAttempt::GiveUp(RejectKind::NoRoom)
                 }
             }
-            ExchangeEnd::NotRun | ExchangeEnd::OtherUpstream => {
+            ExchangeEnd::NotRun => {
+                let now = self.context.shared.clock.now();
+                if is_pool_doubtful(&self.context, now) {
+                    // Another upstream refuses as likely, and has not handled the object.
+                    self.tried.retain(|key| *key != place.key);
+                }
                 self.retry_or(body, RejectKind::NoRoom)
             }
+            ExchangeEnd::OtherUpstream => self.retry_or(body, RejectKind::NoRoom),
             ExchangeEnd::Foreign | ExchangeEnd::Broken => {
                 self.may_have_run = true;
                 self.repeat_or(body, RejectKind::UpstreamFailed)
@@ -432,6 +493,22 @@
     }
 }
 
+/// Waits for the first of two sends that is answered; the other one is cancelled.
+async fn first_answer(
+    first: impl Future<Output = ExchangeEnd>,
+    second: impl Future<Output = ExchangeEnd>,
+) -> ExchangeEnd {
+    let mut first = std::pin::pin!(first);
+    let mut second = std::pin::pin!(second);
+    tokio::select! {
+        end = first.as_mut() => end,
+        end = second.as_mut() => match end {
+            ExchangeEnd::Answered(answer) => ExchangeEnd::Answered(answer),
+            _ => first.await,
+        },
+    }
+}
+
 /// Leaves the line also when the caller leaves.
 struct LeaveGuard<'a> {
     run: &'a RequestRun,
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -215,6 +215,12 @@
         }
     }
 
+    /// Returns the number of live instances.
+    #[must_use]
+    pub fn instance_count(&self) -> usize {
+        self.fleet.load().hashes.len()
+    }
+
     /// Reports to the control thread.
     pub fn report(&self, event: ControlEvent) {
         // The control thread is gone only when the process ends.
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -44,6 +44,29 @@
     }
 }
 
+/// A second request in flight at the same upstream. Dropped, it counts no more.
+#[derive(Debug)]
+pub struct SecondSend {
+    state: Arc<UpstreamState>,
+}
+
+impl TakenPlace {
+    /// Counts a second request at the upstream.
+    #[must_use]
+    pub fn second_send(&self) -> SecondSend {
+        self.state.start();
+        SecondSend {
+            state: Arc::clone(&self.state),
+        }
+    }
+}
+
+impl Drop for SecondSend {
+    fn drop(&mut self) {
+        self.state.finish();
+    }
+}
+
 impl Drop for TakenPlace {
     fn drop(&mut self) {
         self.state.finish();
@@ -59,13 +82,18 @@
     }
 }
 
+/// If more than one in this many upstreams of a pool is avoided, none is.
+const DOUBTFUL_DIVISOR: usize = 3;
+
 /// Which upstreams are considered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ChoiceTier {
     /// Those that answer.
     Sound,
-    /// Also those that failed lately, because no other is left.
+    /// Also those that failed lately, because too many did.
     Doubtful,
+    /// All, because no other is left.
+    All,
 }
 
 /// Takes a place at the best upstream that was not tried yet, if one can answer in time.
@@ -82,16 +110,17 @@
         objective: context.route_plan().objective,
         objective_left: context.objective_left(),
         deadline_left: context.remaining(),
+        may_move: may_move(context),
     };
     let salt = context.object.unwrap_or_else(|| fastrand::u64(..));
     let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
     let upstreams = context.listed_pool().upstreams.iter().copied();
-    let mut candidates = upstreams
+    let candidates = upstreams
         .filter(is_eligible)
         .map(|key| candidate(context, key, salt, &warm, now));
     let choice = match untried_choice(context, candidates.clone()) {
         Some(choice) => choice,
-        None => task.choose(&mut candidates)?,
+        None => task.choose(candidates)?,
     };
     let state = &context.snapshot.upstreams[choice.key].state;
     if state.is_cold(now) && !take_cold_turn(context, state, now) {
@@ -109,6 +138,15 @@
     Some(TakenPlace::new(context, choice))
 }
 
+/// Tells whether the request can be sent twice to a place that is not warm.
+fn may_move(context: &RequestContext) -> bool {
+    let retries = &context.listed_pool().state.retries;
+    let shared = &context.shared;
+    context.route_plan().is_idempotent
+        && context.object.is_some()
+        && retries.has_spare_retry(shared.retry_bound(), shared.instance_count())
+}
+
 /// Chooses an upstream that no instance has used, for a request that may be repeated.
 fn untried_choice(
     context: &RequestContext,
@@ -135,17 +173,42 @@
         let listed = &context.snapshot.upstreams[*key];
         is_allowed(context, listed) && !tried.contains(key) && is_sound(&listed.state, now)
     };
-    if upstreams.any(is_sound) {
-        ChoiceTier::Sound
-    } else {
+    if !upstreams.any(is_sound) {
+        ChoiceTier::All
+    } else if is_pool_doubtful(context, now) {
         ChoiceTier::Doubtful
+    } else {
+        ChoiceTier::Sound
     }
 }
 
+/// Tells whether so many upstreams fail that leaving them out helps no more: the others would be overloaded, and requests
+/// would lose their warm places.
+pub fn is_pool_doubtful(context: &RequestContext, now: MonotonicTime) -> bool {
+    let upstreams = context.listed_pool().upstreams.iter();
+    let allowed = upstreams
+        .map(|key| &context.snapshot.upstreams[*key])
+        .filter(|listed| is_allowed(context, listed));
+    let (mut all, mut avoided) = (0, 0);
+    for listed in allowed {
+        all += 1;
+        avoided += usize::from(listed.state.is_avoided(now) && !listed.state.is_lost());
+    }
+    avoided * DOUBTFUL_DIVISOR > all
+}
+
 fn is_sound(state: &UpstreamState, now: MonotonicTime) -> bool {
     !state.is_avoided(now) && !state.is_lost()
 }
 
+fn is_in_tier(state: &UpstreamState, tier: ChoiceTier, now: MonotonicTime) -> bool {
+    match tier {
+        ChoiceTier::Sound => is_sound(state, now),
+        ChoiceTier::Doubtful => !state.is_lost(),
+        ChoiceTier::All => true,
+    }
+}
+
 fn is_allowed(context: &RequestContext, listed: &ListedUpstream) -> bool {
     listed.is_usable
         && !listed.state.is_other()
@@ -164,7 +227,7 @@
     is_allowed(context, listed)
         && !tried.contains(&key)
         && !state.is_full(now)
-        && (tier == ChoiceTier::Doubtful || is_sound(state, now))
+        && is_in_tier(state, tier, now)
         && (!state.is_cold(now) || state.cold_turn.get() <= now)
 }
 
@@ -179,6 +242,7 @@
     PlaceCandidate {
         key,
         weight: combine(salt, state.hash),
+        is_home: state.facts.region == context.shared.home.region,
         times: context.times(state.facts.region),
         in_flight: state.in_flight(),
         slots: state.facts.slots,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,10 +12,12 @@
 //!     objective: Duration::from_millis(500),
 //!     objective_left: Duration::from_millis(500),
 //!     deadline_left: Duration::from_secs(3),
+//!     may_move: false,
 //! };
 //! let place = |key, is_warm| PlaceCandidate {
 //!     key,
 //!     is_warm,
+//!     is_home: true,
 //!     weight: 1,
 //!     times: TimeEstimate {
 //!         warm: Duration::from_millis(200),
@@ -56,11 +58,11 @@
 pub use places::{DomainPlace, MAX_REGIONS, PlaceError, PlaceTable, RegionSet};
 pub use plan::{AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SplitShare, SteeringPlan};
 pub use plan_freshness::PlanFreshness;
-pub use quota_share::{QuotaAccount, QuotaGate, QuotaLimit, QuotaReport};
+pub use quota_share::{QuotaAccount, QuotaExcess, QuotaGate, QuotaLimit, QuotaReport};
 pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget};
 pub use retry_share::{RetryBound, RetryShare};
 pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_state::{AttemptOutcome, UpstreamFacts, UpstreamState};
-pub use wait_line::{LinePlace, WaitLine, longest_wait, retry_after};
+pub use wait_line::{LinePlace, WaitLine, line_rank, longest_wait, retry_after};
 pub use warm_table::{WarmPlaces, WarmTable, short_hash};
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -1,8 +1,8 @@
 //! Chooses the upstream for a request.
 //!
 //! Load pattern: demand beyond the slots, the usual state. Work at an upstream that handled the object lately takes
-//! a fraction of the time, so a short queue there beats a free slot elsewhere. A new place is opened only where no
-//! warm one answers within the objective, and all instances open the same one.
+//! a fraction of the time, so a short queue there beats a free slot elsewhere. Every object has a fixed order of
+//! upstreams, the same at all instances and after a restart, so that it is kept warm at as few places as its load needs.
 
 use std::time::Duration;
 
@@ -10,17 +10,33 @@
 
 /// The queue an upstream may have, as a part of its slots, before a warm request goes elsewhere.
 const QUEUE_PART: f64 = 1.5;
+/// The queue an upstream may have before it gets no new objects.
+const NEW_QUEUE_PART: f64 = 0.25;
+/// The load of the pool below which an object moves up in its order.
+const MOVE_LOAD: f64 = 0.6;
+/// The load of the pool below which an object that is late at its warm places gets one more.
+const OPEN_LOAD: f64 = 0.75;
+/// The same where the warm places are too far to meet the objective at all.
+const NEARER_LOAD: f64 = 0.95;
 /// The part of the objective within which a warm answer must be expected at a new place. The rest is for the way
 /// between caller and instance, and for answers that take longer than usual.
 const NEAR_PART: f64 = 0.8;
+/// How many times more objects an upstream in the caller's region attracts. It keeps more than half of the traffic in
+/// the region and still spreads the load of a region with few upstreams over the others.
+const HOME_FACTOR: f64 = 3.0;
+/// An upstream that is slower than this attracts fewer objects. Below, its slowness may be chance, and the order of
+/// upstreams must not change by chance.
+const SLOW: f64 = 1.6;
 
 /// An upstream that may be chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct PlaceCandidate<K> {
     /// The upstream.
     pub key: K,
-    /// The rendezvous weight of the upstream for the object.
+    /// The hash of the upstream and the object.
     pub weight: u64,
+    /// Whether it lies in the region of this instance.
+    pub is_home: bool,
     /// Times to an answer without a queue.
     pub times: TimeEstimate,
     /// Requests of all instances in flight.
@@ -44,6 +60,8 @@
     pub objective_left: Duration,
     /// What is left of the deadline.
     pub deadline_left: Duration,
+    /// Whether the object may move to a place that is not warm yet, because the request can be sent there twice.
+    pub may_move: bool,
 }
 
 /// Where a request goes.
@@ -59,8 +77,20 @@
     pub is_warm: bool,
 }
 
-/// How good a new place is: whether warm answers will meet the objective there, then the weight.
-type NewPlaceRank = (bool, u64);
+/// The place of an upstream in an object's order: those where warm answers meet the objective come first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct PlaceRank {
+    is_near: bool,
+    score: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RankedChoice<K> {
+    rank: PlaceRank,
+    choice: PlaceChoice<K>,
+    /// Requests in flight as a part of the slots.
+    load: f64,
+}
 
 impl PlaceTask {
     /// Returns the expected time until a candidate's answer.
@@ -81,61 +111,135 @@
         }
     }
 
-    fn new_place_rank<K>(&self, candidate: &PlaceCandidate<K>) -> NewPlaceRank {
-        let warm = candidate.times.warm.mul_f64(candidate.slowness);
-        let is_near = warm <= self.objective.mul_f64(NEAR_PART);
-        // A slow upstream attracts fewer objects, alike at all instances.
-        (is_near, scaled_weight(candidate.weight, candidate.slowness))
+    /// Returns the place in the object's order: weighted rendezvous hashing over slots, region and slowness.
+    fn rank<K>(&self, candidate: &PlaceCandidate<K>) -> PlaceRank {
+        let slowness = if candidate.slowness > SLOW {
+            candidate.slowness
+        } else {
+            1.0
+        };
+        let warm = candidate.times.warm.mul_f64(slowness);
+        let factor = if candidate.is_home { HOME_FACTOR } else { 1.0 };
+        let weight = f64::from(candidate.slots) * factor / slowness;
+        PlaceRank {
+            is_near: warm <= self.objective.mul_f64(NEAR_PART),
+            score: -weight / uniform(candidate.weight).ln(),
+        }
     }
 
-    /// Chooses among candidates, or returns nothing if all are busy or too late.
+    /// Chooses among candidates, or returns nothing if the request should wait.
     pub fn choose<K: Copy>(
         &self,
-        candidates: impl Iterator<Item = PlaceCandidate<K>>,
+        candidates: impl Iterator<Item = PlaceCandidate<K>> + Clone,
     ) -> Option<PlaceChoice<K>> {
-        let mut best_warm: Option<PlaceChoice<K>> = None;
-        let mut best_new: Option<(NewPlaceRank, PlaceChoice<K>)> = None;
+        let load = pool_load(candidates.clone());
+        let mut best = BestPlaces::default();
         for candidate in candidates {
-            let choice = self.choice(&candidate);
-            if candidate.is_warm && has_queue_room(&candidate) {
-                if best_warm.is_none_or(|best| choice.expected < best.expected) {
-                    best_warm = Some(choice);
-                }
-            } else if candidate.in_flight < candidate.slots {
-                let rank = self.new_place_rank(&candidate);
-                if best_new.is_none_or(|(best, _)| rank > best) {
-                    best_new = Some((rank, choice));
-                }
-            }
+            best.add(self.ranked(&candidate), self.objective_left);
         }
-        let in_time = |choice: &PlaceChoice<K>| choice.expected <= self.objective_left;
-        let late_or_new = || match (best_warm, best_new) {
-            // The request is late either way; a new place that is near serves the next ones in time.
-            (Some(warm), Some(((false, _), new))) if warm.expected <= new.expected => Some(warm),
-            (_, Some((_, new))) => Some(new),
-            (warm, None) => warm,
+        let chosen = match (best.in_time, best.new) {
+            (Some(warm), Some(new)) if self.should_move(&warm, &new, load) => Some(new),
+            (Some(warm), _) => Some(warm),
+            (None, new) if !best.has_warm => new,
+            (None, Some(new)) if self.should_open(&best, &new, load) => Some(new),
+            (None, _) => best.late,
         };
-        best_warm
-            .filter(in_time)
-            .or_else(late_or_new)
+        chosen
+            .map(|chosen| chosen.choice)
             .filter(|choice| choice.expected <= self.deadline_left)
     }
+
+    fn ranked<K: Copy>(&self, candidate: &PlaceCandidate<K>) -> RankedChoice<K> {
+        RankedChoice {
+            rank: self.rank(candidate),
+            choice: self.choice(candidate),
+            load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
+        }
+    }
+
+    /// Decides whether the object moves from a warm place to one that comes earlier in its order.
+    fn should_move<K>(&self, warm: &RankedChoice<K>, new: &RankedChoice<K>, load: f64) -> bool {
+        let is_earlier = new.rank > warm.rank;
+        self.may_move && is_earlier && load < MOVE_LOAD && new.load < MOVE_LOAD
+    }
+
+    /// Decides whether a request that is late at every warm place opens a new one.
+    ///
+    /// A first run costs several times the work, so in a loaded pool new places would take the capacity that the warm
+    /// ones need, and their number would push other objects out. The pool would not recover from that by itself.
+    fn should_open<K>(&self, best: &BestPlaces<K>, new: &RankedChoice<K>, load: f64) -> bool {
+        let is_nearer = new.rank.is_near && !best.has_near_warm;
+        let most = if is_nearer { NEARER_LOAD } else { OPEN_LOAD };
+        !self.objective_left.is_zero() && load < most && new.load < 1.0
+    }
 }
 
-fn has_queue_room<K>(candidate: &PlaceCandidate<K>) -> bool {
-    f64::from(candidate.in_flight) < f64::from(candidate.slots) * (1.0 + QUEUE_PART)
+/// The best places of each sort.
+struct BestPlaces<K> {
+    /// Warm, and within the objective: the first in the object's order.
+    in_time: Option<RankedChoice<K>>,
+    /// Warm, late, and with a free slot: the soonest.
+    late: Option<RankedChoice<K>>,
+    /// Not warm: the first in the object's order.
+    new: Option<RankedChoice<K>>,
+    has_warm: bool,
+    has_near_warm: bool,
 }
 
-/// Divides a weight by the slowness. Weights are uniform, so the highest one is as likely to fall as the quotient says.
-fn scaled_weight(weight: u64, slowness: f64) -> u64 {
-    if slowness <= 1.0 {
-        return weight;
+impl<K> Default for BestPlaces<K> {
+    fn default() -> Self {
+        Self {
+            in_time: None,
+            late: None,
+            new: None,
+            has_warm: false,
+            has_near_warm: false,
+        }
     }
-    #[expect(
-        clippy::cast_precision_loss,
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss
-    )]
-    let scaled = (weight as f64 / slowness) as u64;
-    scaled
+}
+
+impl<K: Copy> BestPlaces<K> {
+    fn add(&mut self, ranked: RankedChoice<K>, objective_left: Duration) {
+        let is_earlier = |best: &Option<RankedChoice<K>>| {
+            best.as_ref().is_none_or(|best| ranked.rank > best.rank)
+        };
+        if !ranked.choice.is_warm {
+            if ranked.load < 1.0 + NEW_QUEUE_PART && is_earlier(&self.new) {
+                self.new = Some(ranked);
+            }
+            return;
+        }
+        self.has_warm = true;
+        self.has_near_warm |= ranked.rank.is_near;
+        if ranked.choice.expected <= objective_left && ranked.load < 1.0 + QUEUE_PART {
+            if is_earlier(&self.in_time) {
+                self.in_time = Some(ranked);
+            }
+        } else if ranked.load < 1.0 {
+            // A late answer is worth little: it must not delay those that can be in time.
+            let is_sooner = |late: &RankedChoice<K>| ranked.choice.expected < late.choice.expected;
+            if self.late.as_ref().is_none_or(is_sooner) {
+                self.late = Some(ranked);
+            }
+        }
+    }
+}
+
+/// Returns the requests in flight at all candidates as a part of their slots.
+fn pool_load<K>(candidates: impl Iterator<Item = PlaceCandidate<K>>) -> f64 {
+    let (mut in_flight, mut slots) = (0, 0);
+    for candidate in candidates {
+        in_flight += candidate.in_flight;
+        slots += candidate.slots;
+    }
+    f64::from(in_flight) / f64::from(slots.max(1))
+}
+
+/// Returns a hash as a number above 0 and below 1.
+fn uniform(hash: u64) -> f64 {
+    /// Bits of a hash that an `f64` holds exactly.
+    const BITS: u32 = 52;
+    #[expect(clippy::cast_precision_loss)]
+    let numerator = (hash >> (u64::BITS - BITS)) as f64 + 0.5;
+    numerator / 2f64.powi(BITS.cast_signed())
 }
--- a/crates/steering/src/quota_share.rs
+++ b/crates/steering/src/quota_share.rs
@@ -85,6 +85,27 @@
     pub demand: f64,
 }
 
+/// By how much an account may exceed its limit in a window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaExcess {
+    /// The window.
+    pub window: Duration,
+    /// The part of what the limit allows in a window.
+    pub tolerance: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl QuotaExcess {
+    /// Returns what the bucket holds at a start. An instance that starts while others run, or after all were stopped,
+    /// knows nothing of what was spent, so it starts with half of what may be spent in excess.
+    #[must_use]
+    pub fn start_content(&self, limit: QuotaLimit) -> f64 {
+        let allowed = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
+        f64::midpoint(allowed * self.tolerance, self.slack)
+    }
+}
+
 #[derive(Debug)]
 struct PeerSpending {
     incarnation: u64,
@@ -109,12 +130,11 @@
 }
 
 impl QuotaAccount {
-    /// Starts the count. An instance that starts while others run knows nothing of what was spent, so its bucket is
-    /// empty.
+    /// Starts the count with `content` requests in the bucket.
     #[must_use]
-    pub fn new(limit: QuotaLimit, is_first_start: bool, now: MonotonicTime) -> Self {
+    pub fn new(limit: QuotaLimit, content: f64, now: MonotonicTime) -> Self {
         Self {
-            level: if is_first_start { limit.burst } else { 0.0 },
+            level: content.min(limit.burst),
             limit,
             ticked_at: now,
             own_admitted: 0,
--- a/crates/steering/src/retry_share.rs
+++ b/crates/steering/src/retry_share.rs
@@ -8,7 +8,10 @@
 /// One retry in the unit of the budget.
 const RETRY: i64 = 1_000;
 /// The part of the bound that is used. The rest covers windows in which the requests fall off.
-const USED_PART: f64 = 0.7;
+const USED_PART: f64 = 0.8;
+
+/// The part of what can be saved up that is kept for failures.
+const RESERVED_PART: f64 = 0.4;
 
 /// The bound of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -29,8 +32,7 @@
     /// Counts a request, which earns a part of a retry. The budget stays within this instance's part of the slack.
     pub fn count_request(&self, bound: RetryBound, instances: usize) {
         let earned = to_units(bound.ratio * USED_PART);
-        #[expect(clippy::cast_precision_loss)]
-        let most = to_units(bound.slack * USED_PART / instances.max(1) as f64).max(RETRY);
+        let most = most_units(bound, instances);
         let _ = self
             .budget
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |budget| {
@@ -40,15 +42,42 @@
 
     /// Takes one retry if any is left.
     pub fn try_retry(&self) -> bool {
+        self.take(RETRY)
+    }
+
+    /// Takes one retry if enough are left for failures that may come.
+    pub fn try_spare_retry(&self, bound: RetryBound, instances: usize) -> bool {
+        self.take(spare_level(bound, instances))
+    }
+
+    /// Tells whether enough retries are left for failures that may come, and one more.
+    pub fn has_spare_retry(&self, bound: RetryBound, instances: usize) -> bool {
+        self.budget.load(Ordering::Relaxed) >= spare_level(bound, instances)
+    }
+
+    fn take(&self, least: i64) -> bool {
         let taken = self
             .budget
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |budget| {
-                (budget >= RETRY).then_some(budget - RETRY)
+                (budget >= least).then_some(budget - RETRY)
             });
         taken.is_ok()
     }
 }
 
+fn spare_level(bound: RetryBound, instances: usize) -> i64 {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
+    let reserve = (most_units(bound, instances) as f64 * RESERVED_PART) as i64;
+    reserve.max(RETRY)
+}
+
+/// Returns the most that this instance saves up.
+fn most_units(bound: RetryBound, instances: usize) -> i64 {
+    #[expect(clippy::cast_precision_loss)]
+    let share = bound.slack * USED_PART / instances.max(1) as f64;
+    to_units(share).max(RETRY)
+}
+
 fn to_units(retries: f64) -> i64 {
     #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
     let units = (retries * RETRY as f64) as i64;
--- a/crates/steering/src/service_times.rs
+++ b/crates/steering/src/service_times.rs
@@ -45,6 +45,38 @@
     }
 }
 
+/// The time that callers of a route state at first: the majority of the times stated, while what callers state after
+/// a refusal differs each time.
+#[derive(Debug, Default)]
+struct UsualPatience {
+    milliseconds: AtomicU64,
+    votes: AtomicU64,
+}
+
+impl UsualPatience {
+    /// Adds a time and returns the majority (the vote of Boyer and Moore). Two threads that vote at once may lose
+    /// a vote, which changes nothing while one time is far more frequent.
+    fn vote(&self, patience: Duration) -> Duration {
+        /// Votes beyond this are not counted, so that a change of the usual time is noticed.
+        const MOST_VOTES: u64 = 50;
+        let stated = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
+        let usual = self.milliseconds.load(Ordering::Relaxed);
+        let votes = self.votes.load(Ordering::Relaxed);
+        if votes == 0 {
+            self.milliseconds.store(stated, Ordering::Relaxed);
+            self.votes.store(1, Ordering::Relaxed);
+            return patience;
+        }
+        let next = if stated == usual {
+            (votes + 1).min(MOST_VOTES)
+        } else {
+            votes - 1
+        };
+        self.votes.store(next, Ordering::Relaxed);
+        Duration::from_millis(usual)
+    }
+}
+
 /// The average times of a route.
 #[derive(Debug)]
 pub struct ServiceTimes {
@@ -52,6 +84,7 @@
     warm: Arena<RegionKey, AverageTime>,
     /// What a request at a new place takes longer.
     extra: AverageTime,
+    usual_patience: UsualPatience,
 }
 
 /// The times that a decision uses, from sending a request to its answer.
@@ -71,6 +104,7 @@
             home,
             warm: (0..regions).map(|_| AverageTime::default()).collect(),
             extra: AverageTime::default(),
+            usual_patience: UsualPatience::default(),
         }
     }
 
@@ -93,6 +127,12 @@
         }
     }
 
+    /// Returns how long ago the caller sent its request first. A caller that comes back after a refusal states what is
+    /// left of its time, so the difference to the time that callers usually state has passed.
+    pub fn age(&self, patience: Duration) -> Duration {
+        self.usual_patience.vote(patience).saturating_sub(patience)
+    }
+
     /// Learns from an answer that did not wait in a queue.
     pub fn learn(&self, region: RegionKey, expected: TimeEstimate, is_warm: bool, took: Duration) {
         if !is_warm {
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -155,9 +155,12 @@
         self.failure_level.store(next, Ordering::Relaxed);
         match outcome {
             AttemptOutcome::Answered => self.is_lost.store(false, Ordering::Relaxed),
-            AttemptOutcome::Full => self.full_until.advance(now + FULL_PAUSE),
+            // One that refuses while it has free slots is at fault, not full.
+            AttemptOutcome::Full if self.in_flight() >= self.facts.slots => {
+                self.full_until.advance(now + FULL_PAUSE);
+            }
             AttemptOutcome::Lost => self.is_lost.store(true, Ordering::Relaxed),
-            AttemptOutcome::Failed => {}
+            AttemptOutcome::Full | AttemptOutcome::Failed => {}
         }
         if next >= AVOID_LEVEL {
             self.avoid(now);
--- a/crates/steering/src/wait_line.rs
+++ b/crates/steering/src/wait_line.rs
@@ -83,10 +83,31 @@
     }
 }
 
-/// Returns how long a request may wait for an upstream: as long as a warm answer still meets the objective.
+/// A request that is late already waits behind all that can be in time.
+const LATE_RANKS: u32 = 1_000;
+/// The part of the caller's time that a late request may wait.
+const LATE_WAIT_PART: f64 = 0.2;
+
+/// Returns the rank of a request in the line.
+#[must_use]
+pub fn line_rank(rank: u32, objective_left: Duration, warm_time: Duration) -> u32 {
+    if objective_left < warm_time {
+        rank.saturating_add(LATE_RANKS)
+    } else {
+        rank
+    }
+}
+
+/// Returns how long a request may wait for an upstream: as long as a warm answer still meets the objective, or, where that
+/// cannot be, for a small part of the caller's time.
 #[must_use]
-pub fn longest_wait(objective_left: Duration, warm_time: Duration) -> Duration {
-    objective_left.saturating_sub(warm_time)
+pub fn longest_wait(
+    objective_left: Duration,
+    deadline_left: Duration,
+    warm_time: Duration,
+) -> Duration {
+    let in_time = objective_left.saturating_sub(warm_time);
+    in_time.max(deadline_left.mul_f64(LATE_WAIT_PART))
 }
 
 /// Returns when a refused caller should come back: spread over the second half of the part of its time that callers
