--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -88,6 +88,8 @@
 struct RankedChoice<K> {
     rank: PlaceRank,
     choice: PlaceChoice<K>,
+    /// The time to a warm answer without a queue.
+    warm: Duration,
     /// Requests in flight as a part of the slots.
     load: f64,
 }
@@ -153,6 +155,7 @@
         RankedChoice {
             rank: self.rank(candidate),
             choice: self.choice(candidate),
+            warm: candidate.times.warm.mul_f64(candidate.slowness),
             load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
         }
     }
@@ -170,7 +173,9 @@
     fn should_open<K>(&self, best: &BestPlaces<K>, new: &RankedChoice<K>, load: f64) -> bool {
         let is_nearer = new.rank.is_near && !best.has_near_warm;
         let most = if is_nearer { NEARER_LOAD } else { OPEN_LOAD };
-        !self.objective_left.is_zero() && load < most && new.load < 1.0
+        // One that came back too late to be in time anywhere tells nothing about the places.
+        let could_be_in_time = new.warm <= self.objective_left;
+        could_be_in_time && load < most && new.load < 1.0
     }
 }
 
