entry: fewer store calls, broken answers, patience only with a retry left

Change: the watch after a change is short; the store is reached while it answers; changes of upstreams and instances are taken several together; a broken answer asks for a health check and is repeated once at the same upstream.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -34,8 +34,8 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(600);
 /// A registered instance that is silent for longer is removed by another one.
 const DEAD_AFTER: Duration = Duration::from_secs(15);
-/// The store counts as reached for this long after a confirmation.
-const REACHED_FOR: Duration = Duration::from_millis(2_500);
+/// The store counts as reached for this long after it answered; a watch that nothing ends returns sooner.
+const REACHED_FOR: Duration = Duration::from_millis(3_200);
 /// Requests that are woken on each tick: their upstreams may have room at other instances.
 const WOKEN_ON_TICK: usize = 64;
 /// Time between two rounds of clearing what was not used for long.
@@ -54,8 +54,8 @@
     pub(crate) plan: Option<Arc<SteeringPlan>>,
     pub(crate) beat_number: u64,
     pub(crate) sent_beats: VecDeque<(u64, MonotonicTime)>,
-    /// When the store itself last confirmed the plan.
-    pub(crate) store_confirmed: Option<MonotonicTime>,
+    /// When the store last answered a call about the plan, suspension included.
+    pub(crate) store_answered: Option<MonotonicTime>,
     registry: UpstreamRegistry,
     evacuations: HashSet<String>,
     publisher: SnapshotPublisher,
@@ -89,7 +89,7 @@
             // Numbers of an earlier start must not be taken for those of this one.
             beat_number: fastrand::u64(..1 << 48),
             sent_beats: VecDeque::new(),
-            store_confirmed: None,
+            store_answered: None,
             registry: UpstreamRegistry::default(),
             evacuations: HashSet::new(),
             publisher,
@@ -292,9 +292,8 @@
     }
 
     fn confirm_by_store(&mut self, time: MonotonicTime) {
-        let latest = self.store_confirmed.map_or(time, |known| known.max(time));
-        self.store_confirmed = Some(latest);
-        self.shared.freshness.confirm(latest);
+        self.store_answered = Some(self.shared.clock.now_with_suspension());
+        self.shared.freshness.confirm(time);
     }
 
     /// Returns for how long the list of upstreams was read without a failure.
@@ -311,8 +310,8 @@
     /// Tells whether this instance itself reaches the store.
     pub(crate) fn reaches_store(&self) -> bool {
         let now = self.shared.clock.now_with_suspension();
-        self.store_confirmed
-            .is_some_and(|confirmed| now.since(confirmed) < REACHED_FOR)
+        self.store_answered
+            .is_some_and(|answered| now.since(answered) < REACHED_FOR)
     }
 
     fn publish_if(&mut self, is_changed: bool) {
@@ -337,15 +336,16 @@
     }
 
     fn take_check(&mut self, upstream: &str, cold_for: Option<Duration>) {
+        self.wanted_checks.remove(upstream);
+        let Some(known) = self.registry.get(upstream) else {
+            return;
+        };
         let Some(cold_for) = cold_for else {
+            known.listed.state.set_lost();
             return;
         };
-        self.wanted_checks.remove(upstream);
-        if let Some(known) = self.registry.get(upstream) {
-            let cold_until = self.shared.clock.now() + cold_for;
-            known.listed.state.cold_until.set(cold_until);
-            known.listed.state.set_found(cold_until);
-        }
+        let cold_until = self.shared.clock.now() + cold_for;
+        known.listed.state.set_found(cold_until);
     }
 
     fn tick(&mut self) {
@@ -401,7 +401,7 @@
         let mut due: Vec<(ListedUpstream, String)> = Vec::new();
         for known in self.registry.iter() {
             let id = &known.record.id;
-            let is_wanted = known.listed.state.is_lost() || self.wanted_checks.contains(id);
+            let is_wanted = known.listed.state.wants_check() || self.wanted_checks.contains(id);
             let last = self.checked_at.get(id);
             let is_due = last.is_none_or(|last| now.since(*last) > CHECK_PERIOD);
             if is_wanted && is_due && known.listed.is_usable && !known.listed.state.is_other() {
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -23,16 +23,38 @@
 use crate::http_services::{CallerService, InsightService, OwnService};
 use crate::settings_follow::follow_settings;
 use crate::shared_state::SharedState;
-use crate::store_watch::follow_kind;
+use crate::store_watch::{FollowPlan, follow_kind};
 
 /// Threads that carry requests. Instances have a part of one core, so more would only wait for one another.
 const REQUEST_THREADS: usize = 2;
 /// Time a call to the store may take. It answers in milliseconds, or within some tenths of a second when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long a watch of the configuration waits: each return confirms that no key was withdrawn.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_200);
-/// How long the other watches wait. A connection that went silent is noticed within this time and a call's.
-const LIST_WAIT: Duration = Duration::from_millis(2_400);
+/// How the kinds of objects are followed. The return of a watch on the configuration confirms that no key was withdrawn.
+/// A connection that went silent is noticed when a watch is over, so the waits bound how long a leaving upstream or an
+/// emptied failure domain may be missed then. Upstreams and instances change many at a time, and a pause after a change
+/// takes several together.
+const FOLLOWED_KINDS: [FollowPlan; 4] = [
+    FollowPlan {
+        kind: ObjectKind::Config,
+        wait: Duration::from_millis(2_400),
+        settle: Duration::ZERO,
+    },
+    FollowPlan {
+        kind: ObjectKind::Upstreams,
+        wait: Duration::from_millis(2_400),
+        settle: Duration::from_millis(150),
+    },
+    FollowPlan {
+        kind: ObjectKind::Evacuations,
+        wait: Duration::from_millis(2_400),
+        settle: Duration::ZERO,
+    },
+    FollowPlan {
+        kind: ObjectKind::Instances,
+        wait: Duration::from_secs(8),
+        settle: Duration::from_millis(300),
+    },
+];
 /// Descriptors for files, the store, other instances and upstreams.
 const RESERVED_DESCRIPTORS: usize = 1_000;
 /// Connections for readiness checks, look-ups and insight.
@@ -189,14 +211,9 @@
                 }
             };
             let client = Arc::new(StoreClient::new(shared.settings.store, STORE_TIMEOUT));
-            for (kind, wait) in [
-                (ObjectKind::Config, CONFIG_WAIT),
-                (ObjectKind::Upstreams, LIST_WAIT),
-                (ObjectKind::Evacuations, LIST_WAIT),
-                (ObjectKind::Instances, LIST_WAIT),
-            ] {
+            for plan in FOLLOWED_KINDS {
                 let client = Arc::clone(&client);
-                tokio::spawn(follow_kind(Arc::clone(&shared), client, kind, wait));
+                tokio::spawn(follow_kind(Arc::clone(&shared), client, plan));
             }
             tokio::spawn(receive_beats(Arc::clone(&shared), Arc::clone(&socket)));
             ControlLoop::new(shared, client, socket).run(events).await;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -249,12 +249,12 @@
             headers: &self.headers,
             body: body_of_send,
             body_bytes: is_replayable.then_some(body.bytes().len() as u64),
-            give_up_at: self.give_up_at(place, is_replayable),
+            give_up_at: self.context.deadline,
         };
         let listed = &self.context.snapshot.upstreams[place.key];
         let first = exchange(&self.context, listed, message(sent_body));
         if !self.wants_second_send(place, body) {
-            return first.await;
+            return self.with_patience(place, is_replayable, first).await;
         }
         let region = listed.state.facts.region;
         let delay = self.context.shared.distance(region) + SECOND_SEND_DELAY;
@@ -288,16 +288,30 @@
         retries.try_spare_retry(shared.retry_bound(), shared.instance_count())
     }
 
-    /// An upstream that went silent holds a request that may be repeated only for some times the expected time.
-    fn give_up_at(&self, place: &TakenPlace, is_replayable: bool) -> MonotonicTime {
+    /// Waits for an answer. An upstream that went silent holds a request that may be repeated only for some times the
+    /// expected time, if another one may be asked instead.
+    async fn with_patience(
+        &self,
+        place: &TakenPlace,
+        is_replayable: bool,
+        sent: impl Future<Output = ExchangeEnd>,
+    ) -> ExchangeEnd {
+        let mut sent = std::pin::pin!(sent);
         let may_repeat = self.context.route_plan().is_idempotent && is_replayable;
         let has_attempt = self.sends < self.context.route_plan().max_attempts;
-        if !may_repeat || !has_attempt {
-            return self.context.deadline;
+        if !may_repeat || !has_attempt || self.context.shared.is_leaving() {
+            return sent.await;
         }
         let patience = place.choice.expected.mul_f64(PATIENCE_FACTOR);
-        let end = self.context.shared.clock.now() + patience.max(LEAST_PATIENCE);
-        end.min(self.context.deadline)
+        let patience = patience.max(LEAST_PATIENCE);
+        if let Ok(end) = tokio::time::timeout(patience, sent.as_mut()).await {
+            return end;
+        }
+        let is_late = self.context.remaining() < self.context.home_times().warm;
+        if is_late || self.context.shared.is_leaving() || !self.may_spare_retry() {
+            return sent.await;
+        }
+        ExchangeEnd::Silent
     }
 
     /// Records what the attempt tells of the upstream.
@@ -313,9 +327,10 @@
                 state.set_other();
                 AttemptOutcome::Lost
             }
-            ExchangeEnd::NotSent(_) | ExchangeEnd::Broken | ExchangeEnd::TimedOut => {
-                AttemptOutcome::Lost
+            ExchangeEnd::Broken | ExchangeEnd::Silent | ExchangeEnd::TimedOut => {
+                AttemptOutcome::Broken
             }
+            ExchangeEnd::NotSent(_) => AttemptOutcome::Lost,
         };
         state.record(outcome, now);
         match end {
@@ -393,12 +408,21 @@
             }
             ExchangeEnd::OtherUpstream => self.retry_or(body, RejectKind::NoRoom),
             ExchangeEnd::Foreign | ExchangeEnd::Broken => {
+                if !self.may_have_run {
+                    // The answer may be all that was lost. One that is gone refuses the connection, which costs little.
+                    self.tried.retain(|key| *key != place.key);
+                }
                 self.may_have_run = true;
                 self.repeat_or(body, RejectKind::UpstreamFailed)
             }
+            ExchangeEnd::Silent => {
+                // The retry was taken when the wait ended.
+                self.may_have_run = true;
+                AfterAttempt::TryAgain
+            }
             ExchangeEnd::TimedOut => {
                 self.may_have_run = true;
-                self.repeat_or(body, RejectKind::TimedOut)
+                AfterAttempt::GiveUp(RejectKind::TimedOut)
             }
         }
     }
@@ -556,6 +580,7 @@
         ExchangeEnd::OtherUpstream => "other_upstream",
         ExchangeEnd::Foreign => "foreign_answer",
         ExchangeEnd::Broken => "broken",
+        ExchangeEnd::Silent => "silent",
         ExchangeEnd::TimedOut => "timed_out",
     }
 }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -16,18 +16,30 @@
 /// the return must be noticed well within that.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
-/// Follows a kind for as long as the process runs. Each watch waits up to `wait`.
-pub async fn follow_kind(
-    shared: Arc<SharedState>,
-    client: Arc<StoreClient>,
-    kind: ObjectKind,
-    wait: Duration,
-) {
+/// An answer with changes tells only what was so when the watch began. The next watch is short, so that the age of what is
+/// known does not add up over two waits.
+const WAIT_AFTER_CHANGE: Duration = Duration::from_millis(400);
+
+/// How a kind is followed.
+#[derive(Debug, Clone, Copy)]
+pub struct FollowPlan {
+    /// The kind.
+    pub kind: ObjectKind,
+    /// How long each watch waits.
+    pub wait: Duration,
+    /// The pause after a change.
+    pub settle: Duration,
+}
+
+/// Follows a kind for as long as the process runs.
+pub async fn follow_kind(shared: Arc<SharedState>, client: Arc<StoreClient>, plan: FollowPlan) {
+    let FollowPlan { kind, wait, settle } = plan;
     let mut follow = KindFollow {
         shared,
         client,
         kind,
         wait,
+        settle,
         pause: FIRST_PAUSE,
         failing_since: None,
     };
@@ -42,6 +54,7 @@
     client: Arc<StoreClient>,
     kind: ObjectKind,
     wait: Duration,
+    settle: Duration,
     pause: Duration,
     failing_since: Option<MonotonicTime>,
 }
@@ -72,10 +85,16 @@
 
     /// Watches the kind from a revision until the history is gone.
     async fn watch(&mut self, mut revision: u64) {
+        let mut is_after_change = false;
         loop {
             let asked_at = self.shared.clock.now_with_suspension();
             self.shared.metrics.count(CounterName::StoreCalls);
-            match self.client.watch(self.kind, revision, self.wait).await {
+            let wait = if is_after_change {
+                WAIT_AFTER_CHANGE.min(self.wait)
+            } else {
+                self.wait
+            };
+            match self.client.watch(self.kind, revision, wait).await {
                 Ok(WatchAnswer::Changes {
                     events,
                     revision: next,
@@ -87,16 +106,20 @@
                     self.pause = FIRST_PAUSE;
                     revision = next;
                     // A watch without changes was answered when its wait was over.
-                    let known_to = if events.is_empty() {
-                        asked_at + self.wait
+                    is_after_change = self.settle.is_zero() && !events.is_empty();
+                    let (known_to, settle) = if events.is_empty() {
+                        (asked_at + wait, Duration::ZERO)
                     } else {
-                        asked_at
+                        (asked_at, self.settle)
                     };
                     self.shared.report(ControlEvent::Changed {
                         kind: self.kind,
                         events,
                         known_to: known_to.min(self.shared.clock.now_with_suspension()),
                     });
+                    if !settle.is_zero() {
+                        tokio::time::sleep(settle).await;
+                    }
                 }
                 Ok(WatchAnswer::HistoryGone) => {
                     log::info!(
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -61,7 +61,9 @@
     Foreign,
     /// The connection broke. The request may have run.
     Broken,
-    /// No answer came in time. The request may have run.
+    /// No answer came in several times the expected time. The request may have run, and goes to another upstream.
+    Silent,
+    /// No answer came before the deadline. The request may have run.
     TimedOut,
 }
 
--- a/crates/steering/src/retry_share.rs
+++ b/crates/steering/src/retry_share.rs
@@ -7,11 +7,12 @@
 
 /// One retry in the unit of the budget.
 const RETRY: i64 = 1_000;
-/// The part of the bound that is used. The rest covers windows in which the requests fall off.
+/// The part of the bound that is used. The rest covers windows in which the requests fall off, and instances that start
+/// anew with their share.
 const USED_PART: f64 = 0.8;
 
 /// The part of what can be saved up that is kept for failures.
-const RESERVED_PART: f64 = 0.4;
+const RESERVED_PART: f64 = 0.25;
 
 /// The bound of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -23,11 +24,20 @@
 }
 
 /// The retries that are left to this instance for one pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryShare {
     budget: AtomicI64,
 }
 
+/// Starts with more than can be saved up; the first request lowers it to that.
+impl Default for RetryShare {
+    fn default() -> Self {
+        Self {
+            budget: AtomicI64::new(i64::MAX / 2),
+        }
+    }
+}
+
 impl RetryShare {
     /// Counts a request, which earns a part of a retry. The budget stays within this instance's part of the slack.
     pub fn count_request(&self, bound: RetryBound, instances: usize) {
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -38,7 +38,9 @@
     Failed,
     /// It refused the request because it is full.
     Full,
-    /// It could not be connected, broke the connection, or did not answer in time.
+    /// It broke the connection, or did not answer in time.
+    Broken,
+    /// It could not be connected.
     Lost,
 }
 
@@ -76,6 +78,7 @@
     slowness_at: AtomicTime,
     is_untried: AtomicBool,
     is_lost: AtomicBool,
+    is_suspect: AtomicBool,
     is_other: AtomicBool,
     doubts_until: AtomicTime,
 }
@@ -99,6 +102,7 @@
             slowness_at: AtomicTime::default(),
             is_untried: AtomicBool::new(true),
             is_lost: AtomicBool::new(false),
+            is_suspect: AtomicBool::new(false),
             is_other: AtomicBool::new(false),
             doubts_until: AtomicTime::default(),
         };
@@ -150,11 +154,16 @@
         let next = match outcome {
             AttemptOutcome::Answered => level - level / 5,
             AttemptOutcome::Failed | AttemptOutcome::Full => level + (FULL_LEVEL - level) / 5,
+            AttemptOutcome::Broken => level + (FULL_LEVEL - level) / 4,
             AttemptOutcome::Lost => level + (FULL_LEVEL - level) / 2,
         };
         self.failure_level.store(next, Ordering::Relaxed);
         match outcome {
-            AttemptOutcome::Answered => self.is_lost.store(false, Ordering::Relaxed),
+            AttemptOutcome::Answered => {
+                self.is_lost.store(false, Ordering::Relaxed);
+                self.is_suspect.store(false, Ordering::Relaxed);
+            }
+            AttemptOutcome::Broken => self.is_suspect.store(true, Ordering::Relaxed),
             // One that refuses while it has free slots is at fault, not full.
             AttemptOutcome::Full if self.in_flight() >= self.facts.slots => {
                 self.full_until.advance(now + FULL_PAUSE);
@@ -204,10 +213,22 @@
         self.is_lost.load(Ordering::Relaxed)
     }
 
+    /// Tells whether a health check should look for the upstream.
+    #[must_use]
+    pub fn wants_check(&self) -> bool {
+        self.is_lost() || self.is_suspect.load(Ordering::Relaxed)
+    }
+
     /// Notes that a health check found the upstream.
     pub fn set_found(&self, cold_until: MonotonicTime) {
-        self.cold_until.advance(cold_until);
+        self.cold_until.set(cold_until);
         self.is_lost.store(false, Ordering::Relaxed);
+        self.is_suspect.store(false, Ordering::Relaxed);
+    }
+
+    /// Notes that a health check did not find the upstream.
+    pub fn set_lost(&self) {
+        self.is_lost.store(true, Ordering::Relaxed);
     }
 
     /// Notes that another upstream answers at the address.
