standins, entry: requests through real daemons on stand-ins of the platform

Change: stand-ins of the store (objects, watches, dropped history, silence, lost answers) and of signed upstreams, and eight tests with daemons as processes.

Found by them: an account was refused in the first 100 ms after its plan (its gate was filled by the next tick only); after a silent outage the store's return was noticed when a watch was over, up to 4 s late. Now the gate is filled at once, and a list follows each failed call. A failed test of the stop was the test's own: it asked for three times the slots.

--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -28,7 +28,7 @@
 /// Threads that carry requests. Instances have a part of one core, so more would only wait for one another.
 const REQUEST_THREADS: usize = 2;
 /// Time a call to the store may take. It answers in milliseconds, or within some tenths of a second when it is slow.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How the kinds of objects are followed. The return of a watch on the configuration confirms that no key was withdrawn.
 /// A connection that went silent is noticed when a watch is over, so the waits bound how long a leaving upstream or an
 /// emptied failure domain may be missed then. Upstreams and instances change many at a time, and a pause after a change
--- a/crates/entry/src/quota_book.rs
+++ b/crates/entry/src/quota_book.rs
@@ -50,9 +50,12 @@
         } else {
             self.excess.start_content(limit)
         };
-        let entry = self.entries.entry(hash).or_insert_with(|| BookEntry {
-            gate: Arc::default(),
-            account: QuotaAccount::new(limit, content, now),
+        let entry = self.entries.entry(hash).or_insert_with(|| {
+            let gate = Arc::default();
+            let mut account = QuotaAccount::new(limit, content, now);
+            // Requests may come before the first tick of the control thread.
+            account.tick(&gate, now);
+            BookEntry { gate, account }
         });
         entry.account.set_limit(limit);
         Some(Arc::clone(&entry.gate))
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -1,4 +1,5 @@
-//! Follows one kind of objects in the store: lists it, then watches it, and lists again when the history is gone.
+//! Follows one kind of objects in the store: lists it, then watches it, and lists it again when the history is gone or a
+//! call has failed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,10 +100,6 @@
                     events,
                     revision: next,
                 }) => {
-                    if self.failing_since.is_some() {
-                        // Entries may have lapsed while the store was away, so their absence is judged by a list.
-                        return;
-                    }
                     self.pause = FIRST_PAUSE;
                     revision = next;
                     // A watch without changes was answered when its wait was over.
@@ -128,7 +125,12 @@
                     );
                     return;
                 }
-                Err(error) => self.fail(&error).await,
+                Err(error) => {
+                    self.fail(&error).await;
+                    // Entries may have lapsed while the store was away, so their absence is judged by a list. A list also
+                    // tells of the store's return sooner than a watch that waits.
+                    return;
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -0,0 +1,218 @@
+//! A fleet on stand-ins of the platform, as processes.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use coltsfootkeel_process_tests::free_port;
+use coltsfootkeel_standins::{
+    CallAnswer, CallError, CallRequest, EntryAddresses, EntryInstance, EntryOptions,
+    SignedUpstream, StoreStandin, UpstreamRun, call_once, register_upstream,
+};
+use http::Method;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+
+/// The host of all routes.
+pub const HOST: &str = "shop.example";
+/// The key of the account `hotel`.
+pub const KEY: &str = "hotel-key";
+
+/// A running fleet. Its processes end with it.
+pub struct PlatformFleet {
+    /// The store.
+    pub store: StoreStandin,
+    /// The upstreams of the pool `orders`.
+    pub upstreams: Vec<SignedUpstream>,
+    /// The instances.
+    pub instances: Vec<EntryInstance>,
+    folder: PathBuf,
+}
+
+/// What a test wants of its fleet.
+pub struct FleetWish {
+    /// The name of the test, for its folder.
+    pub name: &'static str,
+    /// The number of instances.
+    pub instances: usize,
+    /// The number of upstreams.
+    pub upstreams: usize,
+    /// How long an upstream works on an object it knows.
+    pub work: Duration,
+    /// Bounds in place of the usual ones.
+    pub bounds: &'static [&'static str],
+}
+
+impl Default for FleetWish {
+    fn default() -> Self {
+        Self {
+            name: "fleet",
+            instances: 1,
+            upstreams: 1,
+            work: Duration::from_millis(10),
+            bounds: &[],
+        }
+    }
+}
+
+impl PlatformFleet {
+    /// Starts a fleet and waits until every instance takes requests.
+    pub async fn start(wish: FleetWish) -> Self {
+        let folder = std::env::temp_dir().join(format!(
+            "coltsfootkeel-{}-{}",
+            wish.name,
+            std::process::id()
+        ));
+        std::fs::create_dir_all(&folder).unwrap();
+        let store = StoreStandin::start().await.unwrap();
+        store.put("config", "main", plan(1, &[KEY]), Value::Null);
+        let mut upstreams = Vec::new();
+        for index in 0..wish.upstreams {
+            let upstream = SignedUpstream::start(&format!("u-{index}"), wish.work).await;
+            let upstream = upstream.unwrap();
+            register_upstream(&store, &upstream, "orders", "a-1", "ready");
+            upstreams.push(upstream);
+        }
+        let mut fleet = Self {
+            store,
+            upstreams,
+            instances: Vec::new(),
+            folder,
+        };
+        let bounds: Vec<String> = wish.bounds.iter().map(ToString::to_string).collect();
+        for index in 0..wish.instances {
+            let store = fleet.store.address();
+            let options = instance_options(index, store, &bounds);
+            fleet.start_instance(options);
+        }
+        for instance in &fleet.instances {
+            instance.wait_ready().await.unwrap();
+        }
+        fleet
+    }
+
+    /// Starts one more instance.
+    pub fn start_instance(&mut self, options: EntryOptions) {
+        let program = Path::new(env!("CARGO_BIN_EXE_coltsfootkeel-entry"));
+        let instance = EntryInstance::start(program, &self.folder, options).unwrap();
+        self.instances.push(instance);
+    }
+
+    /// Writes a plan.
+    pub fn write_plan(&self, version: u64, keys: &[&str]) {
+        self.store
+            .put("config", "main", plan(version, keys), Value::Null);
+    }
+
+    /// Sends a request to an instance.
+    pub async fn call(
+        &self,
+        instance: usize,
+        request: &CallRequest,
+    ) -> Result<CallAnswer, CallError> {
+        call_once(self.instances[instance].options.addresses.entry, request).await
+    }
+
+    /// Sends a signal to an instance.
+    pub fn signal(&self, instance: usize, signal: Signal) {
+        let id = i32::try_from(self.instances[instance].process_id()).unwrap();
+        kill(Pid::from_raw(id), signal).unwrap();
+    }
+
+    /// Returns the addresses that a look-up at an instance names.
+    pub async fn look_up(&self, instance: usize) -> Vec<String> {
+        let request = CallRequest::new(
+            Method::GET,
+            "/-/resolve?name=shop.example&region=a&zone=a-1",
+        );
+        let address = self.instances[instance].options.addresses.lookup;
+        let answer = call_once(address, &request).await.unwrap();
+        let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let addresses = body["addresses"].as_array().cloned().unwrap_or_default();
+        let texts = addresses.iter().filter_map(Value::as_str);
+        texts.map(str::to_string).collect()
+    }
+
+    /// Returns the state dump of an instance.
+    pub async fn state(&self, instance: usize) -> Value {
+        let address = self.instances[instance].options.addresses.insight;
+        let request = CallRequest::new(Method::GET, "/state");
+        let answer = call_once(address, &request).await.unwrap();
+        serde_json::from_slice(&answer.body).unwrap()
+    }
+
+    /// Returns the runs at all upstreams.
+    pub fn runs(&self) -> Vec<UpstreamRun> {
+        let upstreams = self.upstreams.iter();
+        upstreams.flat_map(SignedUpstream::runs).collect()
+    }
+}
+
+impl Drop for PlatformFleet {
+    fn drop(&mut self) {
+        // Nothing reads the folder any more; one that stays is of no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Returns the options of an instance on the loopback address.
+pub fn instance_options(
+    index: usize,
+    store: std::net::SocketAddr,
+    bounds: &[String],
+) -> EntryOptions {
+    EntryOptions {
+        name: format!("entry-{index}"),
+        domain: "a-1".to_string(),
+        addresses: EntryAddresses {
+            entry: free_port(),
+            ready: free_port(),
+            lookup: free_port(),
+            peer: free_port(),
+            insight: free_port(),
+        },
+        store,
+        bounds: bounds.to_vec(),
+    }
+}
+
+/// Returns a configuration as operators write it, with the keys of the account `hotel`.
+pub fn plan(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, public: bool| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout": "2s", "slo_latency": "500ms", "priority": 1, "service": "orders",
+            "max_attempts": 2, "public": public, "sticky": true, "allowed_regions": [],
+        })
+    };
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": [
+            route("previews", "/previews/", "idempotent", false),
+            route("orders", "/orders/", "non_idempotent", false),
+            route("open", "/open/", "idempotent", true),
+        ],
+        "services": [{
+            "name": "orders", "health_check": "/healthz", "max_conns": 100,
+            "cold_start": "3s", "cold_per_s": 5.0,
+        }],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 1_000_000,
+            "header_timeout": "3000ms", "idle_timeout": "15s",
+        },
+        "tenants": [{
+            "name": "hotel", "api_keys": keys, "priority": 1,
+            "rate_per_s": 200, "burst": 200, "allowed_regions": [],
+        }],
+    })
+}
+
+/// Returns a request with an attempt id, the usual key and three seconds of time. Each concerns an object of its own.
+pub fn request(method: Method, path: &str, attempt_id: &str) -> CallRequest {
+    CallRequest::new(method, path)
+        .header("host", HOST)
+        .header("coltsfootkeel-attempt-id", attempt_id)
+        .header("coltsfootkeel-request-deadline", "3000")
+        .header("coltsfootkeel-affinity-key", attempt_id)
+        .header("authorization", &format!("Token {KEY}"))
+}
--- /dev/null
+++ b/crates/entry/tests/served_requests.rs
@@ -0,0 +1,383 @@
+//! Requests through a real daemon on stand-ins of the platform.
+
+mod platform_fleet;
+
+use std::time::{Duration, Instant};
+
+use coltsfootkeel_standins::{StoreMode, UpstreamMood, register_upstream};
+use http::Method;
+use nix::sys::signal::Signal;
+use platform_fleet::{FleetWish, HOST, PlatformFleet, instance_options, plan, request};
+use serde_json::Value;
+
+struct AnswerCase {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    key: Option<&'static str>,
+    status: u16,
+    runs: usize,
+}
+
+/// Guards against requests that run without a valid key, keys and foreign account names that reach an upstream, and
+/// refusals of what the plan allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_run_for_the_account_of_their_key_only() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "accounts",
+        ..FleetWish::default()
+    })
+    .await;
+    let cases = [
+        AnswerCase {
+            name: "a key",
+            method: Method::GET,
+            path: "/previews/1?size=2",
+            key: Some("Token hotel-key"),
+            status: 200,
+            runs: 1,
+        },
+        AnswerCase {
+            name: "an unknown key",
+            method: Method::GET,
+            path: "/previews/1",
+            key: Some("Token other-key"),
+            status: 401,
+            runs: 0,
+        },
+        AnswerCase {
+            name: "no key",
+            method: Method::POST,
+            path: "/orders/1",
+            key: None,
+            status: 401,
+            runs: 0,
+        },
+        AnswerCase {
+            name: "an open route",
+            method: Method::GET,
+            path: "/open/1",
+            key: None,
+            status: 200,
+            runs: 1,
+        },
+        AnswerCase {
+            name: "no route",
+            method: Method::GET,
+            path: "/nothing/1",
+            key: Some("Token hotel-key"),
+            status: 404,
+            runs: 0,
+        },
+    ];
+    for (number, case) in cases.into_iter().enumerate() {
+        let id = format!("attempt-{number}");
+        let mut call = coltsfootkeel_standins::CallRequest::new(case.method, case.path)
+            .header("host", HOST)
+            .header("coltsfootkeel-attempt-id", &id)
+            .header("coltsfootkeel-request-deadline", "1500")
+            .header("coltsfootkeel-tenant", "somebody-else");
+        if let Some(key) = case.key {
+            call = call.header("authorization", key);
+        }
+        let answer = fleet.call(0, &call).await.unwrap();
+        assert_eq!(answer.status, case.status, "{}", case.name);
+        let runs = fleet.runs();
+        let own: Vec<_> = runs.iter().filter(|run| run.attempt_id == id).collect();
+        assert_eq!(own.len(), case.runs, "{}", case.name);
+        for run in own {
+            assert_eq!(run.path, case.path, "{}", case.name);
+            assert!(!run.has_key, "{}", case.name);
+            let expected = case.key.map(|_| "hotel");
+            assert_eq!(run.account.as_deref(), expected, "{}", case.name);
+            let deadline_ms = run.deadline_ms.unwrap();
+            assert!((500..=1_500).contains(&deadline_ms), "{deadline_ms}");
+        }
+        if case.status == 200 {
+            assert!(answer.header("coltsfootkeel-response-signature").is_some());
+            assert_eq!(answer.header("coltsfootkeel-attempt-id"), Some(id.as_str()));
+        }
+    }
+}
+
+struct FaultCase {
+    name: &'static str,
+    mood: UpstreamMood,
+    method: Method,
+    path: &'static str,
+    /// The statuses that tell the truth.
+    statuses: &'static [u16],
+    /// The most runs of the request.
+    most_runs: usize,
+}
+
+/// Guards against a request that must not be repeated and runs twice, a refusal "not run" about one that may have run, and
+/// an answer that belongs to another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn faulty_upstreams_never_make_an_answer_untrue() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "faults",
+        upstreams: 2,
+        ..FleetWish::default()
+    })
+    .await;
+    let cases = [
+        FaultCase {
+            name: "refused everywhere",
+            mood: UpstreamMood::Sheds,
+            method: Method::POST,
+            path: "/orders/1",
+            statuses: &[503],
+            most_runs: 0,
+        },
+        FaultCase {
+            name: "answer lost",
+            mood: UpstreamMood::LosesAnswers,
+            method: Method::POST,
+            path: "/orders/2",
+            statuses: &[502, 504],
+            most_runs: 1,
+        },
+        FaultCase {
+            name: "answer lost, may be repeated",
+            mood: UpstreamMood::LosesAnswers,
+            method: Method::GET,
+            path: "/previews/3",
+            statuses: &[502, 504],
+            most_runs: 3,
+        },
+        FaultCase {
+            name: "the answer of another request",
+            mood: UpstreamMood::AnswersOthers,
+            method: Method::POST,
+            path: "/orders/4",
+            statuses: &[502],
+            most_runs: 1,
+        },
+        FaultCase {
+            name: "a success without a signature",
+            mood: UpstreamMood::Unsigned,
+            method: Method::POST,
+            path: "/orders/5",
+            statuses: &[502],
+            most_runs: 1,
+        },
+        FaultCase {
+            name: "sound again",
+            mood: UpstreamMood::Sound,
+            method: Method::POST,
+            path: "/orders/6",
+            statuses: &[200],
+            most_runs: 1,
+        },
+    ];
+    for case in cases {
+        for upstream in &fleet.upstreams {
+            upstream.set_mood(case.mood);
+        }
+        let call = request(case.method, case.path, case.path).body("two towels");
+        let answer = fleet.call(0, &call).await.unwrap();
+        assert!(
+            case.statuses.contains(&answer.status),
+            "{}: {}",
+            case.name,
+            answer.status
+        );
+        let runs = fleet.runs();
+        let count = runs
+            .iter()
+            .filter(|run| run.attempt_id == case.path)
+            .count();
+        assert!(count <= case.most_runs, "{}: {count} runs", case.name);
+        if answer.status == 503 {
+            let after: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+            assert!((0.1..=1.0).contains(&after), "{}: {after}", case.name);
+        }
+        // Upstreams that failed are avoided for a moment.
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+}
+
+/// Guards against a withdrawn key that goes on working, a configuration that is not in force within its bound, and one
+/// that returns after it was replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_plan_is_in_force_at_once_and_never_goes_back() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "plans",
+        instances: 2,
+        ..FleetWish::default()
+    })
+    .await;
+    fleet.write_plan(3, &["another-key"]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // An older version that a writer brings back late.
+    fleet.write_plan(2, &["hotel-key"]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for instance in 0..2 {
+        let call = request(Method::GET, "/previews/1", "withdrawn");
+        let answer = fleet.call(instance, &call).await.unwrap();
+        assert_eq!(answer.status, 401, "instance {instance}");
+        assert_eq!(fleet.state(instance).await["plan"]["version"], 3);
+    }
+    assert!(fleet.runs().is_empty());
+}
+
+/// Guards against a daemon that falls with what another writer left in the store, and against an unreadable configuration
+/// that takes the place of a good one.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_objects_leave_the_rest_in_force() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "garbage",
+        ..FleetWish::default()
+    })
+    .await;
+    let store = &fleet.store;
+    store.put("config", "main", Value::from("not a plan"), Value::Null);
+    store.put("servers", "odd-1", Value::from(7), Value::Null);
+    let mut odd = plan(9, &[]);
+    odd["info"] = Value::from("none");
+    store.put("servers", "odd-2", odd, Value::Null);
+    store.forget_history();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let call = request(Method::GET, "/previews/1", "still-served");
+    assert_eq!(fleet.call(0, &call).await.unwrap().status, 200);
+}
+
+/// Guards against work that is sent to an upstream after it said that it leaves, also when the watch's history was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstreams_get_no_new_work() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "drains",
+        upstreams: 3,
+        ..FleetWish::default()
+    })
+    .await;
+    register_upstream(
+        &fleet.store,
+        &fleet.upstreams[0],
+        "orders",
+        "a-1",
+        "draining",
+    );
+    fleet.store.remove("servers", "u-1");
+    fleet.store.forget_history();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    for number in 0..30 {
+        let id = format!("after-{number}");
+        let call =
+            request(Method::GET, "/previews/1", &id).header("coltsfootkeel-affinity-key", &id);
+        assert_eq!(fleet.call(0, &call).await.unwrap().status, 200);
+    }
+    for upstream in &fleet.upstreams[..2] {
+        let runs = upstream.runs();
+        assert!(runs.is_empty(), "{}: {}", upstream.id(), runs.len());
+    }
+}
+
+/// Guards against a planned stop that cuts requests, and against look-ups that go on naming an instance that leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_request() {
+    let mut fleet = PlatformFleet::start(FleetWish {
+        name: "stops",
+        instances: 2,
+        work: Duration::from_millis(100),
+        ..FleetWish::default()
+    })
+    .await;
+    let leaving = fleet.instances[0].options.addresses.entry.to_string();
+    // The instances hear each other within some messages.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(fleet.look_up(1).await.contains(&leaving));
+    let address = fleet.instances[0].options.addresses.entry;
+    let callers: Vec<_> = (0..40_u64)
+        .map(|number| {
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(number * 50)).await;
+                let id = format!("stop-{number}");
+                let call = request(Method::POST, "/orders/1", &id);
+                coltsfootkeel_standins::call_once(address, &call).await
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.signal(0, Signal::SIGTERM);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!fleet.look_up(1).await.contains(&leaving));
+    for caller in callers {
+        let answer = caller.await.unwrap().unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    let started = Instant::now();
+    while !fleet.instances[0].has_ended().unwrap() {
+        assert!(started.elapsed() < Duration::from_secs(6), "still running");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(
+        !fleet
+            .store
+            .names("entry-instances")
+            .contains(&"entry-0".to_string())
+    );
+}
+
+/// Guards against a fleet that stops serving while the store is down for all, and against an instance alone in the dark
+/// that serves keys which may be withdrawn.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_served_while_the_store_is_down_for_all_but_not_at_an_instance_alone() {
+    let mut fleet = PlatformFleet::start(FleetWish {
+        name: "outage",
+        instances: 2,
+        ..FleetWish::default()
+    })
+    .await;
+    // Both instances have heard each other and are registered.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    fleet.store.set_mode(StoreMode::Silent);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let call = request(Method::GET, "/previews/1", "during-the-outage");
+    for instance in 0..2 {
+        assert_eq!(fleet.call(instance, &call).await.unwrap().status, 200);
+    }
+    // The other instance may reach the store, for all this one knows.
+    fleet.signal(1, Signal::SIGKILL);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let alone = request(Method::GET, "/previews/1", "alone");
+    let answer = fleet.call(0, &alone).await.unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(fleet.runs().iter().all(|run| run.attempt_id != "alone"));
+    fleet.store.set_mode(StoreMode::Up);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let store = fleet.store.address();
+    let bounds = [];
+    fleet.start_instance(instance_options(2, store, &bounds));
+    fleet.instances[2].wait_ready().await.unwrap();
+    let back = request(Method::GET, "/previews/1", "back");
+    assert_eq!(fleet.call(0, &back).await.unwrap().status, 200);
+}
+
+/// Guards against an upstream that answers at an address which another one had before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reused_address_runs_nothing_for_the_upstream_before() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "reuse",
+        upstreams: 2,
+        ..FleetWish::default()
+    })
+    .await;
+    let spec = serde_json::json!({
+        "address": fleet.upstreams[0].address(),
+        "info": {"service": "orders", "version": "v1", "zone": "a-1", "slots": 9},
+    });
+    let status = serde_json::json!({"state": "ready", "seq": 1, "cold_remaining": "0ms"});
+    fleet.store.remove("servers", "u-0");
+    fleet.store.put("servers", "u-before", spec, status);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for number in 0..20 {
+        let id = format!("reuse-{number}");
+        let call =
+            request(Method::POST, "/orders/1", &id).header("coltsfootkeel-affinity-key", &id);
+        assert_eq!(fleet.call(0, &call).await.unwrap().status, 200, "{id}");
+    }
+    assert!(fleet.upstreams[0].runs().is_empty());
+}
--- /dev/null
+++ b/crates/standins/src/entry_fleet.rs
@@ -0,0 +1,160 @@
+//! A small fleet as the platform runs it: the store, upstreams that register there, and entry daemons as processes.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::child_process::ChildProcess;
+use crate::http_call::{CallRequest, call_once};
+use crate::signed_upstream::SignedUpstream;
+use crate::store_standin::StoreStandin;
+
+/// The time an instance has to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+/// The pause between two looks.
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// The addresses of one instance.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryAddresses {
+    /// For requests of callers.
+    pub entry: SocketAddr,
+    /// For readiness checks.
+    pub ready: SocketAddr,
+    /// For look-ups.
+    pub lookup: SocketAddr,
+    /// For messages of other instances.
+    pub peer: SocketAddr,
+    /// For metrics and the state dump.
+    pub insight: SocketAddr,
+}
+
+/// What differs between the instances of a fleet.
+#[derive(Debug, Clone)]
+pub struct EntryOptions {
+    /// The name.
+    pub name: String,
+    /// The failure domain.
+    pub domain: String,
+    /// The addresses.
+    pub addresses: EntryAddresses,
+    /// The store, or a relay in front of it.
+    pub store: SocketAddr,
+    /// Texts `name=value` in place of the usual bounds.
+    pub bounds: Vec<String>,
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct EntryInstance {
+    /// How it was started.
+    pub options: EntryOptions,
+    process: ChildProcess,
+}
+
+impl EntryInstance {
+    /// Starts an instance. Its settings file lies in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the program cannot be started.
+    pub fn start(program: &Path, folder: &Path, options: EntryOptions) -> io::Result<Self> {
+        let file = settings_file(folder, &options.name);
+        std::fs::write(&file, settings(&options).to_string())?;
+        let arguments = [Path::new("--settings").to_path_buf(), file];
+        let process = ChildProcess::start_quiet(&options.name, program, arguments)?;
+        Ok(Self { options, process })
+    }
+
+    /// Returns the id of its process.
+    #[must_use]
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
+    /// Tells whether its process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if its state cannot be read.
+    pub fn has_ended(&mut self) -> io::Result<bool> {
+        Ok(self.process.ended()?.is_some())
+    }
+
+    /// Waits until it takes requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not in time.
+    pub async fn wait_ready(&self) -> io::Result<()> {
+        let request = CallRequest::new(http::Method::GET, "/-/readyz");
+        let until = tokio::time::Instant::now() + READY_LIMIT;
+        while tokio::time::Instant::now() < until {
+            let asked = call_once(self.options.addresses.ready, &request).await;
+            if asked.is_ok_and(|answer| answer.status == 200) {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        let text = format!("{} is not ready", self.options.name);
+        Err(io::Error::new(io::ErrorKind::TimedOut, text))
+    }
+}
+
+fn settings_file(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.json"))
+}
+
+/// Returns the settings as the platform writes them.
+fn settings(options: &EntryOptions) -> Value {
+    let addresses = options.addresses;
+    let host = |address: SocketAddr| -> IpAddr { address.ip() };
+    let bounds = [
+        "grace=6s",
+        "revoke=5s",
+        "retry_budget_ratio=0.2",
+        "budget_slack=60",
+        "quota_window=5s",
+        "quota_tolerance=0.1",
+        "quota_slack=20",
+    ];
+    let bounds: Vec<String> = bounds
+        .iter()
+        .map(ToString::to_string)
+        .chain(options.bounds.iter().cloned())
+        .collect();
+    json!({
+        "node": options.name,
+        "ip": host(addresses.entry),
+        "zone": options.domain,
+        "zones": {"a-1": "a", "a-2": "a", "b-1": "b"},
+        "listen": {
+            "front": addresses.entry, "ready": addresses.ready, "directory": addresses.lookup,
+        },
+        "internal_port_range": [addresses.peer.port(), addresses.insight.port()],
+        "bootstrap": true,
+        "limits": {"max_fds": 2_000},
+        "platform": {"address": options.store},
+        "bounds": bounds,
+    })
+}
+
+/// Registers an upstream in the store, as it does itself.
+pub fn register_upstream(
+    store: &StoreStandin,
+    upstream: &SignedUpstream,
+    pool: &str,
+    domain: &str,
+    state: &str,
+) {
+    let spec = json!({
+        "address": upstream.address(),
+        "info": {"service": pool, "version": "v1", "zone": domain, "slots": 9},
+        "born": 1_700_000_000_000_u64,
+    });
+    let status = json!({"state": state, "seq": 1, "cold_remaining": "0ms"});
+    store.put("servers", upstream.id(), spec, status);
+}
--- a/crates/standins/src/http_call.rs
+++ b/crates/standins/src/http_call.rs
@@ -68,8 +68,11 @@
     fn encode(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>, CallError> {
         let mut builder = Request::builder()
             .method(self.method.clone())
-            .uri(self.path.as_str())
-            .header(http::header::HOST, address.to_string());
+            .uri(self.path.as_str());
+        let names_host = |(name, _): &(String, String)| name.eq_ignore_ascii_case("host");
+        if !self.headers.iter().any(names_host) {
+            builder = builder.header(http::header::HOST, address.to_string());
+        }
         for (name, value) in &self.headers {
             builder = builder.header(name.as_str(), value.as_str());
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,9 +5,13 @@
 //! processes and cuts, holds or delays what passes. [`run_load`] and [`run_compare`] measure, and [`RunningFleet`]
 //! starts the programs of the workspace for the first run. [`run_experiment`] starts an example fleet for each of
 //! its scenarios and prints what callers saw.
+//!
+//! [`StoreStandin`], [`SignedUpstream`] and [`EntryInstance`] stand in for the users' platform: its store, upstreams that
+//! register there, and entry daemons with the settings it writes.
 
 mod child_process;
 mod cut_relay;
+mod entry_fleet;
 mod experiment_fleet;
 mod experiment_gate;
 mod experiment_load;
@@ -29,6 +33,8 @@
 mod platform_faults;
 mod platform_standin;
 mod run_record;
+mod signed_upstream;
+mod store_standin;
 mod upstream_bodies;
 mod upstream_crash;
 mod upstream_server;
@@ -37,6 +43,7 @@
 
 pub use child_process::{ChildProcess, sibling_program};
 pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
+pub use entry_fleet::{EntryAddresses, EntryInstance, EntryOptions, register_upstream};
 pub use experiment_fleet::ExperimentError;
 pub use experiment_load::{CallEnd, CallRecord};
 pub use experiment_run::{ExperimentOptions, run_experiment};
@@ -64,6 +71,8 @@
     DETAIL_LIMIT, RunEnd, RunEntry, RunKey, RunOutcome, RunRecord, RunStart, RunTotals, SlotsFull,
     StartedRun,
 };
+pub use signed_upstream::{SignedUpstream, UpstreamMood, UpstreamRun};
+pub use store_standin::{StoreMode, StoreStandin};
 pub use upstream_crash::{CRASH_EXIT_CODE, CrashMode};
 pub use upstream_server::{UpstreamError, UpstreamHandle, UpstreamOptions};
 pub use upstream_service::{HealthAnswer, LoadAnswer, RecordAnswer, WorkAnswer};
--- /dev/null
+++ b/crates/standins/src/store_standin.rs
@@ -0,0 +1,396 @@
+//! A stand-in for the platform's store, as its published protocol describes it: objects by kind, conditional writes and
+//! watches over a history that can be dropped.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use coltsfootkeel_transport::{HttpService, ListenerLimits, ListenerStop, serve};
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+const OBJECT_PATH: &str = "/-/objects/";
+/// Objects of one page of a list.
+const PAGE_OBJECTS: usize = 50;
+/// The longest wait of a watch.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// How the store answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// With 503; nothing is done.
+    Busy,
+    /// Not at all; nothing is done.
+    Silent,
+    /// Writes are done and not answered.
+    LosesAnswers,
+}
+
+/// The names of an object: its kind and its name in the kind.
+type ObjectPath = (String, String);
+
+#[derive(Debug, Clone)]
+struct HeldObject {
+    revision: u64,
+    spec: Value,
+    status: Value,
+}
+
+#[derive(Debug, Clone)]
+struct PastChange {
+    revision: u64,
+    path: ObjectPath,
+    object: HeldObject,
+    is_removed: bool,
+}
+
+#[derive(Debug, Default)]
+struct StoreContent {
+    revision: u64,
+    objects: BTreeMap<ObjectPath, HeldObject>,
+    history: Vec<PastChange>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    calls: u64,
+}
+
+/// A running store. Its content changes through calls, or directly through this handle.
+#[derive(Debug, Clone)]
+pub struct StoreStandin {
+    address: SocketAddr,
+    content: Arc<Mutex<StoreContent>>,
+    changed: watch::Sender<u64>,
+    mode: watch::Sender<StoreMode>,
+}
+
+impl StoreStandin {
+    /// Starts a store on a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the listener.
+    pub async fn start() -> std::io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let store = Self {
+            address: listener.local_addr()?,
+            content: Arc::default(),
+            changed: watch::Sender::new(0),
+            mode: watch::Sender::new(StoreMode::Up),
+        };
+        let service = Arc::new(store.clone());
+        tokio::spawn(serve(
+            listener,
+            service,
+            standin_limits,
+            ListenerStop::default(),
+        ));
+        Ok(store)
+    }
+
+    /// Returns its address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it answers. Watches that wait are cut off.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Writes an object.
+    pub fn put(&self, kind: &str, name: &str, spec: Value, status: Value) {
+        let mut content = self.lock();
+        content.put((kind.to_string(), name.to_string()), spec, status);
+        self.changed.send_replace(content.revision);
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut content = self.lock();
+        content.remove(&(kind.to_string(), name.to_string()));
+        self.changed.send_replace(content.revision);
+    }
+
+    /// Returns the specification of an object.
+    #[must_use]
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let content = self.lock();
+        let held = content.objects.get(&(kind.to_string(), name.to_string()));
+        held.map(|held| held.spec.clone())
+    }
+
+    /// Returns the names of the objects of a kind.
+    #[must_use]
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let content = self.lock();
+        let of_kind = content.objects.keys().filter(|path| path.0 == kind);
+        of_kind.map(|path| path.1.clone()).collect()
+    }
+
+    /// Forgets all changes so far.
+    pub fn forget_history(&self) {
+        let mut content = self.lock();
+        content.history.clear();
+        content.forgotten = content.revision;
+    }
+
+    /// Returns the calls so far, refused ones included.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreContent> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path().strip_prefix(OBJECT_PATH);
+        let Some(path) = path else {
+            return reply(StatusCode::NOT_FOUND, &Value::Null);
+        };
+        let (kind, name) = match path.split_once('/') {
+            Some((kind, name)) => (kind.to_string(), Some(name.to_string())),
+            None => (path.to_string(), None),
+        };
+        let query = QueryValues::read(parts.uri.query().unwrap_or_default());
+        let body = body
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
+        let written: Value = body
+            .ok()
+            .and_then(|bytes| serde_json::from_slice(&bytes).ok())
+            .unwrap_or_default();
+        match (parts.method, name) {
+            (Method::GET, None) if query.watch.is_some() => self.watch(&kind, query).await,
+            (Method::GET, None) => self.list(&kind, &query),
+            (Method::GET, Some(name)) => self.get(&(kind, name)),
+            (Method::POST, None) => {
+                let name = written["metadata"]["name"].as_str().unwrap_or_default();
+                self.create(&(kind, name.to_string()), &written)
+            }
+            (Method::PUT, Some(name)) => self.replace(&(kind, name), &written),
+            (Method::DELETE, Some(name)) => self.delete(&(kind, name), query.revision),
+            _ => reply(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+        }
+    }
+
+    fn get(&self, path: &ObjectPath) -> Response {
+        match self.lock().objects.get(path) {
+            Some(held) => reply(StatusCode::OK, &encode(path, held)),
+            None => reply(StatusCode::NOT_FOUND, &Value::Null),
+        }
+    }
+
+    fn list(&self, kind: &str, query: &QueryValues) -> Response {
+        let content = self.lock();
+        let after = query.after.clone().unwrap_or_default();
+        let mut objects = content
+            .objects
+            .iter()
+            .filter(|(path, _)| path.0 == kind && path.1 > after);
+        let items: Vec<Value> = objects
+            .by_ref()
+            .take(PAGE_OBJECTS)
+            .map(|(path, held)| encode(path, held))
+            .collect();
+        let has_more = objects.next().is_some();
+        let body = json!({
+            "items": items, "has_more": has_more, "store_revision": content.revision,
+        });
+        reply(StatusCode::OK, &body)
+    }
+
+    async fn watch(&self, kind: &str, query: QueryValues) -> Response {
+        let after = query.watch.unwrap_or_default();
+        let mut changed = self.changed.subscribe();
+        let wait = Duration::from_millis(query.wait_ms.unwrap_or_default()).min(LONGEST_WAIT);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            changed.borrow_and_update();
+            if let Some(response) = self.changes(kind, after) {
+                return response;
+            }
+            if tokio::time::timeout_at(until, changed.changed())
+                .await
+                .is_err()
+            {
+                let body = json!({"events": [], "store_revision": self.lock().revision});
+                return reply(StatusCode::OK, &body);
+            }
+        }
+    }
+
+    fn changes(&self, kind: &str, after: u64) -> Option<Response> {
+        let content = self.lock();
+        if after < content.forgotten {
+            return Some(reply(StatusCode::GONE, &Value::Null));
+        }
+        let events: Vec<Value> = content
+            .history
+            .iter()
+            .filter(|change| change.revision > after && change.path.0 == kind)
+            .map(|change| {
+                let object = encode(&change.path, &change.object);
+                json!({"removed": change.is_removed, "object": object})
+            })
+            .collect();
+        let body = json!({"events": events, "store_revision": content.revision});
+        (!events.is_empty()).then(|| reply(StatusCode::OK, &body))
+    }
+
+    fn create(&self, path: &ObjectPath, written: &Value) -> Response {
+        let mut content = self.lock();
+        if let Some(held) = content.objects.get(path) {
+            return reply(StatusCode::CONFLICT, &encode(path, held));
+        }
+        content.put(path.clone(), written["spec"].clone(), Value::Null);
+        self.changed.send_replace(content.revision);
+        reply(StatusCode::OK, &encode(path, &content.objects[path]))
+    }
+
+    fn replace(&self, path: &ObjectPath, written: &Value) -> Response {
+        let mut content = self.lock();
+        let Some(held) = content.objects.get(path).cloned() else {
+            return reply(StatusCode::NOT_FOUND, &Value::Null);
+        };
+        let wanted = written["metadata"]["revision"].as_u64();
+        if wanted.is_some_and(|revision| revision != held.revision) {
+            return reply(StatusCode::CONFLICT, &encode(path, &held));
+        }
+        if held.spec != written["spec"] {
+            content.put(path.clone(), written["spec"].clone(), held.status);
+            self.changed.send_replace(content.revision);
+        }
+        reply(StatusCode::OK, &encode(path, &content.objects[path]))
+    }
+
+    fn delete(&self, path: &ObjectPath, revision: Option<u64>) -> Response {
+        let mut content = self.lock();
+        let Some(held) = content.objects.get(path) else {
+            return reply(StatusCode::NOT_FOUND, &Value::Null);
+        };
+        if revision.is_some_and(|revision| revision != held.revision) {
+            return reply(StatusCode::CONFLICT, &encode(path, held));
+        }
+        content.remove(path);
+        self.changed.send_replace(content.revision);
+        reply(StatusCode::OK, &Value::Null)
+    }
+}
+
+impl HttpService for StoreStandin {
+    async fn call(&self, _peer: SocketAddr, request: Request) -> Response {
+        self.lock().calls += 1;
+        let mut mode = self.mode.subscribe();
+        let is_write = request.method() != Method::GET;
+        let before = *mode.borrow_and_update();
+        match before {
+            StoreMode::Busy => return reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+            StoreMode::Silent => return std::future::pending().await,
+            StoreMode::Up | StoreMode::LosesAnswers => {}
+        }
+        let response = tokio::select! {
+            response = self.answer(request) => response,
+            // A watch that waits is cut off when the store goes away.
+            _ = mode.wait_for(|now| matches!(now, StoreMode::Busy | StoreMode::Silent)) => {
+                return reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+            }
+        };
+        if before == StoreMode::LosesAnswers && is_write {
+            return std::future::pending().await;
+        }
+        response
+    }
+}
+
+impl StoreContent {
+    fn put(&mut self, path: ObjectPath, spec: Value, status: Value) {
+        self.revision += 1;
+        let object = HeldObject {
+            revision: self.revision,
+            spec,
+            status,
+        };
+        self.history.push(PastChange {
+            revision: self.revision,
+            path: path.clone(),
+            object: object.clone(),
+            is_removed: false,
+        });
+        self.objects.insert(path, object);
+    }
+
+    fn remove(&mut self, path: &ObjectPath) {
+        if let Some(object) = self.objects.remove(path) {
+            self.revision += 1;
+            self.history.push(PastChange {
+                revision: self.revision,
+                path: path.clone(),
+                object,
+                is_removed: true,
+            });
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct QueryValues {
+    after: Option<String>,
+    watch: Option<u64>,
+    wait_ms: Option<u64>,
+    revision: Option<u64>,
+}
+
+impl QueryValues {
+    fn read(query: &str) -> Self {
+        let mut values = Self::default();
+        for pair in query.split('&') {
+            match pair.split_once('=') {
+                Some(("after", value)) => values.after = Some(value.to_string()),
+                Some(("watch", value)) => values.watch = value.parse().ok(),
+                Some(("wait_ms", value)) => values.wait_ms = value.parse().ok(),
+                Some(("revision", value)) => values.revision = value.parse().ok(),
+                _ => {}
+            }
+        }
+        values
+    }
+}
+
+/// Limits of the stand-ins' listeners.
+pub(crate) fn standin_limits() -> ListenerLimits {
+    ListenerLimits {
+        max_connections: 1_000,
+        header_timeout: Duration::from_mins(1),
+        max_head_bytes: 64 * 1024,
+    }
+}
+
+fn encode(path: &ObjectPath, held: &HeldObject) -> Value {
+    json!({
+        "metadata": {"name": path.1, "revision": held.revision, "created": 1,
+            "finalizers": [], "deletion_pending": false},
+        "spec": held.spec,
+        "status": held.status,
+    })
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response {
+    let mut response = Response::new(Body::from(body.to_string()));
+    *response.status_mut() = status;
+    response
+}
