--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -252,19 +252,24 @@
             give_up_at: self.context.deadline,
         };
         let listed = &self.context.snapshot.upstreams[place.key];
-        let first = exchange(&self.context, listed, message(sent_body));
-        if !self.wants_second_send(place, body) {
-            return self.with_patience(place, is_replayable, first).await;
-        }
+        let first = Box::pin(exchange(&self.context, listed, message(sent_body)));
+        let is_doubled = self.wants_second_send(place, body);
         let region = listed.state.facts.region;
         let delay = self.context.shared.distance(region) + SECOND_SEND_DELAY;
-        let second = async {
+        let second = Box::pin(async {
             tokio::time::sleep(delay).await;
             let _counted = place.second_send();
             let body = Body::from(Bytes::copy_from_slice(body.bytes()));
             exchange(&self.context, listed, message(body)).await
+        });
+        let sent = async {
+            if is_doubled {
+                first_answer(first, second).await
+            } else {
+                first.await
+            }
         };
-        first_answer(first, second).await
+        self.with_patience(place, is_replayable, sent).await
     }
 
     /// Decides whether a request is sent to its new place twice.
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -198,6 +198,26 @@
     }
 }
 
+/// Guards against a request that may be repeated and waits for an upstream that went silent until its deadline. It was
+/// found by an incident: requests that were sent twice to a new place had no bound on their patience.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_upstream_holds_no_request_that_may_be_repeated() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "silent",
+        upstreams: 2,
+        ..FleetWish::default()
+    })
+    .await;
+    fleet.upstreams[0].set_mood(UpstreamMood::Silent);
+    for number in 0..8 {
+        let id = format!("silent-{number}");
+        let call = request(Method::GET, "/previews/1", &id);
+        let answer = fleet.call(0, &call).await.unwrap();
+        assert_eq!(answer.status, 200, "{id}");
+    }
+    assert!(!fleet.upstreams[0].runs().is_empty(), "none was sent there");
+}
+
 /// Guards against a withdrawn key that goes on working, a configuration that is not in force within its bound, and one
 /// that returns after it was replaced.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/src/signed_upstream.rs
+++ b/crates/standins/src/signed_upstream.rs
@@ -38,6 +38,8 @@
     Sheds,
     /// It runs each request and closes the connection without an answer.
     LosesAnswers,
+    /// It runs each request and never answers.
+    Silent,
     /// It answers with the id of another request.
     AnswersOthers,
     /// It answers without a signature.
@@ -169,6 +171,7 @@
         tokio::time::sleep(self.work_time(headers)).await;
         match mood {
             UpstreamMood::LosesAnswers => Response::new(Body::from_body(BrokenBody)),
+            UpstreamMood::Silent => std::future::pending().await,
             UpstreamMood::AnswersOthers => self.reply(StatusCode::OK, "another-request", true),
             UpstreamMood::Unsigned => self.reply(StatusCode::OK, &attempt_id, false),
             UpstreamMood::Sound | UpstreamMood::Sheds => {
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -40,8 +40,8 @@
     chosen: Option<&'static str>,
 }
 
-/// Guards against work at cold upstreams while a warm one answers in time, against collapse when new places take the
-/// capacity of the warm ones, and against requests that are sent where they cannot be answered.
+/// Guards against work at cold upstreams while a warm one answers in time, and against collapse when new places take the
+/// capacity of the warm ones.
 #[test]
 fn requests_go_to_warm_upstreams_and_open_new_places_only_with_room() {
     let full = |key| PlaceCandidate {
@@ -116,6 +116,19 @@
             })],
             chosen: None,
         },
+    ];
+    check_choices(cases);
+}
+
+/// Guards against requests that are sent where they cannot be answered in time, and against objects that stay at a place
+/// which is too far, too slow or late in their order.
+#[test]
+fn objects_move_to_places_that_serve_them_in_time() {
+    let warm = |candidate| PlaceCandidate {
+        is_warm: true,
+        ..candidate
+    };
+    let cases = [
         ChoiceCase {
             name: "nothing is sent that the deadline would cut",
             task: PlaceTask {
@@ -176,6 +189,10 @@
             chosen: Some("sound"),
         },
     ];
+    check_choices(cases);
+}
+
+fn check_choices<const COUNT: usize>(cases: [ChoiceCase; COUNT]) {
     for case in cases {
         let choice = case.task.choose(case.candidates.into_iter());
         assert_eq!(
