--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -58,6 +58,9 @@
     };
     let attempt_id = head.attempt_id.clone();
     let mut record = RequestRecord::new(shared, &attempt_id, arrived);
+    if let Some(snapshot) = shared.snapshot.load().as_ref() {
+        record.plan_version = snapshot.plan.version;
+    }
     let carried = match RequestContext::admit(shared, &parts, head, arrived) {
         Ok(context) => {
             record.admitted(&context);
