--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -5,18 +5,13 @@
 
 use coltsfootkeel_process_tests::free_port;
 use coltsfootkeel_standins::{
-    CallAnswer, CallError, CallRequest, EntryAddresses, EntryInstance, EntryOptions,
-    SignedUpstream, StoreStandin, UpstreamRun, call_once, register_upstream,
+    CallAnswer, CallError, CallRequest, EntryAddresses, EntryInstance, EntryOptions, SHOP_KEY,
+    SignedUpstream, StoreStandin, UpstreamRun, call_once, register_upstream, shop_plan,
 };
 use http::Method;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use serde_json::{Value, json};
-
-/// The host of all routes.
-pub const HOST: &str = "shop.example";
-/// The key of the account `hotel`.
-pub const KEY: &str = "hotel-key";
+use serde_json::Value;
 
 /// A running fleet. Its processes end with it.
 pub struct PlatformFleet {
@@ -65,12 +60,12 @@
         ));
         std::fs::create_dir_all(&folder).unwrap();
         let store = StoreStandin::start().await.unwrap();
-        store.put("config", "main", plan(1, &[KEY]), Value::Null);
+        store.put("config", "main", shop_plan(1, &[SHOP_KEY]), Value::Null);
         let mut upstreams = Vec::new();
         for index in 0..wish.upstreams {
             let upstream = SignedUpstream::start(&format!("u-{index}"), wish.work).await;
             let upstream = upstream.unwrap();
-            register_upstream(&store, &upstream, "orders", "a-1", "ready");
+            register_upstream(&store, upstream.id(), upstream.address(), "ready");
             upstreams.push(upstream);
         }
         let mut fleet = Self {
@@ -101,7 +96,7 @@
     /// Writes a plan.
     pub fn write_plan(&self, version: u64, keys: &[&str]) {
         self.store
-            .put("config", "main", plan(version, keys), Value::Null);
+            .put("config", "main", shop_plan(version, keys), Value::Null);
     }
 
     /// Sends a request to an instance.
@@ -175,44 +170,3 @@
         bounds: bounds.to_vec(),
     }
 }
-
-/// Returns a configuration as operators write it, with the keys of the account `hotel`.
-pub fn plan(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, public: bool| {
-        json!({
-            "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
-            "timeout": "2s", "slo_latency": "500ms", "priority": 1, "service": "orders",
-            "max_attempts": 2, "public": public, "sticky": true, "allowed_regions": [],
-        })
-    };
-    json!({
-        "version": format!("{version:08x}"),
-        "routes": [
-            route("previews", "/previews/", "idempotent", false),
-            route("orders", "/orders/", "non_idempotent", false),
-            route("open", "/open/", "idempotent", true),
-        ],
-        "services": [{
-            "name": "orders", "health_check": "/healthz", "max_conns": 100,
-            "cold_start": "3s", "cold_per_s": 5.0,
-        }],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 1_000_000,
-            "header_timeout": "3000ms", "idle_timeout": "15s",
-        },
-        "tenants": [{
-            "name": "hotel", "api_keys": keys, "priority": 1,
-            "rate_per_s": 200, "burst": 200, "allowed_regions": [],
-        }],
-    })
-}
-
-/// Returns a request with an attempt id, the usual key and three seconds of time. Each concerns an object of its own.
-pub fn request(method: Method, path: &str, attempt_id: &str) -> CallRequest {
-    CallRequest::new(method, path)
-        .header("host", HOST)
-        .header("coltsfootkeel-attempt-id", attempt_id)
-        .header("coltsfootkeel-request-deadline", "3000")
-        .header("coltsfootkeel-affinity-key", attempt_id)
-        .header("authorization", &format!("Token {KEY}"))
-}
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -4,12 +4,20 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfootkeel_standins::{StoreMode, UpstreamMood, register_upstream};
+use coltsfootkeel_standins::{
+    CallRequest, SHOP_HOST, SHOP_KEY, StoreMode, UpstreamMood, register_upstream, shop_plan,
+    shop_request,
+};
 use http::Method;
 use nix::sys::signal::Signal;
-use platform_fleet::{FleetWish, HOST, PlatformFleet, instance_options, plan, request};
+use platform_fleet::{FleetWish, PlatformFleet, instance_options};
 use serde_json::Value;
 
+/// Returns a request with the usual key.
+fn request(method: Method, path: &str, attempt_id: &str) -> CallRequest {
+    shop_request(method, path, attempt_id, SHOP_KEY)
+}
+
 struct AnswerCase {
     name: &'static str,
     method: Method,
@@ -72,8 +80,8 @@
     ];
     for (number, case) in cases.into_iter().enumerate() {
         let id = format!("attempt-{number}");
-        let mut call = coltsfootkeel_standins::CallRequest::new(case.method, case.path)
-            .header("host", HOST)
+        let mut call = CallRequest::new(case.method, case.path)
+            .header("host", SHOP_HOST)
             .header("coltsfootkeel-attempt-id", &id)
             .header("coltsfootkeel-request-deadline", "1500")
             .header("coltsfootkeel-tenant", "somebody-else");
@@ -254,7 +262,7 @@
     let store = &fleet.store;
     store.put("config", "main", Value::from("not a plan"), Value::Null);
     store.put("servers", "odd-1", Value::from(7), Value::Null);
-    let mut odd = plan(9, &[]);
+    let mut odd = shop_plan(9, &[]);
     odd["info"] = Value::from("none");
     store.put("servers", "odd-2", odd, Value::Null);
     store.forget_history();
@@ -272,13 +280,8 @@
         ..FleetWish::default()
     })
     .await;
-    register_upstream(
-        &fleet.store,
-        &fleet.upstreams[0],
-        "orders",
-        "a-1",
-        "draining",
-    );
+    let leaving = &fleet.upstreams[0];
+    register_upstream(&fleet.store, leaving.id(), leaving.address(), "draining");
     fleet.store.remove("servers", "u-1");
     fleet.store.forget_history();
     tokio::time::sleep(Duration::from_millis(2_500)).await;
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -9,11 +9,14 @@
 
 use crate::child_process::ChildProcess;
 use crate::http_call::{CallRequest, call_once};
-use crate::signed_upstream::SignedUpstream;
 use crate::store_standin::StoreStandin;
 
 /// The time an instance has to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
+/// The host of all routes of [`shop_plan`].
+pub const SHOP_HOST: &str = "shop.example";
+/// The usual key of its account.
+pub const SHOP_KEY: &str = "hotel-key";
 /// The pause between two looks.
 const READY_POLL: Duration = Duration::from_millis(20);
 
@@ -142,19 +145,56 @@
     })
 }
 
-/// Registers an upstream in the store, as it does itself.
-pub fn register_upstream(
-    store: &StoreStandin,
-    upstream: &SignedUpstream,
-    pool: &str,
-    domain: &str,
-    state: &str,
-) {
+/// Registers an upstream of the pool `orders` in the store, as it does itself. `address` may be that of a relay.
+pub fn register_upstream(store: &StoreStandin, id: &str, address: SocketAddr, state: &str) {
     let spec = json!({
-        "address": upstream.address(),
-        "info": {"service": pool, "version": "v1", "zone": domain, "slots": 9},
+        "address": address,
+        "info": {"service": "orders", "version": "v1", "zone": "a-1", "slots": 9},
         "born": 1_700_000_000_000_u64,
     });
     let status = json!({"state": state, "seq": 1, "cold_remaining": "0ms"});
-    store.put("servers", upstream.id(), spec, status);
+    store.put("servers", id, spec, status);
+}
+
+/// Returns a configuration as operators write it, with the keys of the account `hotel`.
+#[must_use]
+pub fn shop_plan(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, public: bool| {
+        json!({
+            "name": name, "host": SHOP_HOST, "path_prefix": prefix, "kind": kind,
+            "timeout": "2s", "slo_latency": "500ms", "priority": 1, "service": "orders",
+            "max_attempts": 2, "public": public, "sticky": true, "allowed_regions": [],
+        })
+    };
+    json!({
+        "version": format!("{version:08x}"),
+        "routes": [
+            route("previews", "/previews/", "idempotent", false),
+            route("orders", "/orders/", "non_idempotent", false),
+            route("open", "/open/", "idempotent", true),
+        ],
+        "services": [{
+            "name": "orders", "health_check": "/healthz", "max_conns": 100,
+            "cold_start": "3s", "cold_per_s": 5.0,
+        }],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 1_000_000,
+            "header_timeout": "3000ms", "idle_timeout": "15s",
+        },
+        "tenants": [{
+            "name": "hotel", "api_keys": keys, "priority": 1,
+            "rate_per_s": 200, "burst": 200, "allowed_regions": [],
+        }],
+    })
+}
+
+/// Returns a request with an attempt id, a key and three seconds of time. Each concerns an object of its own.
+#[must_use]
+pub fn shop_request(method: http::Method, path: &str, attempt_id: &str, key: &str) -> CallRequest {
+    CallRequest::new(method, path)
+        .header("host", SHOP_HOST)
+        .header("coltsfootkeel-attempt-id", attempt_id)
+        .header("coltsfootkeel-request-deadline", "3000")
+        .header("coltsfootkeel-affinity-key", attempt_id)
+        .header("authorization", &format!("Token {key}"))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -43,7 +43,10 @@
 
 pub use child_process::{ChildProcess, sibling_program};
 pub use cut_relay::{CutRelay, RelayFlow, RelayMode};
-pub use entry_fleet::{EntryAddresses, EntryInstance, EntryOptions, register_upstream};
+pub use entry_fleet::{
+    EntryAddresses, EntryInstance, EntryOptions, SHOP_HOST, SHOP_KEY, register_upstream, shop_plan,
+    shop_request,
+};
 pub use experiment_fleet::ExperimentError;
 pub use experiment_load::{CallEnd, CallRecord};
 pub use experiment_run::{ExperimentOptions, run_experiment};
