--- a/crates/daemon/src/request_flow.rs
+++ b/crates/daemon/src/request_flow.rs
@@ -20,13 +20,14 @@
 use crate::refusal_answer::refusal_response;
 use crate::replay_flow;
 use crate::request_context::RequestContext;
-use crate::shared_state::{InFlightGuard, SharedState};
+use crate::shared_state::SharedState;
 use crate::slot_wait::{SlotGuard, WaitFailure};
 use crate::upstream_attempt::{AttemptResult, run_attempt};
+use coltsfootkeel_transport::InFlightGuard;
 
 /// Carries a caller's request and returns what the caller gets.
 pub async fn carry_request(shared: &Arc<SharedState>, request: Request) -> Response {
-    let _counted = InFlightGuard::new(shared);
+    let _counted = InFlightGuard::new(&shared.in_flight);
     let request_id = shared.next_request_id();
     shared.retries.count_request();
     let mut response = match try_carry(shared, request, request_id.clone()).await {
--- a/crates/daemon/src/shared_state.rs
+++ b/crates/daemon/src/shared_state.rs
@@ -71,7 +71,7 @@
     /// The connected peers.
     pub peers: PeerDirectory,
     /// Requests being carried.
-    pub in_flight: AtomicU64,
+    pub in_flight: Arc<AtomicU64>,
     /// Whether this instance is leaving.
     pub leaving: AtomicBool,
     /// Metrics.
@@ -107,7 +107,7 @@
             doubt: DoubtGauge::new(),
             retries: RetryBudget::new(RetryPolicy::Limited),
             peers: PeerDirectory::default(),
-            in_flight: AtomicU64::new(0),
+            in_flight: Arc::default(),
             leaving: AtomicBool::new(false),
             metrics,
             events,
@@ -133,26 +133,3 @@
         let _ = self.events.send(event);
     }
 }
-
-/// Counts a request for as long as it is carried.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    shared: Arc<SharedState>,
-}
-
-impl InFlightGuard {
-    /// Starts counting a request.
-    #[must_use]
-    pub fn new(shared: &Arc<SharedState>) -> Self {
-        shared.in_flight.fetch_add(1, Ordering::AcqRel);
-        Self {
-            shared: Arc::clone(shared),
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/crates/entry/src/answer_stream.rs
+++ b/crates/entry/src/answer_stream.rs
@@ -9,8 +9,8 @@
 use thiserror::Error;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::shared_state::InFlightGuard;
 use crate::upstream_choice::TakenPlace;
+use coltsfootkeel_transport::InFlightGuard;
 
 /// Why an answer ended before it was complete. The caller's connection is closed without the end of the body, so a part
 /// is never taken for the whole.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,12 +4,14 @@
 //! The control thread follows the store and the other instances and publishes whole snapshots. What is decided is in
 //! `coltsfootkeel-steering`; the platform's names are in `coltsfootkeel-adapter`.
 
+mod answer_delivery;
 mod answer_stream;
 mod beat_socket;
 mod caller_body;
 mod control_beats;
 mod control_event;
 mod control_loop;
+mod control_store;
 mod entry_metrics;
 mod entry_program;
 mod entry_snapshot;
@@ -19,9 +21,11 @@
 mod peer_table;
 mod quota_book;
 mod rejection;
+mod request_attempt;
 mod request_context;
 mod request_flow;
 mod request_record;
+mod request_wait;
 mod settings_follow;
 mod shared_state;
 mod snapshot_publisher;
--- /dev/null
+++ b/crates/entry/src/request_attempt.rs
@@ -0,0 +1,232 @@
+//! One attempt of a request at an upstream, and what it tells of the upstream.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use coltsfootkeel_steering::{AttemptOutcome, short_hash};
+use volo_http::body::Body;
+
+use crate::caller_body::CallerBody;
+use crate::control_event::ControlEvent;
+use crate::entry_metrics::CounterName;
+use crate::request_flow::RequestRun;
+use crate::shared_state::CrashNote;
+use crate::upstream_choice::TakenPlace;
+use crate::upstream_exchange::{ExchangeEnd, ExchangeRequest, exchange};
+
+/// An idempotent request goes to another upstream after this many times the expected time.
+const PATIENCE_FACTOR: f64 = 3.0;
+/// The least time before an idempotent request goes to another upstream.
+const LEAST_PATIENCE: Duration = Duration::from_millis(700);
+/// After an answer that belonged to another request, requests that must not run twice get new connections.
+const DOUBT_PERIOD: Duration = Duration::from_secs(20);
+/// The time after which a first send has certainly begun to run, beyond the way to the upstream.
+const SECOND_SEND_DELAY: Duration = Duration::from_millis(15);
+
+impl RequestRun {
+    /// Sends the request to one upstream.
+    pub(crate) async fn attempt(
+        &mut self,
+        place: &TakenPlace,
+        body: &mut CallerBody,
+    ) -> ExchangeEnd {
+        let Some(sent_body) = body.take() else {
+            return ExchangeEnd::Broken;
+        };
+        let is_replayable = body.is_replayable();
+        let counter = if place.choice.is_warm {
+            CounterName::WarmSends
+        } else {
+            CounterName::ColdSends
+        };
+        self.context.shared.metrics.count(counter);
+        self.tried.push(place.key);
+        self.sends += 1;
+        let message = |body_of_send| ExchangeRequest {
+            method: &self.parts.method,
+            uri: &self.parts.uri,
+            headers: &self.headers,
+            body: body_of_send,
+            body_bytes: is_replayable.then_some(body.bytes().len() as u64),
+            give_up_at: self.context.deadline,
+        };
+        let listed = &self.context.snapshot.upstreams[place.key];
+        let first = Box::pin(exchange(&self.context, listed, message(sent_body)));
+        let is_doubled = self.wants_second_send(place, body);
+        let region = listed.state.facts.region;
+        let delay = self.context.shared.distance(region) + SECOND_SEND_DELAY;
+        let second = Box::pin(async {
+            tokio::time::sleep(delay).await;
+            let _counted = place.second_send();
+            let body = Body::from(Bytes::copy_from_slice(body.bytes()));
+            exchange(&self.context, listed, message(body)).await
+        });
+        let sent = async {
+            if is_doubled {
+                first_answer(first, second).await
+            } else {
+                first.await
+            }
+        };
+        self.with_patience(place, is_replayable, sent).await
+    }
+
+    /// Decides whether a request is sent to its new place twice.
+    ///
+    /// Load pattern: objects that no upstream has handled lately, as after a start or a move. The first run takes several
+    /// times as long as those after it, and also as those that begin while it runs. The second send is answered in the time
+    /// of a warm one, and the first is cancelled, which frees its slot sooner.
+    fn wants_second_send(&self, place: &TakenPlace, body: &CallerBody) -> bool {
+        let route = self.context.route_plan();
+        let is_first_touch = !place.choice.is_warm && self.context.object.is_some();
+        is_first_touch
+            && route.is_idempotent
+            && body.is_replayable()
+            && place.choice.queue.is_zero()
+            && self.may_spare_retry()
+    }
+
+    fn may_spare_retry(&self) -> bool {
+        let shared = &self.context.shared;
+        let retries = &self.context.listed_pool().state.retries;
+        retries.try_spare_retry(shared.retry_bound(), shared.instance_count())
+    }
+
+    /// Waits for an answer. An upstream that went silent holds a request that may be repeated only for some times the
+    /// expected time, if another one may be asked instead.
+    async fn with_patience(
+        &self,
+        place: &TakenPlace,
+        is_replayable: bool,
+        sent: impl Future<Output = ExchangeEnd>,
+    ) -> ExchangeEnd {
+        let mut sent = std::pin::pin!(sent);
+        let may_repeat = self.context.route_plan().is_idempotent && is_replayable;
+        let has_attempt = self.sends < self.context.route_plan().max_attempts;
+        if !may_repeat || !has_attempt || self.context.shared.is_leaving() {
+            return sent.await;
+        }
+        let patience = place.choice.expected.mul_f64(PATIENCE_FACTOR);
+        let patience = patience.max(LEAST_PATIENCE);
+        if let Ok(end) = tokio::time::timeout(patience, sent.as_mut()).await {
+            return end;
+        }
+        let is_late = self.context.remaining() < self.context.home_times().warm;
+        if is_late || self.context.shared.is_leaving() || !self.may_spare_retry() {
+            return sent.await;
+        }
+        ExchangeEnd::Silent
+    }
+
+    /// Records what the attempt tells of the upstream.
+    pub(crate) fn learn(&self, place: &TakenPlace, end: &ExchangeEnd, fingerprint: u64) {
+        let shared = &self.context.shared;
+        let now = shared.clock.now();
+        let state = &self.context.snapshot.upstreams[place.key].state;
+        let outcome = match end {
+            ExchangeEnd::Answered(answer) if answer.is_success => AttemptOutcome::Answered,
+            ExchangeEnd::Answered(_) | ExchangeEnd::Foreign => AttemptOutcome::Failed,
+            ExchangeEnd::NotRun => AttemptOutcome::Full,
+            ExchangeEnd::OtherUpstream => {
+                state.set_other();
+                AttemptOutcome::Lost
+            }
+            ExchangeEnd::Broken | ExchangeEnd::Silent | ExchangeEnd::TimedOut => {
+                AttemptOutcome::Broken
+            }
+            ExchangeEnd::NotSent(_) => AttemptOutcome::Lost,
+        };
+        state.record(outcome, now);
+        match end {
+            ExchangeEnd::Foreign => {
+                shared.metrics.count(CounterName::ForeignAnswers);
+                state.doubt_connections(now + DOUBT_PERIOD);
+            }
+            ExchangeEnd::Broken => {
+                state.doubt_connections(now + DOUBT_PERIOD);
+                let upstream = short_hash(state.hash);
+                // Without room the other instances learn of the next one.
+                let _ = shared.crash_notes.push(CrashNote {
+                    fingerprint,
+                    upstream,
+                });
+            }
+            ExchangeEnd::Answered(_) if shared.crashes.load().knows(fingerprint) => {
+                shared.report(ControlEvent::Answered { fingerprint });
+            }
+            _ => {}
+        }
+    }
+
+    /// Learns from the time that an answer took.
+    pub(crate) fn learn_time(&self, place: &TakenPlace) {
+        let now = self.context.shared.clock.now();
+        let listed = &self.context.snapshot.upstreams[place.key];
+        let region = listed.state.facts.region;
+        let distance = self.context.shared.distance(region);
+        let took = now.since(place.started);
+        let slot_time = &self.context.listed_pool().state.slot_time;
+        slot_time.learn(took.saturating_sub(distance));
+        let times = self.context.times(region);
+        let expected = if place.choice.is_warm {
+            times.warm
+        } else {
+            times.cold
+        };
+        if place.choice.queue.is_zero() {
+            let learned = &self.context.snapshot.times[self.context.route];
+            learned.learn(region, times, place.choice.is_warm, took);
+        }
+        listed
+            .state
+            .learn_slowness(took, expected + place.choice.queue, now);
+    }
+}
+
+/// Waits for the first of two sends that is answered; the other one is cancelled. Without an answer, the end of the one that
+/// may have run counts.
+async fn first_answer(
+    first: impl Future<Output = ExchangeEnd>,
+    second: impl Future<Output = ExchangeEnd>,
+) -> ExchangeEnd {
+    let mut first = std::pin::pin!(first);
+    let mut second = std::pin::pin!(second);
+    let (end, other) = tokio::select! {
+        end = first.as_mut() => match end {
+            ExchangeEnd::Answered(_) => return end,
+            _ => (end, second.await),
+        },
+        end = second.as_mut() => match end {
+            ExchangeEnd::Answered(_) => return end,
+            _ => (end, first.await),
+        },
+    };
+    if matches!(other, ExchangeEnd::Answered(_)) || may_have_run(&other) {
+        other
+    } else {
+        end
+    }
+}
+
+/// Tells whether a request may have run although it was not answered.
+fn may_have_run(end: &ExchangeEnd) -> bool {
+    matches!(
+        end,
+        ExchangeEnd::Foreign | ExchangeEnd::Broken | ExchangeEnd::Silent | ExchangeEnd::TimedOut
+    )
+}
+
+/// Returns the name of an end in logs.
+pub(crate) fn end_code(end: &ExchangeEnd) -> &'static str {
+    match end {
+        ExchangeEnd::Answered(answer) if answer.is_success => "ok",
+        ExchangeEnd::Answered(_) => "failed",
+        ExchangeEnd::NotSent(_) => "no_connection",
+        ExchangeEnd::NotRun => "refused",
+        ExchangeEnd::OtherUpstream => "other_upstream",
+        ExchangeEnd::Foreign => "foreign_answer",
+        ExchangeEnd::Broken => "broken",
+        ExchangeEnd::Silent => "silent",
+        ExchangeEnd::TimedOut => "timed_out",
+    }
+}
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -96,7 +96,7 @@
     /// Requests that crash upstreams.
     pub crashes: ArcSwap<CrashTable>,
     /// Requests being carried.
-    pub in_flight: AtomicU64,
+    pub in_flight: Arc<AtomicU64>,
     /// Metrics.
     pub metrics: EntryMetrics,
     /// Events for the control thread.
@@ -141,7 +141,7 @@
             object_notes: ArrayQueue::new(MAX_NOTES),
             crash_notes: ArrayQueue::new(MAX_NOTES),
             crashes: ArcSwap::default(),
-            in_flight: AtomicU64::new(0),
+            in_flight: Arc::default(),
             metrics: EntryMetrics::default(),
             events,
             is_leaving: AtomicBool::new(false),
@@ -227,26 +227,3 @@
         let _ = self.events.send(event);
     }
 }
-
-/// Counts a request for as long as it is carried.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    shared: Arc<SharedState>,
-}
-
-impl InFlightGuard {
-    /// Starts counting a request.
-    #[must_use]
-    pub fn new(shared: &Arc<SharedState>) -> Self {
-        shared.in_flight.fetch_add(1, Ordering::AcqRel);
-        Self {
-            shared: Arc::clone(shared),
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -3,10 +3,9 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use coltsfootkeel_process_tests::free_port;
 use coltsfootkeel_standins::{
-    CallAnswer, CallError, CallRequest, EntryAddresses, EntryInstance, EntryOptions, SHOP_KEY,
-    SignedUpstream, StoreStandin, UpstreamRun, call_once, register_upstream, shop_plan,
+    CallAnswer, CallError, CallRequest, EntryInstance, EntryOptions, SHOP_KEY, SignedUpstream,
+    StoreStandin, UpstreamRun, call_once, register_upstream, shop_plan,
 };
 use http::Method;
 use nix::sys::signal::{Signal, kill};
@@ -34,8 +33,6 @@
     pub upstreams: usize,
     /// How long an upstream works on an object it knows.
     pub work: Duration,
-    /// Bounds in place of the usual ones.
-    pub bounds: &'static [&'static str],
 }
 
 impl Default for FleetWish {
@@ -45,7 +42,6 @@
             instances: 1,
             upstreams: 1,
             work: Duration::from_millis(10),
-            bounds: &[],
         }
     }
 }
@@ -74,10 +70,9 @@
             instances: Vec::new(),
             folder,
         };
-        let bounds: Vec<String> = wish.bounds.iter().map(ToString::to_string).collect();
         for index in 0..wish.instances {
             let store = fleet.store.address();
-            let options = instance_options(index, store, &bounds);
+            let options = EntryOptions::on_loopback(index, store);
             fleet.start_instance(options);
         }
         for instance in &fleet.instances {
@@ -149,24 +144,3 @@
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
-
-/// Returns the options of an instance on the loopback address.
-pub fn instance_options(
-    index: usize,
-    store: std::net::SocketAddr,
-    bounds: &[String],
-) -> EntryOptions {
-    EntryOptions {
-        name: format!("entry-{index}"),
-        domain: "a-1".to_string(),
-        addresses: EntryAddresses {
-            entry: free_port(),
-            ready: free_port(),
-            lookup: free_port(),
-            peer: free_port(),
-            insight: free_port(),
-        },
-        store,
-        bounds: bounds.to_vec(),
-    }
-}
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -5,12 +5,12 @@
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{
-    CallRequest, SHOP_HOST, SHOP_KEY, StoreMode, UpstreamMood, register_upstream, shop_plan,
-    shop_request,
+    CallRequest, EntryOptions, SHOP_HOST, SHOP_KEY, StoreMode, UpstreamMood, register_upstream,
+    shop_plan, shop_request,
 };
 use http::Method;
 use nix::sys::signal::Signal;
-use platform_fleet::{FleetWish, PlatformFleet, instance_options};
+use platform_fleet::{FleetWish, PlatformFleet};
 use serde_json::Value;
 
 /// Returns a request with the usual key.
@@ -372,8 +372,7 @@
     fleet.store.set_mode(StoreMode::Up);
     tokio::time::sleep(Duration::from_secs(3)).await;
     let store = fleet.store.address();
-    let bounds = [];
-    fleet.start_instance(instance_options(2, store, &bounds));
+    fleet.start_instance(EntryOptions::on_loopback(2, store));
     fleet.instances[2].wait_ready().await.unwrap();
     let back = request(Method::GET, "/previews/1", "back");
     assert_eq!(fleet.call(0, &back).await.unwrap().status, 200);
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -5,9 +5,8 @@
 
 mod fleet_files;
 mod fleet_plan;
-mod free_ports;
 mod test_fleet;
 
+pub use coltsfootkeel_standins::free_port;
 pub use fleet_plan::{FleetPlan, PlannedAccount, PlannedDaemon, PlannedRegion, PlannedUpstream};
-pub use free_ports::free_port;
 pub use test_fleet::{TestFleet, wait_for};
--- a/crates/process-tests/src/test_fleet.rs
+++ b/crates/process-tests/src/test_fleet.rs
@@ -19,7 +19,7 @@
 
 use crate::fleet_files::{self, DaemonAddresses, OPERATOR_TOKEN};
 use crate::fleet_plan::FleetPlan;
-use crate::free_ports::free_port;
+use coltsfootkeel_standins::free_port;
 
 /// The longest time a test waits for something that must happen. It is no bound on how fast it happens.
 const WAIT_LIMIT: Duration = Duration::from_mins(1);
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -4,10 +4,9 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use coltsfootkeel_process_tests::free_port;
 use coltsfootkeel_standins::{
-    CutRelay, EntryAddresses, EntryInstance, EntryOptions, RelayMode, SHOP_KEY, SignedUpstream,
-    StoreStandin, register_upstream, shop_plan, sibling_program,
+    CutRelay, EntryInstance, EntryOptions, RelayMode, SHOP_KEY, SignedUpstream, StoreStandin,
+    register_upstream, shop_plan, sibling_program,
 };
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -83,7 +82,7 @@
         }
         for index in 0..instances {
             let store = CutRelay::start(fleet.store.address()).await?;
-            let options = instance_options(index, store.address());
+            let options = EntryOptions::on_loopback(index, store.address());
             fleet.instances.push(RelayedInstance {
                 process: None,
                 options,
@@ -200,19 +199,3 @@
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
-
-fn instance_options(index: usize, store: SocketAddr) -> EntryOptions {
-    EntryOptions {
-        name: format!("entry-{index}"),
-        domain: "a-1".to_string(),
-        addresses: EntryAddresses {
-            entry: free_port(),
-            ready: free_port(),
-            lookup: free_port(),
-            peer: free_port(),
-            insight: free_port(),
-        },
-        store,
-        bounds: Vec::new(),
-    }
-}
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::child_process::ChildProcess;
+use crate::free_ports::free_port;
 use crate::http_call::{CallRequest, call_once};
 use crate::store_standin::StoreStandin;
 
@@ -46,8 +47,25 @@
     pub addresses: EntryAddresses,
     /// The store, or a relay in front of it.
     pub store: SocketAddr,
-    /// Texts `name=value` in place of the usual bounds.
-    pub bounds: Vec<String>,
+}
+
+impl EntryOptions {
+    /// Returns the options of the instance `entry-<index>` on free ports of the loopback address.
+    #[must_use]
+    pub fn on_loopback(index: usize, store: SocketAddr) -> Self {
+        Self {
+            name: format!("entry-{index}"),
+            domain: "a-1".to_string(),
+            addresses: EntryAddresses {
+                entry: free_port(),
+                ready: free_port(),
+                lookup: free_port(),
+                peer: free_port(),
+                insight: free_port(),
+            },
+            store,
+        }
+    }
 }
 
 /// A running instance.
@@ -124,11 +142,6 @@
         "quota_tolerance=0.1",
         "quota_slack=20",
     ];
-    let bounds: Vec<String> = bounds
-        .iter()
-        .map(ToString::to_string)
-        .chain(options.bounds.iter().cloned())
-        .collect();
     json!({
         "node": options.name,
         "ip": host(addresses.entry),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -22,6 +22,7 @@
 mod fault_plan;
 mod fleet_demo;
 mod fleet_launch;
+mod free_ports;
 mod http_call;
 mod instance_list;
 mod load_compare;
@@ -54,6 +55,7 @@
 pub use fault_plan::ControlChange;
 pub use fleet_demo::show_requests;
 pub use fleet_launch::{FleetError, FleetOptions, RunningFleet, commit_fleet, read_fleet};
+pub use free_ports::free_port;
 pub use http_call::{CallAnswer, CallError, CallRequest, KeptConnection, call_once};
 pub use instance_list::{InstanceDetails, InstanceList, InstanceListing};
 pub use load_compare::{CompareError, ComparePlan, CompareReport, run_compare};
--- /dev/null
+++ b/crates/transport/src/in_flight.rs
@@ -0,0 +1,27 @@
+//! Counts what is under way.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts one more for as long as it lives.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    count: Arc<AtomicU64>,
+}
+
+impl InFlightGuard {
+    /// Starts counting.
+    #[must_use]
+    pub fn new(count: &Arc<AtomicU64>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self {
+            count: Arc::clone(count),
+        }
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
