entry: a request that waits or is sent again sees who has left

Ruled out: a missed change of the entry; the instance had published it within 100 ms.

Change: whether an upstream takes new work is read from its live state.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -226,7 +226,11 @@
             let is_wanted = known.listed.state.wants_check() || self.wanted_checks.contains(id);
             let last = self.checked_at.get(id);
             let is_due = last.is_none_or(|last| now.since(*last) > CHECK_PERIOD);
-            if is_wanted && is_due && known.listed.is_usable && !known.listed.state.is_other() {
+            if is_wanted
+                && is_due
+                && known.listed.state.is_usable()
+                && !known.listed.state.is_other()
+            {
                 due.push((known.listed.clone(), known.record.pool.clone()));
             }
         }
--- a/crates/entry/src/control_store.rs
+++ b/crates/entry/src/control_store.rs
@@ -166,7 +166,7 @@
             log::info!(domains:? = self.evacuations; "upstreams: The emptied failure domains changed.");
             // Whether upstreams that are taken back are cold is known at once by a health check.
             for known in self.registry.iter() {
-                if known.listed.is_usable && known.listed.state.is_cold(now) {
+                if known.listed.state.is_usable() && known.listed.state.is_cold(now) {
                     self.wanted_checks.insert(known.record.id.clone());
                 }
             }
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -22,8 +22,6 @@
     pub link: Arc<UpstreamLink>,
     /// Its address.
     pub address: SocketAddr,
-    /// Whether it takes new work: it is ready and its failure domain is not emptied.
-    pub is_usable: bool,
 }
 
 /// State of a pool that outlives a plan.
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -120,7 +120,9 @@
         let snapshot = self.shared.snapshot.load();
         let usable = snapshot.as_ref().map_or(0, |snapshot| {
             let upstreams = snapshot.upstreams.iter();
-            upstreams.filter(|(_, listed)| listed.is_usable).count()
+            upstreams
+                .filter(|(_, listed)| listed.state.is_usable())
+                .count()
         });
         let now = self.shared.clock.now_with_suspension();
         let text = self.shared.metrics.render(GaugeValues {
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -61,7 +61,7 @@
         let upstreams = pool.upstreams.iter();
         let usable = upstreams
             .map(|key| &self.context.snapshot.upstreams[*key])
-            .filter(|listed| listed.is_usable);
+            .filter(|listed| listed.state.is_usable());
         let slots: u32 = usable.map(|listed| listed.state.facts.slots).sum();
         let instances = self.context.shared.instance_count();
         let slot_time = pool.state.slot_time.get().unwrap_or_default();
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -65,7 +65,7 @@
         "domain": shared.places.domains[state.facts.domain].name,
         "slots": state.facts.slots,
         "in_flight": state.in_flight(),
-        "usable": listed.is_usable,
+        "usable": listed.state.is_usable(),
         "avoided": state.is_avoided(now),
         "lost": state.is_lost(),
         "other_upstream": state.is_other(),
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -210,7 +210,7 @@
 }
 
 fn is_allowed(context: &RequestContext, listed: &ListedUpstream) -> bool {
-    listed.is_usable
+    listed.state.is_usable()
         && !listed.state.is_other()
         && context.regions.contains(listed.state.facts.region)
 }
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -49,7 +49,7 @@
                 record.id,
                 record.domain
             );
-            return self.upstreams.remove(&record.id).is_some();
+            return self.drop_upstream(&record.id);
         };
         let cold_until = now + record.cold_for;
         if let Some(known) = self.upstreams.get_mut(&record.id) {
@@ -58,7 +58,8 @@
                 known.listed.state.cold_until.set(cold_until);
                 let is_changed = known.record.phase != record.phase;
                 known.record = record;
-                known.listed.is_usable = is_usable(&known.record, domain, &self.evacuated);
+                let is_usable = is_usable(&known.record, domain, &self.evacuated);
+                known.listed.state.set_usable(is_usable);
                 return is_changed;
             }
         }
@@ -68,6 +69,8 @@
             region: places.domains[domain].region,
             slots: record.slots.max(1),
         };
+        // Requests may still hold the state of an earlier start.
+        self.drop_upstream(&record.id);
         let is_usable = is_usable(&record, domain, &self.evacuated);
         let listed = ListedUpstream {
             link: Arc::new(UpstreamLink::new(
@@ -76,8 +79,8 @@
             )),
             address: record.address,
             state: Arc::new(UpstreamState::new(facts, cold_until, self.is_at_work)),
-            is_usable,
         };
+        listed.state.set_usable(is_usable);
         self.upstreams.insert(
             record.id.clone(),
             RegisteredUpstream {
@@ -98,7 +101,15 @@
             }
             return false;
         }
-        self.upstreams.remove(id).is_some()
+        self.drop_upstream(id)
+    }
+
+    fn drop_upstream(&mut self, id: &str) -> bool {
+        let dropped = self.upstreams.remove(id);
+        if let Some(known) = &dropped {
+            known.listed.state.set_usable(false);
+        }
+        dropped.is_some()
     }
 
     /// Notes that the store was away until now.
@@ -127,10 +138,14 @@
 
     /// Removes upstreams whose entries did not return.
     pub fn expire(&mut self, now: MonotonicTime) -> bool {
-        let before = self.upstreams.len();
-        self.upstreams
-            .retain(|_, known| known.missing_until.is_none_or(|until| until > now));
-        self.upstreams.len() < before
+        let is_over =
+            |known: &RegisteredUpstream| known.missing_until.is_some_and(|until| until <= now);
+        let over = self.upstreams.iter().filter(|(_, known)| is_over(known));
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.drop_upstream(id);
+        }
+        !over.is_empty()
     }
 
     /// Sets the failure domains that are emptied. Upstreams of a domain that is taken back may be cold.
@@ -143,7 +158,8 @@
             if self.evacuated.contains(&domain) && !evacuated.contains(&domain) {
                 known.listed.state.cold_until.advance(now + UNSURE_COLD);
             }
-            known.listed.is_usable = is_usable(&known.record, domain, &evacuated);
+            let is_usable = is_usable(&known.record, domain, &evacuated);
+            known.listed.state.set_usable(is_usable);
         }
         self.evacuated = evacuated;
         true
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -297,6 +297,38 @@
     }
 }
 
+/// Guards against a request that is sent again to an upstream which has left since the request came. It was found by a hunt
+/// (full-region.toml on Sulam Bersama, seed 253439409424): the request held the list of its arrival.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_sent_again_sees_who_has_left() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "again",
+        upstreams: 2,
+        ..FleetWish::default()
+    })
+    .await;
+    fleet.upstreams[0].set_mood(UpstreamMood::Silent);
+    let address = fleet.instances[0].options.addresses.entry;
+    let callers: Vec<_> = (0..8)
+        .map(|number| {
+            let id = format!("again-{number}");
+            let call = request(Method::GET, "/previews/1", &id);
+            tokio::spawn(async move { coltsfootkeel_standins::call_once(address, &call).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let leaving = &fleet.upstreams[1];
+    register_upstream(&fleet.store, leaving.id(), leaving.address(), "draining");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let left_at = Instant::now();
+    for caller in callers {
+        // Whoever was sent to the silent one gets no success.
+        caller.await.unwrap().unwrap();
+    }
+    assert!(!fleet.upstreams[0].runs().is_empty(), "none was sent there");
+    assert!(leaving.runs().iter().all(|run| run.began < left_at));
+}
+
 /// Guards against a planned stop that cuts requests, and against look-ups that go on naming an instance that leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_no_request() {
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -76,6 +76,7 @@
     full_until: AtomicTime,
     slowness: AtomicU32,
     slowness_at: AtomicTime,
+    is_usable: AtomicBool,
     is_untried: AtomicBool,
     is_lost: AtomicBool,
     is_suspect: AtomicBool,
@@ -100,6 +101,7 @@
             full_until: AtomicTime::default(),
             slowness: AtomicU32::new(USUAL_SLOWNESS),
             slowness_at: AtomicTime::default(),
+            is_usable: AtomicBool::new(true),
             is_untried: AtomicBool::new(is_joining),
             is_lost: AtomicBool::new(false),
             is_suspect: AtomicBool::new(false),
@@ -141,6 +143,18 @@
         }
     }
 
+    /// Notes whether the upstream takes new work: it is listed, ready, and its failure domain is not emptied.
+    pub fn set_usable(&self, is_usable: bool) {
+        self.is_usable.store(is_usable, Ordering::Release);
+    }
+
+    /// Tells whether the upstream takes new work. A request that waits or is sent again sees a change at once, although it
+    /// holds the list of its arrival.
+    #[must_use]
+    pub fn is_usable(&self) -> bool {
+        self.is_usable.load(Ordering::Acquire)
+    }
+
     /// Tells whether the upstream has joined others at work and no instance is known to have used it. In a pool whose
     /// objects are all warm elsewhere it gets its first request for that reason, so that its times are known when it is
     /// needed.
