--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -21,9 +21,9 @@
 /// The part of the objective within which a warm answer must be expected at a new place. The rest is for the way
 /// between caller and instance, and for answers that take longer than usual.
 const NEAR_PART: f64 = 0.8;
-/// How many times more objects an upstream in the caller's region attracts. It keeps more than half of the traffic in
+/// How many times more objects an upstream in the caller's region attracts. It keeps most of the traffic in
 /// the region and still spreads the load of a region with few upstreams over the others.
-const HOME_FACTOR: f64 = 3.0;
+const HOME_FACTOR: f64 = 6.0;
 /// An upstream that is slower than this attracts fewer objects. Below, its slowness may be chance, and the order of
 /// upstreams must not change by chance.
 const SLOW: f64 = 1.6;
