--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -180,7 +180,8 @@
 fn listener_limits(limits: CallerLimits, max_connections: usize) -> ListenerLimits {
     ListenerLimits {
         max_connections,
-        // The bound on an idle connection may be raised while it is open.
+        // The HTTP library has one timer for idle connections and slow heads, so the longer bound holds for both. It may
+        // also be raised while a connection is open.
         header_timeout: limits.idle_timeout * 2,
         max_head_bytes: limits.max_head_bytes.max(LEAST_HEAD_BYTES),
     }
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::service_times::TimeEstimate;
 
 /// The queue an upstream may have, as a part of its slots, before a warm request goes elsewhere.
-const QUEUE_PART: f64 = 1.5;
+const QUEUE_PART: f64 = 0.8;
 /// The queue an upstream may have before it gets no new objects.
 const NEW_QUEUE_PART: f64 = 0.25;
 /// The load of the pool below which an object moves up in its order.
--- a/crates/steering/src/raw_plan.rs
+++ b/crates/steering/src/raw_plan.rs
@@ -62,8 +62,6 @@
     pub name: String,
     /// The path of the health check.
     pub health_path: String,
-    /// The most connections that one upstream accepts from all instances together.
-    pub max_connections: u32,
     /// How long an upstream is cold after its start.
     pub cold_start: Duration,
     /// Requests a second that a cold upstream bears.
--- a/crates/steering/tests/plans.rs
+++ b/crates/steering/tests/plans.rs
@@ -54,7 +54,6 @@
     let pool = |name: &str| RawPool {
         name: name.to_string(),
         health_path: "/healthz".to_string(),
-        max_connections: 100,
         cold_start: Duration::from_secs(3),
         cold_per_s: 5.0,
     };
