--- a/crates/entry/src/control_event.rs
+++ b/crates/entry/src/control_event.rs
@@ -5,7 +5,7 @@
 
 use coltsfootkeel_adapter::{ObjectEvent, ObjectKind, ObjectList};
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_protocol::BeatMessage;
+use coltsfootkeel_protocol::FleetHeartbeat;
 
 /// An event.
 #[derive(Debug)]
@@ -31,9 +31,9 @@
         known_to: MonotonicTime,
     },
     /// Another instance sent a message.
-    Beat {
+    Heartbeat {
         /// The message.
-        message: Box<BeatMessage>,
+        message: Box<FleetHeartbeat>,
         /// Where it came from.
         from: SocketAddr,
     },
--- a/crates/entry/src/control_beats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_protocol::{BeatMessage, CrashBeat, ObjectBeat, UpstreamBeat};
+use coltsfootkeel_protocol::{CrashSighting, FleetHeartbeat, ObjectPlacement, UpstreamLoad};
 use coltsfootkeel_steering::{short_hash, stable_hash};
 
-use crate::beat_socket::send_beat;
 use crate::control_loop::ControlLoop;
+use crate::heartbeat_socket::send_heartbeat;
 
 /// Messages whose round trip can still be measured.
-const MEASURED_BEATS: usize = 64;
+const MEASURED_HEARTBEATS: usize = 64;
 /// A message is not older than this when it is handled, with room for a busy processor and a long way.
 const LONGEST_TRANSIT: Duration = Duration::from_millis(150);
 /// All instances must have been heard within this time to conclude that none of them reaches the store.
@@ -20,7 +20,7 @@
 
 impl ControlLoop {
     /// Takes in a message of another instance.
-    pub(crate) fn hear(&mut self, message: BeatMessage, from: SocketAddr) {
+    pub(crate) fn hear(&mut self, message: FleetHeartbeat, from: SocketAddr) {
         let now = self.shared.clock.now();
         if message.instance == self.shared.settings.instance {
             return;
@@ -39,7 +39,10 @@
             return;
         };
         self.quotas.hear(hash, &peer.last, now);
-        let sent = self.sent_beats.iter().find(|(number, _)| *number == echo);
+        let sent = self
+            .sent_heartbeats
+            .iter()
+            .find(|(number, _)| *number == echo);
         if let Some((_, sent_at)) = sent {
             let round_trip = now.since(*sent_at).saturating_sub(held);
             self.shared.learn_distance(peer.region, round_trip);
@@ -47,13 +50,15 @@
         log::trace!("peers: Heard incarnation {incarnation} from {from}.");
     }
 
-    fn learn_objects(&self, message: &BeatMessage, now: MonotonicTime) {
-        for beat in &message.objects {
-            self.shared.warm.note(beat.object, beat.upstream, now);
+    fn learn_objects(&self, message: &FleetHeartbeat, now: MonotonicTime) {
+        for heartbeat in &message.objects {
+            self.shared
+                .warm
+                .note(heartbeat.object, heartbeat.upstream, now);
         }
     }
 
-    fn learn_crashes(&mut self, message: &BeatMessage, now: MonotonicTime) {
+    fn learn_crashes(&mut self, message: &FleetHeartbeat, now: MonotonicTime) {
         for crash in &message.crashes {
             self.crashes.add(crash.fingerprint, crash.upstream, now);
         }
@@ -63,7 +68,7 @@
     }
 
     /// Another instance with the same plan confirms it.
-    fn confirm_by_peer(&self, message: &BeatMessage) {
+    fn confirm_by_peer(&self, message: &FleetHeartbeat) {
         let own_version = self.plan.as_ref().map(|plan| plan.version);
         let Some(age_ms) = message.plan_age_ms else {
             return;
@@ -95,14 +100,14 @@
     }
 
     /// Sends a message to every known instance.
-    pub(crate) fn send_beats(&mut self) {
+    pub(crate) fn send_heartbeats(&mut self) {
         let now = self.shared.clock.now();
-        self.beat_number += 1;
-        if self.sent_beats.len() >= MEASURED_BEATS {
-            self.sent_beats.pop_front();
+        self.heartbeat_number += 1;
+        if self.sent_heartbeats.len() >= MEASURED_HEARTBEATS {
+            self.sent_heartbeats.pop_front();
         }
-        self.sent_beats.push_back((self.beat_number, now));
-        let mut message = self.beat(now);
+        self.sent_heartbeats.push_back((self.heartbeat_number, now));
+        let mut message = self.heartbeat(now);
         let own = self.shared.settings.peer;
         let heard: Vec<(SocketAddr, u64, MonotonicTime)> = self
             .peers
@@ -115,28 +120,28 @@
             let held_us = now.since(heard_at).as_micros();
             message.echo_held_us = u32::try_from(held_us).unwrap_or(u32::MAX);
             if told.insert(address) {
-                send_beat(&self.socket, &message, address);
+                send_heartbeat(&self.socket, &message, address);
             }
         }
         message.echo_number = 0;
         for address in self.members.addresses() {
             if told.insert(address) {
-                send_beat(&self.socket, &message, address);
+                send_heartbeat(&self.socket, &message, address);
             }
         }
     }
 
-    fn beat(&mut self, now: MonotonicTime) -> BeatMessage {
+    fn heartbeat(&mut self, now: MonotonicTime) -> FleetHeartbeat {
         let shared = &self.shared;
         let plan_age = shared.freshness.age(shared.clock.now_with_suspension());
         let plan_version = self.plan.as_ref().map(|plan| plan.version);
         let age_ms = u32::try_from(plan_age.as_millis()).unwrap_or(u32::MAX);
         let objects = std::iter::from_fn(|| shared.object_notes.pop());
         let crashes: Vec<_> = std::iter::from_fn(|| shared.crash_notes.pop()).collect();
-        let message = BeatMessage {
+        let message = FleetHeartbeat {
             instance: shared.settings.instance.clone(),
             incarnation: shared.incarnation,
-            number: self.beat_number,
+            number: self.heartbeat_number,
             entry_address: shared.settings.entry.to_string(),
             domain: shared.settings.domain.clone(),
             is_open: shared.is_open(),
@@ -145,22 +150,22 @@
             plan_age_ms: plan_version.map(|_| age_ms),
             reaches_store: self.reaches_store(),
             store_steady_ms: u32::try_from(self.store_steady().as_millis()).unwrap_or(u32::MAX),
-            loads: self.upstream_beats(),
-            accounts: self.quotas.beats(),
+            loads: self.upstream_loads(),
+            accounts: self.quotas.usages(),
             objects: objects
-                .map(|note| ObjectBeat {
+                .map(|note| ObjectPlacement {
                     object: note.object,
                     upstream: note.upstream,
                 })
                 .collect(),
             crashes: crashes
                 .iter()
-                .map(|note| CrashBeat {
+                .map(|note| CrashSighting {
                     fingerprint: note.fingerprint,
                     upstream: note.upstream,
                 })
                 .collect(),
-            ..BeatMessage::default()
+            ..FleetHeartbeat::default()
         };
         for note in &crashes {
             self.crashes.add(note.fingerprint, note.upstream, now);
@@ -171,7 +176,7 @@
         message
     }
 
-    fn upstream_beats(&self) -> Vec<UpstreamBeat> {
+    fn upstream_loads(&self) -> Vec<UpstreamLoad> {
         let snapshot = self.shared.snapshot.load();
         let Some(snapshot) = snapshot.as_ref() else {
             return Vec::new();
@@ -179,11 +184,11 @@
         snapshot
             .upstreams
             .iter()
-            .map(|(_, listed)| UpstreamBeat {
+            .map(|(_, listed)| UpstreamLoad {
                 upstream: short_hash(listed.state.hash),
                 in_flight: listed.state.own_in_flight(),
             })
-            .filter(|beat| beat.in_flight > 0)
+            .filter(|heartbeat| heartbeat.in_flight > 0)
             .collect()
     }
 }
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -22,10 +22,10 @@
 use crate::upstream_registry::{RETURN_PERIOD, UpstreamRegistry};
 
 /// The time between two messages to each other instance in a small fleet.
-const BEAT_PERIOD: Duration = Duration::from_millis(100);
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(100);
 /// In a larger fleet, the time between two messages grows by this much for each instance, so that an instance handles
 /// about a hundred messages a second at any size.
-const BEAT_SHARE: Duration = Duration::from_millis(10);
+const HEARTBEAT_SHARE: Duration = Duration::from_millis(10);
 /// The least time between two health checks of one upstream.
 const CHECK_PERIOD: Duration = Duration::from_millis(600);
 /// A registered instance that is silent for longer is removed by another one.
@@ -46,8 +46,8 @@
     pub(crate) quotas: QuotaBook,
     pub(crate) crashes: CrashTable,
     pub(crate) plan: Option<Arc<SteeringPlan>>,
-    pub(crate) beat_number: u64,
-    pub(crate) sent_beats: VecDeque<(u64, MonotonicTime)>,
+    pub(crate) heartbeat_number: u64,
+    pub(crate) sent_heartbeats: VecDeque<(u64, MonotonicTime)>,
     /// When the store last answered a call about the plan, suspension included.
     pub(crate) store_answered: Option<MonotonicTime>,
     pub(crate) registry: UpstreamRegistry,
@@ -81,8 +81,8 @@
             crashes: CrashTable::default(),
             plan: None,
             // Numbers of an earlier start must not be taken for those of this one.
-            beat_number: fastrand::u64(..1 << 48),
-            sent_beats: VecDeque::new(),
+            heartbeat_number: fastrand::u64(..1 << 48),
+            sent_heartbeats: VecDeque::new(),
             store_answered: None,
             registry: UpstreamRegistry::default(),
             evacuations: HashSet::new(),
@@ -106,7 +106,7 @@
                 },
                 () = tokio::time::sleep_until(next_tick) => {
                     self.tick();
-                    next_tick = tokio::time::Instant::now() + self.beat_period();
+                    next_tick = tokio::time::Instant::now() + self.heartbeat_period();
                 }
             }
         }
@@ -125,7 +125,7 @@
                 events,
                 known_to,
             } => self.take_changes(kind, &events, known_to),
-            ControlEvent::Beat { message, from } => self.hear(*message, from),
+            ControlEvent::Heartbeat { message, from } => self.hear(*message, from),
             ControlEvent::Checked { upstream, cold_for } => self.take_check(&upstream, cold_for),
             ControlEvent::Answered { fingerprint } => {
                 if self.crashes.clear(fingerprint) {
@@ -182,7 +182,7 @@
         self.quotas.tick(now, |hash| members.holds(hash));
         self.confirm_by_silence(now);
         self.publish_fleet(now);
-        self.send_beats();
+        self.send_heartbeats();
         self.start_checks(now);
         if let Some(snapshot) = self.shared.snapshot.load().as_ref() {
             for (_, pool) in snapshot.pools.iter() {
@@ -198,9 +198,9 @@
         }
     }
 
-    fn beat_period(&self) -> Duration {
+    fn heartbeat_period(&self) -> Duration {
         let instances = u32::try_from(self.shared.fleet.load().hashes.len()).unwrap_or(u32::MAX);
-        BEAT_PERIOD.max(BEAT_SHARE * instances)
+        HEARTBEAT_PERIOD.max(HEARTBEAT_SHARE * instances)
     }
 
     fn publish_fleet(&self, now: MonotonicTime) {
@@ -268,7 +268,7 @@
 
     fn leave(&mut self) {
         self.publish_fleet(self.shared.clock.now());
-        self.send_beats();
+        self.send_heartbeats();
         if let Some(own) = self.members.get(&self.shared.settings.instance) {
             let name = self.shared.settings.instance.clone();
             self.start_removal(name, own.revision);
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -17,9 +17,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::beat_socket::receive_beats;
 use crate::control_event::ControlEvent;
 use crate::control_loop::ControlLoop;
+use crate::heartbeat_socket::receive_heartbeats;
 use crate::http_services::{CallerService, InsightService, OwnService};
 use crate::settings_follow::follow_settings;
 use crate::shared_state::SharedState;
@@ -216,7 +216,7 @@
                 let client = Arc::clone(&client);
                 tokio::spawn(follow_kind(Arc::clone(&shared), client, plan));
             }
-            tokio::spawn(receive_beats(Arc::clone(&shared), Arc::clone(&socket)));
+            tokio::spawn(receive_heartbeats(Arc::clone(&shared), Arc::clone(&socket)));
             ControlLoop::new(shared, client, socket).run(events).await;
         });
     };
--- a/crates/entry/src/beat_socket.rs
+++ b/crates/entry/src/heartbeat_socket.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use coltsfootkeel_protocol::BeatMessage;
+use coltsfootkeel_protocol::FleetHeartbeat;
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -14,7 +14,7 @@
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
 
 /// Receives messages for as long as the process runs.
-pub async fn receive_beats(shared: Arc<SharedState>, socket: Arc<UdpSocket>) {
+pub async fn receive_heartbeats(shared: Arc<SharedState>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -25,8 +25,8 @@
                 continue;
             }
         };
-        match BeatMessage::decode(&buffer[..length]) {
-            Ok(message) => shared.report(ControlEvent::Beat {
+        match FleetHeartbeat::decode(&buffer[..length]) {
+            Ok(message) => shared.report(ControlEvent::Heartbeat {
                 message: Box::new(message),
                 from,
             }),
@@ -36,7 +36,7 @@
 }
 
 /// Sends a message, or drops it if the socket is full: the next one tells the same.
-pub fn send_beat(socket: &UdpSocket, message: &BeatMessage, to: SocketAddr) {
+pub fn send_heartbeat(socket: &UdpSocket, message: &FleetHeartbeat, to: SocketAddr) {
     if let Err(error) = socket.try_send_to(&message.encode_to_vec(), to) {
         log::debug!("peers: Sending to {to} failed: {error}.");
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,16 +6,16 @@
 
 mod answer_delivery;
 mod answer_stream;
-mod beat_socket;
 mod caller_body;
-mod control_beats;
 mod control_event;
+mod control_heartbeats;
 mod control_loop;
 mod control_store;
 mod entry_metrics;
 mod entry_program;
 mod entry_snapshot;
 mod health_check;
+mod heartbeat_socket;
 mod http_services;
 mod member_list;
 mod peer_table;
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -6,7 +6,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::RegionKey;
-use coltsfootkeel_protocol::BeatMessage;
+use coltsfootkeel_protocol::FleetHeartbeat;
 use coltsfootkeel_steering::{InstanceView, PlaceTable, stable_hash};
 
 /// An instance that is silent for longer is left out of look-ups, and its requests in flight count no more.
@@ -24,7 +24,7 @@
     /// Its address for callers.
     pub entry: SocketAddr,
     /// Its last message.
-    pub last: BeatMessage,
+    pub last: FleetHeartbeat,
     /// When the last message came.
     pub heard_at: MonotonicTime,
 }
@@ -39,7 +39,7 @@
     /// Takes a message in. Returns the hash of its sender, or nothing if it is old or cannot be read.
     pub fn hear(
         &mut self,
-        message: BeatMessage,
+        message: FleetHeartbeat,
         address: SocketAddr,
         places: &PlaceTable,
         now: MonotonicTime,
--- a/crates/entry/src/quota_book.rs
+++ b/crates/entry/src/quota_book.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_protocol::{AccountBeat, BeatMessage};
+use coltsfootkeel_protocol::{AccountUsage, FleetHeartbeat};
 use coltsfootkeel_steering::{
     AccountPlan, QuotaAccount, QuotaExcess, QuotaGate, QuotaLimit, QuotaReport, stable_hash,
 };
@@ -62,12 +62,12 @@
     }
 
     /// Takes in what another instance reported.
-    pub fn hear(&mut self, peer: u64, message: &BeatMessage, now: MonotonicTime) {
-        for beat in &message.accounts {
-            if let Some(entry) = self.entries.get_mut(&beat.account) {
+    pub fn hear(&mut self, peer: u64, message: &FleetHeartbeat, now: MonotonicTime) {
+        for heartbeat in &message.accounts {
+            if let Some(entry) = self.entries.get_mut(&heartbeat.account) {
                 let report = QuotaReport {
-                    admitted: beat.admitted,
-                    demand: f64::from(beat.demand_milli) / 1_000.0,
+                    admitted: heartbeat.admitted,
+                    demand: f64::from(heartbeat.demand_milli) / 1_000.0,
                 };
                 entry.account.hear(peer, message.incarnation, report, now);
             }
@@ -84,16 +84,16 @@
 
     /// Returns what this instance reports.
     #[must_use]
-    pub fn beats(&self) -> Vec<AccountBeat> {
-        let beat = |(hash, entry): (&u64, &BookEntry)| {
+    pub fn usages(&self) -> Vec<AccountUsage> {
+        let usage = |(hash, entry): (&u64, &BookEntry)| {
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let demand_milli = (entry.account.own_demand() * 1_000.0) as u32;
-            AccountBeat {
+            AccountUsage {
                 account: *hash,
                 admitted: entry.gate.admitted(),
                 demand_milli,
             }
         };
-        self.entries.iter().map(beat).collect()
+        self.entries.iter().map(usage).collect()
     }
 }
--- a/crates/protocol/src/beat_message.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -4,7 +4,7 @@
 
 /// A sign of life with everything the other instances decide by.
 #[derive(Clone, PartialEq, Message)]
-pub struct BeatMessage {
+pub struct FleetHeartbeat {
     /// The name of the sender.
     #[prost(string, tag = "1")]
     pub instance: String,
@@ -37,13 +37,13 @@
     pub reaches_store: bool,
     /// Requests in flight at upstreams.
     #[prost(message, repeated, tag = "11")]
-    pub loads: Vec<UpstreamBeat>,
+    pub loads: Vec<UpstreamLoad>,
     /// What was admitted for client accounts.
     #[prost(message, repeated, tag = "12")]
-    pub accounts: Vec<AccountBeat>,
+    pub accounts: Vec<AccountUsage>,
     /// Where objects were sent since the last message.
     #[prost(message, repeated, tag = "13")]
-    pub objects: Vec<ObjectBeat>,
+    pub objects: Vec<ObjectPlacement>,
     /// The number of the receiver's last message, for the round trip.
     #[prost(uint64, tag = "14")]
     pub echo_number: u64,
@@ -55,12 +55,12 @@
     pub store_steady_ms: u32,
     /// Fingerprints of requests that were running on upstreams when they crashed.
     #[prost(message, repeated, tag = "16")]
-    pub crashes: Vec<CrashBeat>,
+    pub crashes: Vec<CrashSighting>,
 }
 
 /// Requests in flight at one upstream.
 #[derive(Clone, PartialEq, Message)]
-pub struct UpstreamBeat {
+pub struct UpstreamLoad {
     /// The short hash of the upstream's id.
     #[prost(fixed32, tag = "1")]
     pub upstream: u32,
@@ -71,7 +71,7 @@
 
 /// What the sender admitted for one client account.
 #[derive(Clone, PartialEq, Message)]
-pub struct AccountBeat {
+pub struct AccountUsage {
     /// The hash of the account's name.
     #[prost(fixed64, tag = "1")]
     pub account: u64,
@@ -85,7 +85,7 @@
 
 /// An object that was sent to an upstream.
 #[derive(Clone, PartialEq, Message)]
-pub struct ObjectBeat {
+pub struct ObjectPlacement {
     /// The hash of the object.
     #[prost(fixed64, tag = "1")]
     pub object: u64,
@@ -96,7 +96,7 @@
 
 /// A request that was running on an upstream when it crashed.
 #[derive(Clone, PartialEq, Message)]
-pub struct CrashBeat {
+pub struct CrashSighting {
     /// The fingerprint of the request.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,11 +17,13 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
-mod beat_message;
+mod fleet_heartbeat;
 mod frame_codec;
 mod messages;
 
-pub use beat_message::{AccountBeat, BeatMessage, CrashBeat, ObjectBeat, UpstreamBeat};
+pub use fleet_heartbeat::{
+    AccountUsage, CrashSighting, FleetHeartbeat, ObjectPlacement, UpstreamLoad,
+};
 pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 pub use messages::{
     AnswerHeader, ConfigPull, ConfigPush, CrashNumber, DrainNotice, HeartbeatMessage, HelloMessage,
