entry: a confirmation is as old as the message that brings it

Messages of others about the old plan waited in their sockets; when they went on, they took them for new ones and served a withdrawn key. Ruled out: the watch, which is counted from its begin.

Change: a message is as old as the own message that it answers and the time this was held, suspension included. Without such an answer it confirms nothing.

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -13,11 +13,17 @@
 
 /// Messages whose round trip can still be measured.
 const MEASURED_HEARTBEATS: usize = 64;
-/// A message is not older than this when it is handled, with room for a busy processor and a long way.
-const LONGEST_TRANSIT: Duration = Duration::from_millis(150);
 /// All instances must have been heard within this time to conclude that none of them reaches the store.
 const HEARD_LATELY: Duration = Duration::from_millis(500);
 
+/// A message that was sent, for the answers to it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SentHeartbeat {
+    number: u64,
+    sent_at: MonotonicTime,
+    sent_with_suspension: MonotonicTime,
+}
+
 impl ControlLoop {
     /// Takes in a message of another instance.
     pub(crate) fn hear(&mut self, message: FleetHeartbeat, from: SocketAddr) {
@@ -27,27 +33,28 @@
         }
         self.learn_objects(&message, now);
         self.learn_crashes(&message, now);
-        self.confirm_by_peer(&message);
-        let incarnation = message.incarnation;
-        let echo = message.echo_number;
         let held = Duration::from_micros(u64::from(message.echo_held_us));
+        let echoed = self
+            .sent_heartbeats
+            .iter()
+            .find(|sent| sent.number == message.echo_number)
+            .copied();
+        let made_at = echoed.map(|sent| sent.sent_with_suspension + held);
+        if let Some(made_at) = made_at {
+            self.confirm_by_peer(&message, made_at);
+        }
         let places = &self.shared.places;
-        let Some(hash) = self.peers.hear(message, from, places, now) else {
+        let Some(hash) = self.peers.hear(message, from, made_at, places, now) else {
             return;
         };
         let Some(peer) = self.peers.get(hash) else {
             return;
         };
         self.quotas.hear(hash, &peer.last, now);
-        let sent = self
-            .sent_heartbeats
-            .iter()
-            .find(|(number, _)| *number == echo);
-        if let Some((_, sent_at)) = sent {
-            let round_trip = now.since(*sent_at).saturating_sub(held);
+        if let Some(sent) = echoed {
+            let round_trip = now.since(sent.sent_at).saturating_sub(held);
             self.shared.learn_distance(peer.region, round_trip);
         }
-        log::trace!("peers: Heard incarnation {incarnation} from {from}.");
     }
 
     fn learn_objects(&self, message: &FleetHeartbeat, now: MonotonicTime) {
@@ -67,21 +74,21 @@
         }
     }
 
-    /// Another instance with the same plan confirms it.
-    fn confirm_by_peer(&self, message: &FleetHeartbeat) {
+    /// Another instance with the same plan confirms it, as of the time at which it made the message. A message that waited
+    /// in the socket while this process stood still is as old as that.
+    fn confirm_by_peer(&self, message: &FleetHeartbeat, made_at: MonotonicTime) {
         let own_version = self.plan.as_ref().map(|plan| plan.version);
-        let Some(age_ms) = message.plan_age_ms else {
-            return;
-        };
-        if own_version == Some(message.plan_version) {
-            let age = Duration::from_millis(u64::from(age_ms)) + LONGEST_TRANSIT;
-            let now = self.shared.clock.now_with_suspension();
-            self.shared.freshness.confirm(now - age);
+        if let Some(age_ms) = message.plan_age_ms
+            && own_version == Some(message.plan_version)
+        {
+            let age = Duration::from_millis(u64::from(age_ms));
+            self.shared.freshness.confirm(made_at - age);
         }
     }
 
     /// While every registered instance is heard and none of them reaches the store, it takes no withdrawal from anyone.
-    pub(crate) fn confirm_by_silence(&self, now: MonotonicTime) {
+    pub(crate) fn confirm_by_silence(&self) {
+        let now = self.shared.clock.now_with_suspension();
         let is_known = self.plan.is_some() && self.members.iter().next().is_some();
         if !is_known || self.reaches_store() {
             return;
@@ -90,11 +97,11 @@
             let hash = stable_hash(name.as_bytes());
             hash == self.shared.own_hash
                 || self.peers.get(hash).is_some_and(|peer| {
-                    now.since(peer.heard_at) < HEARD_LATELY && !peer.last.reaches_store
+                    let is_late = |made_at| now.since(made_at) >= HEARD_LATELY;
+                    !peer.made_at.is_none_or(is_late) && !peer.last.reaches_store
                 })
         };
         if self.members.iter().all(|(name, _)| is_cut_off_too(name)) {
-            let now = self.shared.clock.now_with_suspension();
             self.shared.freshness.confirm(now - HEARD_LATELY);
         }
     }
@@ -106,7 +113,11 @@
         if self.sent_heartbeats.len() >= MEASURED_HEARTBEATS {
             self.sent_heartbeats.pop_front();
         }
-        self.sent_heartbeats.push_back((self.heartbeat_number, now));
+        self.sent_heartbeats.push_back(SentHeartbeat {
+            number: self.heartbeat_number,
+            sent_at: now,
+            sent_with_suspension: self.shared.clock.now_with_suspension(),
+        });
         let mut message = self.heartbeat(now);
         let own = self.shared.settings.peer;
         let heard: Vec<(SocketAddr, u64, MonotonicTime)> = self
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use crate::control_event::ControlEvent;
+use crate::control_heartbeats::SentHeartbeat;
 use crate::entry_snapshot::ListedUpstream;
 use crate::health_check::check_upstream;
 use crate::member_list::{MemberList, register, unregister};
@@ -49,7 +50,7 @@
     pub(crate) crashes: CrashTable,
     pub(crate) plan: Option<Arc<SteeringPlan>>,
     pub(crate) heartbeat_number: u64,
-    pub(crate) sent_heartbeats: VecDeque<(u64, MonotonicTime)>,
+    pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
     /// When the store last answered a call about the plan, suspension included.
     pub(crate) store_answered: Option<MonotonicTime>,
     pub(crate) registry: UpstreamRegistry,
@@ -182,7 +183,7 @@
         self.registry.set_peer_loads(&self.peers.loads(now));
         let members = &self.members;
         self.quotas.tick(now, |hash| members.holds(hash));
-        self.confirm_by_silence(now);
+        self.confirm_by_silence();
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -27,6 +27,8 @@
     pub last: FleetHeartbeat,
     /// When the last message came.
     pub heard_at: MonotonicTime,
+    /// The earliest time at which it can have been made, suspension included, if it answers a message of this instance.
+    pub made_at: Option<MonotonicTime>,
 }
 
 /// The instances that were heard.
@@ -41,6 +43,7 @@
         &mut self,
         message: FleetHeartbeat,
         address: SocketAddr,
+        made_at: Option<MonotonicTime>,
         places: &PlaceTable,
         now: MonotonicTime,
     ) -> Option<u64> {
@@ -59,6 +62,7 @@
             entry,
             last: message,
             heard_at: now,
+            made_at,
         };
         self.peers.insert(hash, peer);
         Some(hash)
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -410,6 +410,41 @@
     assert_eq!(fleet.call(0, &back).await.unwrap().status, 200);
 }
 
+/// Guards against a process that stood still while a key was withdrawn and then takes old messages of other instances for
+/// new ones. It was found by a hunt (clocks-and-pauses.toml on Sulam Bersama, seed 1003868310743).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_stood_still_serves_no_withdrawn_key() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "pause",
+        instances: 3,
+        ..FleetWish::default()
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    fleet.signal(0, Signal::SIGSTOP);
+    // Messages about the old plan wait in the socket.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.write_plan(2, &["another-key"]);
+    tokio::time::sleep(Duration::from_millis(5_500)).await;
+    let address = fleet.instances[0].options.addresses.entry;
+    let callers: Vec<_> = (0..20)
+        .map(|number| {
+            let id = format!("paused-{number}");
+            let call = request(Method::POST, "/orders/1", &id);
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(number * 3)).await;
+                coltsfootkeel_standins::call_once(address, &call).await
+            })
+        })
+        .collect();
+    fleet.signal(0, Signal::SIGCONT);
+    for caller in callers {
+        let answer = caller.await.unwrap().unwrap();
+        assert!([401, 503].contains(&answer.status), "{}", answer.status);
+    }
+    assert!(fleet.runs().is_empty());
+}
+
 /// Guards against an upstream that answers at an address which another one had before.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reused_address_runs_nothing_for_the_upstream_before() {
