--- a/crates/standins/src/child_process.rs
+++ b/crates/standins/src/child_process.rs
@@ -83,14 +83,19 @@
     }
 }
 
-/// Returns the path of a program that lies beside the executable of this process.
+/// Returns the path of a program that lies beside the executable of this process. Test programs lie one folder deeper, in
+/// `deps`.
 ///
 /// # Errors
 ///
 /// Returns an error if the executable of this process is unknown or the program is not there.
 pub fn sibling_program(name: &str) -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
-    let path = own.with_file_name(name);
+    let mut path = own.with_file_name(name);
+    let is_test = own.parent().is_some_and(|folder| folder.ends_with("deps"));
+    if let (true, Some(programs)) = (is_test, own.ancestors().nth(2)) {
+        path = programs.join(name);
+    }
     if path.is_file() {
         return Ok(path);
     }
