soak: a store that is down takes no writes; logs of broken runs are kept

Operators' and upstreams' writes are now refused while the store does not take any. The daemons' logs are kept when a promise is broken, and the requests that were not served after the faults are named by instance and status.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -106,6 +106,9 @@
             .broken
             .iter()
             .for_each(|promise| println!("  BROKEN: {promise}"));
+        if let Some(logs) = &report.logs {
+            println!("  logs: {}", logs.display());
+        }
         is_kept &= broken == 0;
     }
 }
--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -25,6 +25,8 @@
     pub is_idempotent: bool,
     /// Whether it carried the changing key.
     pub has_changing_key: bool,
+    /// The instance it was sent to.
+    pub entry: SocketAddr,
     /// When it was sent.
     pub sent_at: Instant,
     /// The status; nothing if no whole answer came.
@@ -33,6 +35,14 @@
     pub body: String,
 }
 
+impl CallOutcome {
+    /// Tells whether the request was served.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.status == Some(200)
+    }
+}
+
 /// What all callers saw.
 #[derive(Debug, Clone, Default)]
 pub struct OutcomeBook {
@@ -90,9 +100,13 @@
             let opened = tokio::time::timeout(Duration::from_secs(1), KeptConnection::open(entry));
             kept = opened.await.ok().and_then(Result::ok);
         }
+        let entry = match &kept {
+            Some(connection) => connection.address(),
+            None => entries[draw.usize(..entries.len())],
+        };
         let answer = match &mut kept {
             Some(connection) => connection.call(&request).await,
-            None => call_once(entries[draw.usize(..entries.len())], &request).await,
+            None => call_once(entry, &request).await,
         };
         if answer.is_err() {
             kept = None;
@@ -103,6 +117,7 @@
             attempt_id,
             is_idempotent,
             has_changing_key,
+            entry,
             sent_at,
             status: answer.map(|answer| answer.status),
             body: String::from_utf8_lossy(&body.unwrap_or_default()).into_owned(),
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -63,13 +63,20 @@
         5 => {
             let states = ["ready", "draining"];
             let state = states[draw.usize(..states.len())];
-            fleet.register(upstream, state);
-            format!("u-{upstream} says {state}")
+            let is_taken = fleet.store.takes_writes();
+            if is_taken {
+                fleet.register(upstream, state);
+            }
+            format!("u-{upstream} says {state}, taken: {is_taken}")
         }
         6 => {
             let is_granted = fleet.withdrawn_at.is_some();
-            fleet.write_plan(is_granted);
-            format!("changing key granted: {is_granted}")
+            // A store that is down for all takes no withdrawal either.
+            let is_taken = fleet.store.takes_writes();
+            if is_taken {
+                fleet.write_plan(is_granted);
+            }
+            format!("changing key granted: {is_granted}, taken: {is_taken}")
         }
         7 => {
             let signal = if fleet.instances[instance].is_paused {
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -54,6 +54,7 @@
     pub withdrawn_at: Option<Instant>,
     program: PathBuf,
     folder: PathBuf,
+    keeps_folder: bool,
     version: u64,
 }
 
@@ -71,6 +72,7 @@
             withdrawn_at: None,
             program: sibling_program("coltsfootkeel-entry")?,
             folder,
+            keeps_folder: false,
             version: 0,
         };
         fleet.write_plan(true);
@@ -179,6 +181,12 @@
         self.restart_ended()
     }
 
+    /// Keeps the folder with the logs of the daemons after the run, and returns it.
+    pub fn keep_logs(&mut self) -> PathBuf {
+        self.keeps_folder = true;
+        self.folder.clone()
+    }
+
     /// Returns the addresses for callers.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
@@ -195,7 +203,9 @@
             // A stopped process is ended too, but its parent waits for it.
             self.signal(index, Signal::SIGCONT);
         }
-        // Nothing reads the folder any more; one that stays is of no harm.
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if !self.keeps_folder {
+            // Nothing reads the folder any more; one that stays is of no harm.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
--- a/crates/soak/src/soak_judge.rs
+++ b/crates/soak/src/soak_judge.rs
@@ -1,6 +1,7 @@
 //! Checks the promises against what callers and upstreams saw.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::UpstreamRun;
@@ -73,12 +74,14 @@
         late_ms: u128,
     },
     /// Requests are not served although all faults have ended.
-    #[error("{served} of {asked} requests were served after the faults")]
+    #[error("{served} of {asked} requests were served after the faults; the others: {unserved:?}")]
     NotRecovered {
         /// Requests that were served.
         served: usize,
         /// Requests that were sent.
         asked: usize,
+        /// How many of the others had each answer, by instance.
+        unserved: BTreeMap<(SocketAddr, Option<u16>), usize>,
     },
 }
 
@@ -102,6 +105,24 @@
     broken
 }
 
+/// Checks that the fleet serves again after the faults: at least `least` of the requests sent then.
+#[must_use]
+pub fn judge_recovery(calm: &[&CallOutcome], least: f64) -> Option<BrokenPromise> {
+    let mut unserved = BTreeMap::new();
+    for outcome in calm.iter().filter(|outcome| !outcome.is_served()) {
+        *unserved.entry((outcome.entry, outcome.status)).or_default() += 1;
+    }
+    let asked = calm.len();
+    let served = asked - unserved.values().sum::<usize>();
+    #[expect(clippy::cast_precision_loss)]
+    let part = served as f64 / asked.max(1) as f64;
+    (part < least).then_some(BrokenPromise::NotRecovered {
+        served,
+        asked,
+        unserved,
+    })
+}
+
 fn judge_call(
     outcome: &CallOutcome,
     runs: &[&SeenRun],
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -1,5 +1,6 @@
 //! One run of the soak.
 
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 use crate::soak_callers::{OutcomeBook, call_on};
 use crate::soak_faults::{inject, pause};
 use crate::soak_fleet::SoakFleet;
-use crate::soak_judge::{BrokenPromise, SeenRun, WithdrawnPeriod, judge};
+use crate::soak_judge::{BrokenPromise, SeenRun, WithdrawnPeriod, judge, judge_recovery};
 
 /// Time after the end of all faults in which the fleet recovers: entries of the store, health checks and restarts.
 const RECOVERY: Duration = Duration::from_secs(8);
@@ -47,6 +48,8 @@
     pub served: usize,
     /// Promises that were not kept.
     pub broken: Vec<BrokenPromise>,
+    /// Where the logs of the daemons are kept, if a promise was not kept.
+    pub logs: Option<PathBuf>,
 }
 
 /// Why a run could not be played.
@@ -122,27 +125,13 @@
     let calm = outcomes
         .iter()
         .filter(|outcome| outcome.sent_at > calm_from);
-    let calm: Vec<_> = calm.collect();
-    let is_served = |status: Option<u16>| status == Some(200);
-    let calm_served = calm
-        .iter()
-        .filter(|outcome| is_served(outcome.status))
-        .count();
-    #[expect(clippy::cast_precision_loss)]
-    let part = calm_served as f64 / calm.len().max(1) as f64;
-    if part < LEAST_SERVED {
-        broken.push(BrokenPromise::NotRecovered {
-            served: calm_served,
-            asked: calm.len(),
-        });
-    }
+    broken.extend(judge_recovery(&calm.collect::<Vec<_>>(), LEAST_SERVED));
+    let served = outcomes.iter().filter(|outcome| outcome.is_served());
     Ok(SoakReport {
         faults,
         requests: outcomes.len(),
-        served: outcomes
-            .iter()
-            .filter(|outcome| is_served(outcome.status))
-            .count(),
+        served: served.count(),
+        logs: (!broken.is_empty()).then(|| fleet.keep_logs()),
         broken,
     })
 }
--- a/crates/standins/src/child_process.rs
+++ b/crates/standins/src/child_process.rs
@@ -1,6 +1,7 @@
 //! Child processes of the small fleet, ended by the ids they were started with.
 
 use std::ffi::OsStr;
+use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -46,6 +47,30 @@
         Self::spawn(name, command)
     }
 
+    /// Starts `program` with `arguments`; its standard output is added to the file `log`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the file cannot be written or the program cannot be started.
+    pub fn start_logged<I, S>(
+        name: &str,
+        program: &Path,
+        arguments: I,
+        log: &Path,
+    ) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+    {
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(program);
+        command
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::from(log));
+        Self::spawn(name, command)
+    }
+
     fn spawn(name: &str, mut command: Command) -> io::Result<Self> {
         Ok(Self {
             name: name.to_owned(),
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -77,7 +77,7 @@
 }
 
 impl EntryInstance {
-    /// Starts an instance. Its settings file lies in `folder`.
+    /// Starts an instance. Its settings file and its log, named like the instance, lie in `folder`.
     ///
     /// # Errors
     ///
@@ -86,7 +86,8 @@
         let file = settings_file(folder, &options.name);
         std::fs::write(&file, settings(&options).to_string())?;
         let arguments = [Path::new("--settings").to_path_buf(), file];
-        let process = ChildProcess::start_quiet(&options.name, program, arguments)?;
+        let log = folder.join(format!("{}.log", options.name));
+        let process = ChildProcess::start_logged(&options.name, program, arguments, &log)?;
         Ok(Self { options, process })
     }
 
--- a/crates/standins/src/http_call.rs
+++ b/crates/standins/src/http_call.rs
@@ -157,6 +157,12 @@
         })
     }
 
+    /// Returns the address it was opened to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Tells whether the connection can carry another exchange. It sees a close that arrived between exchanges.
     pub fn is_usable(&mut self) -> bool {
         let ended = self
--- a/crates/standins/src/store_standin.rs
+++ b/crates/standins/src/store_standin.rs
@@ -108,6 +108,12 @@
         self.mode.send_replace(mode);
     }
 
+    /// Tells whether it takes writes of anyone.
+    #[must_use]
+    pub fn takes_writes(&self) -> bool {
+        matches!(*self.mode.borrow(), StoreMode::Up | StoreMode::LosesAnswers)
+    }
+
     /// Writes an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value, status: Value) {
         let mut content = self.lock();
