steering: a free slot is tried although answers took longer than the deadline

Ruled out: the account's rate, the age of the plan, avoided upstreams (the other route of the same instance was served). Change: times longer than the request's whole time are not learned; a request with most of its objective left is sent to a free slot whatever is expected. Test: 'a free slot is tried although answers took longer than the deadline lately' failed before.

--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -165,6 +165,10 @@
         let region = listed.state.facts.region;
         let distance = self.context.shared.distance(region);
         let took = now.since(place.started);
+        if took > self.context.deadline.since(self.context.arrived) {
+            // The process stood still: the time tells nothing of the upstream.
+            return;
+        }
         let slot_time = &self.context.listed_pool().state.slot_time;
         slot_time.learn(took.saturating_sub(distance));
         let times = self.context.times(region);
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -148,7 +148,16 @@
         };
         chosen
             .map(|chosen| chosen.choice)
-            .filter(|choice| choice.expected <= self.deadline_left)
+            .filter(|choice| choice.expected <= self.deadline_left || self.is_trial(choice))
+    }
+
+    /// Decides whether a request goes to a free slot although its answer is expected after its deadline.
+    ///
+    /// Load pattern: upstreams were slow for a while, and now are idle. Without a request nobody would learn that, so one that
+    /// has most of its objective and a multiple of it until its deadline is sent.
+    fn is_trial<K>(&self, choice: &PlaceChoice<K>) -> bool {
+        let has_time = self.deadline_left >= self.objective * 2;
+        choice.queue.is_zero() && has_time && self.objective_left * 2 >= self.objective
     }
 
     fn ranked<K: Copy>(&self, candidate: &PlaceCandidate<K>) -> RankedChoice<K> {
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -95,6 +95,28 @@
             ],
             chosen: None,
         },
+        ChoiceCase {
+            name: "a free slot is tried although answers took longer than the deadline lately",
+            task: task(),
+            candidates: vec![PlaceCandidate {
+                times: TimeEstimate {
+                    warm: 5_000 * MS,
+                    cold: 10_000 * MS,
+                },
+                ..place("idle")
+            }],
+            chosen: Some("idle"),
+        },
+        ChoiceCase {
+            name: "a request with little time left is no trial",
+            task: PlaceTask {
+                objective_left: 100 * MS,
+                deadline_left: 300 * MS,
+                ..task()
+            },
+            candidates: vec![place("idle")],
+            chosen: None,
+        },
         ChoiceCase {
             name: "a request that came back late uses a free warm slot",
             task: PlaceTask {
