entry, steering, platform: where objects were handled is kept in the store

Cause: after a restart of all instances nobody knew where objects were warm. Change: four objects of a kind of the product's own, each written by one live instance every 4 s if it changed, read once at a start. Test: objects_are_found_where_they_were_after_all_instances_restart failed before (23 of 40 runs at the old place).

--- a/crates/entry/src/control_store.rs
+++ b/crates/entry/src/control_store.rs
@@ -58,6 +58,8 @@
                 }
                 self.check_registration();
             }
+            // Read once, by the task that keeps them.
+            ObjectKind::WarmPlaces => {}
         }
     }
 
@@ -77,7 +79,7 @@
                 ObjectKind::Config if object.name == CONFIG_NAME && !event.is_removed => {
                     is_usable &= self.use_config(object);
                 }
-                ObjectKind::Config => {}
+                ObjectKind::Config | ObjectKind::WarmPlaces => {}
                 ObjectKind::Upstreams if event.is_removed => {
                     log::info!(upstream = object.name.as_str(); "upstreams: An entry is gone.");
                     is_changed |= self.registry.remove(&object.name, now);
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -24,6 +24,7 @@
 use crate::settings_follow::follow_settings;
 use crate::shared_state::SharedState;
 use crate::store_watch::{FollowPlan, follow_kind};
+use crate::warm_keeper::keep_warm_places;
 
 /// Threads that carry requests. Instances have a part of one core, so more would only wait for one another.
 const REQUEST_THREADS: usize = 2;
@@ -216,6 +217,7 @@
                 let client = Arc::clone(&client);
                 tokio::spawn(follow_kind(Arc::clone(&shared), client, plan));
             }
+            tokio::spawn(keep_warm_places(Arc::clone(&shared), Arc::clone(&client)));
             tokio::spawn(receive_heartbeats(Arc::clone(&shared), Arc::clone(&socket)));
             ControlLoop::new(shared, client, socket).run(events).await;
         });
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,5 +34,6 @@
 mod upstream_choice;
 mod upstream_exchange;
 mod upstream_registry;
+mod warm_keeper;
 
 pub use entry_program::{StartError, run_entry};
--- /dev/null
+++ b/crates/entry/src/warm_keeper.rs
@@ -0,0 +1,90 @@
+//! Keeps in the store which upstreams handled which objects, and reads it at the start of the process.
+//!
+//! Instances have no disks, and after a restart of all of them nobody could tell the others. Without it every object would
+//! be sent to a place that is new for it, which takes several times as long.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coltsfootkeel_adapter::{ObjectKind, StoreClient, decode_warm_places, encode_warm_places};
+use coltsfootkeel_steering::{WarmPart, WarmPlace};
+
+use crate::entry_metrics::CounterName;
+use crate::shared_state::SharedState;
+
+/// The parts into which the table is divided, so that an object of the store stays small and each part has a writer.
+const PARTS: u64 = 4;
+/// The time between two writes of a part. What changed since is learned again after a restart of all instances.
+const WRITE_PERIOD: Duration = Duration::from_secs(4);
+/// The pause between two attempts to read.
+const READ_PAUSE: Duration = Duration::from_millis(250);
+/// Attempts to read. Later, most objects were sent somewhere anyway.
+const READ_ATTEMPTS: u32 = 8;
+
+/// Reads the table once, then writes the parts that this instance owns, for as long as the process runs.
+pub async fn keep_warm_places(shared: Arc<SharedState>, client: Arc<StoreClient>) {
+    read_places(&shared, &client).await;
+    let mut written: HashMap<u64, Vec<WarmPlace>> = HashMap::new();
+    while !shared.is_leaving() {
+        tokio::time::sleep(WRITE_PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
+        for index in 0..PARTS {
+            write_part(&shared, &client, index, &mut written).await;
+        }
+    }
+}
+
+async fn read_places(shared: &SharedState, client: &StoreClient) {
+    for _ in 0..READ_ATTEMPTS {
+        shared.metrics.count(CounterName::StoreCalls);
+        match client.list(ObjectKind::WarmPlaces).await {
+            Ok(list) => {
+                let now = shared.clock.now();
+                let places: Vec<WarmPlace> = list
+                    .objects
+                    .iter()
+                    .flat_map(|object| decode_warm_places(&object.spec))
+                    .collect();
+                for place in &places {
+                    shared.warm.note(place.object, place.upstream, now);
+                }
+                log::info!(places = places.len(); "warm: Read where objects were handled.");
+                return;
+            }
+            Err(error) => log::warn!("warm: The places of objects cannot be read: {error}."),
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+}
+
+/// Writes a part if this instance owns it and it has changed.
+async fn write_part(
+    shared: &SharedState,
+    client: &StoreClient,
+    index: u64,
+    written: &mut HashMap<u64, Vec<WarmPlace>>,
+) {
+    let part = WarmPart {
+        index,
+        count: PARTS,
+    };
+    if !part.is_owned_by(shared.own_hash, &shared.fleet.load().hashes) {
+        written.remove(&index);
+        return;
+    }
+    let places = shared.warm.part(part, shared.clock.now());
+    if places.is_empty() || written.get(&index) == Some(&places) {
+        return;
+    }
+    shared.metrics.count(CounterName::StoreCalls);
+    let spec = encode_warm_places(&places);
+    match client
+        .put(ObjectKind::WarmPlaces, &index.to_string(), &spec)
+        .await
+    {
+        Ok(()) => {
+            written.insert(index, places);
+        }
+        Err(error) => log::warn!("warm: Part {index} cannot be written: {error}."),
+    }
+}
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{
-    CallRequest, EntryOptions, SHOP_HOST, SHOP_KEY, StoreMode, UpstreamMood, register_upstream,
-    shop_plan, shop_request,
+    CallRequest, EntryOptions, SHOP_HOST, SHOP_KEY, SignedUpstream, StoreMode, UpstreamMood,
+    register_upstream, shop_plan, shop_request,
 };
 use http::Method;
 use nix::sys::signal::Signal;
@@ -470,3 +470,47 @@
     }
     assert!(fleet.upstreams[0].runs().is_empty());
 }
+
+/// Guards against objects that are run anew at other upstreams, each for several times as long, after all instances were
+/// restarted at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn objects_are_found_where_they_were_after_all_instances_restart() {
+    let mut fleet = PlatformFleet::start(FleetWish {
+        name: "restart",
+        ..FleetWish::default()
+    })
+    .await;
+    let call = |object: usize, turn: &str| {
+        CallRequest::new(Method::POST, "/orders/1")
+            .header("host", SHOP_HOST)
+            .header("coltsfootkeel-attempt-id", &format!("{turn}-{object}"))
+            .header("coltsfootkeel-request-deadline", "3000")
+            .header("coltsfootkeel-affinity-key", &object.to_string())
+            .header("authorization", &format!("Token {SHOP_KEY}"))
+    };
+    for object in 0..20 {
+        let answer = fleet.call(0, &call(object, "before")).await.unwrap();
+        assert_eq!(answer.status, 200, "{object}");
+    }
+    let until = Instant::now() + Duration::from_secs(10);
+    while fleet.store.names("warm-places").len() < 4 && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fleet.signal(0, Signal::SIGKILL);
+    // In the order of upstreams of most objects one of these comes first.
+    for index in 1..6 {
+        let id = format!("u-{index}");
+        let upstream = SignedUpstream::start(&id, Duration::from_millis(10));
+        let upstream = upstream.await.unwrap();
+        register_upstream(&fleet.store, upstream.id(), upstream.address(), "ready");
+        fleet.upstreams.push(upstream);
+    }
+    let options = EntryOptions::on_loopback(1, fleet.store.address());
+    fleet.start_instance(options);
+    fleet.instances[1].wait_ready().await.unwrap();
+    for object in 0..20 {
+        let answer = fleet.call(1, &call(object, "after")).await.unwrap();
+        assert_eq!(answer.status, 200, "{object}");
+    }
+    assert_eq!(fleet.upstreams[0].runs().len(), 40);
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -65,4 +65,4 @@
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_state::{AttemptOutcome, UpstreamFacts, UpstreamState};
 pub use wait_line::{LinePlace, WaitLine, line_rank, longest_wait, retry_after};
-pub use warm_table::{WarmPlaces, WarmTable, short_hash};
+pub use warm_table::{WarmPart, WarmPlace, WarmPlaces, WarmTable, short_hash};
--- a/crates/steering/src/warm_table.rs
+++ b/crates/steering/src/warm_table.rs
@@ -10,6 +10,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use papaya::HashMap;
 
+use crate::hashing::{combine, stable_hash};
+
 /// Places that are remembered of one object.
 const PLACES: usize = 8;
 /// An object that was not used for longer is taken as forgotten.
@@ -32,6 +34,35 @@
     }
 }
 
+/// An object and an upstream that handled it lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WarmPlace {
+    /// The hash of the object.
+    pub object: u64,
+    /// The short hash of the upstream.
+    pub upstream: u32,
+}
+
+/// A part of the table: the objects whose hash leaves this remainder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WarmPart {
+    /// The remainder.
+    pub index: u64,
+    /// The number of parts.
+    pub count: u64,
+}
+
+impl WarmPart {
+    /// Tells whether the instance `own` writes the part for all live `instances`, by rendezvous hashing.
+    #[must_use]
+    pub fn is_owned_by(&self, own: u64, instances: &[u64]) -> bool {
+        let weight = |instance: u64| combine(stable_hash(&self.index.to_le_bytes()), instance);
+        instances
+            .iter()
+            .all(|instance| *instance == own || weight(*instance) < weight(own))
+    }
+}
+
 /// Where objects were handled.
 #[derive(Debug, Default)]
 pub struct WarmTable {
@@ -74,6 +105,26 @@
         found
     }
 
+    /// Returns the places of a part of the table, in order.
+    #[must_use]
+    pub fn part(&self, part: WarmPart, now: MonotonicTime) -> Vec<WarmPlace> {
+        let objects = self.objects.pin();
+        let mut found = Vec::new();
+        for (object, places) in &objects {
+            if object % part.count != part.index {
+                continue;
+            }
+            let words = places.0.iter().map(|place| place.load(Ordering::Relaxed));
+            let recent = words.filter(|word| is_recent(*word, now));
+            found.extend(recent.map(|word| WarmPlace {
+                object: *object,
+                upstream: hash_of(word),
+            }));
+        }
+        found.sort_unstable();
+        found
+    }
+
     /// Drops objects that were not used lately.
     pub fn expire(&self, now: MonotonicTime) {
         let is_used = |place: &AtomicU64| is_recent(place.load(Ordering::Relaxed), now);
