steering, entry: accounts well within their rate are not refused for a thin spread

Change: while the bucket of all instances is half full or more, an instance's debt is forgiven at the next refill, and a request waits for that refill (750 ms at most) instead of being refused. Instances are silent only after two and a half periods.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -185,6 +185,7 @@
         let registered = members.iter().count();
         self.quotas
             .tick(now, registered, |hash| members.holds(hash));
+        self.shared.quota_refilled.notify_waiters();
         self.confirm_by_silence();
         self.publish_fleet(now);
         self.send_heartbeats();
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -11,6 +11,7 @@
 };
 use http::header::{CONTENT_LENGTH, HOST};
 use http::request::Parts;
+use tokio::time::{Instant, timeout_at};
 
 use crate::entry_snapshot::{EntrySnapshot, ListedPool};
 use crate::rejection::{RejectKind, Rejection};
@@ -18,6 +19,8 @@
 
 /// How long a caller without a deadline is kept waiting at most, if its route allows it.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// How long a request of an account well within its rate waits for a refill: as long as two reports in a large fleet.
+const QUOTA_WAIT: Duration = Duration::from_millis(750);
 /// An account over its rate has a share again after about this time.
 const QUOTA_RETRY: Duration = Duration::from_millis(500);
 
@@ -109,18 +112,27 @@
         })
     }
 
-    /// Charges the account.
+    /// Charges the account. A request that finds this instance's part used up waits for the next refill if the account is
+    /// well within its limit: its requests are few, and two of them came to the same instance.
     ///
     /// # Errors
     ///
     /// Returns the refusal of an account over its rate.
-    pub fn charge(&self) -> Result<(), Rejection> {
-        match self.quota() {
-            Some(gate) if !gate.try_admit() => {
+    pub async fn charge(&self) -> Result<(), Rejection> {
+        let Some(gate) = self.quota() else {
+            return Ok(());
+        };
+        gate.count_demand();
+        let until = Instant::now() + QUOTA_WAIT;
+        loop {
+            let refilled = self.shared.quota_refilled.notified();
+            if gate.try_admit() {
+                return Ok(());
+            }
+            if !gate.is_ample() || timeout_at(until, refilled).await.is_err() {
                 let after = QUOTA_RETRY.mul_f64(1.0 + fastrand::f64());
-                Err(Rejection::not_run(RejectKind::OverQuota, Some(after)))
+                return Err(Rejection::not_run(RejectKind::OverQuota, Some(after)));
             }
-            _ => Ok(()),
         }
     }
 
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -121,7 +121,7 @@
         if self.context.shared.crashes.load().refuses(fingerprint) {
             return Err(Rejection::not_run(RejectKind::Crashing, None));
         }
-        self.context.charge()?;
+        self.context.charge().await?;
         let retries = &self.context.listed_pool().state.retries;
         let bound = self.context.shared.retry_bound();
         retries.count_request(bound, self.context.shared.instance_count());
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -14,7 +14,7 @@
 };
 use coltsfootkeel_transport::ProcessClock;
 use crossbeam_queue::ArrayQueue;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::EntryMetrics;
@@ -97,6 +97,8 @@
     pub crash_notes: ArrayQueue<CrashNote>,
     /// Requests that crash upstreams.
     pub crashes: ArcSwap<CrashTable>,
+    /// Tells requests that wait for a share of their account's rate of the next one.
+    pub quota_refilled: Notify,
     /// Requests being carried.
     pub in_flight: Arc<AtomicU64>,
     /// Metrics.
@@ -143,6 +145,7 @@
             object_notes: ArrayQueue::new(MAX_NOTES),
             crash_notes: ArrayQueue::new(MAX_NOTES),
             crashes: ArcSwap::default(),
+            quota_refilled: Notify::new(),
             in_flight: Arc::default(),
             metrics: EntryMetrics::default(),
             events,
--- a/crates/steering/src/quota_share.rs
+++ b/crates/steering/src/quota_share.rs
@@ -5,7 +5,7 @@
 //! what is left, in proportion to the demand it sees. An instance that is not heard is taken to spend its last part.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
@@ -22,10 +22,15 @@
 /// The part of the bucket's content that may be overdrawn, divided evenly: an instance that sees little of an account
 /// must still admit its next request.
 const OVERDRAFT_PART: f64 = 0.5;
+/// The part of the burst from which a bucket is ample: no instance needs to pay back between two reports what the others
+/// know of by then.
+const AMPLE_PART: f64 = 0.5;
 /// The weight of one period in the average demand.
 const DEMAND_PART: f64 = 0.25;
 /// An instance not heard for longer is taken to go on spending its part; what it then reports is set against that.
 const SILENT_AFTER: Duration = Duration::from_millis(250);
+/// The same in periods between two reports, which are longer in a large fleet.
+const SILENT_PERIODS: f64 = 2.5;
 
 /// What request threads use of an account's limit.
 #[derive(Debug, Default)]
@@ -34,12 +39,24 @@
     overdraft: AtomicI64,
     admitted: AtomicU64,
     asked: AtomicU64,
+    is_ample: AtomicBool,
 }
 
 impl QuotaGate {
+    /// Counts a request that asks for admission.
+    pub fn count_demand(&self) {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Tells whether the account is well within its limit, so that a request that is not admitted may be with the next
+    /// refill.
+    #[must_use]
+    pub fn is_ample(&self) -> bool {
+        self.is_ample.load(Ordering::Relaxed)
+    }
+
     /// Admits one request if the budget is not used up.
     pub fn try_admit(&self) -> bool {
-        self.asked.fetch_add(1, Ordering::Relaxed);
         let lowest = -self.overdraft.load(Ordering::Relaxed);
         let taken = self
             .budget
@@ -209,11 +226,15 @@
         let allowance = to_units(spend);
         let overdraft = self.level.max(0.0) * OVERDRAFT_PART / instances;
         gate.overdraft.store(to_units(overdraft), Ordering::Relaxed);
-        // Only a debt is carried over: what was not spent is still in the bucket.
+        let is_ample = unheard <= 0.0 && self.level >= self.limit.burst * AMPLE_PART;
+        gate.is_ample.store(is_ample, Ordering::Relaxed);
+        // Only a debt is carried over: what was not spent is still in the bucket. While the bucket is ample, a debt is not
+        // carried over either: it was one request among few, and the bucket has paid for it.
         let _ = gate
             .budget
             .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |budget| {
-                Some(budget.min(0) + allowance)
+                let kept = if is_ample { 0 } else { budget.min(0) };
+                Some(kept + allowance)
             });
     }
 
@@ -234,9 +255,10 @@
 
     /// Charges the bucket for instances that are not heard: they may be cut off and go on with their part.
     fn count_silent(&mut self, period: f64, now: MonotonicTime) {
+        let silent_after = SILENT_AFTER.max(Duration::from_secs_f64(period * SILENT_PERIODS));
         let total: f64 = self.own_demand + self.peers.values().map(|peer| peer.demand).sum::<f64>();
         for peer in self.peers.values_mut() {
-            if now.since(peer.heard_at) > SILENT_AFTER && total > 0.0 {
+            if now.since(peer.heard_at) > silent_after && total > 0.0 {
                 let assumed = self.limit.rate_per_s * period * (peer.demand / total).min(1.0);
                 peer.assumed += assumed;
                 self.level -= assumed;
--- a/crates/steering/tests/quota_share.rs
+++ b/crates/steering/tests/quota_share.rs
@@ -76,6 +76,7 @@
             instance.account.tick(&instance.gate, case.asked.len(), now);
             let due = asked * (now_ms + TICK_MS) / 1_000 - asked * now_ms / 1_000;
             for _ in 0..due {
+                instance.gate.count_demand();
                 instance.gate.try_admit();
             }
         }
@@ -214,3 +215,120 @@
     assert!(gate.try_admit());
     assert_eq!(gate.admitted(), first as u64);
 }
+
+struct ThinCase {
+    name: &'static str,
+    limit: QuotaLimit,
+    /// Requests a second of the whole account, spread over all instances.
+    usual: f64,
+    /// The same from the middle of the run on.
+    later: f64,
+    /// The largest part of the usual requests that may be refused.
+    most_refused: f64,
+}
+
+/// The fleet of [`ThinCase`].
+const THIN_INSTANCES: u32 = 36;
+/// Its period between two reports.
+const THIN_PERIOD: Duration = Duration::from_millis(360);
+
+/// Plays 100 s. Returns the admitted requests of each period and the part of the usual requests that was refused.
+fn play_thin(case: &ThinCase) -> (Vec<u64>, f64) {
+    const PERIODS: u32 = 280;
+    let mut draw = fastrand::Rng::with_seed(7);
+    let mut fleet: Vec<(QuotaGate, QuotaAccount)> = (0..THIN_INSTANCES)
+        .map(|_| {
+            let account = QuotaAccount::new(case.limit, case.limit.burst, MonotonicTime::default());
+            (QuotaGate::default(), account)
+        })
+        .collect();
+    let (mut asked, mut refused) = (0_u32, 0_u32);
+    let mut admitted = Vec::new();
+    let mut reports: Vec<QuotaReport> = Vec::new();
+    for number in 0..PERIODS {
+        let now = MonotonicTime::default() + THIN_PERIOD * number;
+        // Reports are one period old when they are used.
+        for (own, (_, account)) in fleet.iter_mut().enumerate() {
+            for (peer, report) in reports.iter().enumerate().filter(|(peer, _)| *peer != own) {
+                account.hear(peer as u64, 1, *report, now);
+            }
+        }
+        let report = |(gate, account): &(QuotaGate, QuotaAccount)| QuotaReport {
+            admitted: gate.admitted(),
+            demand: account.own_demand(),
+        };
+        reports = fleet.iter().map(report).collect();
+        let is_usual = number < PERIODS / 2;
+        let rate = if is_usual { case.usual } else { case.later };
+        let each = rate * THIN_PERIOD.as_secs_f64() / f64::from(THIN_INSTANCES);
+        let before: u64 = fleet.iter().map(|(gate, _)| gate.admitted()).sum();
+        for (gate, account) in &mut fleet {
+            account.tick(gate, THIN_INSTANCES as usize, now);
+            // The time to the next request of a Poisson process is exponential.
+            let mut time = -draw.f64().ln() / each;
+            while time < 1.0 {
+                time -= draw.f64().ln() / each;
+                gate.count_demand();
+                let is_refused = !gate.try_admit();
+                if is_usual {
+                    asked += 1;
+                    // While the bucket is ample, the request waits for the next refill.
+                    refused += u32::from(is_refused && !gate.is_ample());
+                }
+            }
+        }
+        let after: u64 = fleet.iter().map(|(gate, _)| gate.admitted()).sum();
+        admitted.push(after - before);
+    }
+    (admitted, f64::from(refused) / f64::from(asked))
+}
+
+/// Guards against refusals of accounts well within their rate whose requests are spread over many instances, and against too
+/// many admissions when such an account suddenly sends many times as much.
+#[test]
+fn thinly_spread_accounts_are_served_and_bounded() {
+    let limit = |rate_per_s: f64| QuotaLimit {
+        rate_per_s,
+        burst: rate_per_s,
+    };
+    let cases = [
+        ThinCase {
+            name: "a small account, then 7.5 times as much",
+            limit: limit(15.0),
+            usual: 8.0,
+            later: 60.0,
+            most_refused: 0.005,
+        },
+        ThinCase {
+            name: "a middling account, then 7.5 times as much",
+            limit: limit(50.0),
+            usual: 27.0,
+            later: 203.0,
+            most_refused: 0.005,
+        },
+        ThinCase {
+            name: "a tiny account",
+            limit: limit(5.0),
+            usual: 2.5,
+            later: 2.5,
+            most_refused: 0.01,
+        },
+    ];
+    for case in cases {
+        let (admitted, refused) = play_thin(&case);
+        let allowed = case.limit.rate_per_s * 5.0 + case.limit.burst;
+        let most = allowed * (1.0 + EXCESS.tolerance) + EXCESS.slack;
+        let periods = 14;
+        for window in admitted.windows(periods) {
+            let sum: u64 = window.iter().sum();
+            #[expect(clippy::cast_precision_loss)]
+            let sum = sum as f64;
+            assert!(sum <= most, "{}: {sum}, at most {most}", case.name);
+        }
+        assert!(
+            refused <= case.most_refused,
+            "{}: {refused} refused",
+            case.name
+        );
+    }
+}
