entry, steering, protocol: four instances watch the lists of the store for the others

Change: four live instances that reach the store watch upstreams, emptied domains and instances; the others read a list once they are told by heartbeat that it changed. The configuration is watched by each, since the watch confirms that no key was withdrawn; when it fails, every instance reads for itself. Heartbeats report accounts that changed, twice, and a quarter of the others.

--- a/crates/entry/src/control_event.rs
+++ b/crates/entry/src/control_event.rs
@@ -20,6 +20,8 @@
         asked_at: MonotonicTime,
         /// For how long the kind could not be read before.
         outage: Duration,
+        /// Whether the kind was listed before, so that there may be changes that nobody saw.
+        is_repeated: bool,
     },
     /// A watch returned.
     Changed {
@@ -27,6 +29,8 @@
         kind: ObjectKind,
         /// The changes; none if the wait was over.
         events: Vec<ObjectEvent>,
+        /// The store's revision of the answer.
+        revision: u64,
         /// A time up to which nothing else changed, suspension included.
         known_to: MonotonicTime,
     },
--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -10,6 +10,7 @@
 
 use crate::control_loop::ControlLoop;
 use crate::heartbeat_socket::send_heartbeat;
+use crate::store_duty::KindRevisions;
 
 /// Messages whose round trip can still be measured.
 const MEASURED_HEARTBEATS: usize = 64;
@@ -31,6 +32,11 @@
         if message.instance == self.shared.settings.instance {
             return;
         }
+        self.shared.duty.raise(KindRevisions {
+            upstreams: message.upstreams_revision,
+            evacuations: message.evacuations_revision,
+            instances: message.instances_revision,
+        });
         self.learn_objects(&message, now);
         self.learn_crashes(&message, now);
         let held = Duration::from_micros(u64::from(message.echo_held_us));
@@ -143,12 +149,14 @@
     }
 
     fn heartbeat(&mut self, now: MonotonicTime) -> FleetHeartbeat {
+        let accounts = self.quotas.usages(self.heartbeat_number);
         let shared = &self.shared;
         let plan_age = shared.freshness.age(shared.clock.now_with_suspension());
         let plan_version = self.plan.as_ref().map(|plan| plan.version);
         let age_ms = u32::try_from(plan_age.as_millis()).unwrap_or(u32::MAX);
         let objects = std::iter::from_fn(|| shared.object_notes.pop());
         let crashes: Vec<_> = std::iter::from_fn(|| shared.crash_notes.pop()).collect();
+        let revisions = shared.duty.revisions();
         let message = FleetHeartbeat {
             instance: shared.settings.instance.clone(),
             incarnation: shared.incarnation,
@@ -161,8 +169,12 @@
             plan_age_ms: plan_version.map(|_| age_ms),
             reaches_store: self.reaches_store(),
             store_steady_ms: u32::try_from(self.store_steady().as_millis()).unwrap_or(u32::MAX),
+            upstreams_revision: revisions.upstreams,
+            evacuations_revision: revisions.evacuations,
+            instances_revision: revisions.instances,
+            failing_kinds: shared.duty.failing_kinds(),
             loads: self.upstream_loads(),
-            accounts: self.quotas.usages(),
+            accounts,
             objects: objects
                 .map(|note| ObjectPlacement {
                     object: note.object,
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -7,7 +7,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, InstanceView, QuotaExcess, SteeringPlan, pacing_instances, stable_hash,
+    CrashTable, InstanceView, QuotaExcess, SteeringPlan, is_store_reader, pacing_instances,
+    stable_hash,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -29,6 +30,8 @@
 /// In a larger fleet, the time between two messages grows by this much for each instance, so that an instance handles
 /// about a hundred messages a second at any size.
 const HEARTBEAT_SHARE: Duration = Duration::from_millis(10);
+/// An instance that has read the list of upstreams for this long reads it.
+const READING: Duration = Duration::from_millis(1);
 /// The least time between two health checks of one upstream.
 const CHECK_PERIOD: Duration = Duration::from_millis(600);
 /// A registered instance that is silent for longer is removed by another one.
@@ -122,12 +125,24 @@
                 list,
                 asked_at,
                 outage,
-            } => self.take_list(kind, list, asked_at, outage),
+                is_repeated,
+            } => {
+                if is_repeated && self.shared.duty.is_reader() {
+                    self.shared.duty.raise_kind(kind, list.revision);
+                }
+                self.take_list(kind, list, asked_at, outage);
+            }
             ControlEvent::Changed {
                 kind,
                 events,
+                revision,
                 known_to,
-            } => self.take_changes(kind, &events, known_to),
+            } => {
+                if !events.is_empty() && self.shared.duty.is_reader() {
+                    self.shared.duty.raise_kind(kind, revision);
+                }
+                self.take_changes(kind, &events, known_to);
+            }
             ControlEvent::Heartbeat { message, from } => self.hear(*message, from),
             ControlEvent::Checked { upstream, cold_for } => self.take_check(&upstream, cold_for),
             ControlEvent::Answered { fingerprint } => {
@@ -178,6 +193,10 @@
         if self.peers.has_steady_reader(RETURN_PERIOD, now) {
             self.registry.end_return(now);
         }
+        if !self.shared.duty.is_reader() && !self.peers.has_steady_reader(READING, now) {
+            // Nobody can tell whether the store is away, and entries lapse with it.
+            self.registry.start_return(now);
+        }
         let is_expired = self.registry.expire(now);
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
@@ -187,6 +206,9 @@
             .tick(now, registered, |hash| members.holds(hash));
         self.shared.quota_refilled.notify_waiters();
         self.confirm_by_silence();
+        let readers = self.peers.store_readers(now);
+        let is_reader = is_store_reader(self.shared.own_hash, readers);
+        self.shared.duty.set_reader(is_reader);
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -39,21 +39,25 @@
         kind: ObjectKind::Config,
         wait: Duration::from_millis(2_400),
         settle: Duration::ZERO,
+        is_shared: false,
     },
     FollowPlan {
         kind: ObjectKind::Upstreams,
         wait: Duration::from_millis(2_400),
         settle: Duration::from_millis(150),
+        is_shared: true,
     },
     FollowPlan {
         kind: ObjectKind::Evacuations,
         wait: Duration::from_millis(2_400),
         settle: Duration::ZERO,
+        is_shared: true,
     },
     FollowPlan {
         kind: ObjectKind::Instances,
         wait: Duration::from_secs(8),
         settle: Duration::from_millis(300),
+        is_shared: true,
     },
 ];
 /// Descriptors for files, the store, other instances and upstreams.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod shared_state;
 mod snapshot_publisher;
 mod state_dump;
+mod store_duty;
 mod store_watch;
 mod upstream_choice;
 mod upstream_exchange;
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -100,6 +100,14 @@
             .collect()
     }
 
+    /// Returns the live instances that can watch the store for others.
+    pub fn store_readers(&self, now: MonotonicTime) -> impl Iterator<Item = u64> {
+        let can_read = |peer: &KnownPeer| peer.last.failing_kinds == 0 && !peer.last.is_leaving;
+        self.live(now)
+            .filter(move |(_, peer)| can_read(peer))
+            .map(|(hash, _)| hash)
+    }
+
     /// Tells whether a live instance has read the store without a failure for this long.
     #[must_use]
     pub fn has_steady_reader(&self, period: Duration, now: MonotonicTime) -> bool {
--- a/crates/entry/src/quota_book.rs
+++ b/crates/entry/src/quota_book.rs
@@ -12,10 +12,44 @@
 /// The instances that a restarted one takes to be registered until it has read their list.
 const ASSUMED_INSTANCES: usize = 16;
 
+/// A change is reported in this many messages, so that one may be lost.
+const REPORTS_OF_CHANGE: u64 = 2;
+/// Every account is reported in one of this many messages, for instances that heard none of its changes.
+const REPORT_ROUND: u64 = 4;
+/// A demand that differs by a smaller part from the one reported is not reported.
+const DEMAND_STEP: f64 = 0.25;
+
 #[derive(Debug)]
 struct BookEntry {
     gate: Arc<QuotaGate>,
     account: QuotaAccount,
+    reported: AccountUsage,
+    /// The number of the message that reported a change first.
+    changed_in: u64,
+}
+
+impl BookEntry {
+    /// Returns what message `number` reports of the account, if anything.
+    fn report(&mut self, hash: u64, number: u64) -> Option<AccountUsage> {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let demand_milli = (self.account.own_demand() * 1_000.0) as u32;
+        let admitted = self.gate.admitted();
+        let known = f64::from(self.reported.demand_milli);
+        let is_new_demand = (f64::from(demand_milli) - known).abs() > known * DEMAND_STEP;
+        if admitted != self.reported.admitted || is_new_demand {
+            self.changed_in = number;
+        }
+        let is_change = number - self.changed_in < REPORTS_OF_CHANGE;
+        let is_due = hash.wrapping_add(number).is_multiple_of(REPORT_ROUND);
+        (is_change || is_due).then(|| {
+            self.reported = AccountUsage {
+                account: hash,
+                admitted,
+                demand_milli,
+            };
+            self.reported
+        })
+    }
 }
 
 /// The limits by the hash of the account's name.
@@ -62,14 +96,22 @@
             let mut account = QuotaAccount::new(limit, content, now);
             // Requests may come before the first tick of the control thread.
             account.tick(&gate, registered, now);
-            BookEntry { gate, account }
+            BookEntry {
+                gate,
+                account,
+                reported: AccountUsage::default(),
+                changed_in: 0,
+            }
         });
         entry.account.set_limit(limit);
         Some(Arc::clone(&entry.gate))
     }
 
-    /// Takes in what another instance reported.
+    /// Takes in what another instance reported. Of accounts that are not named nothing has changed.
     pub fn hear(&mut self, peer: u64, message: &FleetHeartbeat, now: MonotonicTime) {
+        for entry in self.entries.values_mut() {
+            entry.account.note_alive(peer, message.incarnation, now);
+        }
         for heartbeat in &message.accounts {
             if let Some(entry) = self.entries.get_mut(&heartbeat.account) {
                 let report = QuotaReport {
@@ -92,18 +134,11 @@
         }
     }
 
-    /// Returns what this instance reports.
-    #[must_use]
-    pub fn usages(&self) -> Vec<AccountUsage> {
-        let usage = |(hash, entry): (&u64, &BookEntry)| {
-            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let demand_milli = (entry.account.own_demand() * 1_000.0) as u32;
-            AccountUsage {
-                account: *hash,
-                admitted: entry.gate.admitted(),
-                demand_milli,
-            }
-        };
-        self.entries.iter().map(usage).collect()
+    /// Returns what this instance reports in message `number`.
+    pub fn usages(&mut self, number: u64) -> Vec<AccountUsage> {
+        let entries = self.entries.iter_mut();
+        entries
+            .filter_map(|(hash, entry)| entry.report(*hash, number))
+            .collect()
     }
 }
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -19,6 +19,7 @@
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_snapshot::EntrySnapshot;
+use crate::store_duty::StoreDuty;
 
 /// Notes that wait for the next message to the other instances. Further ones are dropped: they only make upstreams
 /// slower.
@@ -87,8 +88,10 @@
     /// When the plan was last known to be the newest.
     pub freshness: PlanFreshness,
     /// Since when the list of upstreams is read without a failure, suspension included; the start of the process while
-    /// it cannot be read.
+    /// it cannot be read, or is read by other instances.
     pub upstreams_read: AtomicTime,
+    /// What this instance reads from the store.
+    pub duty: StoreDuty,
     /// Where objects were handled.
     pub warm: WarmTable,
     /// Objects sent since the last message to the other instances.
@@ -141,6 +144,7 @@
             fleet: ArcSwap::default(),
             freshness: PlanFreshness::default(),
             upstreams_read: AtomicTime::default(),
+            duty: StoreDuty::default(),
             warm: WarmTable::default(),
             object_notes: ArrayQueue::new(MAX_NOTES),
             crash_notes: ArrayQueue::new(MAX_NOTES),
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -38,7 +38,7 @@
     /// Requests in flight at upstreams.
     #[prost(message, repeated, tag = "11")]
     pub loads: Vec<UpstreamLoad>,
-    /// What was admitted for client accounts.
+    /// What was admitted for client accounts of which something has changed, and for some others in turn.
     #[prost(message, repeated, tag = "12")]
     pub accounts: Vec<AccountUsage>,
     /// Where objects were sent since the last message.
@@ -53,6 +53,18 @@
     /// Milliseconds for which the sender has read the list of upstreams without a failure.
     #[prost(uint32, tag = "17")]
     pub store_steady_ms: u32,
+    /// The store's revision of the newest change of the upstreams that the sender knows of.
+    #[prost(uint64, tag = "18")]
+    pub upstreams_revision: u64,
+    /// The same of the failure domains that are emptied.
+    #[prost(uint64, tag = "19")]
+    pub evacuations_revision: u64,
+    /// The same of the registered instances.
+    #[prost(uint64, tag = "20")]
+    pub instances_revision: u64,
+    /// Kinds of objects of which the sender's last call to the store failed: the configuration, and the lists together.
+    #[prost(uint32, tag = "21")]
+    pub failing_kinds: u32,
     /// Fingerprints of requests that were running on upstreams when they crashed.
     #[prost(message, repeated, tag = "16")]
     pub crashes: Vec<CrashSighting>,
@@ -70,7 +82,7 @@
 }
 
 /// What the sender admitted for one client account.
-#[derive(Clone, PartialEq, Message)]
+#[derive(Clone, Copy, PartialEq, Message)]
 pub struct AccountUsage {
     /// The hash of the account's name.
     #[prost(fixed64, tag = "1")]
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -44,6 +44,7 @@
 mod raw_plan;
 mod retry_share;
 mod service_times;
+mod store_readers;
 mod upstream_record;
 mod upstream_state;
 mod wait_line;
@@ -62,6 +63,7 @@
 pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget};
 pub use retry_share::{RetryBound, RetryShare};
 pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
+pub use store_readers::is_store_reader;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_state::{AttemptOutcome, UpstreamFacts, UpstreamState};
 pub use wait_line::{LinePlace, WaitLine, line_rank, longest_wait, retry_after};
--- a/crates/steering/src/quota_share.rs
+++ b/crates/steering/src/quota_share.rs
@@ -196,6 +196,16 @@
         spending.heard_at = now;
     }
 
+    /// Notes a message of another instance that reports nothing new of this account.
+    pub fn note_alive(&mut self, peer: u64, incarnation: u64, now: MonotonicTime) {
+        if let Some(spending) = self.peers.get_mut(&peer)
+            && spending.incarnation == incarnation
+        {
+            // What was assumed is set against its next report.
+            spending.heard_at = now;
+        }
+    }
+
     /// Forgets an instance that is no longer a member.
     pub fn forget(&mut self, is_member: impl Fn(u64) -> bool) {
         self.peers.retain(|peer, _| is_member(*peer));
