steering, entry: what upstreams remember is learned, and objects go where nothing is forgotten

Its objects stood at two or three upstreams each, up to 27 at one that remembers 15, so half of the requests sent to a warm place ran as new ones (600 ms and more, against 190), which loaded the upstreams and opened still more places. Ruled out: the way between regions (few requests took it), queues at upstreams (mean wait under 2 ms). Change: an object is warm at an upstream while fewer others were used there since than the upstream remembers; that number is learned from slow and fast answers by likelihood. New objects go to upstreams with room for them first; where all are crowded and the pool is loaded, those that are warm are served. A request is refused at once if the slots that it may use, not those of the whole pool, are taken by the line ahead.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -38,6 +38,8 @@
 const DEAD_AFTER: Duration = Duration::from_secs(15);
 /// Requests that are woken on each tick: their upstreams may have room at other instances.
 const WOKEN_ON_TICK: usize = 64;
+/// Time between two counts of the objects that were used at each upstream.
+const COUNT_PERIOD: Duration = Duration::from_millis(400);
 /// Time between two rounds of clearing what was not used for long.
 const CLEAR_PERIOD: Duration = Duration::from_secs(5);
 
@@ -61,6 +63,7 @@
     publisher: SnapshotPublisher,
     checked_at: HashMap<String, MonotonicTime>,
     pub(crate) wanted_checks: HashSet<String>,
+    counted_at: MonotonicTime,
     cleared_at: MonotonicTime,
     is_registering: bool,
 }
@@ -95,6 +98,7 @@
             publisher,
             checked_at: HashMap::new(),
             wanted_checks: HashSet::new(),
+            counted_at: MonotonicTime::default(),
             cleared_at: MonotonicTime::default(),
             is_registering: false,
         }
@@ -217,6 +221,10 @@
                 wake_waiting(&pool.state, WOKEN_ON_TICK);
             }
         }
+        if now.since(self.counted_at) > COUNT_PERIOD {
+            self.counted_at = now;
+            self.count_objects(now);
+        }
         if now.since(self.cleared_at) > CLEAR_PERIOD {
             self.cleared_at = now;
             self.shared.warm.expire(now);
@@ -226,6 +234,25 @@
         }
     }
 
+    /// Counts the objects at each upstream, and decides how many an upstream remembers.
+    fn count_objects(&self, now: MonotonicTime) {
+        let recent = self.shared.warm.recent_objects(now);
+        self.registry.set_recent_objects(recent);
+        let snapshot = self.shared.snapshot.load();
+        let Some(snapshot) = snapshot.as_ref() else {
+            return;
+        };
+        for (key, pool) in snapshot.pools.iter() {
+            let memory = &pool.state.memory;
+            let before = memory.kept();
+            memory.settle();
+            if memory.kept() != before {
+                let pool = snapshot.plan.pools[key].name.as_str();
+                log::info!(pool, objects = memory.kept(); "upstreams: What each remembers was learned.");
+            }
+        }
+    }
+
     fn heartbeat_period(&self) -> Duration {
         let instances = u32::try_from(self.shared.fleet.load().hashes.len()).unwrap_or(u32::MAX);
         HEARTBEAT_PERIOD.max(HEARTBEAT_SHARE * instances)
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -5,7 +5,8 @@
 
 use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    AverageTime, QuotaGate, RetryShare, ServiceTimes, SteeringPlan, UpstreamState, WaitLine,
+    AverageTime, ObjectMemory, QuotaGate, RetryShare, ServiceTimes, SteeringPlan, UpstreamState,
+    WaitLine,
 };
 use coltsfootkeel_transport::UpstreamLink;
 use tokio::sync::oneshot;
@@ -31,6 +32,8 @@
     pub line: Arc<WaitLine<TurnSender>>,
     /// Retries that are left.
     pub retries: Arc<RetryShare>,
+    /// How many objects its upstreams remember.
+    pub memory: Arc<ObjectMemory>,
     /// How long a request uses a slot, on average.
     pub slot_time: Arc<AverageTime>,
 }
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfootkeel_steering::{AttemptOutcome, short_hash};
+use coltsfootkeel_steering::{AttemptOutcome, TimeEstimate, short_hash};
 use volo_http::body::Body;
 
 use crate::caller_body::CallerBody;
@@ -20,6 +20,8 @@
 const LEAST_PATIENCE: Duration = Duration::from_millis(700);
 /// After an answer that belonged to another request, requests that must not run twice get new connections.
 const DOUBT_PERIOD: Duration = Duration::from_secs(20);
+/// The answers of an upstream that takes more times longer than usual do not tell what it remembers.
+const USUAL_SLOWNESS: f64 = 1.6;
 /// The time after which a first send has certainly begun to run, beyond the way to the upstream.
 const SECOND_SEND_DELAY: Duration = Duration::from_millis(15);
 
@@ -178,6 +180,7 @@
             times.cold
         };
         if place.choice.queue.is_zero() {
+            self.learn_memory(place, took, times);
             let learned = &self.context.snapshot.times[self.context.route];
             learned.learn(region, times, place.choice.is_warm, took);
         }
@@ -185,6 +188,22 @@
             .state
             .learn_slowness(took, expected + place.choice.queue, now);
     }
+
+    /// Learns from the time of an answer whether the upstream remembered the object.
+    fn learn_memory(&self, place: &TakenPlace, took: Duration, times: TimeEstimate) {
+        let Some(used_since) = place.used_since else {
+            return;
+        };
+        let now = self.context.shared.clock.now();
+        let state = &self.context.snapshot.upstreams[place.key].state;
+        // A request that may be repeated is sent to a new place twice, and is answered soon also where it was forgotten.
+        let is_single = place.choice.is_warm || !self.context.route_plan().is_idempotent;
+        if is_single && state.slowness(now) < USUAL_SLOWNESS {
+            let is_hit = took < (times.warm + times.cold) / 2;
+            let memory = &self.context.listed_pool().state.memory;
+            memory.learn(used_since, is_hit);
+        }
+    }
 }
 
 /// Waits for the first of two sends that is answered; the other one is cancelled. Without an answer, the end of the one that
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -11,7 +11,7 @@
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestRun;
 use crate::request_record::RequestRecord;
-use crate::upstream_choice::{TakenPlace, take_place};
+use crate::upstream_choice::{TakenPlace, is_allowed, take_place};
 
 /// The time that a stopping instance keeps for the answer itself.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
@@ -55,14 +55,14 @@
         found.ok_or(RejectKind::NoRoom)
     }
 
-    /// Returns how long the requests ahead in the line keep all slots of the pool busy.
+    /// Returns how long the requests ahead in the line keep all slots busy that this request may use.
     fn expected_wait(&self, ahead: usize) -> Duration {
         let pool = self.context.listed_pool();
         let upstreams = pool.upstreams.iter();
-        let usable = upstreams
+        let allowed = upstreams
             .map(|key| &self.context.snapshot.upstreams[*key])
-            .filter(|listed| listed.state.is_usable());
-        let slots: u32 = usable.map(|listed| listed.state.facts.slots).sum();
+            .filter(|listed| is_allowed(&self.context, listed));
+        let slots: u32 = allowed.map(|listed| listed.state.facts.slots).sum();
         let instances = self.context.shared.instance_count();
         let slot_time = pool.state.slot_time.get().unwrap_or_default();
         // The other instances have lines of about the same length.
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -21,6 +21,8 @@
     pub key: UpstreamKey,
     /// Why it was chosen.
     pub choice: PlaceChoice<UpstreamKey>,
+    /// How many other objects were used there since it handled this one, if it did lately.
+    pub used_since: Option<usize>,
     /// When it was taken.
     pub started: MonotonicTime,
     state: Arc<UpstreamState>,
@@ -31,12 +33,17 @@
 const WOKEN: usize = 2;
 
 impl TakenPlace {
-    fn new(context: &RequestContext, choice: PlaceChoice<UpstreamKey>) -> Self {
+    fn new(
+        context: &RequestContext,
+        choice: PlaceChoice<UpstreamKey>,
+        used_since: Option<usize>,
+    ) -> Self {
         let state = Arc::clone(&context.snapshot.upstreams[choice.key].state);
         state.start();
         Self {
             key: choice.key,
             choice,
+            used_since,
             started: context.shared.clock.now(),
             state,
             pool: context.listed_pool().state.clone(),
@@ -123,6 +130,7 @@
         None => task.choose(candidates)?,
     };
     let state = &context.snapshot.upstreams[choice.key].state;
+    let used_since = used_since(state, &warm);
     if state.is_cold(now) && !take_cold_turn(context, state, now) {
         return None;
     }
@@ -135,7 +143,7 @@
             .object_notes
             .push(ObjectNote { object, upstream });
     }
-    Some(TakenPlace::new(context, choice))
+    Some(TakenPlace::new(context, choice, used_since))
 }
 
 /// Tells whether the request can be sent twice to a place that is not warm.
@@ -209,7 +217,8 @@
     }
 }
 
-fn is_allowed(context: &RequestContext, listed: &ListedUpstream) -> bool {
+/// Tells whether a request may run at an upstream that takes new work.
+pub fn is_allowed(context: &RequestContext, listed: &ListedUpstream) -> bool {
     listed.state.is_usable()
         && !listed.state.is_other()
         && context.regions.contains(listed.state.facts.region)
@@ -239,6 +248,7 @@
     now: MonotonicTime,
 ) -> PlaceCandidate<UpstreamKey> {
     let state = &context.snapshot.upstreams[key].state;
+    let kept = context.listed_pool().state.memory.kept();
     PlaceCandidate {
         key,
         weight: combine(salt, state.hash),
@@ -246,11 +256,18 @@
         times: context.times(state.facts.region),
         in_flight: state.in_flight(),
         slots: state.facts.slots,
-        is_warm: warm.holds(state.hash),
+        is_warm: used_since(state, warm).is_some_and(|others| others < kept),
+        is_crowded: state.recent.load().in_use(now) >= kept,
         slowness: state.slowness(now),
     }
 }
 
+/// Returns how many other objects were used at an upstream since it handled this one, if it did lately.
+fn used_since(state: &UpstreamState, warm: &WarmPlaces) -> Option<usize> {
+    let used_at = warm.used_at(state.hash)?;
+    Some(state.recent.load().used_since(used_at))
+}
+
 /// Takes this instance's next turn at a cold upstream.
 fn take_cold_turn(context: &RequestContext, state: &UpstreamState, now: MonotonicTime) -> bool {
     let fleet = context.shared.fleet.load();
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -7,7 +7,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
 use coltsfootkeel_steering::{
-    PlaceTable, UpstreamFacts, UpstreamPhase, UpstreamRecord, UpstreamState, short_hash,
+    PlaceTable, RecentObjects, UpstreamFacts, UpstreamPhase, UpstreamRecord, UpstreamState,
+    short_hash,
 };
 use coltsfootkeel_transport::UpstreamLink;
 
@@ -176,6 +177,15 @@
         self.upstreams.get(id)
     }
 
+    /// Sets the objects that were used at each upstream, by its short hash.
+    pub fn set_recent_objects(&self, mut recent: HashMap<u32, RecentObjects>) {
+        for known in self.upstreams.values() {
+            let state = &known.listed.state;
+            let objects = recent.remove(&short_hash(state.hash));
+            state.recent.store(Arc::new(objects.unwrap_or_default()));
+        }
+    }
+
     /// Sets the requests of other instances in flight, by the short hash of the upstream.
     pub fn set_peer_loads(&self, loads: &HashMap<u32, u32>) {
         for known in self.upstreams.values() {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -18,6 +18,7 @@
 //!     key,
 //!     is_warm,
 //!     is_home: true,
+//!     is_crowded: false,
 //!     weight: 1,
 //!     times: TimeEstimate {
 //!         warm: Duration::from_millis(200),
@@ -36,6 +37,7 @@
 mod crash_table;
 mod hashing;
 mod lookup_rank;
+mod object_memory;
 mod placement;
 mod places;
 mod plan;
@@ -55,6 +57,7 @@
 pub use crash_table::CrashTable;
 pub use hashing::{combine, stable_hash};
 pub use lookup_rank::{InstanceView, LookupAsk, rank_instances};
+pub use object_memory::{ObjectMemory, RecentObjects};
 pub use placement::{PlaceCandidate, PlaceChoice, PlaceTask};
 pub use places::{DomainPlace, MAX_REGIONS, PlaceError, PlaceTable, RegionSet};
 pub use plan::{AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SplitShare, SteeringPlan};
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -43,8 +43,10 @@
     pub in_flight: u32,
     /// Requests it runs at once.
     pub slots: u32,
-    /// Whether it handled the object lately.
+    /// Whether it handled the object lately, and remembers it.
     pub is_warm: bool,
+    /// Whether it would forget an object in use for a new one.
+    pub is_crowded: bool,
     /// How many times longer than usual it takes.
     pub slowness: f64,
 }
@@ -92,6 +94,7 @@
     warm: Duration,
     /// Requests in flight as a part of the slots.
     load: f64,
+    is_crowded: bool,
 }
 
 impl PlaceTask {
@@ -142,7 +145,7 @@
         let chosen = match (best.in_time, best.new) {
             (Some(warm), Some(new)) if self.should_move(&warm, &new, load) => Some(new),
             (Some(warm), _) => Some(warm),
-            (None, new) if !best.has_warm => new,
+            (None, new) if !best.has_warm => new.filter(|new| Self::may_place(new, load)),
             (None, Some(new)) if self.should_open(&best, &new, load) => Some(new),
             (None, _) => best.late,
         };
@@ -166,12 +169,13 @@
             choice: self.choice(candidate),
             warm: candidate.times.warm.mul_f64(candidate.slowness),
             load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
+            is_crowded: candidate.is_crowded,
         }
     }
 
     /// Decides whether the object moves from a warm place to one that comes earlier in its order.
     fn should_move<K>(&self, warm: &RankedChoice<K>, new: &RankedChoice<K>, load: f64) -> bool {
-        let is_earlier = new.rank > warm.rank;
+        let is_earlier = new.rank > warm.rank && !new.is_crowded;
         self.may_move && is_earlier && load < MOVE_LOAD && new.load < MOVE_LOAD
     }
 
@@ -184,7 +188,15 @@
         let most = if is_nearer { NEARER_LOAD } else { OPEN_LOAD };
         // One that came back too late to be in time anywhere tells nothing about the places.
         let could_be_in_time = new.warm <= self.objective_left;
-        could_be_in_time && load < most && new.load < 1.0
+        could_be_in_time && load < most && new.load < 1.0 && !new.is_crowded
+    }
+
+    /// Decides whether an object that is warm nowhere gets a place.
+    ///
+    /// Where all upstreams are crowded and loaded, each new object pushes out another one that is then new in turn, and a
+    /// pool serves a fraction of what it could. Those that are warm are served first.
+    fn may_place<K>(new: &RankedChoice<K>, load: f64) -> bool {
+        !new.is_crowded || load < OPEN_LOAD
     }
 }
 
@@ -218,7 +230,11 @@
             best.as_ref().is_none_or(|best| ranked.rank > best.rank)
         };
         if !ranked.choice.is_warm {
-            if ranked.load < 1.0 + NEW_QUEUE_PART && is_earlier(&self.new) {
+            let order = |ranked: &RankedChoice<K>| {
+                (ranked.rank.is_near, !ranked.is_crowded, ranked.rank.score)
+            };
+            let is_better = |new: &RankedChoice<K>| order(&ranked) > order(new);
+            if ranked.load < 1.0 + NEW_QUEUE_PART && self.new.as_ref().is_none_or(is_better) {
                 self.new = Some(ranked);
             }
             return;
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -3,11 +3,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{DomainKey, RegionKey};
 
 use crate::atomic_time::AtomicTime;
 use crate::hashing::stable_hash;
+use crate::object_memory::RecentObjects;
 
 /// The failure level at which an upstream is avoided, in thousandths. Two failures in a row pass it, while one failure
 /// in ten answers does not.
@@ -64,6 +66,8 @@
     pub facts: UpstreamFacts,
     /// A hash of the id that all instances share.
     pub hash: u64,
+    /// The objects that were used there.
+    pub recent: ArcSwap<RecentObjects>,
     /// When its coldness ends.
     pub cold_until: AtomicTime,
     /// The next turn of this instance at the upstream while it is cold.
@@ -91,6 +95,7 @@
         let state = Self {
             hash: stable_hash(facts.id.as_bytes()),
             facts,
+            recent: ArcSwap::default(),
             cold_until: AtomicTime::default(),
             cold_turn: AtomicTime::default(),
             own_in_flight: AtomicU32::new(0),
--- a/crates/steering/src/warm_table.rs
+++ b/crates/steering/src/warm_table.rs
@@ -11,6 +11,7 @@
 use papaya::HashMap;
 
 use crate::hashing::{combine, stable_hash};
+use crate::object_memory::RecentObjects;
 
 /// Places that are remembered of one object.
 const PLACES: usize = 8;
@@ -24,13 +25,16 @@
 
 /// Copies of the places of one object, for one decision.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct WarmPlaces([u32; PLACES]);
+pub struct WarmPlaces([u64; PLACES]);
 
 impl WarmPlaces {
-    /// Tells whether an upstream handled the object lately.
+    /// Returns when an upstream handled the object, in milliseconds as [`RecentObjects`](crate::RecentObjects) has them, if it
+    /// did lately.
     #[must_use]
-    pub fn holds(&self, upstream: u64) -> bool {
-        self.0.contains(&short_hash(upstream))
+    pub fn used_at(&self, upstream: u64) -> Option<u32> {
+        let short = short_hash(upstream);
+        let held = self.0.iter().find(|word| hash_of(**word) == short)?;
+        Some(time_of(*held))
     }
 }
 
@@ -99,12 +103,30 @@
         for (place, slot) in places.0.iter().zip(&mut found.0) {
             let word = place.load(Ordering::Relaxed);
             if is_recent(word, now) {
-                *slot = hash_of(word);
+                *slot = word;
             }
         }
         found
     }
 
+    /// Returns the objects of each upstream, by its short hash.
+    #[must_use]
+    pub fn recent_objects(
+        &self,
+        now: MonotonicTime,
+    ) -> std::collections::HashMap<u32, RecentObjects> {
+        let mut used: std::collections::HashMap<u32, Vec<u32>> = std::collections::HashMap::new();
+        for places in self.objects.pin().values() {
+            let words = places.0.iter().map(|place| place.load(Ordering::Relaxed));
+            for word in words.filter(|word| is_recent(*word, now)) {
+                used.entry(hash_of(word)).or_default().push(time_of(word));
+            }
+        }
+        used.into_iter()
+            .map(|(upstream, used_at)| (upstream, RecentObjects::new(used_at)))
+            .collect()
+    }
+
     /// Returns the places of a part of the table, in order.
     #[must_use]
     pub fn part(&self, part: WarmPart, now: MonotonicTime) -> Vec<WarmPlace> {
@@ -154,7 +176,7 @@
 }
 
 /// Milliseconds since the start of the process; they wrap after 49 days, which only makes objects look forgotten.
-fn short_time(now: MonotonicTime) -> u32 {
+pub(crate) fn short_time(now: MonotonicTime) -> u32 {
     low_half(now.as_nanos() / 1_000_000)
 }
 
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -19,6 +19,7 @@
         in_flight: 0,
         slots: 9,
         is_warm: false,
+        is_crowded: false,
         slowness: 1.0,
     }
 }
@@ -95,6 +96,72 @@
             ],
             chosen: None,
         },
+        ChoiceCase {
+            name: "a request that came back late uses a free warm slot",
+            task: PlaceTask {
+                objective_left: Duration::ZERO,
+                ..task()
+            },
+            candidates: vec![warm(place("warm")), place("new")],
+            chosen: Some("warm"),
+        },
+        ChoiceCase {
+            name: "a request that came back late does not queue before others",
+            task: PlaceTask {
+                objective_left: Duration::ZERO,
+                ..task()
+            },
+            candidates: vec![warm(PlaceCandidate {
+                in_flight: 9,
+                ..place("warm")
+            })],
+            chosen: None,
+        },
+    ];
+    check_choices(cases);
+}
+
+/// Guards against new objects that push out those in use, and against a route that is not sent anywhere any more because its
+/// answers once took long.
+#[test]
+fn new_objects_take_free_memory_and_free_slots() {
+    let crowded = |key| PlaceCandidate {
+        is_crowded: true,
+        ..place(key)
+    };
+    let full_warm = PlaceCandidate {
+        is_warm: true,
+        in_flight: 23,
+        ..place("warm")
+    };
+    let cases = [
+        ChoiceCase {
+            name: "a new object goes where nothing is forgotten for it",
+            task: task(),
+            candidates: vec![
+                PlaceCandidate {
+                    weight: u64::MAX,
+                    ..crowded("crowded")
+                },
+                place("room"),
+            ],
+            chosen: Some("room"),
+        },
+        ChoiceCase {
+            name: "a late request opens no place where another object is forgotten for it",
+            task: task(),
+            candidates: vec![full_warm, crowded("crowded"), crowded("crowded too")],
+            chosen: None,
+        },
+        ChoiceCase {
+            name: "a loaded pool that remembers no more objects serves those it remembers",
+            task: task(),
+            candidates: vec![PlaceCandidate {
+                in_flight: 8,
+                ..crowded("crowded")
+            }],
+            chosen: None,
+        },
         ChoiceCase {
             name: "a free slot is tried although answers took longer than the deadline lately",
             task: task(),
@@ -117,27 +184,6 @@
             candidates: vec![place("idle")],
             chosen: None,
         },
-        ChoiceCase {
-            name: "a request that came back late uses a free warm slot",
-            task: PlaceTask {
-                objective_left: Duration::ZERO,
-                ..task()
-            },
-            candidates: vec![warm(place("warm")), place("new")],
-            chosen: Some("warm"),
-        },
-        ChoiceCase {
-            name: "a request that came back late does not queue before others",
-            task: PlaceTask {
-                objective_left: Duration::ZERO,
-                ..task()
-            },
-            candidates: vec![warm(PlaceCandidate {
-                in_flight: 9,
-                ..place("warm")
-            })],
-            chosen: None,
-        },
     ];
     check_choices(cases);
 }
@@ -242,6 +288,7 @@
                 },
                 in_flight,
                 slots: 9,
+                is_crowded: false,
                 is_warm: false,
                 slowness: 1.0 + 0.05 * f64::from(u32::try_from(upstream).unwrap()),
             })
