entry: a slow upstream is given up only for a place at another one

The patience was short because answers to doubled sends, which come in the time of a warm one, were taken for the time of a new object. Ruled out: the stop itself (the attempt was cancelled 15 ms before SIGTERM), a silent upstream. Change: the place at the other upstream is taken before the first attempt is cancelled; without one, the first goes on. Doubled sends teach neither the time of new objects nor what upstreams remember. Test: a_slow_upstream_is_not_given_up_while_there_is_no_other failed before with 502.

--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -11,7 +11,7 @@
 use crate::entry_metrics::CounterName;
 use crate::request_flow::RequestRun;
 use crate::shared_state::CrashNote;
-use crate::upstream_choice::TakenPlace;
+use crate::upstream_choice::{TakenPlace, take_place};
 use crate::upstream_exchange::{ExchangeEnd, ExchangeRequest, exchange};
 
 /// An idempotent request goes to another upstream after this many times the expected time.
@@ -55,6 +55,7 @@
         let listed = &self.context.snapshot.upstreams[place.key];
         let first = Box::pin(exchange(&self.context, listed, message(sent_body)));
         let is_doubled = self.wants_second_send(place, body);
+        place.set_doubled(is_doubled);
         let region = listed.state.facts.region;
         let delay = self.context.shared.distance(region) + SECOND_SEND_DELAY;
         let second = Box::pin(async {
@@ -114,10 +115,14 @@
             return end;
         }
         let is_late = self.context.remaining() < self.context.home_times().warm;
-        if is_late || self.context.shared.is_leaving() || !self.may_spare_retry() {
+        if is_late || self.context.shared.is_leaving() {
             return sent.await;
         }
-        ExchangeEnd::Silent
+        // An upstream that is only slow still answers, so it is not given up for nothing.
+        match take_place(&self.context, &self.tried) {
+            Some(other) if self.may_spare_retry() => ExchangeEnd::Silent(Box::new(other)),
+            _ => sent.await,
+        }
     }
 
     /// Records what the attempt tells of the upstream.
@@ -133,7 +138,7 @@
                 state.set_other();
                 AttemptOutcome::Lost
             }
-            ExchangeEnd::Broken | ExchangeEnd::Silent | ExchangeEnd::TimedOut => {
+            ExchangeEnd::Broken | ExchangeEnd::Silent(_) | ExchangeEnd::TimedOut => {
                 AttemptOutcome::Broken
             }
             ExchangeEnd::NotSent(_) => AttemptOutcome::Lost,
@@ -174,12 +179,13 @@
         let slot_time = &self.context.listed_pool().state.slot_time;
         slot_time.learn(took.saturating_sub(distance));
         let times = self.context.times(region);
-        let expected = if place.choice.is_warm {
+        // A request that is sent twice is answered in the time of a warm one, and tells nothing of the time of a new one.
+        let expected = if place.choice.is_warm || place.is_doubled() {
             times.warm
         } else {
             times.cold
         };
-        if place.choice.queue.is_zero() {
+        if place.choice.queue.is_zero() && !place.is_doubled() {
             self.learn_memory(place, took, times);
             let learned = &self.context.snapshot.times[self.context.route];
             learned.learn(region, times, place.choice.is_warm, took);
@@ -196,9 +202,7 @@
         };
         let now = self.context.shared.clock.now();
         let state = &self.context.snapshot.upstreams[place.key].state;
-        // A request that may be repeated is sent to a new place twice, and is answered soon also where it was forgotten.
-        let is_single = place.choice.is_warm || !self.context.route_plan().is_idempotent;
-        if is_single && state.slowness(now) < USUAL_SLOWNESS {
+        if state.slowness(now) < USUAL_SLOWNESS {
             let is_hit = took < (times.warm + times.cold) / 2;
             let memory = &self.context.listed_pool().state.memory;
             memory.learn(used_since, is_hit);
@@ -235,7 +239,7 @@
 fn may_have_run(end: &ExchangeEnd) -> bool {
     matches!(
         end,
-        ExchangeEnd::Foreign | ExchangeEnd::Broken | ExchangeEnd::Silent | ExchangeEnd::TimedOut
+        ExchangeEnd::Foreign | ExchangeEnd::Broken | ExchangeEnd::Silent(_) | ExchangeEnd::TimedOut
     )
 }
 
@@ -249,7 +253,7 @@
         ExchangeEnd::OtherUpstream => "other_upstream",
         ExchangeEnd::Foreign => "foreign_answer",
         ExchangeEnd::Broken => "broken",
-        ExchangeEnd::Silent => "silent",
+        ExchangeEnd::Silent(_) => "silent",
         ExchangeEnd::TimedOut => "timed_out",
     }
 }
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -79,6 +79,8 @@
     pub(crate) tried: Vec<UpstreamKey>,
     /// Attempts that reached an upstream.
     pub(crate) sends: u32,
+    /// The place for the next attempt, if it was taken already.
+    pub(crate) next_place: Option<TakenPlace>,
     failed_connects: u32,
     may_have_run: bool,
     /// An upstream's own failure, which is delivered if no other upstream succeeds.
@@ -104,6 +106,7 @@
             headers,
             tried: Vec::new(),
             sends: 0,
+            next_place: None,
             failed_connects: 0,
             may_have_run: false,
             failure: None,
@@ -190,9 +193,10 @@
                 self.may_have_run = true;
                 self.repeat_or(body, RejectKind::UpstreamFailed)
             }
-            ExchangeEnd::Silent => {
+            ExchangeEnd::Silent(other) => {
                 // The retry was taken when the wait ended.
                 self.may_have_run = true;
+                self.next_place = Some(*other);
                 AfterAttempt::TryAgain
             }
             ExchangeEnd::TimedOut => {
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -19,12 +19,15 @@
 impl RequestRun {
     /// Finds an upstream that can answer in time, and waits for one as long as the objective can still be met.
     pub(crate) async fn find_place(
-        &self,
+        &mut self,
         record: &mut RequestRecord,
     ) -> Result<TakenPlace, RejectKind> {
         if self.context.remaining().is_zero() {
             return Err(RejectKind::TimedOut);
         }
+        if let Some(place) = self.next_place.take() {
+            return Ok(place);
+        }
         self.check_stop()?;
         if let Some(place) = take_place(&self.context, &self.tried) {
             return Ok(place);
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -1,6 +1,7 @@
 //! Lists the upstreams that a request may go to, and takes the chosen one.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
@@ -25,6 +26,8 @@
     pub used_since: Option<usize>,
     /// When it was taken.
     pub started: MonotonicTime,
+    /// Whether the request is sent there twice.
+    is_doubled: AtomicBool,
     state: Arc<UpstreamState>,
     pool: PoolState,
 }
@@ -45,6 +48,7 @@
             choice,
             used_since,
             started: context.shared.clock.now(),
+            is_doubled: AtomicBool::new(false),
             state,
             pool: context.listed_pool().state.clone(),
         }
@@ -58,6 +62,17 @@
 }
 
 impl TakenPlace {
+    /// Notes whether the request is sent there twice.
+    pub fn set_doubled(&self, is_doubled: bool) {
+        self.is_doubled.store(is_doubled, Ordering::Relaxed);
+    }
+
+    /// Tells whether the request was sent there twice.
+    #[must_use]
+    pub fn is_doubled(&self) -> bool {
+        self.is_doubled.load(Ordering::Relaxed)
+    }
+
     /// Counts a second request at the upstream.
     #[must_use]
     pub fn second_send(&self) -> SecondSend {
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -12,6 +12,7 @@
 
 use crate::entry_snapshot::ListedUpstream;
 use crate::request_context::RequestContext;
+use crate::upstream_choice::TakenPlace;
 
 /// An answer up to this many bytes is read whole before any of it is passed on, so that the request can still be sent
 /// again if it breaks off.
@@ -61,8 +62,9 @@
     Foreign,
     /// The connection broke. The request may have run.
     Broken,
-    /// No answer came in several times the expected time. The request may have run, and goes to another upstream.
-    Silent,
+    /// No answer came in several times the expected time. The request may have run, and goes to this place at another
+    /// upstream.
+    Silent(Box<TakenPlace>),
     /// No answer came before the deadline. The request may have run.
     TimedOut,
 }
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -514,3 +514,27 @@
     }
     assert_eq!(fleet.upstreams[0].runs().len(), 40);
 }
+
+/// Guards against a request that is given up although its upstream is at work, only because another one would be asked if
+/// there were any.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_upstream_is_not_given_up_while_there_is_no_other() {
+    let fleet = PlatformFleet::start(FleetWish {
+        name: "slow",
+        ..FleetWish::default()
+    })
+    .await;
+    let call = |attempt_id: &str| {
+        CallRequest::new(Method::GET, "/previews/1")
+            .header("host", SHOP_HOST)
+            .header("coltsfootkeel-attempt-id", attempt_id)
+            .header("coltsfootkeel-request-deadline", "3000")
+            .header("coltsfootkeel-affinity-key", "one-object")
+            .header("authorization", &format!("Token {SHOP_KEY}"))
+    };
+    let usual = fleet.call(0, &call("usual")).await.unwrap();
+    assert_eq!(usual.status, 200);
+    fleet.upstreams[0].set_mood(UpstreamMood::Slow);
+    let slow = fleet.call(0, &call("slow")).await.unwrap();
+    assert_eq!(slow.status, 200);
+}
--- a/crates/standins/src/signed_upstream.rs
+++ b/crates/standins/src/signed_upstream.rs
@@ -28,6 +28,9 @@
 /// Requests that run at once.
 const SLOTS: usize = 9;
 
+/// What a slow upstream takes longer.
+const SLOWNESS: Duration = Duration::from_secs(1);
+
 /// How an upstream behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum UpstreamMood {
@@ -44,6 +47,8 @@
     AnswersOthers,
     /// It answers without a signature.
     Unsigned,
+    /// It takes a second longer for each request.
+    Slow,
 }
 
 /// A request that ran.
@@ -169,12 +174,15 @@
             began: Instant::now(),
         });
         tokio::time::sleep(self.work_time(headers)).await;
+        if mood == UpstreamMood::Slow {
+            tokio::time::sleep(SLOWNESS).await;
+        }
         match mood {
             UpstreamMood::LosesAnswers => Response::new(Body::from_body(BrokenBody)),
             UpstreamMood::Silent => std::future::pending().await,
             UpstreamMood::AnswersOthers => self.reply(StatusCode::OK, "another-request", true),
             UpstreamMood::Unsigned => self.reply(StatusCode::OK, &attempt_id, false),
-            UpstreamMood::Sound | UpstreamMood::Sheds => {
+            UpstreamMood::Sound | UpstreamMood::Sheds | UpstreamMood::Slow => {
                 self.reply(StatusCode::OK, &attempt_id, true)
             }
         }
