--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -11,7 +11,7 @@
 use crate::entry_metrics::CounterName;
 use crate::request_flow::RequestRun;
 use crate::shared_state::CrashNote;
-use crate::upstream_choice::{TakenPlace, take_place};
+use crate::upstream_choice::{TakenPlace, has_spare_retry, take_place};
 use crate::upstream_exchange::{ExchangeEnd, ExchangeRequest, exchange};
 
 /// An idempotent request goes to another upstream after this many times the expected time.
@@ -115,7 +115,7 @@
             return end;
         }
         let is_late = self.context.remaining() < self.context.home_times().warm;
-        if is_late || self.context.shared.is_leaving() {
+        if is_late || self.context.shared.is_leaving() || !has_spare_retry(&self.context) {
             return sent.await;
         }
         // An upstream that is only slow still answers, so it is not given up for nothing.
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -163,11 +163,14 @@
 
 /// Tells whether the request can be sent twice to a place that is not warm.
 fn may_move(context: &RequestContext) -> bool {
+    context.route_plan().is_idempotent && context.object.is_some() && has_spare_retry(context)
+}
+
+/// Tells whether a retry is left beyond those that are kept for failures.
+pub fn has_spare_retry(context: &RequestContext) -> bool {
     let retries = &context.listed_pool().state.retries;
     let shared = &context.shared;
-    context.route_plan().is_idempotent
-        && context.object.is_some()
-        && retries.has_spare_retry(shared.retry_bound(), shared.instance_count())
+    retries.has_spare_retry(shared.retry_bound(), shared.instance_count())
 }
 
 /// Chooses an upstream that no instance has used, for a request that may be repeated.
