--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -132,6 +132,7 @@
         objective: context.route_plan().objective,
         objective_left: context.objective_left(),
         deadline_left: context.remaining(),
+        has_large_bodies: context.route_plan().has_large_bodies,
         may_move: may_move(context),
     };
     let salt = context.object.unwrap_or_else(|| fastrand::u64(..));
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -12,6 +12,7 @@
 //!     objective: Duration::from_millis(500),
 //!     objective_left: Duration::from_millis(500),
 //!     deadline_left: Duration::from_secs(3),
+//!     has_large_bodies: false,
 //!     may_move: false,
 //! };
 //! let place = |key, is_warm| PlaceCandidate {
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -24,6 +24,8 @@
 /// How many times more objects an upstream in the caller's region attracts. It keeps most of the traffic in
 /// the region and still spreads the load of a region with few upstreams over the others.
 const HOME_FACTOR: f64 = 6.0;
+/// The same for requests with large bodies, which cost more bytes and several round trips on the way to another region.
+const LARGE_BODY_HOME_FACTOR: f64 = 30.0;
 /// An upstream that is slower than this attracts fewer objects. Below, its slowness may be chance, and the order of
 /// upstreams must not change by chance.
 const SLOW: f64 = 1.6;
@@ -62,6 +64,8 @@
     pub objective_left: Duration,
     /// What is left of the deadline.
     pub deadline_left: Duration,
+    /// Whether requests like this have large bodies.
+    pub has_large_bodies: bool,
     /// Whether the object may move to a place that is not warm yet, because the request can be sent there twice.
     pub may_move: bool,
 }
@@ -124,7 +128,11 @@
             1.0
         };
         let warm = candidate.times.warm.mul_f64(slowness);
-        let factor = if candidate.is_home { HOME_FACTOR } else { 1.0 };
+        let factor = match (candidate.is_home, self.has_large_bodies) {
+            (false, _) => 1.0,
+            (true, false) => HOME_FACTOR,
+            (true, true) => LARGE_BODY_HOME_FACTOR,
+        };
         let weight = f64::from(candidate.slots) * factor / slowness;
         PlaceRank {
             is_near: warm <= self.objective.mul_f64(NEAR_PART),
--- a/crates/steering/src/plan.rs
+++ b/crates/steering/src/plan.rs
@@ -40,6 +40,8 @@
     pub path_prefix: String,
     /// Whether its requests may run more than once.
     pub is_idempotent: bool,
+    /// Whether its requests have large bodies.
+    pub has_large_bodies: bool,
     /// The longest time that a caller is kept waiting.
     pub timeout: Duration,
     /// The time within which an answer has its full worth.
@@ -238,6 +240,7 @@
         name: raw.name,
         path_prefix: raw.path_prefix,
         is_idempotent: raw.is_idempotent,
+        has_large_bodies: raw.has_large_bodies,
         timeout: raw.timeout,
         objective: raw.objective,
         rank: raw.rank,
--- a/crates/steering/src/raw_plan.rs
+++ b/crates/steering/src/raw_plan.rs
@@ -28,6 +28,8 @@
     pub path_prefix: String,
     /// Whether its requests may run more than once.
     pub is_idempotent: bool,
+    /// Whether its requests have large bodies.
+    pub has_large_bodies: bool,
     /// The longest time that a caller is kept waiting.
     pub timeout: Duration,
     /// The time within which an answer has its full worth.
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -30,6 +30,7 @@
         objective: 500 * MS,
         objective_left: 490 * MS,
         deadline_left: 3_000 * MS,
+        has_large_bodies: false,
         may_move: false,
     }
 }
--- a/crates/steering/tests/plans.rs
+++ b/crates/steering/tests/plans.rs
@@ -22,6 +22,7 @@
         host: "Shop.example".to_string(),
         path_prefix: path_prefix.to_string(),
         is_idempotent: true,
+        has_large_bodies: false,
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(500),
         rank: 1,
