--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -237,7 +237,7 @@
     /// Counts the objects at each upstream, and decides how many an upstream remembers.
     fn count_objects(&self, now: MonotonicTime) {
         let recent = self.shared.warm.recent_objects(now);
-        self.registry.set_recent_objects(recent);
+        self.registry.set_recent_objects(recent, now);
         let snapshot = self.shared.snapshot.load();
         let Some(snapshot) = snapshot.as_ref() else {
             return;
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -83,7 +83,7 @@
         let route = self.context.route_plan();
         let is_first_touch = !place.choice.is_warm && self.context.object.is_some();
         is_first_touch
-            && route.is_idempotent
+            && route.is_idempotent()
             && body.is_replayable()
             && place.choice.queue.is_zero()
             && self.may_spare_retry()
@@ -104,7 +104,7 @@
         sent: impl Future<Output = ExchangeEnd>,
     ) -> ExchangeEnd {
         let mut sent = std::pin::pin!(sent);
-        let may_repeat = self.context.route_plan().is_idempotent && is_replayable;
+        let may_repeat = self.context.route_plan().is_idempotent() && is_replayable;
         let has_attempt = self.sends < self.context.route_plan().max_attempts;
         if !may_repeat || !has_attempt || self.context.shared.is_leaving() {
             return sent.await;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -212,7 +212,7 @@
         }
         self.may_have_run = true;
         let has_time = self.context.remaining() > self.context.home_times().warm;
-        if has_time && self.context.route_plan().is_idempotent && self.may_send_again(body) {
+        if has_time && self.context.route_plan().is_idempotent() && self.may_send_again(body) {
             self.failure = Some(answer);
             return AfterAttempt::TryAgain;
         }
@@ -221,7 +221,7 @@
 
     /// Decides after an attempt that may have run.
     fn repeat_or(&self, body: &CallerBody, kind: RejectKind) -> AfterAttempt {
-        let may_repeat = self.context.route_plan().is_idempotent;
+        let may_repeat = self.context.route_plan().is_idempotent();
         if may_repeat && !self.context.remaining().is_zero() && self.may_send_again(body) {
             AfterAttempt::TryAgain
         } else {
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -132,7 +132,7 @@
         objective: context.route_plan().objective,
         objective_left: context.objective_left(),
         deadline_left: context.remaining(),
-        has_large_bodies: context.route_plan().has_large_bodies,
+        has_large_bodies: context.route_plan().has_large_bodies(),
         may_move: may_move(context),
     };
     let salt = context.object.unwrap_or_else(|| fastrand::u64(..));
@@ -164,7 +164,7 @@
 
 /// Tells whether the request can be sent twice to a place that is not warm.
 fn may_move(context: &RequestContext) -> bool {
-    context.route_plan().is_idempotent && context.object.is_some() && has_spare_retry(context)
+    context.route_plan().is_idempotent() && context.object.is_some() && has_spare_retry(context)
 }
 
 /// Tells whether a retry is left beyond those that are kept for failures.
@@ -179,7 +179,7 @@
     context: &RequestContext,
     mut candidates: impl Iterator<Item = PlaceCandidate<UpstreamKey>>,
 ) -> Option<PlaceChoice<UpstreamKey>> {
-    if !context.route_plan().is_idempotent {
+    if !context.route_plan().is_idempotent() {
         return None;
     }
     let untried = candidates.find(|candidate| {
@@ -276,7 +276,7 @@
         in_flight: state.in_flight(),
         slots: state.facts.slots,
         is_warm: used_since(state, warm).is_some_and(|others| others < kept),
-        is_crowded: state.recent.load().in_use(now) >= kept,
+        is_crowded: state.objects_in_use() >= kept,
         slowness: state.slowness(now),
     }
 }
@@ -284,7 +284,7 @@
 /// Returns how many other objects were used at an upstream since it handled this one, if it did lately.
 fn used_since(state: &UpstreamState, warm: &WarmPlaces) -> Option<usize> {
     let used_at = warm.used_at(state.hash)?;
-    Some(state.recent.load().used_since(used_at))
+    Some(state.used_since(used_at))
 }
 
 /// Takes this instance's next turn at a cold upstream.
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -141,7 +141,7 @@
 }
 
 fn reuse_rule(context: &RequestContext, listed: &ListedUpstream, now: MonotonicTime) -> ReuseRule {
-    let is_idempotent = context.route_plan().is_idempotent;
+    let is_idempotent = context.route_plan().is_idempotent();
     match (is_idempotent, listed.state.doubts_connections(now)) {
         (true, _) => ReuseRule::REPEATABLE,
         (false, false) => ReuseRule::ONCE_ONLY,
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -178,11 +178,11 @@
     }
 
     /// Sets the objects that were used at each upstream, by its short hash.
-    pub fn set_recent_objects(&self, mut recent: HashMap<u32, RecentObjects>) {
+    pub fn set_recent_objects(&self, mut recent: HashMap<u32, RecentObjects>, now: MonotonicTime) {
         for known in self.upstreams.values() {
             let state = &known.listed.state;
             let objects = recent.remove(&short_hash(state.hash));
-            state.recent.store(Arc::new(objects.unwrap_or_default()));
+            state.set_recent(objects.unwrap_or_default(), now);
         }
     }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -64,7 +64,7 @@
 pub use plan::{AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SplitShare, SteeringPlan};
 pub use plan_freshness::PlanFreshness;
 pub use quota_share::{QuotaAccount, QuotaExcess, QuotaGate, QuotaLimit, QuotaReport};
-pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget};
+pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind};
 pub use retry_share::{RetryBound, RetryShare};
 pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
 pub use store_readers::is_store_reader;
--- a/crates/steering/src/plan.rs
+++ b/crates/steering/src/plan.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 
 use crate::places::{PlaceTable, RegionSet};
-use crate::raw_plan::{CallerLimits, RawAccount, RawPlan, RawRoute};
+use crate::raw_plan::{CallerLimits, RawAccount, RawPlan, RawRoute, RouteKind};
 
 /// The SHA-256 digest of an access key. Keys themselves are not kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -38,10 +38,8 @@
     pub name: String,
     /// The beginning of its paths.
     pub path_prefix: String,
-    /// Whether its requests may run more than once.
-    pub is_idempotent: bool,
-    /// Whether its requests have large bodies.
-    pub has_large_bodies: bool,
+    /// What its requests are like.
+    pub kind: RouteKind,
     /// The longest time that a caller is kept waiting.
     pub timeout: Duration,
     /// The time within which an answer has its full worth.
@@ -63,6 +61,18 @@
 }
 
 impl RoutePlan {
+    /// Tells whether its requests may run more than once.
+    #[must_use]
+    pub fn is_idempotent(&self) -> bool {
+        self.kind == RouteKind::Idempotent
+    }
+
+    /// Tells whether its requests have large bodies.
+    #[must_use]
+    pub fn has_large_bodies(&self) -> bool {
+        self.kind == RouteKind::Upload
+    }
+
     /// Returns the pool for a request, given a number that is uniform in 0 to 1.
     #[must_use]
     pub fn pool(&self, uniform: f64) -> Option<PoolKey> {
@@ -239,8 +249,7 @@
     Ok(RoutePlan {
         name: raw.name,
         path_prefix: raw.path_prefix,
-        is_idempotent: raw.is_idempotent,
-        has_large_bodies: raw.has_large_bodies,
+        kind: raw.kind,
         timeout: raw.timeout,
         objective: raw.objective,
         rank: raw.rank,
--- a/crates/steering/src/raw_plan.rs
+++ b/crates/steering/src/raw_plan.rs
@@ -17,6 +17,17 @@
     pub limits: CallerLimits,
 }
 
+/// What the requests of a route are like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// They may run more than once.
+    Idempotent,
+    /// They must not run more than once.
+    NonIdempotent,
+    /// They must not run more than once, and have large bodies.
+    Upload,
+}
+
 /// A route.
 #[derive(Debug, Clone)]
 pub struct RawRoute {
@@ -26,10 +37,8 @@
     pub host: String,
     /// The beginning of the paths.
     pub path_prefix: String,
-    /// Whether its requests may run more than once.
-    pub is_idempotent: bool,
-    /// Whether its requests have large bodies.
-    pub has_large_bodies: bool,
+    /// What its requests are like.
+    pub kind: RouteKind,
     /// The longest time that a caller is kept waiting.
     pub timeout: Duration,
     /// The time within which an answer has its full worth.
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -1,6 +1,7 @@
 //! What an instance knows of one upstream: requests in flight, how it answers, and whether it is cold or avoided.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -67,7 +68,8 @@
     /// A hash of the id that all instances share.
     pub hash: u64,
     /// The objects that were used there.
-    pub recent: ArcSwap<RecentObjects>,
+    recent: ArcSwap<RecentObjects>,
+    objects_in_use: AtomicUsize,
     /// When its coldness ends.
     pub cold_until: AtomicTime,
     /// The next turn of this instance at the upstream while it is cold.
@@ -96,6 +98,7 @@
             hash: stable_hash(facts.id.as_bytes()),
             facts,
             recent: ArcSwap::default(),
+            objects_in_use: AtomicUsize::new(0),
             cold_until: AtomicTime::default(),
             cold_turn: AtomicTime::default(),
             own_in_flight: AtomicU32::new(0),
@@ -168,6 +171,25 @@
         self.is_untried.load(Ordering::Relaxed)
     }
 
+    /// Sets the objects that were used there.
+    pub fn set_recent(&self, recent: RecentObjects, now: MonotonicTime) {
+        let in_use = recent.in_use(now);
+        self.objects_in_use.store(in_use, Ordering::Relaxed);
+        self.recent.store(Arc::new(recent));
+    }
+
+    /// Returns how many objects were used there after one that was used at `used_at`.
+    #[must_use]
+    pub fn used_since(&self, used_at: u32) -> usize {
+        self.recent.load().used_since(used_at)
+    }
+
+    /// Returns how many objects are in use there.
+    #[must_use]
+    pub fn objects_in_use(&self) -> usize {
+        self.objects_in_use.load(Ordering::Relaxed)
+    }
+
     /// Records how an attempt ended.
     pub fn record(&self, outcome: AttemptOutcome, now: MonotonicTime) {
         let level = self.failure_level.load(Ordering::Relaxed);
--- a/crates/steering/tests/plans.rs
+++ b/crates/steering/tests/plans.rs
@@ -5,7 +5,7 @@
 
 use coltsfootkeel_steering::{
     CallerLimits, PlaceTable, PlanError, RawAccount, RawPlan, RawPool, RawRoute, RawTarget,
-    SteeringPlan,
+    RouteKind, SteeringPlan,
 };
 
 fn places() -> PlaceTable {
@@ -21,8 +21,7 @@
         name: name.to_string(),
         host: "Shop.example".to_string(),
         path_prefix: path_prefix.to_string(),
-        is_idempotent: true,
-        has_large_bodies: false,
+        kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(500),
         rank: 1,
