entry: untried upstreams are looked for without building all candidates

Each idempotent request built the candidates of its pool twice, once only to look for an upstream that no instance has used. The few that are untried are asked for first now. Two tests share one builder of requests about an object.

--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -141,7 +141,7 @@
     let candidates = upstreams
         .filter(is_eligible)
         .map(|key| candidate(context, key, salt, &warm, now));
-    let choice = match untried_choice(context, candidates.clone()) {
+    let choice = match untried_choice(context, is_eligible) {
         Some(choice) => choice,
         None => task.choose(candidates)?,
     };
@@ -177,18 +177,20 @@
 /// Chooses an upstream that no instance has used, for a request that may be repeated.
 fn untried_choice(
     context: &RequestContext,
-    mut candidates: impl Iterator<Item = PlaceCandidate<UpstreamKey>>,
+    is_eligible: impl Fn(&UpstreamKey) -> bool,
 ) -> Option<PlaceChoice<UpstreamKey>> {
     if !context.route_plan().is_idempotent() {
         return None;
     }
-    let untried = candidates.find(|candidate| {
-        let state = &context.snapshot.upstreams[candidate.key].state;
-        state.is_untried() && candidate.in_flight == 0
-    })?;
-    (untried.times.cold <= context.remaining()).then_some(PlaceChoice {
-        key: untried.key,
-        expected: untried.times.cold,
+    let state = |key: UpstreamKey| &context.snapshot.upstreams[key].state;
+    // Few upstreams are untried, so that is asked first.
+    let is_untried = |key: &UpstreamKey| state(*key).is_untried() && state(*key).in_flight() == 0;
+    let mut upstreams = context.listed_pool().upstreams.iter().copied();
+    let key = upstreams.find(|key| is_untried(key) && is_eligible(key))?;
+    let cold = context.times(state(key).facts.region).cold;
+    (cold <= context.remaining()).then_some(PlaceChoice {
+        key,
+        expected: cold,
         queue: Duration::ZERO,
         is_warm: false,
     })
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -18,6 +18,16 @@
     shop_request(method, path, attempt_id, SHOP_KEY)
 }
 
+/// Returns a request with the usual key that concerns an object.
+fn object_request(method: Method, path: &str, attempt_id: &str, object: &str) -> CallRequest {
+    CallRequest::new(method, path)
+        .header("host", SHOP_HOST)
+        .header("coltsfootkeel-attempt-id", attempt_id)
+        .header("coltsfootkeel-request-deadline", "3000")
+        .header("coltsfootkeel-affinity-key", object)
+        .header("authorization", &format!("Token {SHOP_KEY}"))
+}
+
 struct AnswerCase {
     name: &'static str,
     method: Method,
@@ -481,12 +491,8 @@
     })
     .await;
     let call = |object: usize, turn: &str| {
-        CallRequest::new(Method::POST, "/orders/1")
-            .header("host", SHOP_HOST)
-            .header("coltsfootkeel-attempt-id", &format!("{turn}-{object}"))
-            .header("coltsfootkeel-request-deadline", "3000")
-            .header("coltsfootkeel-affinity-key", &object.to_string())
-            .header("authorization", &format!("Token {SHOP_KEY}"))
+        let id = format!("{turn}-{object}");
+        object_request(Method::POST, "/orders/1", &id, &object.to_string())
     };
     for object in 0..20 {
         let answer = fleet.call(0, &call(object, "before")).await.unwrap();
@@ -524,14 +530,7 @@
         ..FleetWish::default()
     })
     .await;
-    let call = |attempt_id: &str| {
-        CallRequest::new(Method::GET, "/previews/1")
-            .header("host", SHOP_HOST)
-            .header("coltsfootkeel-attempt-id", attempt_id)
-            .header("coltsfootkeel-request-deadline", "3000")
-            .header("coltsfootkeel-affinity-key", "one-object")
-            .header("authorization", &format!("Token {SHOP_KEY}"))
-    };
+    let call = |id: &str| object_request(Method::GET, "/previews/1", id, "one-object");
     let usual = fleet.call(0, &call("usual")).await.unwrap();
     assert_eq!(usual.status, 200);
     fleet.upstreams[0].set_mood(UpstreamMood::Slow);
