steering, entry: requests and metrics tell the region and the reason of each placement

Change: each placement has a reason and the upstream that the object prefers whatever its load; request lines name region, reason and preferred region, and placements_total counts attempts by region and reason. No decision changes.

--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -4,6 +4,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use coltsfootkeel_model::{Arena, RegionKey};
+use coltsfootkeel_steering::PlacementReason;
+
 /// Upper bounds of the latency buckets in milliseconds.
 const LATENCY_BOUNDS_MS: [u64; 12] = [
     5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 10_000, 30_000,
@@ -108,10 +111,14 @@
     }
 }
 
+/// The attempts at upstreams of one region, by [`PlacementReason`].
+type PlacementCounters = [AtomicU64; PlacementReason::ALL.len()];
+
 /// The counters and histograms of the process.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EntryMetrics {
     counters: [AtomicU64; COUNTERS.len()],
+    placements: Arena<RegionKey, PlacementCounters>,
     /// The time from the arrival of a request to the start of its response.
     pub latency: LatencyHistogram,
     /// The time that requests spent in the queue of a pool.
@@ -134,6 +141,22 @@
 }
 
 impl EntryMetrics {
+    /// Creates metrics with the value zero, for upstreams in `regions` regions.
+    #[must_use]
+    pub fn new(regions: usize) -> Self {
+        Self {
+            counters: Default::default(),
+            placements: (0..regions).map(|_| Default::default()).collect(),
+            latency: LatencyHistogram::default(),
+            waits: LatencyHistogram::default(),
+        }
+    }
+
+    /// Counts an attempt at an upstream of a region.
+    pub fn count_placement(&self, region: RegionKey, reason: PlacementReason) {
+        self.placements[region][reason as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Increments a counter.
     pub fn count(&self, name: CounterName) {
         self.counters[name as usize].fetch_add(1, Ordering::Relaxed);
@@ -145,15 +168,36 @@
         self.counters[CounterName::Requests as usize].load(Ordering::Relaxed) > 0
     }
 
-    /// Returns all metrics in the text format.
+    /// Returns all metrics in the text format. `regions` holds the names of the regions.
     #[must_use]
-    pub fn render(&self, gauges: GaugeValues) -> String {
+    pub fn render(&self, gauges: GaugeValues, regions: &Arena<RegionKey, String>) -> String {
         let mut text = String::new();
         // Writing to a string cannot fail.
-        let _ = self.write(&mut text, gauges);
+        let _ = self
+            .write(&mut text, gauges)
+            .and_then(|()| self.write_placements(&mut text, regions));
         text
     }
 
+    fn write_placements(
+        &self,
+        text: &mut String,
+        regions: &Arena<RegionKey, String>,
+    ) -> std::fmt::Result {
+        writeln!(text, "# TYPE coltsfootkeel_placements_total counter")?;
+        for (region, name) in regions.iter() {
+            for reason in PlacementReason::ALL {
+                let value = self.placements[region][reason as usize].load(Ordering::Relaxed);
+                let code = reason.code();
+                writeln!(
+                    text,
+                    "coltsfootkeel_placements_total{{region=\"{name}\",reason=\"{code}\"}} {value}"
+                )?;
+            }
+        }
+        Ok(())
+    }
+
     fn write(&self, text: &mut String, gauges: GaugeValues) -> std::fmt::Result {
         for (counter, name) in COUNTERS {
             let value = self.counters[counter as usize].load(Ordering::Relaxed);
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -127,7 +127,7 @@
                 .count()
         });
         let now = self.shared.clock.now_with_suspension();
-        let text = self.shared.metrics.render(GaugeValues {
+        let gauges = GaugeValues {
             plan_version: snapshot
                 .as_ref()
                 .map_or(0, |snapshot| snapshot.plan.version),
@@ -135,7 +135,9 @@
             in_flight: self.shared.in_flight.load(Ordering::Acquire),
             usable_upstreams: usable,
             instances: self.shared.fleet.load().hashes.len(),
-        });
+        };
+        let regions = &self.shared.topology.regions;
+        let text = self.shared.metrics.render(gauges, regions);
         let mut response = Response::new(Body::from(text));
         let kind = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(CONTENT_TYPE, kind);
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -43,7 +43,13 @@
         } else {
             CounterName::ColdSends
         };
+        let listed = &self.context.snapshot.upstreams[reservation.key];
+        let region = listed.state.info.region;
         self.context.shared.metrics.count(counter);
+        self.context
+            .shared
+            .metrics
+            .count_placement(region, reservation.decision.reason);
         self.tried.push(reservation.key);
         self.sent_attempts += 1;
         let message = |attempt_body| ExchangeRequest {
@@ -54,11 +60,9 @@
             body_bytes: is_replayable.then_some(body.bytes().len() as u64),
             deadline: self.context.deadline,
         };
-        let listed = &self.context.snapshot.upstreams[reservation.key];
         let first = Box::pin(exchange(&self.context, listed, message(sent_body)));
         let is_hedged = self.try_reserve_hedge(reservation, body);
         reservation.set_hedged(is_hedged);
-        let region = listed.state.info.region;
         let delay = self.context.shared.round_trip(region) + HEDGE_DELAY;
         let second = Box::pin(async {
             tokio::time::sleep(delay).await;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -141,12 +141,7 @@
                 Err(kind) => return self.give_up(kind, in_flight_guard),
             };
             let outcome = self.attempt(&reservation, &mut body).await;
-            let is_warm = reservation.decision.is_warm;
-            request_log.record_attempt(
-                self.upstream_id(&reservation),
-                is_warm,
-                outcome_code(&outcome),
-            );
+            request_log.record_attempt(&self.context, &reservation, outcome_code(&outcome));
             self.record_outcome(&reservation, &outcome, fingerprint);
             match self.next_step(&reservation, outcome, &mut body) {
                 NextStep::Deliver(answer) => {
@@ -295,13 +290,6 @@
         deliver_answer(answer, deadline, reservation, in_flight_guard)
     }
 
-    fn upstream_id(&self, reservation: &SlotReservation) -> &str {
-        &self.context.snapshot.upstreams[reservation.key]
-            .state
-            .info
-            .id
-    }
-
     pub(crate) fn instant_of(&self, time: MonotonicTime) -> Instant {
         Instant::from_std(self.context.shared.clock.instant_of(time))
     }
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::UpstreamKey;
 use http::StatusCode;
 
 use crate::entry_metrics::CounterName;
 use crate::rejection::{RejectKind, Rejection};
 use crate::request_context::RequestContext;
 use crate::shared_state::SharedState;
+use crate::upstream_choice::SlotReservation;
 
 /// Collects the values of a request's log line, which is written when the request ends. A log that is dropped before
 /// that records that the caller closed its connection.
@@ -27,8 +29,11 @@
     pub plan_version: u64,
     /// The hash of the object; zero without one.
     pub object: u64,
-    /// The attempts, separated by spaces: id of the upstream, `warm` or `new`, and outcome code.
+    /// The attempts, separated by spaces: id of the upstream, its region, the code of the reason for selecting it, and
+    /// outcome code.
     pub attempts: String,
+    /// The region of the first upstream in the object's preference order, as of the first attempt; empty before it.
+    pub preferred_region: String,
     /// The time that the request spent in the queue of its pool.
     pub waited: Duration,
     arrived: MonotonicTime,
@@ -47,6 +52,7 @@
             plan_version: 0,
             object: 0,
             attempts: String::new(),
+            preferred_region: String::new(),
             waited: Duration::ZERO,
             arrived,
             is_finished: false,
@@ -62,13 +68,26 @@
     }
 
     /// Adds an attempt with its outcome code.
-    pub fn record_attempt(&mut self, upstream: &str, is_warm: bool, outcome: &str) {
-        if !self.attempts.is_empty() {
+    pub fn record_attempt(
+        &mut self,
+        context: &RequestContext,
+        reservation: &SlotReservation,
+        outcome: &str,
+    ) {
+        let info = |key: UpstreamKey| &context.snapshot.upstreams[key].state.info;
+        let region_name = |key: UpstreamKey| &self.shared.topology.regions[info(key).region];
+        let decision = &reservation.decision;
+        if self.attempts.is_empty() {
+            self.preferred_region
+                .clone_from(region_name(decision.preferred));
+        } else {
             self.attempts.push(' ');
         }
-        let placement = if is_warm { "warm" } else { "new" };
+        let upstream = &info(decision.key).id;
+        let region = region_name(decision.key);
+        let reason = decision.reason.code();
         // Writing to a string cannot fail.
-        let _ = write!(self.attempts, "{upstream}:{placement}:{outcome}");
+        let _ = write!(self.attempts, "{upstream}:{region}:{reason}:{outcome}");
     }
 
     /// Writes the line of a request that was answered by an upstream.
@@ -107,6 +126,7 @@
             account = self.account.as_str(),
             status = status,
             object:% = format_args!("{:016x}", self.object),
+            preferred = self.preferred_region.as_str(),
             attempts = self.attempts.as_str(),
             waited_ms = milliseconds(self.waited),
             took_ms = milliseconds(duration),
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -129,6 +129,7 @@
         let home = HomeLocation {
             region: topology.domains[domain].region,
         };
+        let metrics = EntryMetrics::new(topology.regions.len());
         Some(Self {
             own_hash: stable_hash(settings.instance.as_bytes()),
             round_trips: topology
@@ -153,7 +154,7 @@
             crash_table: ArcSwap::default(),
             quota_refilled: Notify::new(),
             in_flight: Arc::default(),
-            metrics: EntryMetrics::default(),
+            metrics,
             events,
             is_stopping: AtomicBool::new(false),
             stopping_since: AtomicTime::default(),
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -11,8 +11,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::UpstreamKey;
 use coltsfootkeel_steering::{
-    PlacementDecision, PlacementRequest, RecentUpstreams, UpstreamCandidate, UpstreamState,
-    cold_send_interval, combine_hashes, short_hash,
+    PlacementDecision, PlacementReason, PlacementRequest, RecentUpstreams, UpstreamCandidate,
+    UpstreamState, cold_send_interval, combine_hashes, short_hash,
 };
 
 use crate::entry_snapshot::{ListedUpstream, PoolState};
@@ -202,6 +202,8 @@
     let cold = context.time_estimate(state(key).info.region).cold;
     (cold <= context.remaining()).then_some(PlacementDecision {
         key,
+        reason: PlacementReason::Untried,
+        preferred: key,
         expected: cold,
         queue_delay: Duration::ZERO,
         is_warm: false,
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -131,6 +131,14 @@
         serde_json::from_slice(&answer.body).unwrap()
     }
 
+    /// Returns the metrics of an instance.
+    pub async fn metrics(&self, instance: usize) -> String {
+        let address = self.instances[instance].options.addresses.metrics;
+        let request = CallRequest::new(Method::GET, "/metrics");
+        let answer = call_once(address, &request).await.unwrap();
+        String::from_utf8(answer.body.to_vec()).unwrap()
+    }
+
     /// Returns the requests that all upstreams have run.
     pub fn runs(&self) -> Vec<UpstreamRun> {
         let upstreams = self.upstreams.iter();
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -543,3 +543,27 @@
     let slow = fleet.call(0, &call("slow")).await.unwrap();
     assert_eq!(slow.status, 200);
 }
+
+/// Guards against metrics that do not tell in which region requests run and why.
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_placements_by_region_and_reason() {
+    let fleet = PlatformFleet::start(FleetSetup {
+        name: "placements",
+        ..FleetSetup::default()
+    })
+    .await;
+    for number in 0..3 {
+        let id = format!("attempt-{number}");
+        let call = object_request(Method::GET, "/previews/1", &id, "object");
+        assert_eq!(fleet.call(0, &call).await.unwrap().status, 200);
+    }
+    let metrics = fleet.metrics(0).await;
+    let count = |reason: &str, value| {
+        let line =
+            format!("coltsfootkeel_placements_total{{region=\"a\",reason=\"{reason}\"}} {value}\n");
+        assert!(metrics.contains(&line), "{line}{metrics}");
+    };
+    count("new", 1);
+    count("warm", 2);
+    count("overflow", 0);
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -66,7 +66,7 @@
 pub use crash_table::CrashTable;
 pub use hashing::{combine_hashes, stable_hash};
 pub use lookup_selection::{InstanceView, LookupQuery, select_instances};
-pub use placement::{PlacementDecision, PlacementRequest, UpstreamCandidate};
+pub use placement::{PlacementDecision, PlacementReason, PlacementRequest, UpstreamCandidate};
 pub use plan::{
     AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -76,11 +76,61 @@
     pub may_migrate: bool,
 }
 
+/// Why an upstream was selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementReason {
+    /// It is warm and answers within the objective.
+    Warm,
+    /// It is warm and has a free slot, and every warm upstream misses the objective.
+    Late,
+    /// The object is warm nowhere, and the upstream is the first in its preference order.
+    New,
+    /// The object is warm nowhere, and the upstreams that it prefers are full.
+    Overflow,
+    /// Every warm upstream misses the objective, so the object is placed at one more.
+    Expansion,
+    /// The object prefers it to the upstream where it is warm.
+    Migration,
+    /// No instance has sent it a request yet.
+    Untried,
+}
+
+impl PlacementReason {
+    /// All reasons.
+    pub const ALL: [Self; 7] = [
+        Self::Warm,
+        Self::Late,
+        Self::New,
+        Self::Overflow,
+        Self::Expansion,
+        Self::Migration,
+        Self::Untried,
+    ];
+
+    /// Returns the code of the reason in logs and metrics.
+    #[must_use]
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Warm => "warm",
+            Self::Late => "late",
+            Self::New => "new",
+            Self::Overflow => "overflow",
+            Self::Expansion => "expansion",
+            Self::Migration => "migration",
+            Self::Untried => "untried",
+        }
+    }
+}
+
 /// The upstream selected for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementDecision<K> {
     /// Key of the selected upstream.
     pub key: K,
+    /// Why it was selected.
+    pub reason: PlacementReason,
+    /// Key of the first upstream in the preference order of the object.
+    pub preferred: K,
     /// Expected time until the response, including the queue.
     pub expected: Duration,
     /// Expected time in the queue of the upstream.
@@ -99,8 +149,13 @@
 
 #[derive(Debug, Clone, Copy)]
 struct RankedCandidate<K> {
+    key: K,
     rank: UpstreamRank,
-    decision: PlacementDecision<K>,
+    is_warm: bool,
+    /// Expected time until the response, including the queue.
+    expected: Duration,
+    /// Expected time in the queue of the upstream.
+    queue_delay: Duration,
     /// Expected time to a warm answer without queueing.
     warm_time: Duration,
     /// Requests in flight per slot.
@@ -109,24 +164,6 @@
 }
 
 impl PlacementRequest {
-    /// Returns the decision for this candidate, with its estimated queue delay and response time.
-    fn evaluate<K: Copy>(&self, candidate: &UpstreamCandidate<K>) -> PlacementDecision<K> {
-        let service_time = if candidate.is_warm {
-            candidate.times.warm
-        } else {
-            candidate.times.cold
-        };
-        let excess = (candidate.in_flight + 1).saturating_sub(candidate.slots);
-        let rounds = f64::from(excess) / f64::from(candidate.slots.max(1));
-        let queue_delay = self.slot_time.mul_f64(rounds * candidate.slowness);
-        PlacementDecision {
-            key: candidate.key,
-            expected: queue_delay + service_time.mul_f64(candidate.slowness),
-            queue_delay,
-            is_warm: candidate.is_warm,
-        }
-    }
-
     /// Returns the candidate's position in the preference order: weighted rendezvous hashing over slots, region and
     /// slowness.
     fn rank<K>(&self, candidate: &UpstreamCandidate<K>) -> UpstreamRank {
@@ -158,16 +195,28 @@
         for candidate in candidates {
             best.add(self.rank_candidate(&candidate), self.objective_left);
         }
-        let chosen = match (best.warm_in_time, best.cold) {
-            (Some(warm), Some(cold)) if self.should_migrate(&warm, &cold, load) => Some(cold),
-            (Some(warm), _) => Some(warm),
-            (None, cold) if !best.has_warm => cold.filter(|cold| Self::may_place_new(cold, load)),
-            (None, Some(cold)) if self.should_expand(&best, &cold, load) => Some(cold),
-            (None, _) => best.warm_late,
+        let (chosen, reason) = match (best.warm_in_time, best.cold) {
+            (Some(warm), Some(cold)) if self.should_migrate(&warm, &cold, load) => {
+                (cold, PlacementReason::Migration)
+            }
+            (Some(warm), _) => (warm, PlacementReason::Warm),
+            (None, Some(cold)) if !best.has_warm && Self::may_place_new(&cold, load) => {
+                (cold, best.new_reason(&cold))
+            }
+            (None, Some(cold)) if best.has_warm && self.should_expand(&best, &cold, load) => {
+                (cold, PlacementReason::Expansion)
+            }
+            (None, _) => (best.warm_late?, PlacementReason::Late),
         };
-        chosen
-            .map(|chosen| chosen.decision)
-            .filter(|decision| decision.expected <= self.deadline_left || self.is_probe(decision))
+        let is_in_time = chosen.expected <= self.deadline_left || self.is_probe(&chosen);
+        is_in_time.then_some(PlacementDecision {
+            key: chosen.key,
+            reason,
+            preferred: best.preferred.map_or(chosen.key, |preferred| preferred.key),
+            expected: chosen.expected,
+            queue_delay: chosen.queue_delay,
+            is_warm: chosen.is_warm,
+        })
     }
 
     /// Returns whether a request is sent to a free slot although its answer is expected after its deadline.
@@ -175,15 +224,27 @@
     /// Load pattern: upstreams were slow and are idle now. The estimates recover only if requests are sent, so a
     /// request serves as a probe if at least half of its objective is left and its deadline is at least two objectives
     /// away.
-    fn is_probe<K>(&self, decision: &PlacementDecision<K>) -> bool {
+    fn is_probe<K>(&self, candidate: &RankedCandidate<K>) -> bool {
         let has_time = self.deadline_left >= self.objective * 2;
-        decision.queue_delay.is_zero() && has_time && self.objective_left * 2 >= self.objective
+        candidate.queue_delay.is_zero() && has_time && self.objective_left * 2 >= self.objective
     }
 
+    /// Returns the candidate with its rank, its estimated queue delay and response time.
     fn rank_candidate<K: Copy>(&self, candidate: &UpstreamCandidate<K>) -> RankedCandidate<K> {
+        let service_time = if candidate.is_warm {
+            candidate.times.warm
+        } else {
+            candidate.times.cold
+        };
+        let excess = (candidate.in_flight + 1).saturating_sub(candidate.slots);
+        let rounds = f64::from(excess) / f64::from(candidate.slots.max(1));
+        let queue_delay = self.slot_time.mul_f64(rounds * candidate.slowness);
         RankedCandidate {
+            key: candidate.key,
             rank: self.rank(candidate),
-            decision: self.evaluate(candidate),
+            is_warm: candidate.is_warm,
+            expected: queue_delay + service_time.mul_f64(candidate.slowness),
+            queue_delay,
             warm_time: candidate.times.warm.mul_f64(candidate.slowness),
             load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
             is_cache_full: candidate.is_cache_full,
@@ -245,6 +306,8 @@
     /// The first in the preference order among the candidates where the object is cold. Nearby candidates with free
     /// cache space go first.
     cold: Option<RankedCandidate<K>>,
+    /// The first in the preference order, whatever its load.
+    preferred: Option<RankedCandidate<K>>,
     has_warm: bool,
     has_nearby_warm: bool,
 }
@@ -255,6 +318,7 @@
             warm_in_time: None,
             warm_late: None,
             cold: None,
+            preferred: None,
             has_warm: false,
             has_nearby_warm: false,
         }
@@ -266,7 +330,10 @@
         let is_preferred = |best: &Option<RankedCandidate<K>>| {
             best.as_ref().is_none_or(|best| candidate.rank > best.rank)
         };
-        if !candidate.decision.is_warm {
+        if is_preferred(&self.preferred) {
+            self.preferred = Some(candidate);
+        }
+        if !candidate.is_warm {
             let order = |candidate: &RankedCandidate<K>| {
                 (
                     candidate.rank.is_nearby,
@@ -284,21 +351,28 @@
         }
         self.has_warm = true;
         self.has_nearby_warm |= candidate.rank.is_nearby;
-        if candidate.decision.expected <= objective_left
-            && candidate.load < 1.0 + MAX_WARM_QUEUE_FRACTION
-        {
+        if candidate.expected <= objective_left && candidate.load < 1.0 + MAX_WARM_QUEUE_FRACTION {
             if is_preferred(&self.warm_in_time) {
                 self.warm_in_time = Some(candidate);
             }
         } else if candidate.load < 1.0 {
             // A late answer has little value, so it must not delay requests that can still meet their objective.
-            let is_faster =
-                |late: &RankedCandidate<K>| candidate.decision.expected < late.decision.expected;
+            let is_faster = |late: &RankedCandidate<K>| candidate.expected < late.expected;
             if self.warm_late.as_ref().is_none_or(is_faster) {
                 self.warm_late = Some(candidate);
             }
         }
     }
+
+    /// Returns why an object that is warm nowhere is placed at `cold`.
+    fn new_reason(&self, cold: &RankedCandidate<K>) -> PlacementReason {
+        let is_later = |preferred: RankedCandidate<K>| preferred.rank > cold.rank;
+        if self.preferred.is_some_and(is_later) {
+            PlacementReason::Overflow
+        } else {
+            PlacementReason::New
+        }
+    }
 }
 
 /// Returns the number of requests in flight per slot over all candidates.
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coltsfootkeel_steering::{PlacementRequest, TimeEstimate, UpstreamCandidate};
+use coltsfootkeel_steering::{PlacementReason, PlacementRequest, TimeEstimate, UpstreamCandidate};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -307,3 +307,90 @@
         assert_eq!(key(0), key(8), "object {object}");
     }
 }
+
+struct ReasonCase {
+    name: &'static str,
+    may_migrate: bool,
+    candidates: Vec<UpstreamCandidate<&'static str>>,
+    reason: PlacementReason,
+    preferred: &'static str,
+}
+
+/// Guards against logs and metrics that do not tell an object that is placed where it prefers from one that leaves its
+/// preferred upstreams because they are full.
+#[test]
+fn the_reason_tells_why_a_request_leaves_its_preferred_upstream() {
+    let first = |in_flight, is_warm| UpstreamCandidate {
+        rendezvous_hash: u64::MAX,
+        in_flight,
+        is_warm,
+        ..candidate("first")
+    };
+    let warm_second = |in_flight| UpstreamCandidate {
+        in_flight,
+        is_warm: true,
+        ..candidate("second")
+    };
+    let cases = [
+        ReasonCase {
+            name: "an idle preferred upstream",
+            may_migrate: false,
+            candidates: vec![first(0, false), candidate("second")],
+            reason: PlacementReason::New,
+            preferred: "first",
+        },
+        ReasonCase {
+            name: "a full preferred upstream",
+            may_migrate: false,
+            candidates: vec![first(12, false), candidate("second")],
+            reason: PlacementReason::Overflow,
+            preferred: "first",
+        },
+        ReasonCase {
+            name: "a warm upstream that is not the preferred one",
+            may_migrate: false,
+            candidates: vec![first(0, false), warm_second(0)],
+            reason: PlacementReason::Warm,
+            preferred: "first",
+        },
+        ReasonCase {
+            name: "a return to the preferred upstream",
+            may_migrate: true,
+            candidates: vec![first(0, false), warm_second(0)],
+            reason: PlacementReason::Migration,
+            preferred: "first",
+        },
+        ReasonCase {
+            name: "a full warm upstream in a pool with free capacity",
+            may_migrate: false,
+            candidates: vec![first(18, true), candidate("second"), candidate("third")],
+            reason: PlacementReason::Expansion,
+            preferred: "first",
+        },
+        ReasonCase {
+            name: "a slow warm upstream with a free slot, and no other one",
+            may_migrate: false,
+            candidates: vec![
+                UpstreamCandidate {
+                    slowness: 3.0,
+                    ..first(8, true)
+                },
+                UpstreamCandidate {
+                    in_flight: 12,
+                    ..candidate("second")
+                },
+            ],
+            reason: PlacementReason::Late,
+            preferred: "second",
+        },
+    ];
+    for case in cases {
+        let request = PlacementRequest {
+            may_migrate: case.may_migrate,
+            ..request()
+        };
+        let decision = request.choose(case.candidates.into_iter()).unwrap();
+        assert_eq!(decision.reason, case.reason, "{}", case.name);
+        assert_eq!(decision.preferred, case.preferred, "{}", case.name);
+    }
+}
