--- /dev/null
+++ b/crates/steering/tests/region_shares.rs
@@ -0,0 +1,254 @@
+//! Model of a pool in two regions: how the requests of one region's callers are divided over the regions where they run.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{ArenaKey, RegionKey};
+use coltsfootkeel_steering::{
+    AffinityTable, PlacementRequest, ServiceTimes, UpstreamCandidate, combine_hashes, short_hash,
+    stable_hash,
+};
+
+const MS: Duration = Duration::from_millis(1);
+const OBJECTIVE: Duration = Duration::from_millis(500);
+const WARM_TIME: Duration = Duration::from_millis(190);
+const COLD_TIME: Duration = Duration::from_millis(600);
+const SLOTS: u32 = 3;
+/// Objects in use at a time.
+const OBJECTS: u64 = 320;
+/// Objects that fall out of use each second, and new ones that replace them.
+const NEW_OBJECTS_PER_S: f64 = 20.0;
+/// Largest fraction of the requests that may change the region from one window to the next.
+const MAX_SHARE_CHANGE: f64 = 0.15;
+const WINDOW: Duration = Duration::from_secs(2);
+const DURATION: Duration = Duration::from_secs(14);
+
+struct ShareCase {
+    name: &'static str,
+    /// Upstreams in the region of the callers and in the other region.
+    upstreams: [u64; 2],
+    /// Requests per second at a time.
+    rate: fn(Duration) -> f64,
+    /// Round trip to the other region at a time.
+    round_trip: fn(Duration) -> Duration,
+    /// Smallest fraction of the requests that must be answered.
+    min_answered: f64,
+}
+
+/// Guards against requests that change their region together: at a cold start, in a burst, and when the path to the
+/// other region becomes slower.
+#[test]
+fn requests_of_a_region_change_their_region_gradually() {
+    let cases = [
+        ShareCase {
+            name: "a cold start with few upstreams in the own region",
+            upstreams: [40, 340],
+            rate: |_| 370.0,
+            round_trip: |_| 110 * MS,
+            min_answered: 0.9,
+        },
+        ShareCase {
+            name: "a burst that exceeds the own region",
+            upstreams: [20, 60],
+            rate: |time| {
+                if time.as_secs() / 3 == 2 {
+                    900.0
+                } else {
+                    250.0
+                }
+            },
+            round_trip: |_| 110 * MS,
+            min_answered: 0.8,
+        },
+        ShareCase {
+            name: "demand that exceeds the own region for long",
+            upstreams: [10, 80],
+            rate: |time| if time.as_secs() >= 6 { 600.0 } else { 120.0 },
+            round_trip: |_| 110 * MS,
+            min_answered: 0.8,
+        },
+        ShareCase {
+            name: "a slower path to the other region",
+            upstreams: [30, 60],
+            rate: |_| 200.0,
+            round_trip: |time| {
+                if time.as_secs() >= 6 {
+                    260 * MS
+                } else {
+                    60 * MS
+                }
+            },
+            min_answered: 0.8,
+        },
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        let result = PoolModel::new(&case).run(&case);
+        let shares = result.local_shares.windows(2);
+        let largest = shares
+            .map(|pair| (pair[1] - pair[0]).abs())
+            .fold(0.0, f64::max);
+        if largest > MAX_SHARE_CHANGE || result.answered < case.min_answered {
+            failures.push(format!(
+                "{}: changed by {largest:.2}, {:.2} answered, local shares {:.2?}",
+                case.name, result.answered, result.local_shares
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+struct ModelResult {
+    /// Fraction of the requests of each window that ran in the callers' region.
+    local_shares: Vec<f64>,
+    /// Fraction of all requests that ran.
+    answered: f64,
+}
+
+/// A request that runs at an upstream.
+struct ModelRun {
+    upstream: usize,
+    sent_at: Duration,
+    is_warm: bool,
+    has_queued: bool,
+    answer_time: Duration,
+}
+
+struct ModelUpstream {
+    hash: u64,
+    region: RegionKey,
+    in_flight: u32,
+}
+
+/// One instance in the callers' region and the upstreams of a pool.
+struct PoolModel {
+    upstreams: Vec<ModelUpstream>,
+    times: ServiceTimes,
+    affinity_table: AffinityTable,
+    /// Running requests by the time of their answer and a sequence number.
+    runs: BTreeMap<(Duration, u64), ModelRun>,
+    random: fastrand::Rng,
+}
+
+impl PoolModel {
+    fn new(case: &ShareCase) -> Self {
+        let mut upstreams = Vec::new();
+        for (region, count) in case.upstreams.into_iter().enumerate() {
+            upstreams.extend((0..count).map(|index| ModelUpstream {
+                hash: combine_hashes(stable_hash(&[u8::try_from(region).unwrap()]), index),
+                region: RegionKey::from_index(region),
+                in_flight: 0,
+            }));
+        }
+        Self {
+            upstreams,
+            times: ServiceTimes::new(RegionKey::from_index(0), 2),
+            affinity_table: AffinityTable::default(),
+            runs: BTreeMap::new(),
+            random: fastrand::Rng::with_seed(1),
+        }
+    }
+
+    fn run(mut self, case: &ShareCase) -> ModelResult {
+        let mut now = Duration::ZERO;
+        let mut counts: HashMap<(u128, usize), f64> = HashMap::new();
+        let (mut sent, mut answered) = (0.0, 0.0);
+        while now < DURATION {
+            now += Duration::from_secs_f64(1.0 / (case.rate)(now));
+            self.end_runs(now, (case.round_trip)(now));
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let oldest = (now.as_secs_f64() * NEW_OBJECTS_PER_S) as u64;
+            let object = stable_hash(&(oldest + self.random.u64(..OBJECTS)).to_le_bytes());
+            sent += 1.0;
+            if let Some(region) = self.send(object, now, (case.round_trip)(now)) {
+                answered += 1.0;
+                let window = now.as_millis() / WINDOW.as_millis();
+                *counts.entry((window, region.index())).or_default() += 1.0;
+            }
+        }
+        let windows = DURATION.as_millis() / WINDOW.as_millis();
+        let count = |window, region| counts.get(&(window, region)).copied().unwrap_or_default();
+        ModelResult {
+            local_shares: (0..windows)
+                .map(|window| count(window, 0) / (count(window, 0) + count(window, 1)))
+                .collect(),
+            answered: answered / sent,
+        }
+    }
+
+    /// Sends a request to the selected upstream and returns its region, or `None` if none is selected.
+    fn send(&mut self, object: u64, now: Duration, round_trip: Duration) -> Option<RegionKey> {
+        let time = MonotonicTime::default() + now;
+        let recent = self.affinity_table.upstreams(object, time);
+        let request = PlacementRequest {
+            slot_time: WARM_TIME,
+            objective: OBJECTIVE,
+            objective_left: OBJECTIVE,
+            deadline_left: 3_000 * MS,
+            has_large_bodies: false,
+            may_migrate: false,
+        };
+        let times = &self.times;
+        let candidates = self.upstreams.iter().enumerate().map(|(key, upstream)| {
+            let is_local = upstream.region.index() == 0;
+            let distance = if is_local { Duration::ZERO } else { round_trip };
+            UpstreamCandidate {
+                key,
+                rendezvous_hash: combine_hashes(object, upstream.hash),
+                is_local_region: is_local,
+                times: times.estimate(upstream.region, distance, OBJECTIVE),
+                in_flight: upstream.in_flight,
+                slots: SLOTS,
+                is_warm: recent.last_used_ms(upstream.hash).is_some(),
+                is_cache_full: false,
+                slowness: 1.0,
+            }
+        });
+        let decision = request.choose(candidates)?;
+        let upstream = &mut self.upstreams[decision.key];
+        let is_local = upstream.region.index() == 0;
+        let path_time = if is_local { Duration::ZERO } else { round_trip };
+        let work = if decision.is_warm {
+            WARM_TIME
+        } else {
+            COLD_TIME
+        };
+        let answer_time = decision.queue_delay + work + path_time;
+        upstream.in_flight += 1;
+        self.affinity_table
+            .record(object, short_hash(upstream.hash), time);
+        let region = upstream.region;
+        let sequence = self.random.u64(..);
+        self.runs.insert(
+            (now + answer_time, sequence),
+            ModelRun {
+                upstream: decision.key,
+                sent_at: now,
+                is_warm: decision.is_warm,
+                has_queued: !decision.queue_delay.is_zero(),
+                answer_time,
+            },
+        );
+        Some(region)
+    }
+
+    /// Ends the requests that are answered by `now`, and records their response times.
+    fn end_runs(&mut self, now: Duration, round_trip: Duration) {
+        while let Some(entry) = self.runs.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let run = entry.remove();
+            let upstream = &mut self.upstreams[run.upstream];
+            upstream.in_flight -= 1;
+            let is_local = upstream.region.index() == 0;
+            let distance = if is_local { Duration::ZERO } else { round_trip };
+            let expected = self.times.estimate(upstream.region, distance, OBJECTIVE);
+            if !run.has_queued && now >= run.sent_at {
+                self.times
+                    .record(upstream.region, expected, run.is_warm, run.answer_time);
+            }
+        }
+    }
+}
