--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -37,7 +37,7 @@
 const MIN_CHECK_PERIOD: Duration = Duration::from_millis(600);
 /// A registered instance that sends no heartbeat for this long is removed from the store by another one.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(15);
-/// The number of queued requests of each pool that are woken on each tick, because other instances may have released
+/// The number of queued requests of each pool and region that are woken on each tick, because other instances may have released
 /// slots.
 const WOKEN_PER_TICK: usize = 64;
 /// The time between two updates of the recently used objects of each upstream.
@@ -65,6 +65,8 @@
     snapshot_builder: SnapshotBuilder,
     checked_at: HashMap<String, MonotonicTime>,
     pub(crate) requested_checks: HashSet<String>,
+    /// The own region's share in the last log line about it, by the names of route and pool.
+    pub(crate) logged_shares: HashMap<(String, String), f64>,
     recent_objects_updated_at: MonotonicTime,
     expired_at: MonotonicTime,
     is_registering: bool,
@@ -80,8 +82,7 @@
             tolerance: bounds.quota_tolerance,
             slack: bounds.quota_slack,
         };
-        let regions = shared.topology.regions.len();
-        let snapshot_builder = SnapshotBuilder::new(shared.home.region, regions);
+        let snapshot_builder = SnapshotBuilder::new(shared.home.region, &shared.topology.regions);
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
@@ -100,6 +101,7 @@
             snapshot_builder,
             checked_at: HashMap::new(),
             requested_checks: HashSet::new(),
+            logged_shares: HashMap::new(),
             recent_objects_updated_at: MonotonicTime::default(),
             expired_at: MonotonicTime::default(),
             is_registering: false,
@@ -178,6 +180,8 @@
             .snapshot_builder
             .build(plan, &self.registry, &mut self.quotas, now);
         self.shared.snapshot.store(Some(Arc::new(snapshot)));
+        // The spread of a new route must exist before its first request.
+        self.update_spreads(now);
     }
 
     pub(crate) fn publish_crashes(&self) {
@@ -214,6 +218,7 @@
         let is_expired = self.registry.expire(now);
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
+        self.update_spreads(now);
         let members = &self.members;
         let registered = members.iter().count();
         self.quotas
@@ -228,7 +233,9 @@
         self.start_checks(now);
         if let Some(snapshot) = self.shared.snapshot.load().as_ref() {
             for (_, pool) in snapshot.pools.iter() {
-                wake_queued(&pool.state, WOKEN_PER_TICK);
+                for region in self.shared.topology.regions.keys() {
+                    wake_queued(&pool.state, region, WOKEN_PER_TICK);
+                }
             }
         }
         if now.since(self.recent_objects_updated_at) > RECENT_OBJECTS_UPDATE_PERIOD {
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
+use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RegionKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    AverageTime, CacheEstimator, QuotaBudget, RequestQueue, RetryBudget, ServiceTimes,
-    SteeringPlan, UpstreamState,
+    AverageTime, CacheEstimator, QuotaBudget, RegionSpread, RequestQueue, RetryBudget,
+    ServiceTimes, SpillBudget, SteeringPlan, UpstreamState,
 };
 use coltsfootkeel_transport::UpstreamClient;
 use tokio::sync::oneshot;
@@ -26,16 +26,33 @@
 }
 
 /// The state of a pool that is kept across plans.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct PoolState {
-    /// The requests that wait for a free slot.
-    pub request_queue: Arc<RequestQueue<WakeSender>>,
+    /// The requests that wait for a free slot in each region.
+    pub request_queues: Arc<Arena<RegionKey, RequestQueue<WakeSender>>>,
     /// The budget of retries and hedged requests.
     pub retry_budget: Arc<RetryBudget>,
     /// The estimate of how many objects each upstream caches.
     pub cache_estimator: Arc<CacheEstimator>,
     /// The average time for which a request occupies a slot.
     pub slot_time: Arc<AverageTime>,
+    /// The requests that may leave the region that the spread assigns to them.
+    pub spill_budget: Arc<SpillBudget>,
+}
+
+impl PoolState {
+    /// Creates the state of a pool with upstreams in `regions` regions.
+    #[must_use]
+    pub fn new(regions: usize) -> Self {
+        let queues = (0..regions).map(|_| RequestQueue::default());
+        Self {
+            request_queues: Arc::new(queues.collect()),
+            retry_budget: Arc::default(),
+            cache_estimator: Arc::default(),
+            slot_time: Arc::default(),
+            spill_budget: Arc::default(),
+        }
+    }
 }
 
 /// A pool of the plan with its upstreams and its state.
@@ -47,6 +64,15 @@
     pub state: PoolState,
 }
 
+/// How a route's requests are divided over the regions of one of its pools.
+#[derive(Debug, Clone)]
+pub struct PoolSpread {
+    /// The key of the pool.
+    pub pool: PoolKey,
+    /// The fractions of the requests by region.
+    pub spread: Arc<RegionSpread>,
+}
+
 /// An immutable snapshot for request threads. The control thread publishes a new one on each change.
 #[derive(Debug)]
 pub struct EntrySnapshot {
@@ -58,6 +84,8 @@
     pub pools: Arena<PoolKey, ListedPool>,
     /// The measured response times of the plan's routes, under the same keys.
     pub service_times: Arena<RouteKey, Arc<ServiceTimes>>,
+    /// The spreads of the plan's routes, under the same keys: one for each pool of the route.
+    pub spreads: Arena<RouteKey, Vec<PoolSpread>>,
     /// The quota budgets of the plan's client accounts, under the same keys; `None` for an account without a limit.
     pub quotas: Arena<AccountKey, Option<Arc<QuotaBudget>>>,
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod settings_reload;
 mod shared_state;
 mod snapshot_builder;
+mod spread_updates;
 mod state_dump;
 mod store_updates;
 mod store_watch;
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -7,7 +7,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{AccountKey, PoolKey, RegionKey, RouteKey};
 use coltsfootkeel_steering::{
-    QuotaBudget, RegionSet, RoutePlan, TimeEstimate, combine_hashes, retry_after, stable_hash,
+    QuotaBudget, RegionSet, RegionSpread, RoutePlan, TimeEstimate, combine_hashes, retry_after,
+    stable_hash,
 };
 use http::header::{CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -47,6 +48,8 @@
     pub priority: u32,
     /// The hash of the object that the request concerns; `None` if the caller names none or the route has no affinity.
     pub object: Option<u64>,
+    /// The hash that selects region and upstream: that of the object, or a random one without an object.
+    pub placement_hash: u64,
     /// When the request arrived at this instance.
     pub arrived: MonotonicTime,
     /// The estimated time between the caller's first attempt and the arrival of this one.
@@ -93,6 +96,8 @@
         let account_plan = account.map(|account| &plan.accounts[account]);
         let object = head.object.as_deref().filter(|_| route_plan.has_affinity);
         let route_hash = || stable_hash(route_plan.path_prefix.as_bytes());
+        let object =
+            object.map(|object| combine_hashes(route_hash(), stable_hash(object.as_bytes())));
         Ok(Self {
             shared: Arc::clone(shared),
             priority: account_plan
@@ -101,8 +106,8 @@
             regions: account_plan.map_or(route_plan.regions, |plan| {
                 plan.regions.intersect(route_plan.regions)
             }),
-            object: object
-                .map(|object| combine_hashes(route_hash(), stable_hash(object.as_bytes()))),
+            object,
+            placement_hash: object.unwrap_or_else(|| fastrand::u64(..)),
             age: head.timeout.map_or(Duration::ZERO, |timeout| {
                 snapshot.service_times[route].request_age(timeout)
             }),
@@ -164,6 +169,14 @@
         &self.snapshot.pools[self.pool]
     }
 
+    /// Returns how the requests of the route are divided over the regions of the pool.
+    #[must_use]
+    pub fn spread(&self) -> Option<&RegionSpread> {
+        let mut spreads = self.snapshot.spreads[self.route].iter();
+        let found = spreads.find(|pool_spread| pool_spread.pool == self.pool)?;
+        Some(&found.spread)
+    }
+
     /// Returns the name of the client account; `None` on public routes and in plans without accounts.
     #[must_use]
     pub fn account_name(&self) -> Option<&str> {
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -135,6 +135,11 @@
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
         retry_budget.count_request(limit, self.context.shared.instance_count());
+        self.context
+            .listed_pool()
+            .state
+            .spill_budget
+            .count_request();
         loop {
             let reservation = match self.acquire_slot(request_log).await {
                 Ok(reservation) => reservation,
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_steering::{QueuePosition, max_queue_wait, queue_priority};
+use coltsfootkeel_model::RegionKey;
+use coltsfootkeel_steering::{QueuePosition, RequestQueue, max_queue_wait, queue_priority};
 use tokio::sync::oneshot;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::entry_metrics::CounterName;
+use crate::entry_snapshot::WakeSender;
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
+use crate::upstream_choice::{SlotReservation, assigned_region, is_allowed, reserve_slot};
 
 /// The time that a stopping instance reserves to deliver the response.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
@@ -40,16 +41,18 @@
         let warm = self.context.home_time_estimate().warm;
         let objective_left = self.context.objective_left();
         let max_wait = max_queue_wait(objective_left, self.context.remaining(), warm);
-        let request_queue = &self.context.listed_pool().state.request_queue;
+        let region = assigned_region(&self.context, &self.tried);
+        let region = region.unwrap_or(self.context.shared.home.region);
+        let request_queue = &self.context.listed_pool().state.request_queues[region];
         let priority = queue_priority(self.context.priority, objective_left, warm);
-        if self.expected_wait(request_queue.count_ahead(priority)) > max_wait {
+        if self.expected_wait(region, request_queue.count_ahead(priority)) > max_wait {
             return Err(RejectKind::NoCapacity);
         }
         let until = started + max_wait;
         self.context.shared.metrics.count(CounterName::Waits);
         let position = request_queue.assign_position(priority);
         let found = loop {
-            if !self.wait_in_queue(position, until).await {
+            if !wait_in_queue(request_queue, position, self.instant_of(until)).await {
                 break reserve_slot(&self.context, &self.tried);
             }
             if let Some(reservation) = reserve_slot(&self.context, &self.tried) {
@@ -62,12 +65,14 @@
         found.ok_or(RejectKind::NoCapacity)
     }
 
-    /// Returns the expected time until the requests ahead in the queue have left the slots that this request may use.
-    fn expected_wait(&self, ahead: usize) -> Duration {
+    /// Returns the expected time until the requests ahead in the queue of a region have left the slots that this request
+    /// may use there.
+    fn expected_wait(&self, region: RegionKey, ahead: usize) -> Duration {
         let pool = self.context.listed_pool();
         let upstreams = pool.upstreams.iter();
         let allowed = upstreams
             .map(|key| &self.context.snapshot.upstreams[*key])
+            .filter(|listed| listed.state.info.region == region)
             .filter(|listed| is_allowed(&self.context, listed));
         let slots: u32 = allowed.map(|listed| listed.state.info.slots).sum();
         let instances = self.context.shared.instance_count();
@@ -88,32 +93,31 @@
         }
         Ok(())
     }
+}
 
-    async fn wait_in_queue(&self, position: QueuePosition, until: MonotonicTime) -> bool {
-        let request_queue = &self.context.listed_pool().state.request_queue;
-        let (sender, receiver) = oneshot::channel();
-        request_queue.insert(position, sender);
-        let _guard = QueueGuard {
-            flow: self,
-            position,
-        };
-        timeout_at(self.instant_of(until), receiver).await.is_ok()
-    }
+/// Waits until the request is woken. Returns `false` if that does not happen before `until`.
+async fn wait_in_queue(
+    request_queue: &RequestQueue<WakeSender>,
+    position: QueuePosition,
+    until: Instant,
+) -> bool {
+    let (sender, receiver) = oneshot::channel();
+    request_queue.insert(position, sender);
+    let _guard = QueueGuard {
+        request_queue,
+        position,
+    };
+    timeout_at(until, receiver).await.is_ok()
 }
 
 /// Removes the request from the queue, also when the caller closes its connection.
 struct QueueGuard<'a> {
-    flow: &'a RequestFlow,
+    request_queue: &'a RequestQueue<WakeSender>,
     position: QueuePosition,
 }
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.flow
-            .context
-            .listed_pool()
-            .state
-            .request_queue
-            .remove(self.position);
+        self.request_queue.remove(self.position);
     }
 }
--- a/crates/entry/src/snapshot_builder.rs
+++ b/crates/entry/src/snapshot_builder.rs
@@ -4,37 +4,48 @@
 use std::sync::Arc;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{Arena, PoolKey, RegionKey};
-use coltsfootkeel_steering::{ServiceTimes, SteeringPlan};
+use coltsfootkeel_model::{Arena, PoolKey, RegionKey, RouteKey};
+use coltsfootkeel_steering::{RegionSpread, ServiceTimes, SteeringPlan, stable_hash};
 
 use crate::account_quotas::AccountQuotas;
-use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolState};
+use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolSpread, PoolState};
 use crate::upstream_registry::UpstreamRegistry;
 
 /// The state of pools and routes that is kept from one snapshot to the next.
 #[derive(Debug)]
 pub struct SnapshotBuilder {
     home_region: RegionKey,
-    region_count: usize,
+    /// Hashes of the names of the regions, the same at all instances.
+    region_hashes: Arena<RegionKey, u64>,
     pools: HashMap<String, PoolState>,
     /// Response times by path prefix, which identifies a route that is renamed.
     service_times: HashMap<String, Arc<ServiceTimes>>,
+    /// Spreads by path prefix and name of the pool.
+    spreads: HashMap<(String, String), Arc<RegionSpread>>,
 }
 
 impl SnapshotBuilder {
-    /// Creates a builder without state for an instance in the region `home_region`.
+    /// Creates a builder without state for an instance in the region `home_region`; `region_names` holds the names of all
+    /// regions.
     #[must_use]
-    pub fn new(home_region: RegionKey, region_count: usize) -> Self {
+    pub fn new(home_region: RegionKey, region_names: &Arena<RegionKey, String>) -> Self {
         Self {
             home_region,
-            region_count,
+            region_hashes: region_names
+                .iter()
+                .map(|(_, name)| stable_hash(name.as_bytes()))
+                .collect(),
             pools: HashMap::new(),
             service_times: HashMap::new(),
+            spreads: HashMap::new(),
         }
     }
 
     fn new_service_times(&self) -> Arc<ServiceTimes> {
-        Arc::new(ServiceTimes::new(self.home_region, self.region_count))
+        Arc::new(ServiceTimes::new(
+            self.home_region,
+            self.region_hashes.len(),
+        ))
     }
 
     /// Builds a snapshot. The state of pools and routes that the plan no longer contains is dropped.
@@ -57,7 +68,10 @@
         let mut pool_states = HashMap::new();
         let mut pools: Arena<PoolKey, ListedPool> = Arena::new();
         for (_, pool) in plan.pools.iter() {
-            let state = self.pools.remove(&pool.name).unwrap_or_default();
+            let state = self
+                .pools
+                .remove(&pool.name)
+                .unwrap_or_else(|| PoolState::new(self.region_hashes.len()));
             pool_states.insert(pool.name.clone(), state.clone());
             pools.push(ListedPool {
                 upstreams: upstreams_by_pool
@@ -90,6 +104,32 @@
             upstreams,
             pools,
             service_times,
+            spreads: self.build_spreads(plan),
+        }
+    }
+
+    /// Returns the spreads of the plan's routes. The state of those that the plan no longer contains is dropped.
+    fn build_spreads(&mut self, plan: &SteeringPlan) -> Arena<RouteKey, Vec<PoolSpread>> {
+        let mut spreads = HashMap::new();
+        let mut spreads_by_route = Arena::new();
+        for (_, route) in plan.routes.iter() {
+            let weighted_pools = route.weighted_pools.iter();
+            let pool_spreads = weighted_pools.map(|weighted_pool| {
+                let pool = weighted_pool.pool;
+                let key = (route.path_prefix.clone(), plan.pools[pool].name.clone());
+                let existing = self.spreads.get(&key);
+                let new_spread = || Arc::new(RegionSpread::new(self.region_hashes.clone()));
+                let spread = spreads
+                    .entry(key)
+                    .or_insert_with(|| existing.cloned().unwrap_or_else(new_spread));
+                PoolSpread {
+                    pool,
+                    spread: Arc::clone(spread),
+                }
+            });
+            spreads_by_route.push(pool_spreads.collect());
         }
+        self.spreads = spreads;
+        spreads_by_route
     }
 }
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use coltsfootkeel_model::RouteKey;
 use serde_json::{Value, json};
 
 use crate::entry_snapshot::{EntrySnapshot, ListedUpstream};
@@ -47,6 +48,7 @@
             let times = snapshot.service_times[key].estimate(home, round_trip, route.objective);
             json!({
                 "name": route.name,
+                "spreads": dump_spreads(shared, snapshot, key),
                 "warm_ms": times.warm.as_millis(),
                 "cold_ms": times.cold.as_millis(),
             })
@@ -55,6 +57,19 @@
     json!({"version": plan.version, "routes": routes, "upstreams": upstreams})
 }
 
+/// Returns the shares of a route's requests by pool and region.
+fn dump_spreads(shared: &SharedState, snapshot: &EntrySnapshot, route: RouteKey) -> Value {
+    let pool_spreads = snapshot.spreads[route].iter();
+    let pools = pool_spreads.map(|pool_spread| {
+        let fractions = pool_spread.spread.shares();
+        let regions = shared.topology.regions.iter();
+        let regions = regions.map(|(region, name)| (name.clone(), json!(fractions[region])));
+        let pool = &snapshot.plan.pools[pool_spread.pool].name;
+        (pool.clone(), Value::Object(regions.collect()))
+    });
+    Value::Object(pools.collect())
+}
+
 /// Returns the state of an upstream, which shows why it is used or avoided.
 fn dump_upstream(shared: &SharedState, listed: &ListedUpstream) -> Value {
     let now = shared.clock.now();
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::UpstreamKey;
+use coltsfootkeel_model::{RegionKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    PlacementDecision, PlacementReason, PlacementRequest, RecentUpstreams, UpstreamCandidate,
-    UpstreamState, cold_send_interval, combine_hashes, short_hash,
+    PlacementDecision, PlacementReason, PlacementRequest, RecentUpstreams, RegionSet,
+    UpstreamCandidate, UpstreamState, cold_send_interval, combine_hashes, short_hash,
 };
 
 use crate::entry_snapshot::{ListedUpstream, PoolState};
@@ -99,20 +99,20 @@
 impl Drop for SlotReservation {
     fn drop(&mut self) {
         self.state.end_request();
-        wake_queued(&self.pool, WOKEN_PER_RELEASE);
+        wake_queued(&self.pool, self.state.info.region, WOKEN_PER_RELEASE);
     }
 }
 
-/// Wakes the first `count` requests in the queue of a pool, so that they try again to reserve a slot.
-pub fn wake_queued(pool: &PoolState, count: usize) {
-    for sender in pool.request_queue.pop(count) {
+/// Wakes the first `count` requests in the queue of a pool for a region, so that they try again to reserve a slot.
+pub fn wake_queued(pool: &PoolState, region: RegionKey, count: usize) {
+    for sender in pool.request_queues[region].pop(count) {
         // Sending fails if the request has ended in the meantime and dropped the receiver.
         let _ = sender.send(());
     }
 }
 
 /// Upstreams are no longer avoided after failures when more than one in this many of the pool's upstreams is avoided.
-const AVOIDED_LIMIT_DIVISOR: usize = 3;
+pub const AVOIDED_LIMIT_DIVISOR: usize = 3;
 
 /// The upstreams that are candidates for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,22 +134,24 @@
         .map(|object| context.shared.affinity_table.upstreams(object, now))
         .unwrap_or_default();
     let tier = candidate_tier(context, tried, now);
+    let region = assigned_region_in(context, tier, now)?;
+    let spill_budget = &context.listed_pool().state.spill_budget;
     let slot_time = context.listed_pool().state.slot_time.get();
     let request = PlacementRequest {
         slot_time: slot_time.unwrap_or(context.home_time_estimate().cold),
         objective: context.route_plan().objective,
         objective_left: context.objective_left(),
         deadline_left: context.remaining(),
-        has_large_bodies: context.route_plan().has_large_bodies(),
         may_migrate: may_be_hedged(context),
+        // The retry budget bounds how many requests try another upstream.
+        may_leave_region: !tried.is_empty() || spill_budget.has_spill(),
     };
-    let object_hash = context.object.unwrap_or_else(|| fastrand::u64(..));
     let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
     let upstreams = context.listed_pool().upstreams.iter().copied();
     let candidates = upstreams
         .filter(is_eligible)
-        .map(|key| candidate(context, key, object_hash, &recent, now));
-    let decision = match choose_untried(context, is_eligible) {
+        .map(|key| candidate(context, key, region, &recent, now));
+    let decision = match choose_untried(context, region, is_eligible) {
         Some(decision) => decision,
         None => request.choose(candidates)?,
     };
@@ -158,6 +160,9 @@
     if state.is_in_cold_start(now) && !reserve_cold_interval(context, state, now) {
         return None;
     }
+    if decision.leaves_region && tried.is_empty() {
+        spill_budget.charge();
+    }
     if let Some(object) = context.object {
         let upstream = short_hash(state.hash);
         context.shared.affinity_table.record(object, upstream, now);
@@ -185,10 +190,11 @@
     retry_budget.has_unreserved_retry(shared.retry_limit(), shared.instance_count())
 }
 
-/// Chooses an upstream that no instance has used yet, for an idempotent request. Returns `None` if there is none or if
-/// its cold answer would miss the deadline.
+/// Chooses an upstream of a region that no instance has used yet, for an idempotent request. Returns `None` if there is
+/// none or if its cold answer would miss the deadline.
 fn choose_untried(
     context: &RequestContext,
+    region: RegionKey,
     is_eligible: impl Fn(&UpstreamKey) -> bool,
 ) -> Option<PlacementDecision<UpstreamKey>> {
     if !context.route_plan().is_idempotent() {
@@ -196,20 +202,52 @@
     }
     let state = |key: UpstreamKey| &context.snapshot.upstreams[key].state;
     // Few upstreams are untried, so the cheap check comes first.
-    let is_untried = |key: &UpstreamKey| state(*key).is_untried() && state(*key).in_flight() == 0;
+    let is_untried = |key: &UpstreamKey| {
+        let state = state(*key);
+        state.is_untried() && state.info.region == region && state.in_flight() == 0
+    };
     let mut upstreams = context.listed_pool().upstreams.iter().copied();
     let key = upstreams.find(|key| is_untried(key) && is_eligible(key))?;
-    let cold = context.time_estimate(state(key).info.region).cold;
+    let cold = context.time_estimate(region).cold;
     (cold <= context.remaining()).then_some(PlacementDecision {
         key,
         reason: PlacementReason::Untried,
         preferred: key,
+        leaves_region: false,
         expected: cold,
         queue_delay: Duration::ZERO,
         is_warm: false,
     })
 }
 
+/// Returns the region in which the request runs unless it is full, as assigned by the spread of its route. Returns
+/// `None` if no upstream may run the request.
+pub fn assigned_region(context: &RequestContext, tried: &[UpstreamKey]) -> Option<RegionKey> {
+    let now = context.shared.clock.now();
+    assigned_region_in(context, candidate_tier(context, tried, now), now)
+}
+
+fn assigned_region_in(
+    context: &RequestContext,
+    tier: CandidateTier,
+    now: MonotonicTime,
+) -> Option<RegionKey> {
+    let mut open = RegionSet::NONE;
+    for key in &context.listed_pool().upstreams {
+        let listed = &context.snapshot.upstreams[*key];
+        let region = listed.state.info.region;
+        if !open.contains(region)
+            && is_allowed(context, listed)
+            && is_in_tier(&listed.state, tier, now)
+        {
+            open = open.with(region);
+        }
+    }
+    context
+        .spread()?
+        .region(context.placement_hash, |region| open.contains(region))
+}
+
 fn candidate_tier(
     context: &RequestContext,
     tried: &[UpstreamKey],
@@ -282,7 +320,7 @@
 fn candidate(
     context: &RequestContext,
     key: UpstreamKey,
-    object_hash: u64,
+    assigned_region: RegionKey,
     recent: &RecentUpstreams,
     now: MonotonicTime,
 ) -> UpstreamCandidate<UpstreamKey> {
@@ -294,8 +332,8 @@
         .estimated_capacity();
     UpstreamCandidate {
         key,
-        rendezvous_hash: combine_hashes(object_hash, state.hash),
-        is_local_region: state.info.region == context.shared.home.region,
+        rendezvous_hash: combine_hashes(context.placement_hash, state.hash),
+        is_assigned_region: state.info.region == assigned_region,
         times: context.time_estimate(state.info.region),
         in_flight: state.in_flight(),
         slots: state.info.slots,
--- a/crates/steering/src/hashing.rs
+++ b/crates/steering/src/hashing.rs
@@ -27,3 +27,12 @@
     value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ value >> 31
 }
+
+/// Maps a hash to a number in the open interval from 0 to 1.
+pub(crate) fn unit_interval(hash: u64) -> f64 {
+    /// Number of hash bits that an `f64` represents exactly.
+    const MANTISSA_BITS: u32 = 52;
+    #[expect(clippy::cast_precision_loss)]
+    let numerator = (hash >> (u64::BITS - MANTISSA_BITS)) as f64 + 0.5;
+    numerator / 2f64.powi(MANTISSA_BITS.cast_signed())
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -16,13 +16,13 @@
 //!     objective: Duration::from_millis(500),
 //!     objective_left: Duration::from_millis(500),
 //!     deadline_left: Duration::from_secs(3),
-//!     has_large_bodies: false,
 //!     may_migrate: false,
+//!     may_leave_region: true,
 //! };
 //! let candidate = |key, is_warm| UpstreamCandidate {
 //!     key,
 //!     is_warm,
-//!     is_local_region: true,
+//!     is_assigned_region: true,
 //!     is_cache_full: false,
 //!     rendezvous_hash: 1,
 //!     times: TimeEstimate {
@@ -45,10 +45,12 @@
 mod hashing;
 mod lookup_selection;
 mod placement;
+mod placement_decision;
 mod plan;
 mod plan_freshness;
 mod quota_bucket;
 mod raw_plan;
+mod region_spread;
 mod request_queue;
 mod retry_budget;
 mod service_times;
@@ -66,13 +68,15 @@
 pub use crash_table::CrashTable;
 pub use hashing::{combine_hashes, stable_hash};
 pub use lookup_selection::{InstanceView, LookupQuery, select_instances};
-pub use placement::{PlacementDecision, PlacementReason, PlacementRequest, UpstreamCandidate};
+pub use placement::{PlacementRequest, UpstreamCandidate};
+pub use placement_decision::{PlacementDecision, PlacementReason};
 pub use plan::{
     AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
 pub use plan_freshness::PlanFreshness;
 pub use quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
 pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind};
+pub use region_spread::{RegionLoad, RegionSpread, SpillBudget, SpreadInput};
 pub use request_queue::{QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after};
 pub use retry_budget::{RetryBudget, RetryLimit};
 pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -2,34 +2,31 @@
 //!
 //! Load pattern: demand exceeds the number of slots most of the time. An upstream that still has the object cached (a
 //! warm upstream) needs a fraction of the time, so a short queue there is better than a free slot at another upstream.
-//! Weighted rendezvous hashing gives every object a fixed preference order over the upstreams. All instances compute
-//! the same order, also after a restart, so each object stays cached at as few upstreams as its load needs.
+//! Weighted rendezvous hashing gives every object a fixed preference order over the upstreams of its assigned region.
+//! All instances compute the same order, also after a restart, so each object stays cached at as few upstreams as its
+//! load needs.
 
 use std::time::Duration;
 
+use crate::hashing::unit_interval;
+use crate::placement_decision::{PlacementDecision, PlacementReason};
 use crate::service_times::TimeEstimate;
 
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
 const MAX_WARM_QUEUE_FRACTION: f64 = 0.8;
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives objects that are cold there.
 const MAX_COLD_QUEUE_FRACTION: f64 = 0.25;
-/// Pool and upstream load, in requests per slot, below which an object may migrate to an upstream that it prefers.
+/// Load of region and upstream, in requests per slot, below which an object may migrate to an upstream that it prefers.
 const MIGRATION_LOAD_LIMIT: f64 = 0.6;
-/// Pool load, in requests per slot, below which an object whose warm upstreams are all late is placed at one more
+/// Load of the region, in requests per slot, below which an object whose warm upstreams are all late is placed at one more
 /// upstream, and below which a new object may be placed at an upstream with a full cache.
 const EXPANSION_LOAD_LIMIT: f64 = 0.75;
-/// Pool load, in requests per slot, below which an object is placed at one more upstream if none of its warm upstreams
+/// Load of the region, in requests per slot, below which an object is placed at one more upstream if none of its warm upstreams
 /// is close enough to meet the objective.
 const NEARBY_EXPANSION_LOAD_LIMIT: f64 = 0.95;
 /// Fraction of the objective within which an upstream must be able to return a warm answer to count as nearby. The rest
 /// covers the round trip between caller and instance, and answers that take longer than usual.
 const NEARBY_OBJECTIVE_FRACTION: f64 = 0.8;
-/// Weight of upstreams in the region of this instance relative to those in other regions. It keeps most of the traffic
-/// in the region and still spreads the load of a region with few upstreams over the other regions.
-const LOCAL_REGION_FACTOR: f64 = 6.0;
-/// Weight of upstreams in the region of this instance relative to those in other regions for requests with large
-/// bodies, which cost more bytes and several round trips to another region.
-const LARGE_BODY_LOCAL_REGION_FACTOR: f64 = 30.0;
 /// Slowness above which an upstream has a lower weight. Smaller values may be random variation, which must not change
 /// the preference order.
 const SLOWNESS_THRESHOLD: f64 = 1.6;
@@ -41,8 +38,9 @@
     pub key: K,
     /// Combined hash of the upstream and the object, the same at all instances.
     pub rendezvous_hash: u64,
-    /// Whether the upstream is in the region of this instance.
-    pub is_local_region: bool,
+    /// Whether the upstream is in the region that the spread assigns to the object, see
+    /// [`RegionSpread`](crate::RegionSpread).
+    pub is_assigned_region: bool,
     /// Expected response times without queueing.
     pub times: TimeEstimate,
     /// Requests in flight from all instances.
@@ -69,74 +67,11 @@
     pub objective_left: Duration,
     /// Time until the deadline of the request.
     pub deadline_left: Duration,
-    /// Whether requests of this route have large bodies.
-    pub has_large_bodies: bool,
     /// Whether the object may migrate to an upstream where it is cold. This requires that the request can be sent to a
     /// second upstream.
     pub may_migrate: bool,
-}
-
-/// Why an upstream was selected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlacementReason {
-    /// It is warm and answers within the objective.
-    Warm,
-    /// It is warm and has a free slot, and every warm upstream misses the objective.
-    Late,
-    /// The object is warm nowhere, and the upstream is the first in its preference order.
-    New,
-    /// The object is warm nowhere, and the upstreams that it prefers are full.
-    Overflow,
-    /// Every warm upstream misses the objective, so the object is placed at one more.
-    Expansion,
-    /// The object prefers it to the upstream where it is warm.
-    Migration,
-    /// No instance has sent it a request yet.
-    Untried,
-}
-
-impl PlacementReason {
-    /// All reasons.
-    pub const ALL: [Self; 7] = [
-        Self::Warm,
-        Self::Late,
-        Self::New,
-        Self::Overflow,
-        Self::Expansion,
-        Self::Migration,
-        Self::Untried,
-    ];
-
-    /// Returns the code of the reason in logs and metrics.
-    #[must_use]
-    pub fn code(self) -> &'static str {
-        match self {
-            Self::Warm => "warm",
-            Self::Late => "late",
-            Self::New => "new",
-            Self::Overflow => "overflow",
-            Self::Expansion => "expansion",
-            Self::Migration => "migration",
-            Self::Untried => "untried",
-        }
-    }
-}
-
-/// The upstream selected for a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlacementDecision<K> {
-    /// Key of the selected upstream.
-    pub key: K,
-    /// Why it was selected.
-    pub reason: PlacementReason,
-    /// Key of the first upstream in the preference order of the object.
-    pub preferred: K,
-    /// Expected time until the response, including the queue.
-    pub expected: Duration,
-    /// Expected time in the queue of the upstream.
-    pub queue_delay: Duration,
-    /// Whether the upstream is expected to have the object cached.
-    pub is_warm: bool,
+    /// Whether the request may run in another region than the assigned one.
+    pub may_leave_region: bool,
 }
 
 /// Position of an upstream in the preference order of an object. Upstreams that can meet the objective with a warm
@@ -158,14 +93,15 @@
     queue_delay: Duration,
     /// Expected time to a warm answer without queueing.
     warm_time: Duration,
+    is_assigned_region: bool,
     /// Requests in flight per slot.
     load: f64,
     is_cache_full: bool,
 }
 
 impl PlacementRequest {
-    /// Returns the candidate's position in the preference order: weighted rendezvous hashing over slots, region and
-    /// slowness.
+    /// Returns the candidate's position in the preference order within its region: weighted rendezvous hashing over
+    /// slots and slowness.
     fn rank<K>(&self, candidate: &UpstreamCandidate<K>) -> UpstreamRank {
         let slowness = if candidate.slowness > SLOWNESS_THRESHOLD {
             candidate.slowness
@@ -173,52 +109,92 @@
             1.0
         };
         let warm = candidate.times.warm.mul_f64(slowness);
-        let factor = match (candidate.is_local_region, self.has_large_bodies) {
-            (false, _) => 1.0,
-            (true, false) => LOCAL_REGION_FACTOR,
-            (true, true) => LARGE_BODY_LOCAL_REGION_FACTOR,
-        };
-        let weight = f64::from(candidate.slots) * factor / slowness;
+        let weight = f64::from(candidate.slots) / slowness;
         UpstreamRank {
             is_nearby: warm <= self.objective.mul_f64(NEARBY_OBJECTIVE_FRACTION),
-            score: -weight / uniform(candidate.rendezvous_hash).ln(),
+            score: -weight / unit_interval(candidate.rendezvous_hash).ln(),
         }
     }
 
     /// Selects one of the candidates, or returns `None` if the request should be queued.
+    ///
+    /// A request runs in the assigned region of its object. It leaves the region, if it may, for a warm upstream that
+    /// answers in time or when no upstream of the region can take it.
     pub fn choose<K: Copy>(
         &self,
-        candidates: impl Iterator<Item = UpstreamCandidate<K>> + Clone,
+        candidates: impl Iterator<Item = UpstreamCandidate<K>>,
     ) -> Option<PlacementDecision<K>> {
-        let load = pool_load(candidates.clone());
-        let mut best = BestCandidates::default();
+        let mut assigned = RegionCandidates::default();
+        let mut others = RegionCandidates::default();
         for candidate in candidates {
-            best.add(self.rank_candidate(&candidate), self.objective_left);
+            let region = if candidate.is_assigned_region {
+                &mut assigned
+            } else {
+                &mut others
+            };
+            region.count(&candidate);
+            region.add(self.rank_candidate(&candidate), self.objective_left);
         }
-        let (chosen, reason) = match (best.warm_in_time, best.cold) {
-            (Some(warm), Some(cold)) if self.should_migrate(&warm, &cold, load) => {
-                (cold, PlacementReason::Migration)
-            }
-            (Some(warm), _) => (warm, PlacementReason::Warm),
-            (None, Some(cold)) if !best.has_warm && Self::may_place_new(&cold, load) => {
-                (cold, best.new_reason(&cold))
-            }
-            (None, Some(cold)) if best.has_warm && self.should_expand(&best, &cold, load) => {
-                (cold, PlacementReason::Expansion)
-            }
-            (None, _) => (best.warm_late?, PlacementReason::Late),
+        let preferred = assigned.preferred.or(others.preferred)?.key;
+        if !self.may_leave_region {
+            others = RegionCandidates::default();
+        }
+        let in_region = match (assigned.warm_in_time, others.warm_in_time) {
+            (None, Some(warm)) => Some(self.return_or_stay(&assigned, warm)),
+            _ => self.choose_in_region(&assigned),
         };
+        let (chosen, reason) = in_region
+            .or_else(|| self.choose_in_region(&others))
+            .or_else(|| late(assigned.warm_late))
+            .or_else(|| late(others.warm_late))?;
         let is_in_time = chosen.expected <= self.deadline_left || self.is_probe(&chosen);
         is_in_time.then_some(PlacementDecision {
             key: chosen.key,
             reason,
-            preferred: best.preferred.map_or(chosen.key, |preferred| preferred.key),
+            preferred,
+            leaves_region: !chosen.is_assigned_region,
             expected: chosen.expected,
             queue_delay: chosen.queue_delay,
             is_warm: chosen.is_warm,
         })
     }
 
+    /// Selects a candidate of one region that is expected to answer within the objective, or at which the object may be
+    /// placed.
+    fn choose_in_region<K: Copy>(
+        &self,
+        region: &RegionCandidates<K>,
+    ) -> Option<(RankedCandidate<K>, PlacementReason)> {
+        let load = region.load();
+        match (region.warm_in_time, region.cold) {
+            (Some(warm), Some(cold)) if self.should_migrate(&warm, &cold, load) => {
+                Some((cold, PlacementReason::Migration))
+            }
+            (Some(warm), _) => Some((warm, PlacementReason::Warm)),
+            (None, Some(cold)) if !region.has_warm && Self::may_place_new(&cold, load) => {
+                Some((cold, region.new_reason(&cold)))
+            }
+            (None, Some(cold)) if region.has_warm && self.should_expand(region, &cold, load) => {
+                Some((cold, PlacementReason::Expansion))
+            }
+            _ => None,
+        }
+    }
+
+    /// Selects between a warm candidate in another region and the return of the object to its assigned region.
+    fn return_or_stay<K: Copy>(
+        &self,
+        assigned: &RegionCandidates<K>,
+        warm: RankedCandidate<K>,
+    ) -> (RankedCandidate<K>, PlacementReason) {
+        match assigned.cold {
+            Some(cold) if self.may_migrate_to(&cold, assigned.load()) => {
+                (cold, PlacementReason::Migration)
+            }
+            _ => (warm, PlacementReason::Warm),
+        }
+    }
+
     /// Returns whether a request is sent to a free slot although its answer is expected after its deadline.
     ///
     /// Load pattern: upstreams were slow and are idle now. The estimates recover only if requests are sent, so a
@@ -246,6 +222,7 @@
             expected: queue_delay + service_time.mul_f64(candidate.slowness),
             queue_delay,
             warm_time: candidate.times.warm.mul_f64(candidate.slowness),
+            is_assigned_region: candidate.is_assigned_region,
             load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
             is_cache_full: candidate.is_cache_full,
         }
@@ -258,9 +235,12 @@
         cold: &RankedCandidate<K>,
         load: f64,
     ) -> bool {
-        let is_preferred = cold.rank > warm.rank && !cold.is_cache_full;
+        cold.rank > warm.rank && self.may_migrate_to(cold, load)
+    }
+
+    fn may_migrate_to<K>(&self, cold: &RankedCandidate<K>, load: f64) -> bool {
         self.may_migrate
-            && is_preferred
+            && !cold.is_cache_full
             && load < MIGRATION_LOAD_LIMIT
             && cold.load < MIGRATION_LOAD_LIMIT
     }
@@ -272,11 +252,11 @@
     /// would not recover from that by itself.
     fn should_expand<K>(
         &self,
-        best: &BestCandidates<K>,
+        region: &RegionCandidates<K>,
         cold: &RankedCandidate<K>,
         load: f64,
     ) -> bool {
-        let adds_nearby = cold.rank.is_nearby && !best.has_nearby_warm;
+        let adds_nearby = cold.rank.is_nearby && !region.has_nearby_warm;
         let load_limit = if adds_nearby {
             NEARBY_EXPANSION_LOAD_LIMIT
         } else {
@@ -297,8 +277,8 @@
     }
 }
 
-/// The best candidate of each class.
-struct BestCandidates<K> {
+/// The best candidate of each class in the assigned region or in all others.
+struct RegionCandidates<K> {
     /// The first in the preference order among the warm candidates that meet the objective.
     warm_in_time: Option<RankedCandidate<K>>,
     /// The fastest among the warm candidates that miss the objective but have a free slot.
@@ -310,9 +290,11 @@
     preferred: Option<RankedCandidate<K>>,
     has_warm: bool,
     has_nearby_warm: bool,
+    in_flight: u32,
+    slots: u32,
 }
 
-impl<K> Default for BestCandidates<K> {
+impl<K> Default for RegionCandidates<K> {
     fn default() -> Self {
         Self {
             warm_in_time: None,
@@ -321,11 +303,23 @@
             preferred: None,
             has_warm: false,
             has_nearby_warm: false,
+            in_flight: 0,
+            slots: 0,
         }
     }
 }
 
-impl<K: Copy> BestCandidates<K> {
+impl<K: Copy> RegionCandidates<K> {
+    fn count(&mut self, candidate: &UpstreamCandidate<K>) {
+        self.in_flight += candidate.in_flight;
+        self.slots += candidate.slots;
+    }
+
+    /// Returns the number of requests in flight per slot.
+    fn load(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots.max(1))
+    }
+
     fn add(&mut self, candidate: RankedCandidate<K>, objective_left: Duration) {
         let is_preferred = |best: &Option<RankedCandidate<K>>| {
             best.as_ref().is_none_or(|best| candidate.rank > best.rank)
@@ -375,21 +369,7 @@
     }
 }
 
-/// Returns the number of requests in flight per slot over all candidates.
-fn pool_load<K>(candidates: impl Iterator<Item = UpstreamCandidate<K>>) -> f64 {
-    let (mut in_flight, mut slots) = (0, 0);
-    for candidate in candidates {
-        in_flight += candidate.in_flight;
-        slots += candidate.slots;
-    }
-    f64::from(in_flight) / f64::from(slots.max(1))
-}
-
-/// Maps a hash to a number in the open interval from 0 to 1.
-fn uniform(hash: u64) -> f64 {
-    /// Number of hash bits that an `f64` represents exactly.
-    const MANTISSA_BITS: u32 = 52;
-    #[expect(clippy::cast_precision_loss)]
-    let numerator = (hash >> (u64::BITS - MANTISSA_BITS)) as f64 + 0.5;
-    numerator / 2f64.powi(MANTISSA_BITS.cast_signed())
+/// Returns a late candidate with its reason.
+fn late<K>(candidate: Option<RankedCandidate<K>>) -> Option<(RankedCandidate<K>, PlacementReason)> {
+    candidate.map(|late| (late, PlacementReason::Late))
 }
--- /dev/null
+++ b/crates/steering/src/region_spread.rs
@@ -0,0 +1,297 @@
+//! Divides the requests of a region's callers over the regions in which they run.
+//!
+//! Load pattern: all instances observe the same load and the same response times. If each request chose its region by
+//! the values of the moment, a threshold that is crossed would move the requests of a whole region at once, to upstreams
+//! that do not have their objects cached. The spread is therefore state with a bounded rate of change, which starts at
+//! its target, and each object is assigned to a region by its hash. Only the loss of upstreams takes effect at once.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{Arena, RegionKey};
+
+use crate::hashing::{combine_hashes, unit_interval};
+
+/// Weight of slots in the callers' region relative to those in other regions. It keeps most of the traffic in the
+/// region and still spreads the load of a region with few upstreams over the other regions.
+const LOCAL_REGION_FACTOR: f64 = 6.0;
+/// Weight of slots in the callers' region relative to those in other regions for requests with large bodies, which cost
+/// more bytes and several round trips to another region.
+const LARGE_BODY_LOCAL_REGION_FACTOR: f64 = 30.0;
+/// Weight of slots in a region whose warm answers are too late, relative to those in other regions.
+const FAR_REGION_FACTOR: f64 = 0.02;
+/// Fraction of the objective within which a region must be able to return a warm answer. The rest covers the round trip
+/// between caller and instance, and answers that take longer than usual.
+const NEARBY_OBJECTIVE_FRACTION: f64 = 0.8;
+/// Largest fraction of the requests that changes the region within one second. Each moved object is loaded once more,
+/// and the retry budget covers the hedged requests for about as many.
+const MAX_SHARE_CHANGE_PER_S: f64 = 0.02;
+/// Longest time since the last update that counts, so that a suspended process makes up for nothing.
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Load of a region, in requests per slot, above which some of its requests are moved to other regions.
+const RELIEF_LOAD: f64 = 0.9;
+/// Load of a region, in requests per slot, below which moved requests return to it.
+const RETURN_LOAD: f64 = 0.7;
+/// Difference in load, in requests per slot, between a region and the least loaded one from which requests are moved.
+const MIN_LOAD_DIFFERENCE: f64 = 0.2;
+/// Relative change per second of the weight of a region that is overloaded, or was.
+const RELIEF_RATE_PER_S: f64 = 0.3;
+/// Lower bound of the relief factor.
+const MIN_RELIEF_FACTOR: f64 = 0.05;
+/// Share of a region that the target excludes. It orders the regions that are left when the others are lost.
+const MIN_SHARE: f64 = 1e-6;
+
+/// The upstreams of one region that can run a request, from the list and health of the pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RegionLoad {
+    /// Requests that the upstreams run concurrently.
+    pub slots: u32,
+    /// Requests in flight there from all instances.
+    pub in_flight: u32,
+}
+
+impl RegionLoad {
+    fn per_slot(self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots.max(1))
+    }
+}
+
+/// The inputs of a spread.
+#[derive(Debug)]
+pub struct SpreadInput<'a> {
+    /// The region of the callers.
+    pub local_region: RegionKey,
+    /// Whether requests of the route have large bodies.
+    pub has_large_bodies: bool,
+    /// Time within which an answer has its full value.
+    pub objective: Duration,
+    /// The upstreams of the pool by region.
+    pub loads: &'a Arena<RegionKey, RegionLoad>,
+    /// Expected time of a warm answer by region.
+    pub warm_times: &'a Arena<RegionKey, Duration>,
+}
+
+/// The state of one region in a spread.
+#[derive(Debug, Clone, Copy)]
+struct RegionShare {
+    /// Fraction of the objects that is assigned to the region.
+    share: f64,
+    /// Slots at the last update.
+    slots: u32,
+    /// Factor on the weight of the region, less than 1 after it was overloaded.
+    relief: f64,
+}
+
+#[derive(Debug, Clone)]
+struct SpreadState {
+    regions: Arena<RegionKey, RegionShare>,
+    /// `None` before the first update.
+    updated_at: Option<MonotonicTime>,
+}
+
+/// The fractions of a route's requests that run in each region, for the callers of one region and the upstreams of one
+/// pool.
+#[derive(Debug)]
+pub struct RegionSpread {
+    /// Hashes of the names of the regions, the same at all instances.
+    region_hashes: Arena<RegionKey, u64>,
+    state: ArcSwap<SpreadState>,
+    /// Whether a request has used the spread, so that further changes move objects.
+    is_used: AtomicBool,
+}
+
+impl RegionSpread {
+    /// Creates a spread that takes its target at each update until a request uses it.
+    #[must_use]
+    pub fn new(region_hashes: Arena<RegionKey, u64>) -> Self {
+        let initial = |_| RegionShare {
+            share: 0.0,
+            slots: 0,
+            relief: 1.0,
+        };
+        Self {
+            state: ArcSwap::from_pointee(SpreadState {
+                regions: region_hashes.keys().map(initial).collect(),
+                updated_at: None,
+            }),
+            region_hashes,
+            is_used: AtomicBool::new(false),
+        }
+    }
+
+    /// Moves the spread towards its target. Called periodically by a single thread.
+    pub fn update(&self, input: &SpreadInput, now: MonotonicTime) {
+        let state = self.state.load();
+        let is_used = self.is_used.load(Ordering::Relaxed);
+        if let Some(next) = state.next(input, is_used, now) {
+            self.state.store(Arc::new(next));
+        }
+    }
+
+    /// Returns the region of an object among those for which `is_open` holds, or `None` if there is none.
+    ///
+    /// Weighted rendezvous hashing: a change of the shares moves as few objects as possible.
+    pub fn region(&self, object: u64, is_open: impl Fn(RegionKey) -> bool) -> Option<RegionKey> {
+        if !self.is_used.load(Ordering::Relaxed) {
+            self.is_used.store(true, Ordering::Relaxed);
+        }
+        let state = self.state.load();
+        let score = |region: RegionKey| {
+            let hash = combine_hashes(object, self.region_hashes[region]);
+            -state.regions[region].share.max(MIN_SHARE) / unit_interval(hash).ln()
+        };
+        let open = self.region_hashes.keys().filter(|region| is_open(*region));
+        open.max_by(|first, second| score(*first).total_cmp(&score(*second)))
+    }
+
+    /// Returns the fraction of the objects that is assigned to each region; zero before the first update.
+    #[must_use]
+    pub fn shares(&self) -> Arena<RegionKey, f64> {
+        let state = self.state.load();
+        state.regions.iter().map(|(_, state)| state.share).collect()
+    }
+}
+
+impl SpreadState {
+    /// Returns the state after an update; `None` while no region has slots.
+    fn next(&self, input: &SpreadInput, is_used: bool, now: MonotonicTime) -> Option<Self> {
+        let elapsed = self.updated_at.map_or(Duration::ZERO, |updated_at| {
+            now.since(updated_at).min(MAX_UPDATE_INTERVAL)
+        });
+        let relief: Arena<RegionKey, f64> = self
+            .regions
+            .iter()
+            .map(|(region, state)| next_relief(state.relief, region, input.loads, elapsed))
+            .collect();
+        let target = normalized(&weights(input, &relief))?;
+        let limit = MAX_SHARE_CHANGE_PER_S * elapsed.as_secs_f64();
+        let shares = match normalized(&self.shares_after_losses(input.loads)) {
+            Some(kept) if is_used => approach(&kept, &target, limit),
+            // Nothing moves: no request was assigned, or all upstreams in use are lost.
+            _ => target,
+        };
+        let regions = shares.iter().map(|(region, share)| RegionShare {
+            share: *share,
+            slots: input.loads[region].slots,
+            relief: relief[region],
+        });
+        Some(Self {
+            regions: regions.collect(),
+            updated_at: Some(now),
+        })
+    }
+
+    /// Returns the shares, less the part of each region's upstreams that were lost since the last update.
+    fn shares_after_losses(&self, loads: &Arena<RegionKey, RegionLoad>) -> Arena<RegionKey, f64> {
+        let remaining = |region: RegionKey, state: &RegionShare| {
+            let slots = loads[region].slots.min(state.slots);
+            state.share * f64::from(slots) / f64::from(state.slots.max(1))
+        };
+        let regions = self.regions.iter();
+        regions
+            .map(|(region, state)| remaining(region, state))
+            .collect()
+    }
+}
+
+/// Returns the weight of each region in the target.
+fn weights(input: &SpreadInput, relief: &Arena<RegionKey, f64>) -> Arena<RegionKey, f64> {
+    let max_warm_time = input.objective.mul_f64(NEARBY_OBJECTIVE_FRACTION);
+    let weight = |region: RegionKey| {
+        let local_factor = match (region == input.local_region, input.has_large_bodies) {
+            (false, _) => 1.0,
+            (true, false) => LOCAL_REGION_FACTOR,
+            (true, true) => LARGE_BODY_LOCAL_REGION_FACTOR,
+        };
+        let reach_factor = if input.warm_times[region] <= max_warm_time {
+            1.0
+        } else {
+            FAR_REGION_FACTOR
+        };
+        f64::from(input.loads[region].slots) * local_factor * reach_factor * relief[region]
+    };
+    input.loads.keys().map(weight).collect()
+}
+
+/// Returns the relief factor of a region after `elapsed`: it falls while the region is overloaded and another one has
+/// free slots, and returns to 1 when the load has fallen.
+fn next_relief(
+    relief: f64,
+    region: RegionKey,
+    loads: &Arena<RegionKey, RegionLoad>,
+    elapsed: Duration,
+) -> f64 {
+    let load = loads[region].per_slot();
+    let others = loads
+        .iter()
+        .filter(|(other, state)| *other != region && state.slots > 0);
+    let least = others
+        .map(|(_, state)| state.per_slot())
+        .fold(f64::INFINITY, f64::min);
+    let change = RELIEF_RATE_PER_S * elapsed.as_secs_f64();
+    if load > RELIEF_LOAD && least < load - MIN_LOAD_DIFFERENCE {
+        (relief * (1.0 - change)).max(MIN_RELIEF_FACTOR)
+    } else if load < RETURN_LOAD {
+        (relief * (1.0 + change)).min(1.0)
+    } else {
+        relief
+    }
+}
+
+/// Returns the values divided by their sum; `None` if it is zero.
+fn normalized(values: &Arena<RegionKey, f64>) -> Option<Arena<RegionKey, f64>> {
+    let sum: f64 = values.iter().map(|(_, value)| value).sum();
+    (sum > 0.0).then(|| values.iter().map(|(_, value)| value / sum).collect())
+}
+
+/// Returns the shares on the way from `from` to `to`, with at most `limit` of the requests moved.
+fn approach(
+    from: &Arena<RegionKey, f64>,
+    to: &Arena<RegionKey, f64>,
+    limit: f64,
+) -> Arena<RegionKey, f64> {
+    let differences = from.iter().map(|(region, share)| to[region] - share);
+    let moved: f64 = differences.map(f64::abs).sum::<f64>() / 2.0;
+    let fraction = if moved > limit { limit / moved } else { 1.0 };
+    from.iter()
+        .map(|(region, share)| share + (to[region] - share) * fraction)
+        .collect()
+}
+
+/// Units of the spill balance per request.
+const UNITS_PER_SPILL: i64 = 1_000;
+/// Units that each request adds: one request in 33 may leave its region although the spread does not move it.
+const UNITS_PER_REQUEST: i64 = UNITS_PER_SPILL / 33;
+/// Largest balance. Each instance keeps its own, so a larger one would let many requests leave at once.
+const MAX_SPILL_BALANCE: i64 = UNITS_PER_SPILL;
+
+/// Requests of one pool that this instance may still send to another region than the spread assigns, for example
+/// because the upstreams there are full. It bounds how many do so at once; the spread follows a lasting overload.
+#[derive(Debug, Default)]
+pub struct SpillBudget {
+    balance: AtomicI64,
+}
+
+impl SpillBudget {
+    /// Counts a request of the pool, which adds a fraction of a spill.
+    pub fn count_request(&self) {
+        let _ = self
+            .balance
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
+                Some((balance + UNITS_PER_REQUEST).min(MAX_SPILL_BALANCE))
+            });
+    }
+
+    /// Returns whether a request may leave its region.
+    pub fn has_spill(&self) -> bool {
+        self.balance.load(Ordering::Relaxed) >= UNITS_PER_SPILL
+    }
+
+    /// Charges a request that leaves its region. Concurrent requests may overdraw the balance by one each.
+    pub fn charge(&self) {
+        self.balance.fetch_sub(UNITS_PER_SPILL, Ordering::Relaxed);
+    }
+}
--- a/crates/steering/src/service_times.rs
+++ b/crates/steering/src/service_times.rs
@@ -17,7 +17,7 @@
 /// measurement.
 const DEFAULT_COLD_EXTRA_FRACTION: f64 = 0.5;
 /// Round trips that a request to another region is assumed to take before the first measurement there.
-const DEFAULT_REMOTE_ROUND_TRIPS: u32 = 2;
+const DEFAULT_REMOTE_ROUND_TRIPS: u32 = 1;
 /// Weight of a new value in the exponential moving average.
 const SMOOTHING_FACTOR: f64 = 0.1;
 /// Largest ratio of a warm response time to the expected cold one. If a request takes longer, the upstream no longer
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -166,6 +166,16 @@
         self.is_usable.load(Ordering::Acquire)
     }
 
+    /// Returns whether the upstream can run requests without a limit on their rate: it accepts new work, is reachable and
+    /// no longer in its cold start.
+    #[must_use]
+    pub fn can_run(&self, now: MonotonicTime) -> bool {
+        self.is_usable()
+            && !self.is_address_reused()
+            && !self.is_unreachable()
+            && !self.is_in_cold_start(now)
+    }
+
     /// Returns whether the upstream joined a pool in use and no request to it was sent here or reported by another
     /// instance. In a pool whose objects are all warm elsewhere, such an upstream receives one request for this reason,
     /// so that its response times are known when it is needed.
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -11,7 +11,7 @@
     UpstreamCandidate {
         key,
         rendezvous_hash: 1 << 63,
-        is_local_region: false,
+        is_assigned_region: true,
         times: TimeEstimate {
             warm: 200 * MS,
             cold: 640 * MS,
@@ -30,8 +30,8 @@
         objective: 500 * MS,
         objective_left: 490 * MS,
         deadline_left: 3_000 * MS,
-        has_large_bodies: false,
         may_migrate: false,
+        may_leave_region: true,
     }
 }
 
@@ -225,16 +225,14 @@
             },
             candidates: vec![
                 warm(UpstreamCandidate {
+                    is_assigned_region: false,
                     times: TimeEstimate {
                         warm: 420 * MS,
                         cold: 860 * MS,
                     },
                     ..candidate("far")
                 }),
-                UpstreamCandidate {
-                    is_local_region: true,
-                    ..candidate("nearby")
-                },
+                candidate("nearby"),
             ],
             chosen: Some("nearby"),
         },
@@ -291,7 +289,7 @@
             (0..8_u64).map(move |upstream| UpstreamCandidate {
                 key: upstream,
                 rendezvous_hash: coltsfootkeel_steering::combine_hashes(object, upstream),
-                is_local_region: upstream < 3,
+                is_assigned_region: upstream < 3,
                 times: TimeEstimate {
                     warm: 200 * MS,
                     cold: 640 * MS,
@@ -308,6 +306,76 @@
     }
 }
 
+/// Guards against a full region whose requests all leave it at once, and against objects that stay in another region
+/// although theirs has capacity again.
+#[test]
+fn requests_leave_their_region_only_if_they_may() {
+    let elsewhere = |candidate| UpstreamCandidate {
+        is_assigned_region: false,
+        ..candidate
+    };
+    let full = UpstreamCandidate {
+        in_flight: 12,
+        ..candidate("full")
+    };
+    let warm_elsewhere = UpstreamCandidate {
+        is_warm: true,
+        ..elsewhere(candidate("elsewhere"))
+    };
+    let stays = PlacementRequest {
+        may_leave_region: false,
+        ..request()
+    };
+    let cases = [
+        ChoiceCase {
+            name: "the assigned region goes first, whatever the hash",
+            request: request(),
+            candidates: vec![
+                candidate("assigned"),
+                UpstreamCandidate {
+                    rendezvous_hash: u64::MAX,
+                    ..elsewhere(candidate("elsewhere"))
+                },
+            ],
+            chosen: Some("assigned"),
+        },
+        ChoiceCase {
+            name: "a full region: a request that may leaves it",
+            request: request(),
+            candidates: vec![full, elsewhere(candidate("elsewhere"))],
+            chosen: Some("elsewhere"),
+        },
+        ChoiceCase {
+            name: "a full region: a request that may not leave it waits",
+            request: stays,
+            candidates: vec![full, elsewhere(candidate("elsewhere"))],
+            chosen: None,
+        },
+        ChoiceCase {
+            name: "a warm upstream elsewhere serves a request that may leave",
+            request: request(),
+            candidates: vec![candidate("assigned"), warm_elsewhere],
+            chosen: Some("elsewhere"),
+        },
+        ChoiceCase {
+            name: "an object that is warm elsewhere returns if the request may not leave",
+            request: stays,
+            candidates: vec![candidate("assigned"), warm_elsewhere],
+            chosen: Some("assigned"),
+        },
+        ChoiceCase {
+            name: "an object that is warm elsewhere returns with a request that can be sent twice",
+            request: PlacementRequest {
+                may_migrate: true,
+                ..request()
+            },
+            candidates: vec![candidate("assigned"), warm_elsewhere],
+            chosen: Some("assigned"),
+        },
+    ];
+    check_choices(cases);
+}
+
 struct ReasonCase {
     name: &'static str,
     may_migrate: bool,
--- a/crates/steering/tests/region_shares.rs
+++ b/crates/steering/tests/region_shares.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{ArenaKey, RegionKey};
+use coltsfootkeel_model::{Arena, ArenaKey, RegionKey};
 use coltsfootkeel_steering::{
-    AffinityTable, PlacementRequest, ServiceTimes, UpstreamCandidate, combine_hashes, short_hash,
-    stable_hash,
+    AffinityTable, PlacementRequest, RegionLoad, RegionSpread, ServiceTimes, SpillBudget,
+    SpreadInput, TimeEstimate, UpstreamCandidate, combine_hashes, short_hash, stable_hash,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -22,6 +22,8 @@
 /// Largest fraction of the requests that may change the region from one window to the next.
 const MAX_SHARE_CHANGE: f64 = 0.15;
 const WINDOW: Duration = Duration::from_secs(2);
+/// Time between two updates of the spread.
+const UPDATE_PERIOD: Duration = Duration::from_millis(100);
 const DURATION: Duration = Duration::from_secs(14);
 
 struct ShareCase {
@@ -49,17 +51,17 @@
             min_answered: 0.9,
         },
         ShareCase {
-            name: "a burst that exceeds the own region",
+            name: "a burst",
             upstreams: [20, 60],
             rate: |time| {
                 if time.as_secs() / 3 == 2 {
-                    900.0
+                    425.0
                 } else {
                     250.0
                 }
             },
             round_trip: |_| 110 * MS,
-            min_answered: 0.8,
+            min_answered: 0.9,
         },
         ShareCase {
             name: "demand that exceeds the own region for long",
@@ -82,9 +84,33 @@
             min_answered: 0.8,
         },
     ];
+    check_shares(&cases);
+}
+
+/// Guards against requests that change their region together when a burst exceeds several times what their region
+/// serves.
+#[test]
+fn a_burst_that_exceeds_the_region_changes_the_region_of_few_requests() {
+    check_shares(&[ShareCase {
+        name: "a burst that exceeds the own region",
+        upstreams: [20, 60],
+        rate: |time| {
+            if time.as_secs() / 3 == 2 {
+                900.0
+            } else {
+                250.0
+            }
+        },
+        round_trip: |_| 110 * MS,
+        min_answered: 0.8,
+    }]);
+}
+
+/// Checks the shares of all windows, and that enough requests are answered.
+fn check_shares(cases: &[ShareCase]) {
     let mut failures = Vec::new();
     for case in cases {
-        let result = PoolModel::new(&case).run(&case);
+        let result = PoolModel::new(case).run(case);
         let shares = result.local_shares.windows(2);
         let largest = shares
             .map(|pair| (pair[1] - pair[0]).abs())
@@ -125,6 +151,9 @@
 struct PoolModel {
     upstreams: Vec<ModelUpstream>,
     times: ServiceTimes,
+    spread: RegionSpread,
+    spill_budget: SpillBudget,
+    updated_at: Option<Duration>,
     affinity_table: AffinityTable,
     /// Running requests by the time of their answer and a sequence number.
     runs: BTreeMap<(Duration, u64), ModelRun>,
@@ -144,6 +173,14 @@
         Self {
             upstreams,
             times: ServiceTimes::new(RegionKey::from_index(0), 2),
+            spread: RegionSpread::new(
+                [1, 2]
+                    .map(|name| stable_hash(&[name]))
+                    .into_iter()
+                    .collect(),
+            ),
+            spill_budget: SpillBudget::default(),
+            updated_at: None,
             affinity_table: AffinityTable::default(),
             runs: BTreeMap::new(),
             random: fastrand::Rng::with_seed(1),
@@ -157,6 +194,13 @@
         while now < DURATION {
             now += Duration::from_secs_f64(1.0 / (case.rate)(now));
             self.end_runs(now, (case.round_trip)(now));
+            if self
+                .updated_at
+                .is_none_or(|updated_at| now >= updated_at + UPDATE_PERIOD)
+            {
+                self.updated_at = Some(now);
+                self.update_spread(now, (case.round_trip)(now));
+            }
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let oldest = (now.as_secs_f64() * NEW_OBJECTS_PER_S) as u64;
             let object = stable_hash(&(oldest + self.random.u64(..OBJECTS)).to_le_bytes());
@@ -177,44 +221,71 @@
         }
     }
 
+    fn update_spread(&self, now: Duration, round_trip: Duration) {
+        let regions = [0, 1].map(RegionKey::from_index);
+        let load = |region: RegionKey| {
+            let mut load = RegionLoad::default();
+            for upstream in &self.upstreams {
+                if upstream.region == region {
+                    load.slots += SLOTS;
+                    load.in_flight += upstream.in_flight;
+                }
+            }
+            load
+        };
+        let warm_time = |region: RegionKey| self.estimate(region, round_trip).warm;
+        let input = SpreadInput {
+            local_region: regions[0],
+            has_large_bodies: false,
+            objective: OBJECTIVE,
+            loads: &Arena::from_iter(regions.map(load)),
+            warm_times: &Arena::from_iter(regions.map(warm_time)),
+        };
+        self.spread.update(&input, MonotonicTime::default() + now);
+    }
+
+    fn estimate(&self, region: RegionKey, round_trip: Duration) -> TimeEstimate {
+        let distance = path_time(region, round_trip);
+        self.times.estimate(region, distance, OBJECTIVE)
+    }
+
     /// Sends a request to the selected upstream and returns its region, or `None` if none is selected.
     fn send(&mut self, object: u64, now: Duration, round_trip: Duration) -> Option<RegionKey> {
         let time = MonotonicTime::default() + now;
         let recent = self.affinity_table.upstreams(object, time);
+        self.spill_budget.count_request();
+        let assigned = self.spread.region(object, |_| true)?;
         let request = PlacementRequest {
             slot_time: WARM_TIME,
             objective: OBJECTIVE,
             objective_left: OBJECTIVE,
             deadline_left: 3_000 * MS,
-            has_large_bodies: false,
             may_migrate: false,
+            may_leave_region: self.spill_budget.has_spill(),
         };
-        let times = &self.times;
-        let candidates = self.upstreams.iter().enumerate().map(|(key, upstream)| {
-            let is_local = upstream.region.index() == 0;
-            let distance = if is_local { Duration::ZERO } else { round_trip };
-            UpstreamCandidate {
-                key,
-                rendezvous_hash: combine_hashes(object, upstream.hash),
-                is_local_region: is_local,
-                times: times.estimate(upstream.region, distance, OBJECTIVE),
-                in_flight: upstream.in_flight,
-                slots: SLOTS,
-                is_warm: recent.last_used_ms(upstream.hash).is_some(),
-                is_cache_full: false,
-                slowness: 1.0,
-            }
+        let candidates = self.upstreams.iter().enumerate();
+        let candidates = candidates.map(|(key, upstream)| UpstreamCandidate {
+            key,
+            rendezvous_hash: combine_hashes(object, upstream.hash),
+            is_assigned_region: upstream.region == assigned,
+            times: self.estimate(upstream.region, round_trip),
+            in_flight: upstream.in_flight,
+            slots: SLOTS,
+            is_warm: recent.last_used_ms(upstream.hash).is_some(),
+            is_cache_full: false,
+            slowness: 1.0,
         });
         let decision = request.choose(candidates)?;
+        if decision.leaves_region {
+            self.spill_budget.charge();
+        }
         let upstream = &mut self.upstreams[decision.key];
-        let is_local = upstream.region.index() == 0;
-        let path_time = if is_local { Duration::ZERO } else { round_trip };
         let work = if decision.is_warm {
             WARM_TIME
         } else {
             COLD_TIME
         };
-        let answer_time = decision.queue_delay + work + path_time;
+        let answer_time = decision.queue_delay + work + path_time(upstream.region, round_trip);
         upstream.in_flight += 1;
         self.affinity_table
             .record(object, short_hash(upstream.hash), time);
@@ -242,13 +313,21 @@
             let run = entry.remove();
             let upstream = &mut self.upstreams[run.upstream];
             upstream.in_flight -= 1;
-            let is_local = upstream.region.index() == 0;
-            let distance = if is_local { Duration::ZERO } else { round_trip };
-            let expected = self.times.estimate(upstream.region, distance, OBJECTIVE);
+            let region = upstream.region;
+            let expected = self.estimate(region, round_trip);
             if !run.has_queued && now >= run.sent_at {
                 self.times
-                    .record(upstream.region, expected, run.is_warm, run.answer_time);
+                    .record(region, expected, run.is_warm, run.answer_time);
             }
         }
     }
 }
+
+/// Returns the round trip between the callers' region and `region`.
+fn path_time(region: RegionKey, round_trip: Duration) -> Duration {
+    if region.index() == 0 {
+        Duration::ZERO
+    } else {
+        round_trip
+    }
+}
