steering, entry: the own region's share follows from its slots and its part of the callers

Cause: the target of the spread multiplied the slots of the own region by a fixed factor of six. Change: the own region's share is what its slots can serve, if callers are spread over the failure domains; the rest goes to the other regions by the slots that their own callers leave. After a loss, as much as was lost moves towards the target at once.

--- a/crates/entry/src/spread_updates.rs
+++ b/crates/entry/src/spread_updates.rs
@@ -95,6 +95,9 @@
         .keys()
         .map(|_| RegionLoad::default())
         .collect();
+    for (_, domain) in shared.topology.domains.iter() {
+        loads[domain.region].domains += 1;
+    }
     for state in reachable {
         if is_avoidance_suspended || !state.is_avoided(now) {
             let load = &mut loads[state.info.region];
--- a/crates/steering/src/region_spread.rs
+++ b/crates/steering/src/region_spread.rs
@@ -15,13 +15,14 @@
 
 use crate::hashing::{combine_hashes, unit_interval};
 
-/// Weight of slots in the callers' region relative to those in other regions. It keeps most of the traffic in the
-/// region and still spreads the load of a region with few upstreams over the other regions.
-const LOCAL_REGION_FACTOR: f64 = 6.0;
-/// Weight of slots in the callers' region relative to those in other regions for requests with large bodies, which cost
-/// more bytes and several round trips to another region.
-const LARGE_BODY_LOCAL_REGION_FACTOR: f64 = 30.0;
-/// Weight of slots in a region whose warm answers are too late, relative to those in other regions.
+/// Largest share of the callers' region. The rest keeps the times of the other regions measured.
+const MAX_LOCAL_SHARE: f64 = 0.95;
+/// Factor on the odds of the callers' region for requests with large bodies, which cost more bytes and several round
+/// trips to another region.
+const LARGE_BODY_ODDS_FACTOR: f64 = 5.0;
+/// Part of a region's slots that counts as free for the callers of other regions if its own callers need all of them.
+const MIN_SPARE_FRACTION: f64 = 0.1;
+/// Factor on the weight of a region whose warm answers are too late.
 const FAR_REGION_FACTOR: f64 = 0.02;
 /// Fraction of the objective within which a region must be able to return a warm answer. The rest covers the round trip
 /// between caller and instance, and answers that take longer than usual.
@@ -51,6 +52,9 @@
     pub slots: u32,
     /// Requests in flight there from all instances.
     pub in_flight: u32,
+    /// Failure domains of the region, whether they have upstreams or not. The callers of a region are assumed to be as
+    /// many as its failure domains; relief corrects the error where that overloads it.
+    pub domains: u32,
 }
 
 impl RegionLoad {
@@ -168,10 +172,11 @@
             .collect();
         let target = normalized(&weights(input, &relief))?;
         let limit = MAX_SHARE_CHANGE_PER_S * elapsed.as_secs_f64();
-        let shares = match normalized(&self.shares_after_losses(input.loads)) {
-            Some(kept) if is_used => approach(&kept, &target, limit),
-            // Nothing moves: no request was assigned, or all upstreams in use are lost.
-            _ => target,
+        let shares = if is_used {
+            let current = self.regions.iter().map(|(_, state)| state.share).collect();
+            approach(&current, &target, limit + self.lost_share(input.loads))
+        } else {
+            target
         };
         let regions = shares.iter().map(|(region, share)| RegionShare {
             share: *share,
@@ -184,34 +189,49 @@
         })
     }
 
-    /// Returns the shares, less the part of each region's upstreams that were lost since the last update.
-    fn shares_after_losses(&self, loads: &Arena<RegionKey, RegionLoad>) -> Arena<RegionKey, f64> {
-        let remaining = |region: RegionKey, state: &RegionShare| {
-            let slots = loads[region].slots.min(state.slots);
+    /// Returns the fraction of the requests whose upstreams were lost since the last update.
+    fn lost_share(&self, loads: &Arena<RegionKey, RegionLoad>) -> f64 {
+        let lost = |region: RegionKey, state: &RegionShare| {
+            let slots = state.slots.saturating_sub(loads[region].slots);
             state.share * f64::from(slots) / f64::from(state.slots.max(1))
         };
         let regions = self.regions.iter();
-        regions
-            .map(|(region, state)| remaining(region, state))
-            .collect()
+        regions.map(|(region, state)| lost(region, state)).sum()
     }
 }
 
-/// Returns the weight of each region in the target.
+/// Returns the weight of each region in the target: the callers' region serves what its slots allow, and the others the
+/// rest by their spare slots.
 fn weights(input: &SpreadInput, relief: &Arena<RegionKey, f64>) -> Arena<RegionKey, f64> {
+    let slots: u32 = input.loads.iter().map(|(_, load)| load.slots).sum();
+    let domains: u32 = input.loads.iter().map(|(_, load)| load.domains).sum();
+    let slots_per_domain = f64::from(slots) / f64::from(domains.max(1));
+    let demand = |load: &RegionLoad| slots_per_domain * f64::from(load.domains);
+    let free_slots = |load: &RegionLoad| {
+        let own_slots = f64::from(load.slots);
+        (own_slots - demand(load)).max(own_slots * MIN_SPARE_FRACTION)
+    };
+    let local_load = &input.loads[input.local_region];
+    let served = f64::from(local_load.slots) / demand(local_load).max(1.0);
+    let local_share = served.min(MAX_LOCAL_SHARE);
+    let others = input.loads.iter();
+    let others = others.filter(|(region, _)| *region != input.local_region);
+    let total_free: f64 = others.map(|(_, load)| free_slots(load)).sum();
     let max_warm_time = input.objective.mul_f64(NEARBY_OBJECTIVE_FRACTION);
     let weight = |region: RegionKey| {
-        let local_factor = match (region == input.local_region, input.has_large_bodies) {
-            (false, _) => 1.0,
-            (true, false) => LOCAL_REGION_FACTOR,
-            (true, true) => LARGE_BODY_LOCAL_REGION_FACTOR,
+        let share = if region != input.local_region {
+            (1.0 - local_share) * free_slots(&input.loads[region]) / total_free.max(1.0)
+        } else if input.has_large_bodies {
+            local_share * LARGE_BODY_ODDS_FACTOR
+        } else {
+            local_share
         };
         let reach_factor = if input.warm_times[region] <= max_warm_time {
             1.0
         } else {
             FAR_REGION_FACTOR
         };
-        f64::from(input.loads[region].slots) * local_factor * reach_factor * relief[region]
+        share * reach_factor * relief[region]
     };
     input.loads.keys().map(weight).collect()
 }
