steering: objects stay in the region where they are warm, and only changes of the region are charged

What callers saw: an object that was placed in another region because its own was full spent the budget again with each request; without budget the request ran cold in the own region, three times as long, or was refused. Cause: each request outside the assigned region was charged, though the object had not changed its region. Change: the current region of an object is the assigned one, or the one where it is warm alone. Requests that run elsewhere, returns by migration too, need the budget; a request that is late where its object is warm may always return.

--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -36,7 +36,7 @@
     pub cache_estimator: Arc<CacheEstimator>,
     /// The average time for which a request occupies a slot.
     pub slot_time: Arc<AverageTime>,
-    /// The requests that may leave the region that the spread assigns to them.
+    /// The requests that may change the region of their object.
     pub spill_budget: Arc<SpillBudget>,
 }
 
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -144,7 +144,7 @@
         deadline_left: context.remaining(),
         may_migrate: may_be_hedged(context),
         // The retry budget bounds how many requests try another upstream.
-        may_leave_region: !tried.is_empty() || spill_budget.has_spill(),
+        may_change_region: !tried.is_empty() || spill_budget.has_spill(),
     };
     let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
     let upstreams = context.listed_pool().upstreams.iter().copied();
@@ -160,7 +160,7 @@
     if state.is_in_cold_start(now) && !reserve_cold_interval(context, state, now) {
         return None;
     }
-    if decision.leaves_region && tried.is_empty() {
+    if decision.changes_region && tried.is_empty() {
         spill_budget.charge();
     }
     if let Some(object) = context.object {
@@ -213,7 +213,7 @@
         key,
         reason: PlacementReason::Untried,
         preferred: key,
-        leaves_region: false,
+        changes_region: false,
         expected: cold,
         queue_delay: Duration::ZERO,
         is_warm: false,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -17,7 +17,7 @@
 //!     objective_left: Duration::from_millis(500),
 //!     deadline_left: Duration::from_secs(3),
 //!     may_migrate: false,
-//!     may_leave_region: true,
+//!     may_change_region: true,
 //! };
 //! let candidate = |key, is_warm| UpstreamCandidate {
 //!     key,
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement.rs
@@ -70,8 +70,9 @@
     /// Whether the object may migrate to an upstream where it is cold. This requires that the request can be sent to a
     /// second upstream.
     pub may_migrate: bool,
-    /// Whether the request may run in another region than the assigned one.
-    pub may_leave_region: bool,
+    /// Whether the request may run in another region than the object's current one: the region where it is warm, or the
+    /// assigned one if it is warm in both or nowhere.
+    pub may_change_region: bool,
 }
 
 /// Position of an upstream in the preference order of an object. Upstreams that can meet the objective with a warm
@@ -118,8 +119,10 @@
 
     /// Selects one of the candidates, or returns `None` if the request should be queued.
     ///
-    /// A request runs in the assigned region of its object. It leaves the region, if it may, for a warm upstream that
-    /// answers in time or when no upstream of the region can take it.
+    /// A request runs in the current region of its object: the assigned one, or another one if the object is warm only
+    /// there, because it was placed there when the assigned region was full. It runs elsewhere, if it may, for a warm
+    /// upstream that answers in time or when no upstream of the region can take it. An object may always return to its
+    /// assigned region when it is late in the other one.
     pub fn choose<K: Copy>(
         &self,
         candidates: impl Iterator<Item = UpstreamCandidate<K>>,
@@ -136,7 +139,10 @@
             region.add(self.rank_candidate(&candidate), self.objective_left);
         }
         let preferred = assigned.preferred.or(others.preferred)?.key;
-        if !self.may_leave_region {
+        let is_placed_elsewhere = others.has_warm && !assigned.has_warm;
+        if !self.may_change_region && is_placed_elsewhere {
+            others.cold = None;
+        } else if !self.may_change_region {
             others = RegionCandidates::default();
         }
         let in_region = match (assigned.warm_in_time, others.warm_in_time) {
@@ -152,7 +158,7 @@
             key: chosen.key,
             reason,
             preferred,
-            leaves_region: !chosen.is_assigned_region,
+            changes_region: chosen.is_assigned_region == is_placed_elsewhere,
             expected: chosen.expected,
             queue_delay: chosen.queue_delay,
             is_warm: chosen.is_warm,
@@ -188,7 +194,7 @@
         warm: RankedCandidate<K>,
     ) -> (RankedCandidate<K>, PlacementReason) {
         match assigned.cold {
-            Some(cold) if self.may_migrate_to(&cold, assigned.load()) => {
+            Some(cold) if self.may_change_region && self.may_migrate_to(&cold, assigned.load()) => {
                 (cold, PlacementReason::Migration)
             }
             _ => (warm, PlacementReason::Warm),
--- a/crates/steering/src/placement_decision.rs
+++ b/crates/steering/src/placement_decision.rs
@@ -57,8 +57,9 @@
     pub reason: PlacementReason,
     /// Key of the first upstream in the preference order of the object, whatever its load.
     pub preferred: K,
-    /// Whether the upstream is in another region than the assigned one.
-    pub leaves_region: bool,
+    /// Whether the upstream is in another region than the object's current one, see
+    /// [`PlacementRequest::may_change_region`](crate::PlacementRequest::may_change_region).
+    pub changes_region: bool,
     /// Expected time until the response, including the queue.
     pub expected: Duration,
     /// Expected time in the queue of the upstream.
