entry: one queue for each pool again

Cause: with the spread, requests waited in a queue of their region, and the expected wait counted the slots of that region alone. Change: one queue for each pool as before the spread; the placement decides in which region a request runs when it is woken.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -37,7 +37,7 @@
 const MIN_CHECK_PERIOD: Duration = Duration::from_millis(600);
 /// A registered instance that sends no heartbeat for this long is removed from the store by another one.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(15);
-/// The number of queued requests of each pool and region that are woken on each tick, because other instances may have released
+/// The number of queued requests of each pool that are woken on each tick, because other instances may have released
 /// slots.
 const WOKEN_PER_TICK: usize = 64;
 /// The time between two updates of the recently used objects of each upstream.
@@ -233,9 +233,7 @@
         self.start_checks(now);
         if let Some(snapshot) = self.shared.snapshot.load().as_ref() {
             for (_, pool) in snapshot.pools.iter() {
-                for region in self.shared.topology.regions.keys() {
-                    wake_queued(&pool.state, region, WOKEN_PER_TICK);
-                }
+                wake_queued(&pool.state, WOKEN_PER_TICK);
             }
         }
         if now.since(self.recent_objects_updated_at) > RECENT_OBJECTS_UPDATE_PERIOD {
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RegionKey, RouteKey, UpstreamKey};
+use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
     AverageTime, CacheEstimator, QuotaBudget, RegionSpread, RequestQueue, RetryBudget,
     ServiceTimes, SpillBudget, SteeringPlan, UpstreamState,
@@ -26,10 +26,10 @@
 }
 
 /// The state of a pool that is kept across plans.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct PoolState {
-    /// The requests that wait for a free slot in each region.
-    pub request_queues: Arc<Arena<RegionKey, RequestQueue<WakeSender>>>,
+    /// The requests that wait for a free slot in any region.
+    pub request_queue: Arc<RequestQueue<WakeSender>>,
     /// The budget of retries and hedged requests.
     pub retry_budget: Arc<RetryBudget>,
     /// The estimate of how many objects each upstream caches.
@@ -40,21 +40,6 @@
     pub spill_budget: Arc<SpillBudget>,
 }
 
-impl PoolState {
-    /// Creates the state of a pool with upstreams in `regions` regions.
-    #[must_use]
-    pub fn new(regions: usize) -> Self {
-        let queues = (0..regions).map(|_| RequestQueue::default());
-        Self {
-            request_queues: Arc::new(queues.collect()),
-            retry_budget: Arc::default(),
-            cache_estimator: Arc::default(),
-            slot_time: Arc::default(),
-            spill_budget: Arc::default(),
-        }
-    }
-}
-
 /// A pool of the plan with its upstreams and its state.
 #[derive(Debug)]
 pub struct ListedPool {
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use coltsfootkeel_model::RegionKey;
 use coltsfootkeel_steering::{QueuePosition, RequestQueue, max_queue_wait, queue_priority};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
@@ -12,7 +11,7 @@
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, assigned_region, is_allowed, reserve_slot};
+use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
 
 /// The time that a stopping instance reserves to deliver the response.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
@@ -41,11 +40,9 @@
         let warm = self.context.home_time_estimate().warm;
         let objective_left = self.context.objective_left();
         let max_wait = max_queue_wait(objective_left, self.context.remaining(), warm);
-        let region = assigned_region(&self.context, &self.tried);
-        let region = region.unwrap_or(self.context.shared.home.region);
-        let request_queue = &self.context.listed_pool().state.request_queues[region];
+        let request_queue = &self.context.listed_pool().state.request_queue;
         let priority = queue_priority(self.context.priority, objective_left, warm);
-        if self.expected_wait(region, request_queue.count_ahead(priority)) > max_wait {
+        if self.expected_wait(request_queue.count_ahead(priority)) > max_wait {
             return Err(RejectKind::NoCapacity);
         }
         let until = started + max_wait;
@@ -65,14 +62,12 @@
         found.ok_or(RejectKind::NoCapacity)
     }
 
-    /// Returns the expected time until the requests ahead in the queue of a region have left the slots that this request
-    /// may use there.
-    fn expected_wait(&self, region: RegionKey, ahead: usize) -> Duration {
+    /// Returns the expected time until the requests ahead in the queue have left the slots that this request may use.
+    fn expected_wait(&self, ahead: usize) -> Duration {
         let pool = self.context.listed_pool();
         let upstreams = pool.upstreams.iter();
         let allowed = upstreams
             .map(|key| &self.context.snapshot.upstreams[*key])
-            .filter(|listed| listed.state.info.region == region)
             .filter(|listed| is_allowed(&self.context, listed));
         let slots: u32 = allowed.map(|listed| listed.state.info.slots).sum();
         let instances = self.context.shared.instance_count();
--- a/crates/entry/src/snapshot_builder.rs
+++ b/crates/entry/src/snapshot_builder.rs
@@ -68,10 +68,7 @@
         let mut pool_states = HashMap::new();
         let mut pools: Arena<PoolKey, ListedPool> = Arena::new();
         for (_, pool) in plan.pools.iter() {
-            let state = self
-                .pools
-                .remove(&pool.name)
-                .unwrap_or_else(|| PoolState::new(self.region_hashes.len()));
+            let state = self.pools.remove(&pool.name).unwrap_or_default();
             pool_states.insert(pool.name.clone(), state.clone());
             pools.push(ListedPool {
                 upstreams: upstreams_by_pool
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -99,13 +99,13 @@
 impl Drop for SlotReservation {
     fn drop(&mut self) {
         self.state.end_request();
-        wake_queued(&self.pool, self.state.info.region, WOKEN_PER_RELEASE);
+        wake_queued(&self.pool, WOKEN_PER_RELEASE);
     }
 }
 
-/// Wakes the first `count` requests in the queue of a pool for a region, so that they try again to reserve a slot.
-pub fn wake_queued(pool: &PoolState, region: RegionKey, count: usize) {
-    for sender in pool.request_queues[region].pop(count) {
+/// Wakes the first `count` requests in the queue of a pool, so that they try again to reserve a slot.
+pub fn wake_queued(pool: &PoolState, count: usize) {
+    for sender in pool.request_queue.pop(count) {
         // Sending fails if the request has ended in the meantime and dropped the receiver.
         let _ = sender.send(());
     }
@@ -134,7 +134,7 @@
         .map(|object| context.shared.affinity_table.upstreams(object, now))
         .unwrap_or_default();
     let tier = candidate_tier(context, tried, now);
-    let region = assigned_region_in(context, tier, now)?;
+    let region = assigned_region(context, tier, now)?;
     let spill_budget = &context.listed_pool().state.spill_budget;
     let slot_time = context.listed_pool().state.slot_time.get();
     let request = PlacementRequest {
@@ -220,14 +220,9 @@
     })
 }
 
-/// Returns the region in which the request runs unless it is full, as assigned by the spread of its route. Returns
-/// `None` if no upstream may run the request.
-pub fn assigned_region(context: &RequestContext, tried: &[UpstreamKey]) -> Option<RegionKey> {
-    let now = context.shared.clock.now();
-    assigned_region_in(context, candidate_tier(context, tried, now), now)
-}
-
-fn assigned_region_in(
+/// Returns the region that the spread of the route assigns to the object. Returns `None` if no upstream may run the
+/// request.
+fn assigned_region(
     context: &RequestContext,
     tier: CandidateTier,
     now: MonotonicTime,
