transport, entry: upstreams that send bytes without end are abandoned at once

Cause: the bytes before the end of a head were not limited over several heads, and the body was read before the answer was judged. Change: a connection reads at most 64 KiB before the head of the response is complete; an answer that is not of this request or not of this upstream is dropped by its head, and the body of a refusal is read for at most 50 ms and 16 KiB. Ruled out: one long head, many fields, empty lines, bytes that are no HTTP and chunk extensions without end were rejected in time before; a long signed body is passed on and breaks off at the deadline.

--- a/crates/daemon/src/upstream_attempt.rs
+++ b/crates/daemon/src/upstream_attempt.rs
@@ -89,6 +89,14 @@
             slot.handle().health.record_failure();
             AttemptResult::failed(AttemptEnd::ConnectionBroken)
         }
+        Err(SendFailure::HeadTooLong) => {
+            log::debug!(
+                "entry: The upstream sent no head within the longest length during request {}.",
+                context.request_id
+            );
+            slot.handle().health.record_failure();
+            AttemptResult::failed(AttemptEnd::ConnectionBroken)
+        }
     }
 }
 
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -1,5 +1,7 @@
 //! Sends a request to an upstream and reads the answer.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use coltsfootkeel_adapter::{AnswerClass, UpstreamHead, classify_answer, write_upstream_head};
 use coltsfootkeel_counters::MonotonicTime;
@@ -7,7 +9,7 @@
 use http::response::Parts;
 use http::{HeaderMap, Uri};
 use http_body_util::BodyExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use volo_http::body::Body;
 
 use crate::entry_snapshot::ListedUpstream;
@@ -18,6 +20,12 @@
 /// again if the connection breaks.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
+/// The longest body, in bytes, that is read of an upstream's refusal.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+/// The longest time for reading the body of a refusal. It usually arrives with the head; the request is then sent to
+/// another upstream, or rejected.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A connection that carried a larger request body is not reused: an upstream that answers early may still read the
 /// remaining body, and would read the next request as a continuation of it.
 const MAX_REUSED_BODY_BYTES: u64 = 8 * 1024;
@@ -113,30 +121,42 @@
             );
             return ExchangeOutcome::Broken;
         }
+        Ok(Err(SendFailure::HeadTooLong)) => {
+            log::debug!(
+                "exchange: Upstream {} sent no head within the longest length.",
+                listed.state.info.id
+            );
+            return ExchangeOutcome::Foreign;
+        }
     };
     let (head, body) = response.into_parts();
-    let class = classify_answer(head.status, &head.headers, &context.head.attempt_id);
-    let read = match timeout_at(deadline, read_content(body)).await {
-        Err(_) => return ExchangeOutcome::TimedOut,
-        Ok(None) => return ExchangeOutcome::Broken,
-        Ok(Some(read)) => read,
+    let keep_connection = |connection: Box<UpstreamConnection>| {
+        if may_reuse {
+            let now = context.shared.clock.now();
+            listed.client.put_idle(now, connection);
+        }
     };
-    let is_foreign = class == AnswerClass::Foreign;
-    if let Some(connection) = read.connection
-        && may_reuse
-        && !is_foreign
-    {
-        listed
-            .client
-            .put_idle(context.shared.clock.now(), connection);
-    }
-    match class {
-        AnswerClass::Valid { is_success } => ExchangeOutcome::Answered(Box::new(UpstreamAnswer {
-            head,
-            content: read.content,
-            is_success,
-        })),
-        AnswerClass::NotRun => ExchangeOutcome::NotRun,
+    match classify_answer(head.status, &head.headers, &context.head.attempt_id) {
+        AnswerClass::Valid { is_success } => {
+            let read = match timeout_at(deadline, read_content(body, MAX_BUFFERED_BYTES)).await {
+                Err(_) => return ExchangeOutcome::TimedOut,
+                Ok(None) => return ExchangeOutcome::Broken,
+                Ok(Some(read)) => read,
+            };
+            read.connection.map(keep_connection);
+            ExchangeOutcome::Answered(Box::new(UpstreamAnswer {
+                head,
+                content: read.content,
+                is_success,
+            }))
+        }
+        AnswerClass::NotRun => {
+            // The body tells nothing, and may have no end. It is read so that the connection can be reused.
+            let reading = read_content(body, MAX_REFUSAL_BYTES);
+            let read = timeout(REFUSAL_TIMEOUT, reading).await.ok().flatten();
+            read.and_then(|read| read.connection).map(keep_connection);
+            ExchangeOutcome::NotRun
+        }
         AnswerClass::OtherUpstream => ExchangeOutcome::OtherUpstream,
         AnswerClass::Foreign => ExchangeOutcome::Foreign,
     }
@@ -179,11 +199,11 @@
     connection: Option<Box<UpstreamConnection>>,
 }
 
-/// Reads a body of up to [`MAX_BUFFERED_BYTES`] to its end, or the beginning of a longer one. Returns `None` if the
-/// connection breaks.
-async fn read_content(mut body: UpstreamBody) -> Option<ReadContent> {
+/// Reads a body of up to `max_bytes` to its end, or the beginning of a longer one. Returns `None` if the connection
+/// breaks.
+async fn read_content(mut body: UpstreamBody, max_bytes: usize) -> Option<ReadContent> {
     let mut bytes = BytesMut::new();
-    while bytes.len() <= MAX_BUFFERED_BYTES {
+    while bytes.len() <= max_bytes {
         let Some(frame) = body.frame().await else {
             return Some(ReadContent {
                 content: AnswerContent::Buffered(bytes.freeze()),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod call_error;
 mod connection_pool;
+mod head_limit;
 mod hop_headers;
 mod http_listener;
 mod in_flight;
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -20,6 +20,8 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
+use crate::head_limit::{LimitedStream, ReadAllowance};
+
 /// The longest time for setting up a connection. It normally takes about 1 ms and a round trip; the timeout covers lost
 /// packets and upstreams that do not respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -54,6 +56,8 @@
     NotSent(Box<hyper::Request<Body>>),
     /// The connection broke after the request may have been sent.
     Broken(hyper::Error),
+    /// The upstream sent more bytes than a response head has, and no head. The request may have run.
+    HeadTooLong,
 }
 
 /// Sends requests to one upstream and keeps idle connections for reuse.
@@ -67,7 +71,8 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     sender: SendRequest<Body>,
-    driver: Connection<TokioIo<TcpStream>, Body>,
+    driver: Connection<TokioIo<LimitedStream<TcpStream>>, Body>,
+    read_allowance: ReadAllowance,
     is_closed: bool,
     idle_since: MonotonicTime,
 }
@@ -96,18 +101,24 @@
         let mut response = std::pin::pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let is_closed = &mut self.is_closed;
+        let read_allowance = &self.read_allowance;
+        read_allowance.limit_to_head();
         let outcome = poll_fn(|context| {
             if !*is_closed && Pin::new(&mut *driver).poll(context).is_ready() {
                 *is_closed = true;
             }
-            response.as_mut().poll(context)
+            match response.as_mut().poll(context) {
+                Poll::Ready(response) => Poll::Ready(Some(response)),
+                Poll::Pending if read_allowance.is_used_up() => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            }
         });
-        outcome
-            .await
-            .map_err(|mut error| match error.take_message() {
-                Some(request) => SendFailure::NotSent(Box::new(request)),
-                None => SendFailure::Broken(error.into_error()),
-            })
+        let outcome = outcome.await.ok_or(SendFailure::HeadTooLong)?;
+        read_allowance.lift();
+        outcome.map_err(|mut error| match error.take_message() {
+            Some(request) => SendFailure::NotSent(Box::new(request)),
+            None => SendFailure::Broken(error.into_error()),
+        })
     }
 }
 
@@ -213,10 +224,13 @@
         let connecting = TcpStream::connect(self.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+        let read_allowance = ReadAllowance::default();
+        let limited = LimitedStream::new(stream, read_allowance.clone());
+        let (sender, driver) = http1::handshake(TokioIo::new(limited)).await?;
         Ok(Box::new(UpstreamConnection {
             sender,
             driver,
+            read_allowance,
             is_closed: false,
             idle_since: MonotonicTime::default(),
         }))
