steering: tests of placement between regions in a file of their own

Change: the two tests on regions move to placement_regions.rs, what both files use to placement_cases; no case changes.

--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -1,46 +1,12 @@
 //! Selection of the upstream for a request.
 
+#[allow(dead_code, reason = "each test file uses a part of the cases")]
+mod placement_cases;
+
 use std::time::Duration;
 
 use coltsfootkeel_steering::{PlacementReason, PlacementRequest, TimeEstimate, UpstreamCandidate};
-
-const MS: Duration = Duration::from_millis(1);
-
-/// Returns a candidate with nine free slots that answers in 200 ms if warm and in 640 ms if cold.
-fn candidate(key: &'static str) -> UpstreamCandidate<&'static str> {
-    UpstreamCandidate {
-        key,
-        rendezvous_hash: 1 << 63,
-        is_assigned_region: true,
-        times: TimeEstimate {
-            warm: 200 * MS,
-            cold: 640 * MS,
-        },
-        in_flight: 0,
-        slots: 9,
-        is_warm: false,
-        is_cache_full: false,
-        slowness: 1.0,
-    }
-}
-
-fn request() -> PlacementRequest {
-    PlacementRequest {
-        slot_time: 200 * MS,
-        objective: 500 * MS,
-        objective_left: 490 * MS,
-        deadline_left: 3_000 * MS,
-        may_migrate: false,
-        may_change_region: true,
-    }
-}
-
-struct ChoiceCase {
-    name: &'static str,
-    request: PlacementRequest,
-    candidates: Vec<UpstreamCandidate<&'static str>>,
-    chosen: Option<&'static str>,
-}
+use placement_cases::{ChoiceCase, MS, candidate, check_choices, request};
 
 /// Guards against requests to cold upstreams while a warm one answers in time, and against a collapse of the throughput
 /// when additional upstreams for an object take the capacity of the warm ones.
@@ -268,18 +234,6 @@
     check_choices(cases);
 }
 
-fn check_choices<const COUNT: usize>(cases: [ChoiceCase; COUNT]) {
-    for case in cases {
-        let decision = case.request.choose(case.candidates.into_iter());
-        assert_eq!(
-            decision.map(|decision| decision.key),
-            case.chosen,
-            "{}",
-            case.name
-        );
-    }
-}
-
 /// Guards against a preference order that depends on the current load: after a restart, instances would not find the
 /// upstreams that have the objects cached.
 #[test]
@@ -306,164 +260,6 @@
     }
 }
 
-/// Guards against a full region whose requests all leave it at once, and against objects that stay in another region
-/// although theirs has capacity again.
-#[test]
-fn requests_leave_their_region_only_if_they_may() {
-    let elsewhere = |candidate| UpstreamCandidate {
-        is_assigned_region: false,
-        ..candidate
-    };
-    let full = UpstreamCandidate {
-        in_flight: 12,
-        ..candidate("full")
-    };
-    let warm_elsewhere = UpstreamCandidate {
-        is_warm: true,
-        ..elsewhere(candidate("elsewhere"))
-    };
-    let stays = PlacementRequest {
-        may_change_region: false,
-        ..request()
-    };
-    let cases = [
-        ChoiceCase {
-            name: "the assigned region goes first, whatever the hash",
-            request: request(),
-            candidates: vec![
-                candidate("assigned"),
-                UpstreamCandidate {
-                    rendezvous_hash: u64::MAX,
-                    ..elsewhere(candidate("elsewhere"))
-                },
-            ],
-            chosen: Some("assigned"),
-        },
-        ChoiceCase {
-            name: "a full region: a request that may leaves it",
-            request: request(),
-            candidates: vec![full, elsewhere(candidate("elsewhere"))],
-            chosen: Some("elsewhere"),
-        },
-        ChoiceCase {
-            name: "a full region: a request that may not leave it waits",
-            request: stays,
-            candidates: vec![full, elsewhere(candidate("elsewhere"))],
-            chosen: None,
-        },
-        ChoiceCase {
-            name: "a warm upstream elsewhere serves a request that may leave",
-            request: request(),
-            candidates: vec![candidate("assigned"), warm_elsewhere],
-            chosen: Some("elsewhere"),
-        },
-        ChoiceCase {
-            name: "an object that is warm only elsewhere stays there",
-            request: stays,
-            candidates: vec![candidate("assigned"), warm_elsewhere],
-            chosen: Some("elsewhere"),
-        },
-        ChoiceCase {
-            name: "an object that is warm only elsewhere does not return with a request that may not change the region",
-            request: PlacementRequest {
-                may_migrate: true,
-                ..stays
-            },
-            candidates: vec![candidate("assigned"), warm_elsewhere],
-            chosen: Some("elsewhere"),
-        },
-        ChoiceCase {
-            name: "an object that is late elsewhere returns",
-            request: stays,
-            candidates: vec![
-                candidate("assigned"),
-                UpstreamCandidate {
-                    in_flight: 23,
-                    ..warm_elsewhere
-                },
-            ],
-            chosen: Some("assigned"),
-        },
-        ChoiceCase {
-            name: "an object that is warm in both regions runs in the assigned one, however late",
-            request: stays,
-            candidates: vec![
-                UpstreamCandidate {
-                    is_warm: true,
-                    in_flight: 8,
-                    slowness: 3.0,
-                    ..candidate("assigned")
-                },
-                warm_elsewhere,
-            ],
-            chosen: Some("assigned"),
-        },
-        ChoiceCase {
-            name: "an object that is warm elsewhere returns with a request that can be sent twice",
-            request: PlacementRequest {
-                may_migrate: true,
-                ..request()
-            },
-            candidates: vec![candidate("assigned"), warm_elsewhere],
-            chosen: Some("assigned"),
-        },
-    ];
-    check_choices(cases);
-}
-
-struct RegionChangeCase {
-    name: &'static str,
-    candidates: Vec<UpstreamCandidate<&'static str>>,
-    changes_region: bool,
-}
-
-/// Guards against a budget that is spent on requests for objects that stay where they are, so that none is left for
-/// those whose region is full.
-#[test]
-fn only_requests_that_change_the_region_of_their_object_are_charged() {
-    let assigned = |in_flight, is_warm| UpstreamCandidate {
-        in_flight,
-        is_warm,
-        ..candidate("assigned")
-    };
-    let elsewhere = |in_flight, is_warm| UpstreamCandidate {
-        is_assigned_region: false,
-        ..assigned(in_flight, is_warm)
-    };
-    let cases = [
-        RegionChangeCase {
-            name: "a new object in its assigned region",
-            candidates: vec![assigned(0, false), elsewhere(0, false)],
-            changes_region: false,
-        },
-        RegionChangeCase {
-            name: "a new object whose assigned region is full",
-            candidates: vec![assigned(12, false), elsewhere(0, false)],
-            changes_region: true,
-        },
-        RegionChangeCase {
-            name: "an object that stays where it was placed",
-            candidates: vec![assigned(0, false), elsewhere(0, true)],
-            changes_region: false,
-        },
-        RegionChangeCase {
-            name: "an object that returns",
-            candidates: vec![assigned(0, false), elsewhere(23, true)],
-            changes_region: true,
-        },
-        RegionChangeCase {
-            name: "an object that is warm in both regions and late in the assigned one",
-            candidates: vec![assigned(23, true), elsewhere(0, true)],
-            changes_region: true,
-        },
-    ];
-    for case in cases {
-        let decision = request().choose(case.candidates.into_iter()).unwrap();
-        let changes_region = decision.changes_region;
-        assert_eq!(changes_region, case.changes_region, "{}", case.name);
-    }
-}
-
 struct ReasonCase {
     name: &'static str,
     may_migrate: bool,
