--- a/crates/steering/tests/region_shares.rs
+++ b/crates/steering/tests/region_shares.rs
@@ -34,12 +34,14 @@
     rate: fn(Duration) -> f64,
     /// Round trip to the other region at a time.
     round_trip: fn(Duration) -> Duration,
+    /// Requests of the other region's callers in flight at each of its upstreams, at a time.
+    foreign_in_flight: fn(Duration) -> u32,
     /// Smallest fraction of the requests that must be answered.
     min_answered: f64,
 }
 
-/// Guards against requests that change their region together: at a cold start, in a burst, and when the path to the
-/// other region becomes slower.
+/// Guards against requests that change their region together: at a cold start, in a burst of either region, and when
+/// the path to the other region becomes slower.
 #[test]
 fn requests_of_a_region_change_their_region_gradually() {
     let cases = [
@@ -48,6 +50,7 @@
             upstreams: [40, 340],
             rate: |_| 370.0,
             round_trip: |_| 110 * MS,
+            foreign_in_flight: |_| 0,
             min_answered: 0.9,
         },
         ShareCase {
@@ -61,6 +64,7 @@
                 }
             },
             round_trip: |_| 110 * MS,
+            foreign_in_flight: |_| 0,
             min_answered: 0.9,
         },
         ShareCase {
@@ -68,6 +72,7 @@
             upstreams: [10, 80],
             rate: |time| if time.as_secs() >= 6 { 600.0 } else { 120.0 },
             round_trip: |_| 110 * MS,
+            foreign_in_flight: |_| 0,
             min_answered: 0.8,
         },
         ShareCase {
@@ -81,8 +86,17 @@
                     60 * MS
                 }
             },
+            foreign_in_flight: |_| 0,
             min_answered: 0.8,
         },
+        ShareCase {
+            name: "an overloaded region, and later a burst in the other one",
+            upstreams: [20, 60],
+            rate: |time| if time.as_secs() >= 10 { 220.0 } else { 450.0 },
+            round_trip: |_| 110 * MS,
+            foreign_in_flight: |time| if time.as_secs() >= 10 { 4 } else { 0 },
+            min_answered: 0.9,
+        },
     ];
     check_shares(&cases);
 }
@@ -102,6 +116,21 @@
             }
         },
         round_trip: |_| 110 * MS,
+        foreign_in_flight: |_| 0,
+        min_answered: 0.8,
+    }]);
+}
+
+/// Guards against requests that change their region together when the other region fills up within a moment and refuses
+/// a large part of them.
+#[test]
+fn a_region_that_fills_up_at_once_changes_the_region_of_few_requests() {
+    check_shares(&[ShareCase {
+        name: "the other region fills up at once",
+        upstreams: [20, 60],
+        rate: |_| 220.0,
+        round_trip: |_| 110 * MS,
+        foreign_in_flight: |time| if time.as_secs() >= 8 { 5 } else { 0 },
         min_answered: 0.8,
     }]);
 }
@@ -199,13 +228,13 @@
                 .is_none_or(|updated_at| now >= updated_at + UPDATE_PERIOD)
             {
                 self.updated_at = Some(now);
-                self.update_spread(now, (case.round_trip)(now));
+                self.update_spread(now, case);
             }
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let oldest = (now.as_secs_f64() * NEW_OBJECTS_PER_S) as u64;
             let object = stable_hash(&(oldest + self.random.u64(..OBJECTS)).to_le_bytes());
             sent += 1.0;
-            if let Some(region) = self.send(object, now, (case.round_trip)(now)) {
+            if let Some(region) = self.send(object, now, case) {
                 answered += 1.0;
                 let window = now.as_millis() / WINDOW.as_millis();
                 *counts.entry((window, region.index())).or_default() += 1.0;
@@ -221,7 +250,8 @@
         }
     }
 
-    fn update_spread(&self, now: Duration, round_trip: Duration) {
+    fn update_spread(&self, now: Duration, case: &ShareCase) {
+        let round_trip = (case.round_trip)(now);
         let regions = [0, 1].map(RegionKey::from_index);
         let load = |region: RegionKey| {
             let mut load = RegionLoad {
@@ -231,7 +261,7 @@
             for upstream in &self.upstreams {
                 if upstream.region == region {
                     load.slots += SLOTS;
-                    load.in_flight += upstream.in_flight;
+                    load.in_flight += upstream.in_flight + foreign_in_flight(region, now, case);
                 }
             }
             load
@@ -253,7 +283,8 @@
     }
 
     /// Sends a request to the selected upstream and returns its region, or `None` if none is selected.
-    fn send(&mut self, object: u64, now: Duration, round_trip: Duration) -> Option<RegionKey> {
+    fn send(&mut self, object: u64, now: Duration, case: &ShareCase) -> Option<RegionKey> {
+        let round_trip = (case.round_trip)(now);
         let time = MonotonicTime::default() + now;
         let recent = self.affinity_table.upstreams(object, time);
         self.spill_budget.count_request();
@@ -272,7 +303,7 @@
             rendezvous_hash: combine_hashes(object, upstream.hash),
             is_assigned_region: upstream.region == assigned,
             times: self.estimate(upstream.region, round_trip),
-            in_flight: upstream.in_flight,
+            in_flight: upstream.in_flight + foreign_in_flight(upstream.region, now, case),
             slots: SLOTS,
             is_warm: recent.last_used_ms(upstream.hash).is_some(),
             is_cache_full: false,
@@ -334,3 +365,12 @@
         round_trip
     }
 }
+
+/// Returns the requests of other callers in flight at an upstream of `region`.
+fn foreign_in_flight(region: RegionKey, now: Duration, case: &ShareCase) -> u32 {
+    if region.index() == 0 {
+        0
+    } else {
+        (case.foreign_in_flight)(now)
+    }
+}
