--- a/crates/steering/src/region_spread.rs
+++ b/crates/steering/src/region_spread.rs
@@ -6,7 +6,7 @@
 //! its target, and each object is assigned to a region by its hash. Only the loss of upstreams takes effect at once.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -203,24 +203,18 @@
 /// Returns the weight of each region in the target: the callers' region serves what its slots allow, and the others the
 /// rest by their spare slots.
 fn weights(input: &SpreadInput, relief: &Arena<RegionKey, f64>) -> Arena<RegionKey, f64> {
-    let slots: u32 = input.loads.iter().map(|(_, load)| load.slots).sum();
-    let domains: u32 = input.loads.iter().map(|(_, load)| load.domains).sum();
-    let slots_per_domain = f64::from(slots) / f64::from(domains.max(1));
-    let demand = |load: &RegionLoad| slots_per_domain * f64::from(load.domains);
-    let free_slots = |load: &RegionLoad| {
-        let own_slots = f64::from(load.slots);
-        (own_slots - demand(load)).max(own_slots * MIN_SPARE_FRACTION)
-    };
-    let local_load = &input.loads[input.local_region];
-    let served = f64::from(local_load.slots) / demand(local_load).max(1.0);
-    let local_share = served.min(MAX_LOCAL_SHARE);
-    let others = input.loads.iter();
-    let others = others.filter(|(region, _)| *region != input.local_region);
-    let total_free: f64 = others.map(|(_, load)| free_slots(load)).sum();
+    let slots_per_domain = slots_per_domain(input.loads);
+    let is_local = |region: RegionKey| region == input.local_region;
+    let local_share = local_share(&input.loads[input.local_region], slots_per_domain);
+    let others = input.loads.iter().filter(|(region, _)| !is_local(*region));
+    let total_spare: f64 = others
+        .map(|(_, load)| spare_slots(load, slots_per_domain))
+        .sum();
     let max_warm_time = input.objective.mul_f64(NEARBY_OBJECTIVE_FRACTION);
     let weight = |region: RegionKey| {
-        let share = if region != input.local_region {
-            (1.0 - local_share) * free_slots(&input.loads[region]) / total_free.max(1.0)
+        let share = if !is_local(region) {
+            let spare = spare_slots(&input.loads[region], slots_per_domain);
+            (1.0 - local_share) * spare / total_spare.max(1.0)
         } else if input.has_large_bodies {
             local_share * LARGE_BODY_ODDS_FACTOR
         } else {
@@ -236,6 +230,27 @@
     input.loads.keys().map(weight).collect()
 }
 
+/// Returns the slots of the pool per failure domain. The callers of each domain are assumed to need as many.
+fn slots_per_domain(loads: &Arena<RegionKey, RegionLoad>) -> f64 {
+    let slots: u32 = loads.iter().map(|(_, load)| load.slots).sum();
+    let domains: u32 = loads.iter().map(|(_, load)| load.domains).sum();
+    f64::from(slots) / f64::from(domains.max(1))
+}
+
+/// Returns the fraction of its callers' requests that a region serves itself.
+fn local_share(load: &RegionLoad, slots_per_domain: f64) -> f64 {
+    let needed = slots_per_domain * f64::from(load.domains);
+    let served = f64::from(load.slots) / needed.max(1.0);
+    served.min(MAX_LOCAL_SHARE)
+}
+
+/// Returns the slots of a region that its own callers leave to those of other regions.
+fn spare_slots(load: &RegionLoad, slots_per_domain: f64) -> f64 {
+    let slots = f64::from(load.slots);
+    let needed = slots_per_domain * f64::from(load.domains);
+    (slots - needed).max(slots * MIN_SPARE_FRACTION)
+}
+
 /// Returns the relief factor of a region after `elapsed`: it falls while the region is overloaded and another one has
 /// free slots, and returns to 1 when the load has fallen.
 fn next_relief(
@@ -280,39 +295,3 @@
         .map(|(region, share)| share + (to[region] - share) * fraction)
         .collect()
 }
-
-/// Units of the spill balance per request.
-const UNITS_PER_SPILL: i64 = 1_000;
-/// Units that each request adds: one request in 33 may run outside the current region of its object.
-const UNITS_PER_REQUEST: i64 = UNITS_PER_SPILL / 33;
-/// Largest balance. Each instance keeps its own, so a larger one would let many requests leave at once.
-const MAX_SPILL_BALANCE: i64 = UNITS_PER_SPILL;
-
-/// Requests of one pool that this instance may still send to another region than the current one of their object, for
-/// example because the upstreams there are full. It bounds how many objects change their region at once; requests for an
-/// object that stays where it was placed are not charged.
-#[derive(Debug, Default)]
-pub struct SpillBudget {
-    balance: AtomicI64,
-}
-
-impl SpillBudget {
-    /// Counts a request of the pool, which adds a fraction of a spill.
-    pub fn count_request(&self) {
-        let _ = self
-            .balance
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
-                Some((balance + UNITS_PER_REQUEST).min(MAX_SPILL_BALANCE))
-            });
-    }
-
-    /// Returns whether a request may change the region of its object.
-    pub fn has_spill(&self) -> bool {
-        self.balance.load(Ordering::Relaxed) >= UNITS_PER_SPILL
-    }
-
-    /// Charges a request that changes the region of its object. Concurrent requests may overdraw the balance by one each.
-    pub fn charge(&self) {
-        self.balance.fetch_sub(UNITS_PER_SPILL, Ordering::Relaxed);
-    }
-}
