transport, entry: idle connections on which an upstream sends bytes are closed

What upstreams and operators saw, by the new case of the test on the code before: an upstream that sends bytes without end after a complete answer kept its connection, a descriptor and full buffers until a request happened to take that connection again; it was open after 0.5 s, and would be for as long as no request comes. Cause: nothing reads a connection while it is idle; what the upstream sends or closes meanwhile was found at the next use only. Change: the control thread checks the idle connections every 200 ms and closes those that were closed, carry bytes of no request, or were idle for longer than any request may reuse them (8 s). Test: "bytes after a complete answer" in endless_answers.rs, red before (and the two cases after it, since the connection stayed open), passes now.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -42,6 +42,8 @@
 const WOKEN_PER_TICK: usize = 64;
 /// The time between two updates of the recently used objects of each upstream.
 const RECENT_OBJECTS_UPDATE_PERIOD: Duration = Duration::from_millis(400);
+/// The time between two checks of the idle connections to upstreams.
+const CONNECTION_CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// The time between two removals of expired entries from the tables of objects, peers and members.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
 
@@ -68,6 +70,7 @@
     /// The own region's share in the last log line about it, by the names of route and pool.
     pub(crate) logged_shares: HashMap<(String, String), f64>,
     recent_objects_updated_at: MonotonicTime,
+    connections_checked_at: MonotonicTime,
     expired_at: MonotonicTime,
     is_registering: bool,
 }
@@ -103,6 +106,7 @@
             requested_checks: HashSet::new(),
             logged_shares: HashMap::new(),
             recent_objects_updated_at: MonotonicTime::default(),
+            connections_checked_at: MonotonicTime::default(),
             expired_at: MonotonicTime::default(),
             is_registering: false,
         }
@@ -240,6 +244,10 @@
             self.recent_objects_updated_at = now;
             self.update_recent_objects(now);
         }
+        if now.since(self.connections_checked_at) > CONNECTION_CHECK_PERIOD {
+            self.connections_checked_at = now;
+            self.registry.close_unusable_connections(now);
+        }
         if now.since(self.expired_at) > EXPIRY_PERIOD {
             self.expired_at = now;
             self.shared.affinity_table.expire(now);
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -100,6 +100,14 @@
         true
     }
 
+    /// Closes the idle connections that no request can use, for example because the upstream sends bytes on them without
+    /// end.
+    pub fn close_unusable_connections(&self, now: MonotonicTime) {
+        for upstream in self.upstreams.values() {
+            upstream.listed.client.close_unusable(now);
+        }
+    }
+
     /// Removes an upstream whose entry was removed. After an outage of the store, it is kept until the recovery period
     /// ends. Returns whether a new snapshot must be published.
     pub fn remove(&mut self, id: &str, now: MonotonicTime) -> bool {
--- a/crates/entry/tests/endless_answers.rs
+++ b/crates/entry/tests/endless_answers.rs
@@ -250,6 +250,16 @@
             status: Some(502),
             within: REJECTED_WITHIN,
         },
+        EndlessCase {
+            name: "bytes after a complete answer",
+            script: AnswerScript {
+                start: "HTTP/1.1 200 OK\r\ncoltsfootkeel-attempt-id: {id}\r\n\
+                    coltsfootkeel-response-signature: s.1\r\ncontent-length: 2\r\n\r\nok",
+                ..FAST
+            },
+            status: Some(200),
+            within: REJECTED_WITHIN,
+        },
         EndlessCase {
             name: "a signed body that arrives slowly",
             script: AnswerScript {
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -25,6 +25,9 @@
 /// The longest time for setting up a connection. It normally takes about 1 ms and a round trip; the timeout covers lost
 /// packets and upstreams that do not respond.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// The longest idle time of a connection that is still reused. The upstream may be about to close one that has been idle
+/// for longer.
+const MAX_IDLE: Duration = Duration::from_secs(8);
 
 /// Which connections a request may use, by the time for which they have been idle.
 #[derive(Debug, Clone, Copy)]
@@ -34,9 +37,9 @@
 }
 
 impl ReusePolicy {
-    /// For requests that may be retried. The upstream may be about to close a connection that has been idle for longer.
+    /// For requests that may be retried.
     pub const RETRYABLE: Self = Self {
-        max_idle: Some(Duration::from_secs(8)),
+        max_idle: Some(MAX_IDLE),
     };
     /// For requests that must not be retried. The idle time is short, because a connection that breaks during the
     /// exchange leaves the request's outcome unknown.
@@ -209,6 +212,19 @@
         while self.idle.pop().is_some() {}
     }
 
+    /// Closes the idle connections that no request can use: those that the upstream has closed or on which it sent bytes
+    /// that belong to no request, and those that were idle for longer than any policy allows.
+    pub fn close_unusable(&self, now: MonotonicTime) {
+        // Requests may take and return connections at the same time.
+        for _ in 0..self.idle.len() {
+            let Some(connection) = self.take_idle(now, MAX_IDLE) else {
+                return;
+            };
+            // If the queue is full, the connection is dropped and thereby closed.
+            let _ = self.idle.push(connection);
+        }
+    }
+
     /// Takes an idle connection that is still open, and drops those found before it that are closed or were idle for
     /// longer than `max_idle`.
     fn take_idle(&self, now: MonotonicTime, max_idle: Duration) -> Option<Box<UpstreamConnection>> {
