entry, transport: logs show calls without an answer and newer plans of other instances

Cause: for the incident of an old configuration after connections went silent, the log had one line at the first failed call of a kind and none until it was read again, and none on versions that others had named. Change: a line for each call without an answer with the age of its connection, a line and a gauge for a newer version elsewhere.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -21,6 +21,7 @@
 use crate::health_check::check_upstream;
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
+use crate::plan_lag::PlanLag;
 use crate::shared_state::{FleetView, SharedState};
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::upstream_choice::wake_queued;
@@ -72,6 +73,7 @@
     recent_objects_updated_at: MonotonicTime,
     connections_checked_at: MonotonicTime,
     expired_at: MonotonicTime,
+    plan_lag: PlanLag,
     is_registering: bool,
 }
 
@@ -108,6 +110,7 @@
             recent_objects_updated_at: MonotonicTime::default(),
             connections_checked_at: MonotonicTime::default(),
             expired_at: MonotonicTime::default(),
+            plan_lag: PlanLag::default(),
             is_registering: false,
         }
     }
@@ -229,6 +232,9 @@
             .tick(now, registered, |hash| members.contains_hash(hash));
         self.shared.quota_refilled.notify_waiters();
         self.confirm_in_store_outage();
+        let active_version = self.plan.as_ref().map_or(0, |plan| plan.version);
+        let newest_version = self.shared.freshness.newest_version();
+        self.plan_lag.observe(active_version, newest_version, now);
         let readers = self.peers.reader_candidates(now);
         let is_reader = is_store_reader(self.shared.own_hash, readers);
         self.shared.reader_role.set_reader(is_reader);
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -130,6 +130,8 @@
 pub struct GaugeValues {
     /// The version of the active plan; zero without a plan.
     pub plan_version: u64,
+    /// The newest plan version that is in force here or at another instance.
+    pub newest_plan_version: u64,
     /// The time since the plan was last confirmed to be the newest.
     pub plan_age: Duration,
     /// Requests of callers in progress.
@@ -206,6 +208,10 @@
         }
         let values = [
             ("plan_version", gauges.plan_version.to_string()),
+            (
+                "newest_plan_version",
+                gauges.newest_plan_version.to_string(),
+            ),
             (
                 "plan_age_seconds",
                 format!("{:.3}", gauges.plan_age.as_secs_f64()),
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -131,6 +131,7 @@
             plan_version: snapshot
                 .as_ref()
                 .map_or(0, |snapshot| snapshot.plan.version),
+            newest_plan_version: self.shared.freshness.newest_version(),
             plan_age: self.shared.freshness.age(now),
             in_flight: self.shared.in_flight.load(Ordering::Acquire),
             usable_upstreams: usable,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod http_services;
 mod member_list;
 mod peer_table;
+mod plan_lag;
 mod reader_role;
 mod rejection;
 mod request_attempt;
--- a/crates/steering/src/plan_freshness.rs
+++ b/crates/steering/src/plan_freshness.rs
@@ -5,6 +5,7 @@
 //! watch or from another instance with the same plan. If heartbeats of all members arrive and none of them reaches the
 //! store, the store cannot accept a withdrawal either, which also counts as a confirmation.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
@@ -17,10 +18,11 @@
 /// Network delay between caller, instance and store, including delays on a busy processor.
 const NETWORK_DELAY_ALLOWANCE: Duration = Duration::from_millis(500);
 
-/// Time of the latest confirmation of the active plan.
+/// Time of the latest confirmation of the active plan, and the newest version that this instance has heard of.
 #[derive(Debug, Default)]
 pub struct PlanFreshness {
     confirmed_at: AtomicTime,
+    newest_version: AtomicU64,
 }
 
 impl PlanFreshness {
@@ -30,6 +32,17 @@
         self.confirmed_at.advance(time);
     }
 
+    /// Records that a plan of this version is in force here or at another instance.
+    pub fn record_version(&self, version: u64) {
+        self.newest_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Returns the newest recorded version; zero before the first one.
+    #[must_use]
+    pub fn newest_version(&self) -> u64 {
+        self.newest_version.load(Ordering::Relaxed)
+    }
+
     /// Returns the time since the latest confirmation.
     #[must_use]
     pub fn age(&self, now: MonotonicTime) -> Duration {
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -40,6 +40,8 @@
 struct CallConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// The end of the last exchange; `None` before the first one.
+    idle_since: Option<Instant>,
 }
 
 impl Drop for CallConnection {
@@ -92,9 +94,13 @@
                 Some(connection) => connection,
                 None => self.connect(deadline).await?,
             };
+            let started = Instant::now();
             let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
             let mut error = match sent {
-                Err(_) => return Err(CallError::Unknown(AnswerFailure::Timeout)),
+                Err(_) => {
+                    self.log_unanswered(&connection, started);
+                    return Err(CallError::Unknown(AnswerFailure::Timeout));
+                }
                 Ok(Ok(response)) => {
                     let (parts, body) = response.into_parts();
                     let body = read_body(body, deadline).await?;
@@ -149,7 +155,11 @@
             // The exchange on the connection returns the error to its caller.
             let _ = connection.await;
         });
-        Ok(CallConnection { sender, driver })
+        Ok(CallConnection {
+            sender,
+            driver,
+            idle_since: None,
+        })
     }
 
     /// Takes an idle connection that is still open, and drops the closed ones found before it.
@@ -163,12 +173,26 @@
         }
     }
 
-    fn put_idle(&self, connection: CallConnection) {
+    fn put_idle(&self, mut connection: CallConnection) {
         if !connection.sender.is_closed() {
+            connection.idle_since = Some(Instant::now());
             self.lock_idle().push(connection);
         }
     }
 
+    /// Logs a call without an answer, with the age of its connection: a connection that went silent while it was idle is
+    /// otherwise indistinguishable from a platform that does not answer.
+    fn log_unanswered(&self, connection: &CallConnection, started: Instant) {
+        let idle = connection.idle_since.map(|since| started - since);
+        log::warn!(
+            address:% = self.address,
+            waited_ms:% = started.elapsed().as_millis(),
+            is_reused = idle.is_some(),
+            idle_ms:% = idle.unwrap_or_default().as_millis();
+            "calls: A call has no answer."
+        );
+    }
+
     fn lock_idle(&self) -> std::sync::MutexGuard<'_, Vec<CallConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
