transport: a call without an answer closes the idle connections of its pool

Callers saw 404 and 401 for routes and keys that had been added seconds before. Cause: a call that timed out said nothing about the connections that lay idle in the same pool. Each later call took one of them and waited its whole time limit: 1.2 s each, after 3.6 s for the watch. Change: a call without an answer closes all idle connections of its pool, so that the next one connects anew. The relay of the stand-ins can silence its open connections while new ones work. Result: the_call_after_an_unanswered_one_uses_a_new_connection failed before (list after the unanswered one: Unknown(Timeout)) and passes.

--- a/crates/standins/src/fault_relay.rs
+++ b/crates/standins/src/fault_relay.rs
@@ -77,6 +77,9 @@
 pub struct FaultRelay {
     address: SocketAddr,
     mode: watch::Sender<RelayMode>,
+    /// The number of calls of [`silence_connections`](FaultRelay::silence_connections). A connection that was accepted
+    /// at a lower number is silent.
+    silences: watch::Sender<u64>,
     is_listening: watch::Receiver<bool>,
     task: JoinHandle<()>,
 }
@@ -91,11 +94,18 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let (mode, modes) = watch::channel(RelayMode::PASS);
+        let (silences, silence_counts) = watch::channel(0);
         let (listening, is_listening) = watch::channel(true);
-        let task = tokio::spawn(run(address, target, listener, modes, listening));
+        let forwarding = Forwarding {
+            target,
+            modes,
+            silences: silence_counts,
+        };
+        let task = tokio::spawn(run(address, listener, forwarding, listening));
         Ok(Self {
             address,
             mode,
+            silences,
             is_listening,
             task,
         })
@@ -107,6 +117,11 @@
         self.address
     }
 
+    /// Forwards no more bytes on the connections that are open now, and keeps them open. New connections work.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// Sets the mode and waits until it is applied: until the listener and all connections are closed for
     /// [`RelayMode::Closed`], or until the listener is open for [`RelayMode::Open`].
     pub async fn set(&mut self, mode: RelayMode) {
@@ -126,18 +141,25 @@
     }
 }
 
+/// The target of a relay and the state that its connections follow.
+#[derive(Debug, Clone)]
+struct Forwarding {
+    target: SocketAddr,
+    modes: watch::Receiver<RelayMode>,
+    silences: watch::Receiver<u64>,
+}
+
 async fn run(
     address: SocketAddr,
-    target: SocketAddr,
     first: TcpListener,
-    mut modes: watch::Receiver<RelayMode>,
+    mut forwarding: Forwarding,
     listening: watch::Sender<bool>,
 ) {
     let mut listener = first;
     loop {
-        accept_until_closed(listener, target, &mut modes).await;
+        accept_until_closed(listener, &mut forwarding).await;
         listening.send_replace(false);
-        if modes.wait_for(is_open).await.is_err() {
+        if forwarding.modes.wait_for(is_open).await.is_err() {
             return;
         }
         listener = listen_again(address).await;
@@ -146,20 +168,16 @@
 }
 
 /// Accepts and forwards connections until the mode is closed. On return, the listener and all connections are closed.
-async fn accept_until_closed(
-    listener: TcpListener,
-    target: SocketAddr,
-    modes: &mut watch::Receiver<RelayMode>,
-) {
-    let connection_modes = modes.clone();
+async fn accept_until_closed(listener: TcpListener, forwarding: &mut Forwarding) {
+    let shared = forwarding.clone();
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             biased;
-            () = wait_until_closed(modes) => break,
+            () = wait_until_closed(&mut forwarding.modes) => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(forward(stream, target, connection_modes.clone()));
+                    connections.spawn(forward_until_silent(stream, shared.clone()));
                 }
                 // An immediate retry would spin while the process has no free file descriptor.
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -196,6 +214,23 @@
     socket.listen(LISTEN_BACKLOG)
 }
 
+/// Forwards a connection. After a silence, both sockets stay open and nothing is read from them.
+async fn forward_until_silent(caller: TcpStream, forwarding: Forwarding) -> io::Result<()> {
+    let Forwarding {
+        target,
+        modes,
+        mut silences,
+    } = forwarding;
+    let silences_before = *silences.borrow();
+    let mut forwarded = std::pin::pin!(forward(caller, target, modes));
+    tokio::select! {
+        result = forwarded.as_mut() => return result,
+        // An error means that the relay has been dropped, which ends the task of the connection.
+        _ = silences.wait_for(|count| *count > silences_before) => {}
+    }
+    std::future::pending().await
+}
+
 async fn forward(
     caller: TcpStream,
     target: SocketAddr,
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -99,11 +99,13 @@
             let mut error = match sent {
                 Err(_) => {
                     self.log_unanswered(&connection, started);
+                    self.close_idle();
                     return Err(CallError::Unknown(AnswerFailure::Timeout));
                 }
                 Ok(Ok(response)) => {
                     let (parts, body) = response.into_parts();
-                    let body = read_body(body, deadline).await?;
+                    let body = read_body(body, deadline).await;
+                    let body = body.inspect_err(|_| self.close_idle())?;
                     self.put_idle(connection);
                     return Ok(CallAnswer {
                         status: parts.status,
@@ -173,6 +175,12 @@
         }
     }
 
+    /// Closes all idle connections. After a call without an answer they are as likely to be dead as its connection, and
+    /// each dead one would cost the next call its whole time limit.
+    fn close_idle(&self) {
+        self.lock_idle().clear();
+    }
+
     fn put_idle(&self, mut connection: CallConnection) {
         if !connection.sender.is_closed() {
             connection.idle_since = Some(Instant::now());
