entry: a watch that misses a change of another instance is replaced by one on a new connection

Callers saw 404 for a route that four of seven instances had served for two seconds. Cause: heartbeats name the plan version and the revisions of the lists, but an instance whose own watch hung did not use them: it waited for the watch to time out, 3.6 s after its start. Change: a watch that has not returned a change 0.3 to 0.6 s after another instance named it is given up; the next one, on a new connection, is not, so that a store that answers slowly still completes it. This holds for the configuration and for the lists of upstreams, evacuations and instances.

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -37,7 +37,7 @@
             evacuations: message.evacuations_revision,
             instances: message.instances_revision,
         });
-        self.shared.freshness.record_version(message.plan_version);
+        self.record_plan_version(message.plan_version);
         self.record_placements(&message, now);
         self.record_crashes(&message, now);
         let echo_hold = Duration::from_micros(u64::from(message.echo_held_us));
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -73,7 +73,7 @@
     recent_objects_updated_at: MonotonicTime,
     connections_checked_at: MonotonicTime,
     expired_at: MonotonicTime,
-    plan_lag: PlanLag,
+    pub(crate) plan_lag: PlanLag,
     is_registering: bool,
 }
 
@@ -232,9 +232,7 @@
             .tick(now, registered, |hash| members.contains_hash(hash));
         self.shared.quota_refilled.notify_waiters();
         self.confirm_in_store_outage();
-        let active_version = self.plan.as_ref().map_or(0, |plan| plan.version);
-        let newest_version = self.shared.freshness.newest_version();
-        self.plan_lag.observe(active_version, newest_version, now);
+        self.observe_plan_lag(now);
         let readers = self.peers.reader_candidates(now);
         let is_reader = is_store_reader(self.shared.own_hash, readers);
         self.shared.reader_role.set_reader(is_reader);
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// The versions of the plan that this instance knows of.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlanVersions {
+    /// The version of the active plan; zero without one.
+    pub active: u64,
+    /// The newest version that is in force here or at another instance.
+    pub newest: u64,
+}
+
 /// The reason to read a list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadCause {
@@ -48,9 +57,21 @@
     is_reader: bool,
     is_config_failing: bool,
     is_list_failing: bool,
+    plan_versions: PlanVersions,
     revisions: KindRevisions,
 }
 
+impl ReaderState {
+    /// Returns whether another instance has received a change of a kind that this one, which read the kind up to
+    /// `revision`, has not.
+    fn is_behind(&self, kind: ObjectKind, revision: u64) -> bool {
+        match kind {
+            ObjectKind::Config => self.plan_versions.active < self.plan_versions.newest,
+            _ => self.revisions.of(kind) > revision,
+        }
+    }
+}
+
 /// The reader role of this instance and the known revisions, shared by the control loop and the tasks that read the
 /// store.
 #[derive(Debug)]
@@ -65,6 +86,7 @@
                 is_reader: true,
                 is_config_failing: false,
                 is_list_failing: false,
+                plan_versions: PlanVersions::default(),
                 revisions: KindRevisions::default(),
             }),
         }
@@ -92,6 +114,21 @@
         });
     }
 
+    /// Sets the version of the active plan and the newest one that any instance has.
+    pub fn set_plan_versions(&self, versions: PlanVersions) {
+        self.change(|state| state.plan_versions = versions);
+    }
+
+    /// Waits until another instance has received a change of a kind that this one, which read the kind up to
+    /// `revision`, has not.
+    pub async fn wait_until_behind(&self, kind: ObjectKind, revision: u64) {
+        let mut state = self.state.subscribe();
+        // The wait cannot fail, because the sender lives as long as `self`.
+        let _ = state
+            .wait_for(|state| state.is_behind(kind, revision))
+            .await;
+    }
+
     /// Returns how many kinds failed in their last call. All lists count as one kind.
     #[must_use]
     pub fn failing_kinds(&self) -> u32 {
--- a/crates/entry/src/store_updates.rs
+++ b/crates/entry/src/store_updates.rs
@@ -130,7 +130,9 @@
                         "plan: The limit of an account."
                     );
                 }
+                let version = plan.version;
                 self.plan = Some(Arc::new(plan));
+                self.record_plan_version(version);
                 self.publish();
                 true
             }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -6,6 +6,7 @@
 
 use coltsfootkeel_adapter::{ObjectKind, StoreClient, WatchAnswer};
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_transport::{AnswerFailure, CallError};
 
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::CounterName;
@@ -25,6 +26,10 @@
 /// The longest delay between the report of a change by another instance and reading it.
 const MAX_PEER_REPORT_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a watch may miss a change that another instance has received, before it counts as dead. A live watch
+/// returns a change about as soon as that of another instance.
+const MAX_WATCH_LAG: Duration = Duration::from_millis(300);
+
 /// How a kind of objects is watched.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchConfig {
@@ -93,8 +98,13 @@
     /// Watches the kind from a revision until it has to be listed again.
     async fn watch(&mut self, mut revision: u64) {
         let mut is_after_change = false;
+        let mut is_abandoned = false;
         loop {
-            let cause = self.wait_until_due(revision).await;
+            let cause = match self.wait_until_due(revision).await {
+                ReadCause::OwnWatch if is_abandoned => ReadCause::PeerReport,
+                cause => cause,
+            };
+            is_abandoned = false;
             if cause == ReadCause::Outage {
                 // Entries may have expired. Only a list after an outage, as after a failed call, shows which are
                 // missing.
@@ -109,7 +119,12 @@
             } else {
                 self.config.wait
             };
-            match self.client.watch(self.config.kind, revision, wait).await {
+            let lag = self.wait_until_lagging(cause, revision);
+            match self
+                .client
+                .watch(self.config.kind, revision, wait, lag)
+                .await
+            {
                 Ok(WatchAnswer::Changes {
                     events,
                     revision: next,
@@ -141,6 +156,13 @@
                     );
                     return;
                 }
+                Err(CallError::Unknown(AnswerFailure::Abandoned)) => {
+                    log::warn!(
+                        "store: Another instance has received a change of {:?} that this watch has not, reading again.",
+                        self.config.kind
+                    );
+                    is_abandoned = true;
+                }
                 Err(error) => {
                     self.back_off(&error).await;
                     // Entries may have expired in the outage, and a list shows which are missing. It also succeeds
@@ -172,6 +194,21 @@
         cause
     }
 
+    /// Waits until a watch misses a change that another instance has received. Never completes for a call that is made
+    /// because of such a report: a store that answers slowly would otherwise never complete a call.
+    async fn wait_until_lagging(&self, cause: ReadCause, revision: u64) {
+        if cause == ReadCause::PeerReport {
+            return std::future::pending().await;
+        }
+        let kind = self.config.kind;
+        self.shared
+            .reader_role
+            .wait_until_behind(kind, revision)
+            .await;
+        // The random part spreads the calls of instances whose connections went silent at the same time.
+        tokio::time::sleep(MAX_WATCH_LAG.mul_f64(1.0 + fastrand::f64())).await;
+    }
+
     fn end_outage(&mut self) -> Duration {
         self.backoff = INITIAL_BACKOFF;
         self.shared.reader_role.set_failing(self.config.kind, false);
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -5,7 +5,9 @@
 
 use std::time::{Duration, Instant};
 
-use coltsfootkeel_standins::{SHOP_KEY, StoreMode, register_upstream, shop_request};
+use coltsfootkeel_standins::{
+    EntryOptions, FaultRelay, SHOP_KEY, StoreMode, register_upstream, shop_request,
+};
 use http::Method;
 use platform_fleet::{FleetSetup, PlatformFleet};
 
@@ -90,3 +92,42 @@
         assert_eq!(count_using_instances(&fleet, "u-0").await, INSTANCES);
     }
 }
+
+async fn plan_version(fleet: &PlatformFleet, instance: usize) -> u64 {
+    let state = fleet.state(instance).await;
+    state["plan"]["version"].as_u64().unwrap_or_default()
+}
+
+async fn wait_for_plan(fleet: &PlatformFleet, instance: usize, version: u64) -> Duration {
+    let started = Instant::now();
+    while plan_version(fleet, instance).await < version {
+        assert!(started.elapsed() < Duration::from_secs(10));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    started.elapsed()
+}
+
+/// Guards against an instance that waits for its silent watch although the others already have a newer plan.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plan_that_other_instances_have_replaces_one_behind_a_silent_watch() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "silent-watch",
+        instances: 2,
+        ..FleetSetup::default()
+    })
+    .await;
+    let relay = FaultRelay::start(fleet.store.address()).await.unwrap();
+    fleet.start_instance(EntryOptions::on_loopback(2, relay.address()));
+    fleet.instances[2].wait_until_ready().await.unwrap();
+    // In this time the instances receive heartbeats of each other.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.write_plan(2, &[SHOP_KEY]);
+    wait_for_plan(&fleet, 2, 2).await;
+    // By now the short watch after a change has ended, and a watch of 2.4 s has begun.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    relay.silence_connections();
+    fleet.write_plan(3, &[SHOP_KEY]);
+    let delay = wait_for_plan(&fleet, 2, 3).await;
+    // A change must be in force within 2.5 s.
+    assert!(delay < Duration::from_millis(2_500), "{delay:?}");
+}
--- a/crates/transport/src/call_error.rs
+++ b/crates/transport/src/call_error.rs
@@ -66,6 +66,9 @@
     /// No answer was received before the call's deadline.
     #[error("no answer within the time limit")]
     Timeout,
+    /// The caller gave the call up before an answer began.
+    #[error("the call was abandoned")]
+    Abandoned,
     /// The connection failed before the answer was complete.
     #[error("connection failed: {0}")]
     Connection(#[source] Box<dyn std::error::Error + Send + Sync>),
--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -82,10 +82,28 @@
     ///
     /// Returns [`CallError::NotSent`] if the request was certainly not sent, otherwise [`CallError::Unknown`].
     pub async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<CallAnswer, CallError> {
+        self.exchange_unless(request, deadline, std::future::pending())
+            .await
+    }
+
+    /// Does the same as [`exchange`](Self::exchange), but gives the call up if `abandoned` completes before an answer
+    /// begins. The connections of the pool then count as suspect, as after a call without an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AnswerFailure::Abandoned`] if the call was given up, otherwise the same errors as
+    /// [`exchange`](Self::exchange).
+    pub async fn exchange_unless(
         &self,
         mut request: Request<Full<Bytes>>,
         deadline: Instant,
+        abandoned: impl Future<Output = ()>,
     ) -> Result<CallAnswer, CallError> {
+        let mut abandoned = std::pin::pin!(abandoned);
         let _permit = self.acquire_permit(deadline).await?;
         loop {
             let idle = self.take_idle(deadline).await;
@@ -95,12 +113,16 @@
                 None => self.connect(deadline).await?,
             };
             let started = Instant::now();
-            let sent = timeout_at(deadline, connection.sender.try_send_request(request)).await;
+            let response = connection.sender.try_send_request(request);
+            let sent = tokio::select! {
+                sent = timeout_at(deadline, response) => sent.map_err(|_| AnswerFailure::Timeout),
+                () = abandoned.as_mut() => Err(AnswerFailure::Abandoned),
+            };
             let mut error = match sent {
-                Err(_) => {
+                Err(failure) => {
                     self.log_unanswered(&connection, started);
                     self.close_idle();
-                    return Err(CallError::Unknown(AnswerFailure::Timeout));
+                    return Err(CallError::Unknown(failure));
                 }
                 Ok(Ok(response)) => {
                     let (parts, body) = response.into_parts();
