entry: what a newer plan may contain is refused with 503 and not as unknown

Callers saw 404 and 401, which they do not retry, for routes and keys that had been added. Cause: admission answered from the active plan alone. Change: while another instance has a newer version, or the plan was not confirmed within the bound for changes, an unknown route or key is refused with 503 and Retry-After. Result: a_key_that_a_newer_plan_may_contain_is_not_refused_as_unknown failed before (401 instead of 503) and passes.

--- a/crates/entry/src/rejection.rs
+++ b/crates/entry/src/rejection.rs
@@ -16,7 +16,7 @@
     NoRoute,
     /// The access key is missing or belongs to no client account.
     UnknownKey,
-    /// The plan is too old to exclude that the access key was withdrawn.
+    /// The plan is too old to exclude that the access key was withdrawn, or that the unknown route or key was added.
     StalePlan,
     /// The client account is over its rate.
     OverQuota,
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -75,9 +75,19 @@
         let snapshot = shared.snapshot.load_full();
         let snapshot = snapshot.ok_or_else(|| reject(RejectKind::NotReady))?;
         let plan = Arc::clone(&snapshot.plan);
-        let route = find_route(&snapshot, parts).ok_or_else(|| reject(RejectKind::NoRoute))?;
-        let route_plan = &plan.routes[route];
         let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        // A caller does not retry after 401 or 404, so they are reserved for what the newest plan lacks.
+        let reject_unknown = |kind| {
+            if shared.may_be_outdated(plan.version) {
+                let after = retry_after(timeout, fastrand::f64());
+                Rejection::not_run(RejectKind::StalePlan, Some(after))
+            } else {
+                reject(kind)
+            }
+        };
+        let route =
+            find_route(&snapshot, parts).ok_or_else(|| reject_unknown(RejectKind::NoRoute))?;
+        let route_plan = &plan.routes[route];
         let timeout = timeout.min(route_plan.timeout);
         let mut account = None;
         if plan.has_accounts() && !route_plan.is_public {
@@ -88,7 +98,7 @@
             let key = head.access_key.as_deref();
             account = key.and_then(|key| plan.account(key));
             if account.is_none() {
-                return Err(reject(RejectKind::UnknownKey));
+                return Err(reject_unknown(RejectKind::UnknownKey));
             }
         }
         let pool = route_plan.pool(fastrand::f64());
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -210,6 +210,14 @@
             .allows_keys(now, self.bounds.load().max_revocation_delay)
     }
 
+    /// Returns whether the store may hold a newer plan than the version `active`.
+    #[must_use]
+    pub fn may_be_outdated(&self, active: u64) -> bool {
+        let now = self.clock.now_with_suspension();
+        let change_bound = self.bounds.load().max_change_delay;
+        self.freshness.may_be_outdated(active, now, change_bound)
+    }
+
     /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan and is not
     /// stopping.
     #[must_use]
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{
-    EntryOptions, FaultRelay, SHOP_KEY, StoreMode, register_upstream, shop_request,
+    EntryOptions, FaultRelay, RelayMode, SHOP_KEY, StoreMode, register_upstream, shop_request,
 };
 use http::Method;
 use platform_fleet::{FleetSetup, PlatformFleet};
@@ -131,3 +131,34 @@
     // A change must be in force within 2.5 s.
     assert!(delay < Duration::from_millis(2_500), "{delay:?}");
 }
+
+/// Guards against 401 for a key that the newest plan contains, from an instance that knows that its plan is older.
+/// Callers do not retry after 401.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_a_newer_plan_may_contain_is_not_refused_as_unknown() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "outdated-plan",
+        instances: 2,
+        ..FleetSetup::default()
+    })
+    .await;
+    let mut relay = FaultRelay::start(fleet.store.address()).await.unwrap();
+    fleet.start_instance(EntryOptions::on_loopback(2, relay.address()));
+    fleet.instances[2].wait_until_ready().await.unwrap();
+    // In this time the instances receive heartbeats of each other.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let call = |id| shop_request(Method::GET, "/previews/1", id, "new-key");
+    let current = fleet.call(2, &call("unknown")).await.unwrap();
+    assert_eq!(current.status, 401);
+    relay.set(RelayMode::BLACKHOLE).await;
+    fleet.write_plan(2, &[SHOP_KEY, "new-key"]);
+    wait_for_plan(&fleet, 0, 2).await;
+    // In this time the instance receives heartbeats with the new version.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let outdated = fleet.call(2, &call("outdated")).await.unwrap();
+    assert_eq!(outdated.status, 503);
+    assert!(outdated.headers.contains_key("retry-after"));
+    relay.set(RelayMode::PASS).await;
+    wait_for_plan(&fleet, 2, 2).await;
+    assert_eq!(fleet.call(2, &call("known")).await.unwrap().status, 200);
+}
--- a/crates/steering/src/plan_freshness.rs
+++ b/crates/steering/src/plan_freshness.rs
@@ -55,4 +55,17 @@
     pub fn allows_keys(&self, now: MonotonicTime, withdrawal_bound: Duration) -> bool {
         self.age(now) + MAX_WATCH_DELAY + NETWORK_DELAY_ALLOWANCE < withdrawal_bound
     }
+
+    /// Returns whether the store may hold a newer plan than the active one: another instance has a newer version, or the
+    /// active plan was not confirmed within `change_bound`, the time within which a change must be in force. A route or
+    /// an access key that the active plan lacks may then exist.
+    #[must_use]
+    pub fn may_be_outdated(
+        &self,
+        active_version: u64,
+        now: MonotonicTime,
+        change_bound: Duration,
+    ) -> bool {
+        self.newest_version() > active_version || self.age(now) > change_bound
+    }
 }
--- a/crates/steering/tests/instance_state.rs
+++ b/crates/steering/tests/instance_state.rs
@@ -64,6 +64,48 @@
     }
 }
 
+struct OutdatedCase {
+    name: &'static str,
+    newest_version: u64,
+    now_ms: u64,
+    outdated: bool,
+}
+
+/// Guards against a final refusal of what a newer plan contains, and against refusals that let callers return for what no
+/// plan contains.
+#[test]
+fn a_plan_counts_as_outdated_if_a_newer_one_may_be_in_force() {
+    let cases = [
+        OutdatedCase {
+            name: "confirmed by the last watch",
+            newest_version: 7,
+            now_ms: 3_400,
+            outdated: false,
+        },
+        OutdatedCase {
+            name: "another instance has a newer version",
+            newest_version: 8,
+            now_ms: 1_100,
+            outdated: true,
+        },
+        OutdatedCase {
+            name: "not confirmed within the bound for changes",
+            newest_version: 7,
+            now_ms: 3_600,
+            outdated: true,
+        },
+    ];
+    for case in cases {
+        let freshness = PlanFreshness::default();
+        freshness.confirm(at(1_000));
+        freshness.record_version(case.newest_version);
+        // An older version that another instance names later has no effect.
+        freshness.record_version(3);
+        let outdated = freshness.may_be_outdated(7, at(case.now_ms), 2_500 * MS);
+        assert_eq!(outdated, case.outdated, "{}", case.name);
+    }
+}
+
 struct LookupCase {
     name: &'static str,
     /// Region of each instance and whether it accepts requests, for ports 1, 2, ...
