transport: connections that were idle for over a second are not used for calls

Cause: an instance that does not watch a list reads it when another one reports a change. Its connection has been idle for seconds or minutes; if it went silent, the change waits for the call's time limit, of the 2.5 s in which a draining upstream must get no more requests. Change: a connection that was idle for over a second is closed, and the call opens a new one, which costs a round trip. Result: the_first_call_after_a_pause_uses_a_new_connection failed before (no answer within the time limit) and passes.

--- a/crates/transport/src/connection_pool.rs
+++ b/crates/transport/src/connection_pool.rs
@@ -24,6 +24,10 @@
 /// seconds later, while a new connection succeeds as soon as the partition ends.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The longest idle time of a connection that is still reused. A connection may go silent while it is idle, which costs
+/// the next call its whole time limit; a new connection costs a round trip.
+const MAX_IDLE: Duration = Duration::from_secs(1);
+
 /// An answer whose body has been read completely.
 #[derive(Debug)]
 pub struct CallAnswer {
@@ -186,10 +190,17 @@
         })
     }
 
-    /// Takes an idle connection that is still open, and drops the closed ones found before it.
+    /// Takes an idle connection that is still open, and drops those found before it that are closed or were idle for
+    /// longer than [`MAX_IDLE`].
     async fn take_idle(&self, deadline: Instant) -> Option<CallConnection> {
         loop {
             let mut connection = self.lock_idle().pop()?;
+            if connection
+                .idle_since
+                .is_none_or(|since| since.elapsed() > MAX_IDLE)
+            {
+                continue;
+            }
             let ready = timeout_at(deadline, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Some(connection);
