transport, entry: an unanswered request closes older idle connections to its upstream

Callers got 504 for one request after the other at an upstream whose connections had gone silent, while new connections to it worked. Cause: the pool of an upstream is the same class as the pool of the store: an attempt without an answer said nothing about the connections that lay idle since before it was sent. Change: when an attempt times out, or is abandoned for another upstream, the connections that were idle since before it are closed. Those that carried an answer meanwhile are kept.

--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -132,6 +132,8 @@
         // A slow upstream still answers, so the attempt is abandoned only for another upstream.
         match reserve_slot(&self.context, &self.tried) {
             Some(other) if self.try_unreserved_retry() => {
+                let listed = &self.context.snapshot.upstreams[reservation.key];
+                listed.client.close_idle_since(reservation.reserved_at);
                 ExchangeOutcome::Unresponsive(Box::new(other))
             }
             _ => sent.await,
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -109,7 +109,10 @@
     let message = upstream_request(context, listed, request);
     let sent = timeout_at(deadline, listed.client.send(now, message, policy)).await;
     let response = match sent {
-        Err(_) => return ExchangeOutcome::TimedOut,
+        Err(_) => {
+            listed.client.close_idle_since(now);
+            return ExchangeOutcome::TimedOut;
+        }
         Ok(Ok(response)) => response,
         Ok(Err(SendFailure::ConnectFailed(unsent) | SendFailure::NotSent(unsent))) => {
             return ExchangeOutcome::NotSent(unsent.into_body());
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -212,6 +212,22 @@
         while self.idle.pop().is_some() {}
     }
 
+    /// Closes the connections that have been idle since before `time`. After a request that was sent then and has no
+    /// answer, they are as likely to be dead as its connection.
+    pub fn close_idle_since(&self, time: MonotonicTime) {
+        // Requests may take and return connections at the same time.
+        for _ in 0..self.idle.len() {
+            match self.idle.pop() {
+                Some(connection) if connection.idle_since >= time => {
+                    // If the queue is full, the connection is dropped and thereby closed.
+                    let _ = self.idle.push(connection);
+                }
+                Some(_) => {}
+                None => return,
+            }
+        }
+    }
+
     /// Closes the idle connections that no request can use: those that the upstream has closed or on which it sent bytes
     /// that belong to no request, and those that were idle for longer than any policy allows.
     pub fn close_unusable(&self, now: MonotonicTime) {
