soak: connections go silent, and a granted key must not be refused as unknown

Cause: the soak closed or held whole relays, so no connection went silent while new ones worked, and it checked withdrawn keys only. It could not find an old configuration in force after connections went silent. Change: a random sequence of its own silences the connections of one or all instances to the store, or those to an upstream; a 401 for the changing key over 3 s after it was granted is a violation.

--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -11,16 +11,31 @@
 
 /// Time within which a withdrawn key must stop working. It equals the bound in the settings of the daemons.
 const MAX_WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
+/// Time within which a granted key must no longer be refused as unknown: the bound in the settings of the daemons for a
+/// change of the configuration, and the time for which a request may be on its way.
+const MAX_GRANT_DELAY: Duration = Duration::from_secs(3);
 /// Client account that both access keys belong to.
 const ACCOUNT: &str = "hotel";
 
-/// Period in which the changing key was withdrawn.
+/// Period in which the changing key was granted or withdrawn.
 #[derive(Debug, Clone, Copy)]
-pub struct WithdrawnPeriod {
-    /// Time at which the configuration without the key was written.
+pub struct KeyPeriod {
+    /// Whether the configuration contained the key.
+    pub is_granted: bool,
+    /// Time at which the configuration was written.
     pub from: Instant,
-    /// Time at which the key was granted again, or the end of the faults.
-    pub to: Instant,
+    /// Time of the next change, or `None` if there was none.
+    pub to: Option<Instant>,
+}
+
+impl KeyPeriod {
+    /// Returns the time from `delay` after the start of the period to `sent_at`, if `sent_at` is in the period.
+    fn time_after(&self, delay: Duration, sent_at: Instant) -> Option<Duration> {
+        if self.to.is_some_and(|to| sent_at >= to) {
+            return None;
+        }
+        sent_at.checked_duration_since(self.from + delay)
+    }
 }
 
 /// Execution of a request, as an upstream recorded it.
@@ -77,6 +92,14 @@
         /// Time in milliseconds from the end of the bound to the sending of the request.
         late_ms: u128,
     },
+    /// A request was refused with 401 although its key had been granted for longer than `MAX_GRANT_DELAY`.
+    #[error("{attempt_id} was refused with 401 {late_ms} ms after its key had to be known")]
+    GrantedKeyRefused {
+        /// Attempt id of the request.
+        attempt_id: String,
+        /// Time in milliseconds from the end of the bound to the sending of the request.
+        late_ms: u128,
+    },
     /// The fleet served too few requests after all faults had ended.
     #[error("{served} of {sent} requests were served after the faults; the others: {unserved:?}")]
     NotRecovered {
@@ -94,7 +117,7 @@
 pub fn check_guarantees(
     outcomes: &[CallOutcome],
     runs: &[RecordedRun],
-    withdrawn_periods: &[WithdrawnPeriod],
+    key_periods: &[KeyPeriod],
 ) -> Vec<GuaranteeViolation> {
     let mut runs_by_attempt: HashMap<&str, Vec<&RecordedRun>> = HashMap::new();
     for recorded in runs {
@@ -107,7 +130,7 @@
     for outcome in outcomes {
         let own_runs = runs_by_attempt.get(outcome.attempt_id.as_str());
         let own_runs = own_runs.map_or(&[][..], Vec::as_slice);
-        violations.extend(check_outcome(outcome, own_runs, withdrawn_periods));
+        violations.extend(check_outcome(outcome, own_runs, key_periods));
     }
     violations
 }
@@ -133,7 +156,7 @@
 fn check_outcome(
     outcome: &CallOutcome,
     runs: &[&RecordedRun],
-    withdrawn_periods: &[WithdrawnPeriod],
+    key_periods: &[KeyPeriod],
 ) -> Option<GuaranteeViolation> {
     let attempt_id = outcome.attempt_id.clone();
     if !outcome.is_idempotent && runs.len() > 1 {
@@ -159,19 +182,34 @@
     if runs.iter().any(|recorded| is_exposed(&recorded)) {
         return Some(GuaranteeViolation::ExposedKey { attempt_id });
     }
-    if !outcome.has_changing_key || runs.is_empty() {
+    if !outcome.has_changing_key {
         return None;
     }
-    let is_late = |period: &&WithdrawnPeriod| {
-        period.from + MAX_WITHDRAWAL_DELAY < outcome.sent_at && outcome.sent_at < period.to
+    let late_by = |is_granted: bool, delay: Duration| {
+        key_periods
+            .iter()
+            .filter(|period| period.is_granted == is_granted)
+            .find_map(|period| period.time_after(delay, outcome.sent_at))
     };
-    withdrawn_periods.iter().find(is_late).map(|period| {
-        let late = outcome.sent_at - (period.from + MAX_WITHDRAWAL_DELAY);
-        GuaranteeViolation::WithdrawnKey {
+    if !runs.is_empty()
+        && let Some(late) = late_by(false, MAX_WITHDRAWAL_DELAY)
+    {
+        let late_ms = late.as_millis();
+        return Some(GuaranteeViolation::WithdrawnKey {
             attempt_id,
-            late_ms: late.as_millis(),
-        }
-    })
+            late_ms,
+        });
+    }
+    if outcome.status == Some(401)
+        && let Some(late) = late_by(true, MAX_GRANT_DELAY)
+    {
+        let late_ms = late.as_millis();
+        return Some(GuaranteeViolation::GrantedKeyRefused {
+            attempt_id,
+            late_ms,
+        });
+    }
+    None
 }
 
 /// Returns the body with which the upstream stand-in answers a run.
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -70,7 +70,7 @@
             format!("u-{upstream} registers as {state}, accepted: {is_accepted}")
         }
         6 => {
-            let is_granted = fleet.withdrawn_at.is_some();
+            let is_granted = !fleet.is_key_granted();
             // The store stand-in accepts no withdrawal while it is unavailable to all daemons.
             let is_accepted = fleet.store.accepts_writes();
             if is_accepted {
@@ -109,6 +109,32 @@
     Ok(description)
 }
 
+/// Silences the open connections of a random instance to the store, of all instances, or to a random upstream, in one of
+/// a few calls, and returns the description of the fault for the report. New connections work.
+pub fn silence_connections(fleet: &SoakFleet, rng: &mut Rng) -> Option<String> {
+    let instance = rng.usize(..fleet.instances.len());
+    let upstream = rng.usize(..fleet.upstreams.len());
+    match rng.u8(..12) {
+        0 => {
+            fleet.instances[instance].store_relay.silence_connections();
+            Some(format!(
+                "connections of entry-{instance} to the store silent"
+            ))
+        }
+        1 => {
+            for instance in &fleet.instances {
+                instance.store_relay.silence_connections();
+            }
+            Some("connections of all instances to the store silent".to_string())
+        }
+        2 => {
+            fleet.upstreams[upstream].relay.silence_connections();
+            Some(format!("connections to u-{upstream} silent"))
+        }
+        _ => None,
+    }
+}
+
 fn draw_relay_mode(rng: &mut Rng) -> RelayMode {
     let delay = RelayFlow::Delay(Duration::from_millis(rng.u64(1..MAX_RELAY_DELAY_MS)));
     let modes = [
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -14,6 +14,7 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 
+use crate::soak_checks::KeyPeriod;
 use crate::soak_run::SoakError;
 
 /// Access key that faults withdraw and grant again.
@@ -52,8 +53,8 @@
     pub upstreams: Vec<RelayedUpstream>,
     /// Daemons, named `entry-0`, `entry-1` and so on.
     pub instances: Vec<RelayedInstance>,
-    /// Time at which [`CHANGING_KEY`] was last withdrawn, or `None` while it is granted.
-    pub withdrawn_at: Option<Instant>,
+    /// Periods in which [`CHANGING_KEY`] was granted or withdrawn, in order. The last one has not ended.
+    key_periods: Vec<KeyPeriod>,
     program: PathBuf,
     folder: PathBuf,
     is_folder_kept: bool,
@@ -71,7 +72,7 @@
             store,
             upstreams: Vec::new(),
             instances: Vec::new(),
-            withdrawn_at: None,
+            key_periods: Vec::new(),
             program: sibling_program("coltsfootkeel-entry")?,
             folder,
             is_folder_kept: false,
@@ -113,7 +114,31 @@
         };
         let config = shop_config(self.version, keys);
         self.store.put("config", "main", config, Value::Null);
-        self.withdrawn_at = (!is_granted).then(Instant::now);
+        if self.key_periods.is_empty() || self.is_key_granted() != is_granted {
+            let from = Instant::now();
+            if let Some(previous) = self.key_periods.last_mut() {
+                previous.to = Some(from);
+            }
+            self.key_periods.push(KeyPeriod {
+                is_granted,
+                from,
+                to: None,
+            });
+        }
+    }
+
+    /// Returns whether [`CHANGING_KEY`] is granted.
+    #[must_use]
+    pub fn is_key_granted(&self) -> bool {
+        self.key_periods
+            .last()
+            .is_some_and(|period| period.is_granted)
+    }
+
+    /// Returns the periods in which [`CHANGING_KEY`] was granted or withdrawn.
+    #[must_use]
+    pub fn key_periods(&self) -> &[KeyPeriod] {
+        &self.key_periods
     }
 
     /// Registers an upstream in the store with the address of its relay and the state `state`.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -9,10 +9,8 @@
 use thiserror::Error;
 
 use crate::soak_callers::{OutcomeLog, run_caller};
-use crate::soak_checks::{
-    GuaranteeViolation, RecordedRun, WithdrawnPeriod, check_guarantees, check_recovery,
-};
-use crate::soak_faults::{draw_fault_pause, inject_fault};
+use crate::soak_checks::{GuaranteeViolation, RecordedRun, check_guarantees, check_recovery};
+use crate::soak_faults::{draw_fault_pause, inject_fault, silence_connections};
 use crate::soak_fleet::SoakFleet;
 
 /// Time for the fleet to recover after all faults have ended: store entries, health checks and restarts.
@@ -85,25 +83,20 @@
         .collect();
     let mut rng = Rng::with_seed(plan.seed);
     let mut faults = Vec::new();
-    let mut withdrawn_periods = Vec::new();
+    // A sequence of its own keeps the other faults of each seed as they are.
+    let mut silence_rng = Rng::with_seed(!plan.seed);
     let started = Instant::now();
     while started.elapsed() < plan.duration {
-        let withdrawn_before = fleet.withdrawn_at;
-        let description = inject_fault(&mut fleet, &mut rng).await?;
-        if let (Some(from), None) = (withdrawn_before, fleet.withdrawn_at) {
-            let to = Instant::now();
-            withdrawn_periods.push(WithdrawnPeriod { from, to });
-        }
-        faults.push(format!(
-            "{} ms: {description}",
-            started.elapsed().as_millis()
-        ));
+        let mut descriptions = vec![inject_fault(&mut fleet, &mut rng).await?];
+        descriptions.extend(silence_connections(&fleet, &mut silence_rng));
+        let elapsed = started.elapsed().as_millis();
+        faults.extend(
+            descriptions
+                .iter()
+                .map(|fault| format!("{elapsed} ms: {fault}")),
+        );
         tokio::time::sleep(draw_fault_pause(&mut rng)).await;
     }
-    if let Some(from) = fleet.withdrawn_at {
-        let to = Instant::now();
-        withdrawn_periods.push(WithdrawnPeriod { from, to });
-    }
     fleet.write_config(true);
     fleet.clear_faults().await?;
     let faults_cleared_at = Instant::now();
@@ -131,7 +124,7 @@
             relayed.upstream.runs().into_iter().map(recorded)
         })
         .collect();
-    let mut violations = check_guarantees(&outcomes, &runs, &withdrawn_periods);
+    let mut violations = check_guarantees(&outcomes, &runs, fleet.key_periods());
     let final_outcomes = outcomes
         .iter()
         .filter(|outcome| outcome.sent_at > final_window_start);
