steering, platform, entry: the rate limits that upstreams state are read and shown

Cause: no code read the header, so nothing in log, metrics or state could tell why an upstream was over its limit. Change: every answer and health check is read for what the upstream states about itself, at one place in platform/, into a typed value. A log line, a gauge and the state dump show the limits. Nothing is decided yet.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -19,6 +19,7 @@
 use crate::control_heartbeats::SentHeartbeat;
 use crate::entry_snapshot::ListedUpstream;
 use crate::health_check::check_upstream;
+use crate::limit_log::LimitLog;
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
 use crate::plan_lag::PlanLag;
@@ -74,6 +75,7 @@
     connections_checked_at: MonotonicTime,
     expired_at: MonotonicTime,
     pub(crate) plan_lag: PlanLag,
+    limit_log: LimitLog,
     is_registering: bool,
 }
 
@@ -111,6 +113,7 @@
             connections_checked_at: MonotonicTime::default(),
             expired_at: MonotonicTime::default(),
             plan_lag: PlanLag::default(),
+            limit_log: LimitLog::default(),
             is_registering: false,
         }
     }
@@ -225,6 +228,8 @@
         let is_expired = self.registry.expire(now);
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
+        let states = self.registry.iter().map(|upstream| &*upstream.listed.state);
+        self.limit_log.update(states, now);
         self.update_spreads(now);
         let members = &self.members;
         let registered = members.iter().count();
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -138,6 +138,8 @@
     pub in_flight: u64,
     /// Upstreams that accept new requests.
     pub usable_upstreams: usize,
+    /// Upstreams that state a rate limit.
+    pub limited_upstreams: usize,
     /// Live instances, this one included.
     pub instances: usize,
 }
@@ -218,6 +220,7 @@
             ),
             ("requests_in_flight", gauges.in_flight.to_string()),
             ("usable_upstreams", gauges.usable_upstreams.to_string()),
+            ("limited_upstreams", gauges.limited_upstreams.to_string()),
             ("live_instances", gauges.instances.to_string()),
         ];
         for (name, value) in values {
--- a/crates/entry/src/health_check.rs
+++ b/crates/entry/src/health_check.rs
@@ -13,6 +13,7 @@
 use crate::entry_metrics::CounterName;
 use crate::entry_snapshot::ListedUpstream;
 use crate::shared_state::SharedState;
+use crate::upstream_exchange::record_signals;
 
 /// The timeout of a health check. A check usually takes about 6 ms and a round trip, but it may wait for a slot.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
@@ -59,6 +60,8 @@
         .is_some_and(|upstream| upstream != listed.state.info.id);
     if is_other {
         listed.state.mark_address_reused();
+    } else {
+        record_signals(&listed.state, response.headers(), shared.clock.now());
     }
     (response.status() == StatusCode::OK && !is_other).then_some(report.cold_start_remaining)
 }
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_adapter::{
     LocalCall, LookupCall, MAX_LOOKUP_ADDRESSES, encode_lookup_reply, parse_local_call,
 };
-use coltsfootkeel_steering::{LookupQuery, RegionSet, select_instances};
+use coltsfootkeel_steering::{LookupQuery, RegionSet, UpstreamState, select_instances};
 use coltsfootkeel_transport::HttpService;
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{HeaderValue, Method, StatusCode};
@@ -120,12 +120,15 @@
 
     fn metrics(&self) -> Response {
         let snapshot = self.shared.snapshot.load();
-        let usable = snapshot.as_ref().map_or(0, |snapshot| {
-            let upstreams = snapshot.upstreams.iter();
-            upstreams
-                .filter(|(_, listed)| listed.state.is_usable())
-                .count()
-        });
+        let count_upstreams = |is_counted: &dyn Fn(&UpstreamState) -> bool| {
+            snapshot.as_ref().map_or(0, |snapshot| {
+                let upstreams = snapshot.upstreams.iter();
+                upstreams
+                    .filter(|(_, listed)| is_counted(&listed.state))
+                    .count()
+            })
+        };
+        let steady_now = self.shared.clock.now();
         let now = self.shared.clock.now_with_suspension();
         let gauges = GaugeValues {
             plan_version: snapshot
@@ -134,7 +137,10 @@
             newest_plan_version: self.shared.freshness.newest_version(),
             plan_age: self.shared.freshness.age(now),
             in_flight: self.shared.in_flight.load(Ordering::Acquire),
-            usable_upstreams: usable,
+            usable_upstreams: count_upstreams(&UpstreamState::is_usable),
+            limited_upstreams: count_upstreams(&|state| {
+                state.stated_limit.limit(steady_now).is_some()
+            }),
             instances: self.shared.fleet.load().hashes.len(),
         };
         let regions = &self.shared.topology.regions;
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use coltsfootkeel_model::RouteKey;
+use coltsfootkeel_steering::RateLimit;
 use serde_json::{Value, json};
 
 use crate::entry_snapshot::{EntrySnapshot, ListedUpstream};
@@ -85,6 +86,7 @@
         "lost": state.is_unreachable(),
         "other_upstream": state.is_address_reused(),
         "cold": state.is_in_cold_start(now),
+        "limit_per_s": state.stated_limit.limit(now).map(RateLimit::per_second),
         "slowness": state.slowness(now),
     })
 }
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use coltsfootkeel_adapter::{AnswerClass, UpstreamHead, classify_answer, write_upstream_head};
+use coltsfootkeel_adapter::{
+    AnswerClass, UpstreamHead, classify_answer, read_upstream_signals, write_upstream_head,
+};
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_steering::{LimitStatement, UpstreamState};
 use coltsfootkeel_transport::{ReusePolicy, SendFailure, UpstreamBody, UpstreamConnection};
 use http::response::Parts;
 use http::{HeaderMap, Uri};
@@ -139,7 +142,12 @@
             listed.client.put_idle(now, connection);
         }
     };
-    match classify_answer(head.status, &head.headers, &context.head.attempt_id) {
+    let class = classify_answer(head.status, &head.headers, &context.head.attempt_id);
+    if matches!(class, AnswerClass::Valid { .. } | AnswerClass::NotRun) {
+        let now = context.shared.clock.now();
+        record_signals(&listed.state, &head.headers, now);
+    }
+    match class {
         AnswerClass::Valid { is_success } => {
             let read = match timeout_at(deadline, read_content(body, MAX_BUFFERED_BYTES)).await {
                 Err(_) => return ExchangeOutcome::TimedOut,
@@ -165,6 +173,14 @@
     }
 }
 
+/// Records what an upstream states about itself in an answer that was received at `now`.
+pub(crate) fn record_signals(state: &UpstreamState, headers: &HeaderMap, now: MonotonicTime) {
+    state.stated_limit.record(LimitStatement {
+        limit: read_upstream_signals(headers).rate_limit,
+        stated_at: now,
+    });
+}
+
 fn reuse_policy(
     context: &RequestContext,
     listed: &ListedUpstream,
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -12,6 +12,7 @@
 use crate::atomic_time::AtomicTime;
 use crate::cache_estimator::RecentObjects;
 use crate::hashing::stable_hash;
+use crate::rate_limit::StatedLimit;
 
 /// Failure level, in thousandths, from which an upstream is avoided. Two interrupted requests in a row reach it; one
 /// failure in ten answers does not.
@@ -75,6 +76,8 @@
     pub cold_until: AtomicTime,
     /// Earliest time at which this instance may send the next request while the upstream is cold.
     pub next_cold_send: AtomicTime,
+    /// The rate limit that the upstream states in its answers.
+    pub stated_limit: StatedLimit,
     own_in_flight: AtomicU32,
     peer_in_flight: AtomicU32,
     failure_level: AtomicU32,
@@ -103,6 +106,7 @@
             objects_in_use: AtomicUsize::new(0),
             cold_until: AtomicTime::default(),
             next_cold_send: AtomicTime::default(),
+            stated_limit: StatedLimit::default(),
             own_in_flight: AtomicU32::new(0),
             peer_in_flight: AtomicU32::new(0),
             failure_level: AtomicU32::new(0),
