steering, entry: the rate limit of an upstream is divided among the instances by demand

Callers' requests overloaded upstreams that had said how many they take. Cause: nothing used the limit; placement, the spread over regions and the expected wait count slots, and the limit is one for all instances, most of which have had no answer of the upstream yet. Change: heartbeats carry what an upstream last stated, how old that is, and the demand at the sender. Each instance sends at an interval that follows from its part of the demand; the sum is the limit, also while instances do not hear each other. In a large fleet only those with the most demand send, since each may send one request at once after a pause. Room is what the limit allows: in placement, the spread and the expected wait. A request that no limit lets through in time is refused at once, with a Retry-After of at least the time until the next one. No second copies are sent.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -19,6 +19,7 @@
 use crate::control_heartbeats::SentHeartbeat;
 use crate::entry_snapshot::ListedUpstream;
 use crate::health_check::check_upstream;
+use crate::limit_division::LimitDivision;
 use crate::limit_log::LimitLog;
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
@@ -75,6 +76,7 @@
     connections_checked_at: MonotonicTime,
     expired_at: MonotonicTime,
     pub(crate) plan_lag: PlanLag,
+    pub(crate) limit_division: LimitDivision,
     limit_log: LimitLog,
     is_registering: bool,
 }
@@ -113,6 +115,7 @@
             connections_checked_at: MonotonicTime::default(),
             expired_at: MonotonicTime::default(),
             plan_lag: PlanLag::default(),
+            limit_division: LimitDivision::default(),
             limit_log: LimitLog::default(),
             is_registering: false,
         }
@@ -228,6 +231,13 @@
         let is_expired = self.registry.expire(now);
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
+        let fleet = self.shared.fleet.load();
+        self.limit_division.divide(
+            &self.registry,
+            self.shared.own_hash,
+            &fleet.pacing_instances,
+            now,
+        );
         let states = self.registry.iter().map(|upstream| &*upstream.listed.state);
         self.limit_log.update(states, now);
         self.update_spreads(now);
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -139,7 +139,7 @@
             in_flight: self.shared.in_flight.load(Ordering::Acquire),
             usable_upstreams: count_upstreams(&UpstreamState::is_usable),
             limited_upstreams: count_upstreams(&|state| {
-                state.stated_limit.limit(steady_now).is_some()
+                state.rate_limit.limit(steady_now).is_some()
             }),
             instances: self.shared.fleet.load().hashes.len(),
         };
--- a/crates/entry/src/limit_log.rs
+++ b/crates/entry/src/limit_log.rs
@@ -24,7 +24,7 @@
     ) {
         let mut ended = std::mem::take(&mut self.logged);
         for state in upstreams {
-            let Some(limit) = state.stated_limit.limit(now) else {
+            let Some(limit) = state.rate_limit.limit(now) else {
                 continue;
             };
             let id = &state.info.id;
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -94,9 +94,17 @@
             && route.is_idempotent()
             && body.is_replayable()
             && reservation.decision.queue_delay.is_zero()
+            && !self.is_rate_limited(reservation)
             && self.try_unreserved_retry()
     }
 
+    /// Returns whether the upstream of a reservation has a rate limit, for which the second copy of a request counts too.
+    fn is_rate_limited(&self, reservation: &SlotReservation) -> bool {
+        let state = &self.context.snapshot.upstreams[reservation.key].state;
+        let now = self.context.shared.clock.now();
+        state.rate_limit.limit(now).is_some()
+    }
+
     fn try_unreserved_retry(&self) -> bool {
         let shared = &self.context.shared;
         let retry_budget = &self.context.listed_pool().state.retry_budget;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -22,7 +22,7 @@
 use crate::request_context::{RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
+use crate::upstream_choice::{SlotReservation, is_avoidance_suspended, time_until_send};
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
@@ -278,10 +278,11 @@
         if self.sent_attempts == 0 {
             self.context.refund();
         }
+        let retry_after = self.context.retry_after();
         Err(Rejection {
             kind,
             may_have_run: self.may_have_run,
-            retry_after: Some(self.context.retry_after()),
+            retry_after: Some(retry_after.max(time_until_send(&self.context))),
         })
     }
 
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -11,11 +11,14 @@
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
+use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot, time_until_send};
 
 /// The time that a stopping instance reserves to deliver the response.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// The lowest number of slots for which a wait is estimated.
+const MIN_EFFECTIVE_SLOTS: f64 = 0.1;
+
 impl RequestFlow {
     /// Reserves a slot at an upstream that can answer in time. Waits for one for up to [`max_queue_wait`].
     ///
@@ -42,7 +45,8 @@
         let max_wait = max_queue_wait(objective_left, self.context.remaining(), warm);
         let request_queue = &self.context.listed_pool().state.request_queue;
         let priority = queue_priority(self.context.priority, objective_left, warm);
-        if self.expected_wait(request_queue.count_ahead(priority)) > max_wait {
+        let expected_wait = self.expected_wait(request_queue.count_ahead(priority));
+        if expected_wait.max(time_until_send(&self.context)) > max_wait {
             return Err(RejectKind::NoCapacity);
         }
         let until = started + max_wait;
@@ -69,12 +73,15 @@
         let allowed = upstreams
             .map(|key| &self.context.snapshot.upstreams[*key])
             .filter(|listed| is_allowed(&self.context, listed));
-        let slots: u32 = allowed.map(|listed| listed.state.info.slots).sum();
-        let instances = self.context.shared.instance_count();
+        let now = self.context.shared.clock.now();
         let slot_time = pool.state.slot_time.get().unwrap_or_default();
+        let slots: f64 = allowed
+            .map(|listed| listed.state.effective_slots(slot_time, now))
+            .sum();
+        let instances = self.context.shared.instance_count();
         // The queues of the other instances are assumed to be of the same length.
         let queued_requests = u32::try_from(ahead * instances).unwrap_or(u32::MAX);
-        slot_time.mul_f64(f64::from(queued_requests) / f64::from(slots.max(1)))
+        slot_time.mul_f64(f64::from(queued_requests) / slots.max(MIN_EFFECTIVE_SLOTS))
     }
 
     /// Rejects a request that would not complete before a stopping process is killed.
--- a/crates/entry/src/spread_updates.rs
+++ b/crates/entry/src/spread_updates.rs
@@ -101,13 +101,23 @@
     for state in reachable {
         if is_avoidance_suspended || !state.is_avoided(now) {
             let load = &mut loads[state.info.region];
-            load.slots += state.info.slots;
+            load.slots += effective_slots(pool, state, now);
             load.in_flight += state.in_flight();
         }
     }
     loads
 }
 
+/// Returns the slots of an upstream, or those that its rate limit keeps busy.
+fn effective_slots(pool: &ListedPool, state: &UpstreamState, now: MonotonicTime) -> u32 {
+    let Some(slot_time) = pool.state.slot_time.get() else {
+        return state.info.slots;
+    };
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let slots = state.effective_slots(slot_time, now).round() as u32;
+    slots.max(1)
+}
+
 /// Returns the expected time of a warm answer for a route in each region.
 fn warm_times(
     shared: &SharedState,
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -86,7 +86,7 @@
         "lost": state.is_unreachable(),
         "other_upstream": state.is_address_reused(),
         "cold": state.is_in_cold_start(now),
-        "limit_per_s": state.stated_limit.limit(now).map(RateLimit::per_second),
+        "limit_per_s": state.rate_limit.limit(now).map(RateLimit::per_second),
         "slowness": state.slowness(now),
     })
 }
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -147,6 +147,7 @@
         may_change_region: !tried.is_empty() || spill_budget.has_spill(),
     };
     let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
+    count_limited_demand(context, region);
     let upstreams = context.listed_pool().upstreams.iter().copied();
     let candidates = upstreams
         .filter(is_eligible)
@@ -157,6 +158,9 @@
     };
     let state = &context.snapshot.upstreams[decision.key].state;
     let reuse_distance = reuse_distance(state, &recent);
+    if !state.rate_limit.claim(now) {
+        return None;
+    }
     if state.is_in_cold_start(now) && !reserve_cold_interval(context, state, now) {
         return None;
     }
@@ -310,6 +314,32 @@
         && !state.is_full(now)
         && is_in_tier(state, tier, now)
         && (!state.is_in_cold_start(now) || state.next_cold_send.get() <= now)
+        && state.rate_limit.time_until_send(now).is_zero()
+}
+
+/// Counts the request as demand for the upstreams with a rate limit in its region, by which the instances divide the
+/// limits.
+fn count_limited_demand(context: &RequestContext, region: RegionKey) {
+    let now = context.shared.clock.now();
+    for key in &context.listed_pool().upstreams {
+        let listed = &context.snapshot.upstreams[*key];
+        let is_limited = listed.state.rate_limit.limit(now).is_some();
+        if is_limited && listed.state.info.region == region && is_allowed(context, listed) {
+            listed.state.rate_limit.count_demand();
+        }
+    }
+}
+
+/// Returns the time until the rate limits of the upstreams that may run the request let this instance send one; zero if
+/// one of them has none.
+pub fn time_until_send(context: &RequestContext) -> Duration {
+    let now = context.shared.clock.now();
+    let upstreams = context.listed_pool().upstreams.iter();
+    let allowed = upstreams
+        .map(|key| &context.snapshot.upstreams[*key])
+        .filter(|listed| is_allowed(context, listed));
+    let times = allowed.map(|listed| listed.state.rate_limit.time_until_send(now));
+    times.min().unwrap_or_default()
 }
 
 fn candidate(
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -175,7 +175,7 @@
 
 /// Records what an upstream states about itself in an answer that was received at `now`.
 pub(crate) fn record_signals(state: &UpstreamState, headers: &HeaderMap, now: MonotonicTime) {
-    state.stated_limit.record(LimitStatement {
+    state.rate_limit.record(LimitStatement {
         limit: read_upstream_signals(headers).rate_limit,
         stated_at: now,
     });
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -70,6 +70,26 @@
     /// The requests that the sender had in flight at upstreams that crashed.
     #[prost(message, repeated, tag = "16")]
     pub crashes: Vec<CrashSuspect>,
+    /// A rotating subset of the upstreams that state a rate limit, or did so until recently.
+    #[prost(message, repeated, tag = "22")]
+    pub limits: Vec<StatedLimit>,
+}
+
+/// What an upstream last stated about its rate limit, and the demand at the sender.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct StatedLimit {
+    /// The short hash of the upstream's id.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// The limit in thousandths of a request per second; zero if the newest answer stated none.
+    #[prost(uint32, tag = "2")]
+    pub limit_milli: u32,
+    /// The milliseconds since the newest answer that the sender knows of.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// The rate of requests at the sender for which the upstream was a candidate, in thousandths of a request per second.
+    #[prost(uint32, tag = "4")]
+    pub demand_milli: u32,
 }
 
 /// The requests that the sender has in flight at one upstream.
--- a/crates/standins/src/signed_upstream.rs
+++ b/crates/standins/src/signed_upstream.rs
@@ -74,6 +74,7 @@
 struct UpstreamData {
     runs: Vec<UpstreamRun>,
     fault: UpstreamFault,
+    rate_limit: Option<f64>,
     cached_objects: HashSet<String>,
 }
 
@@ -132,6 +133,12 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the requests per second that all answers from now on state as the limit; `None` states none. The upstream
+    /// still runs what it gets.
+    pub fn set_rate_limit(&self, per_s: Option<f64>) {
+        self.lock().rate_limit = per_s;
+    }
+
     /// Returns the requests that ran so far.
     #[must_use]
     pub fn runs(&self) -> Vec<UpstreamRun> {
@@ -218,6 +225,9 @@
             ("coltsfootkeel-instance-id", self.id.clone()),
             ("coltsfootkeel-server-load", format!("{running},0,{SLOTS}")),
         ]);
+        if let Some(per_s) = self.lock().rate_limit {
+            values.insert("server-limit", per_s.to_string());
+        }
         if is_signed {
             values.insert("coltsfootkeel-response-signature", "s.1".to_string());
         }
--- a/crates/steering/src/atomic_time.rs
+++ b/crates/steering/src/atomic_time.rs
@@ -26,6 +26,11 @@
         self.0.fetch_max(time.as_nanos(), Ordering::Relaxed);
     }
 
+    /// Replaces the value by an earlier time; a later time has no effect.
+    pub fn bring_forward(&self, time: MonotonicTime) {
+        self.0.fetch_min(time.as_nanos(), Ordering::Relaxed);
+    }
+
     /// Claims a periodic action that is due from the stored time on, and schedules the next one after `interval`.
     /// Returns whether the action was due; of several concurrent callers only one receives `true`.
     pub fn claim_if_due(&self, now: MonotonicTime, interval: Duration) -> bool {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -50,6 +50,7 @@
 mod plan_freshness;
 mod quota_bucket;
 mod rate_limit;
+mod rate_share;
 mod raw_plan;
 mod region_spread;
 mod request_queue;
@@ -77,7 +78,8 @@
 };
 pub use plan_freshness::PlanFreshness;
 pub use quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
-pub use rate_limit::{InvalidRate, LimitStatement, RateLimit, StatedLimit, UpstreamSignals};
+pub use rate_limit::{InvalidRate, LimitStatement, RateLimit, UpstreamLimit, UpstreamSignals};
+pub use rate_share::{InstanceDemand, limited_send_interval};
 pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind};
 pub use region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use request_queue::{QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after};
--- a/crates/steering/src/rate_limit.rs
+++ b/crates/steering/src/rate_limit.rs
@@ -4,7 +4,7 @@
 //! stating it in every answer for as long as the limit holds. Instances learn of the limit and of its end from their own
 //! answers and from one another.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
@@ -90,20 +90,33 @@
     pub stated_at: MonotonicTime,
 }
 
-/// The newest statement about the rate limit of one upstream, shared by all threads.
+/// Interval before the control thread has divided a limit among the instances.
+const UNDIVIDED: u64 = 0;
+/// Interval of an instance that leaves an upstream with a limit to the others.
+const NEVER: u64 = u64::MAX;
+
+/// The newest statement about the rate limit of one upstream and this instance's part of it, shared by all threads.
 #[derive(Debug, Default)]
-pub struct StatedLimit {
+pub struct UpstreamLimit {
     /// The limit in thousandths of a request per second; zero without a limit.
     milli: AtomicU32,
     stated_at: AtomicTime,
+    /// Nanoseconds between two requests of this instance, [`UNDIVIDED`] or [`NEVER`].
+    interval: AtomicU64,
+    next_send: AtomicTime,
+    /// Requests for which the upstream was a candidate while it had a limit.
+    demand: AtomicU64,
 }
 
-impl StatedLimit {
+impl UpstreamLimit {
     /// Records a statement, unless a newer one is known.
     pub fn record(&self, statement: LimitStatement) {
         if statement.stated_at < self.stated_at.get() {
             return;
         }
+        if statement.limit.is_some() && self.limit(statement.stated_at).is_none() {
+            self.interval.store(UNDIVIDED, Ordering::Relaxed);
+        }
         self.stated_at.advance(statement.stated_at);
         let milli = statement.limit.map_or(0, RateLimit::to_milli);
         self.milli.store(milli, Ordering::Relaxed);
@@ -116,9 +129,55 @@
         (now.since(self.stated_at.get()) < LIMIT_LIFETIME).then_some(limit)
     }
 
-    /// Returns when the newest statement was made.
+    /// Returns the newest statement.
+    #[must_use]
+    pub fn statement(&self) -> LimitStatement {
+        LimitStatement {
+            limit: RateLimit::from_milli(self.milli.load(Ordering::Relaxed)),
+            stated_at: self.stated_at.get(),
+        }
+    }
+
+    /// Sets the time between two requests of this instance; `None` leaves the upstream to the others.
+    pub fn set_interval(&self, interval: Option<Duration>, now: MonotonicTime) {
+        let nanos = interval.and_then(|interval| u64::try_from(interval.as_nanos()).ok());
+        self.interval
+            .store(nanos.unwrap_or(NEVER), Ordering::Relaxed);
+        if let Some(interval) = interval {
+            self.next_send.bring_forward(now + interval);
+        }
+    }
+
+    /// Returns the time until this instance may send the next request: zero without a limit, and the longest time that a
+    /// limit holds without an answer if only other instances may send.
+    #[must_use]
+    pub fn time_until_send(&self, now: MonotonicTime) -> Duration {
+        if self.limit(now).is_none() {
+            return Duration::ZERO;
+        }
+        match self.interval.load(Ordering::Relaxed) {
+            UNDIVIDED | NEVER => LIMIT_LIFETIME,
+            _ => self.next_send.get().since(now),
+        }
+    }
+
+    /// Claims the next request of this instance. Returns whether it may be sent now.
+    pub fn claim(&self, now: MonotonicTime) -> bool {
+        if !self.time_until_send(now).is_zero() {
+            return false;
+        }
+        let interval = Duration::from_nanos(self.interval.load(Ordering::Relaxed));
+        self.limit(now).is_none() || self.next_send.claim_if_due(now, interval)
+    }
+
+    /// Counts a request for which the upstream is a candidate.
+    pub fn count_demand(&self) {
+        self.demand.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of counted requests.
     #[must_use]
-    pub fn stated_at(&self) -> MonotonicTime {
-        self.stated_at.get()
+    pub fn demand(&self) -> u64 {
+        self.demand.load(Ordering::Relaxed)
     }
 }
--- /dev/null
+++ b/crates/steering/src/rate_share.rs
@@ -0,0 +1,60 @@
+//! Divides the rate limit of an upstream among the instances.
+//!
+//! Load pattern: an upstream takes few requests per second, fewer than there are instances, and most of the requests for
+//! it arrive at some of the instances. Each instance sends at intervals that follow from its part of the demand, so the
+//! sum of all rates is the limit. An instance that others no longer hear keeps its part: the others still count the demand
+//! that it reported last.
+
+use std::cmp::Ordering;
+use std::time::Duration;
+
+use crate::rate_limit::RateLimit;
+
+/// Fraction of a limit that is the least demand of an instance, so that the first requests of one with little demand
+/// receive a share.
+const MIN_DEMAND_FRACTION: f64 = 0.02;
+/// Number of seconds of the limit, and of requests on top of it, that instances may send at once after a pause: half of
+/// the excess that an upstream tolerates in four seconds.
+const BURST_PERIOD_S: f64 = 1.0;
+const BURST_REQUESTS: f64 = 2.5;
+
+/// Requests for one upstream that arrive at an instance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct InstanceDemand {
+    /// Hash of the instance's name.
+    pub instance: u64,
+    /// Requests per second for which the upstream was a candidate; `None` if the instance has not reported any.
+    pub per_s: Option<f64>,
+}
+
+/// Returns the time between two requests of an instance to an upstream with a rate limit, or `None` if only other
+/// instances may send. `others` are all other instances that may send requests; one without a report is assumed to have
+/// the same demand as this one.
+///
+/// Each sending instance may send one request at once after a pause, so in a large fleet only those with the highest
+/// demand send.
+#[must_use]
+pub fn limited_send_interval(
+    limit: RateLimit,
+    own: InstanceDemand,
+    others: &[InstanceDemand],
+) -> Option<Duration> {
+    let per_s = limit.per_second();
+    let min_demand = per_s * MIN_DEMAND_FRACTION;
+    let own_demand = own.per_s.unwrap_or_default().max(min_demand);
+    let demand = |other: &InstanceDemand| other.per_s.unwrap_or(own_demand).max(min_demand);
+    let precedes_own = |other: &&InstanceDemand| {
+        let order = demand(other).total_cmp(&own_demand);
+        order.then(other.instance.cmp(&own.instance)) == Ordering::Greater
+    };
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let senders = (per_s * BURST_PERIOD_S + BURST_REQUESTS) as usize;
+    if others.iter().filter(precedes_own).count() >= senders {
+        return None;
+    }
+    let mut demands: Vec<f64> = others.iter().map(demand).collect();
+    demands.sort_by(|first, second| second.total_cmp(first));
+    let other_demand: f64 = demands.iter().take(senders.saturating_sub(1)).sum();
+    let share = own_demand / (own_demand + other_demand);
+    Some(Duration::from_secs_f64(1.0 / (per_s * share)))
+}
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/upstream_state.rs
@@ -12,7 +12,7 @@
 use crate::atomic_time::AtomicTime;
 use crate::cache_estimator::RecentObjects;
 use crate::hashing::stable_hash;
-use crate::rate_limit::StatedLimit;
+use crate::rate_limit::UpstreamLimit;
 
 /// Failure level, in thousandths, from which an upstream is avoided. Two interrupted requests in a row reach it; one
 /// failure in ten answers does not.
@@ -77,7 +77,7 @@
     /// Earliest time at which this instance may send the next request while the upstream is cold.
     pub next_cold_send: AtomicTime,
     /// The rate limit that the upstream states in its answers.
-    pub stated_limit: StatedLimit,
+    pub rate_limit: UpstreamLimit,
     own_in_flight: AtomicU32,
     peer_in_flight: AtomicU32,
     failure_level: AtomicU32,
@@ -106,7 +106,7 @@
             objects_in_use: AtomicUsize::new(0),
             cold_until: AtomicTime::default(),
             next_cold_send: AtomicTime::default(),
-            stated_limit: StatedLimit::default(),
+            rate_limit: UpstreamLimit::default(),
             own_in_flight: AtomicU32::new(0),
             peer_in_flight: AtomicU32::new(0),
             failure_level: AtomicU32::new(0),
@@ -323,6 +323,17 @@
         self.connections_suspect_until.get() > now
     }
 
+    /// Returns the number of requests that the upstream runs concurrently if each occupies a slot for `slot_time`: its
+    /// slots, or as many as its rate limit keeps busy.
+    #[must_use]
+    pub fn effective_slots(&self, slot_time: Duration, now: MonotonicTime) -> f64 {
+        let slots = f64::from(self.info.slots);
+        match self.rate_limit.limit(now) {
+            Some(limit) => slots.min(limit.per_second() * slot_time.as_secs_f64()),
+            None => slots,
+        }
+    }
+
     /// Updates the slowness with the ratio of the measured to the expected response time.
     pub fn record_latency(&self, elapsed: Duration, expected: Duration, now: MonotonicTime) {
         let ratio = elapsed.as_secs_f64() / expected.as_secs_f64().max(0.001);
