platform, entry: one odd object no longer hides the others of a list or watch

Instances followed no list while another writer's object was in it. Cause: a page was decoded with all its objects at once, so one that is nested too deeply or has a number out of range failed the whole page, at every read. Change: each object is decoded by itself, for lists and watches, and one that cannot be decoded is logged once and named. An upstream of that name is removed, a configuration of that name leaves the active plan unconfirmed.

--- a/crates/entry/src/control_event.rs
+++ b/crates/entry/src/control_event.rs
@@ -29,6 +29,8 @@
         kind: ObjectKind,
         /// The changes; empty if the watch ended without one.
         events: Vec<ObjectEvent>,
+        /// The names of the objects whose changes cannot be decoded.
+        unreadable: Vec<String>,
         /// The store's revision up to which the changes are complete.
         revision: u64,
         /// A time up to which there are no other changes, on the clock that includes suspension.
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -156,13 +156,14 @@
             ControlEvent::Changed {
                 kind,
                 events,
+                unreadable,
                 revision,
                 current_as_of,
             } => {
                 if !events.is_empty() && self.shared.reader_role.is_reader() {
                     self.shared.reader_role.advance_kind(kind, revision);
                 }
-                self.apply_changes(kind, &events, current_as_of);
+                self.apply_changes(kind, &events, &unreadable, current_as_of);
             }
             ControlEvent::Heartbeat { message, from } => self.apply_heartbeat(*message, from),
             ControlEvent::Checked {
--- a/crates/entry/src/store_updates.rs
+++ b/crates/entry/src/store_updates.rs
@@ -32,7 +32,8 @@
                     .objects
                     .iter()
                     .find(|object| object.name == CONFIG_NAME);
-                if config.is_none_or(|object| self.apply_config(object)) {
+                let is_unreadable = list.unreadable.iter().any(|name| name == CONFIG_NAME);
+                if !is_unreadable && config.is_none_or(|object| self.apply_config(object)) {
                     self.confirm_by_store(requested_at);
                 }
             }
@@ -63,16 +64,23 @@
         }
     }
 
-    /// Applies changes of a kind, as a watch returned them.
+    /// Applies changes of a kind, as a watch returned them. An upstream whose entry has become unreadable is removed, and
+    /// a configuration that is unreadable leaves the active plan unconfirmed.
     pub(crate) fn apply_changes(
         &mut self,
         kind: ObjectKind,
         events: &[ObjectEvent],
+        unreadable: &[String],
         current_as_of: MonotonicTime,
     ) {
         let now = self.shared.clock.now();
         let mut is_changed = false;
-        let mut is_current = true;
+        let mut is_current = !unreadable.iter().any(|name| name == CONFIG_NAME);
+        if kind == ObjectKind::Upstreams {
+            for name in unreadable {
+                is_changed |= self.registry.remove(name, now);
+            }
+        }
         for event in events {
             let object = &event.object;
             match kind {
@@ -157,13 +165,7 @@
                 self.registry.is_serving = self.shared.metrics.has_requests();
                 self.registry.set(record, &self.shared.topology, now)
             }
-            Err(error) => {
-                log::warn!(
-                    "upstreams: The entry {} cannot be read: {error}.",
-                    object.name
-                );
-                self.registry.remove(&object.name, now)
-            }
+            Err(error) => self.registry.remove_unreadable(object, &error, now),
         }
     }
 
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -127,14 +127,16 @@
             {
                 Ok(WatchAnswer::Changes {
                     events,
+                    unreadable,
                     revision: next,
                 }) => {
                     self.backoff = INITIAL_BACKOFF;
                     self.record_reading(requested_at);
                     revision = next;
                     // A watch without changes confirms the state up to the end of its wait.
-                    is_after_change = self.config.batch_delay.is_zero() && !events.is_empty();
-                    let (current_as_of, batch_delay) = if events.is_empty() {
+                    let is_unchanged = events.is_empty() && unreadable.is_empty();
+                    is_after_change = self.config.batch_delay.is_zero() && !is_unchanged;
+                    let (current_as_of, batch_delay) = if is_unchanged {
                         (requested_at + wait, Duration::ZERO)
                     } else {
                         (requested_at, self.config.batch_delay)
@@ -142,6 +144,7 @@
                     self.shared.send_event(ControlEvent::Changed {
                         kind: self.config.kind,
                         events,
+                        unreadable,
                         revision,
                         current_as_of: current_as_of.min(self.shared.clock.now_with_suspension()),
                     });
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coltsfootkeel_adapter::StoreObject;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
 use coltsfootkeel_steering::{
@@ -39,6 +40,8 @@
     evacuated: HashSet<DomainKey>,
     /// Until when entries that expired in an outage of the store may still return.
     recovery_until: MonotonicTime,
+    /// The revisions at which entries could not be decoded, by name, so that each is logged once.
+    unreadable: HashMap<String, u64>,
     /// Whether this instance has received requests, so that a new upstream joins a pool in use.
     pub is_serving: bool,
 }
@@ -100,6 +103,23 @@
         true
     }
 
+    /// Removes an upstream whose entry cannot be decoded. Returns whether a new snapshot must be published.
+    pub fn remove_unreadable(
+        &mut self,
+        object: &StoreObject,
+        error: &serde_json::Error,
+        now: MonotonicTime,
+    ) -> bool {
+        let previous = self.unreadable.insert(object.name.clone(), object.revision);
+        if previous != Some(object.revision) {
+            log::warn!(
+                "upstreams: The entry {} cannot be read: {error}.",
+                object.name
+            );
+        }
+        self.remove(&object.name, now)
+    }
+
     /// Closes the idle connections that no request can use, for example because the upstream sends bytes on them without
     /// end.
     pub fn close_unusable_connections(&self, now: MonotonicTime) {
@@ -144,6 +164,7 @@
 
     /// Removes the upstreams that are missing from a complete list. Returns whether a new snapshot must be published.
     pub fn retain_listed(&mut self, ids: &HashSet<String>, now: MonotonicTime) -> bool {
+        self.unreadable.retain(|name, _| ids.contains(name));
         let is_missing = |id: &&String| !ids.contains(*id);
         let missing: Vec<String> = self.upstreams.keys().filter(is_missing).cloned().collect();
         let mut is_changed = false;
--- a/crates/transport/src/call_error.rs
+++ b/crates/transport/src/call_error.rs
@@ -87,6 +87,9 @@
     /// The answer has no `ETag` header with the object's version, or an unreadable one.
     #[error("the answer has no readable ETag")]
     NoVersion,
+    /// The last object of a page has no readable name, from which the next page continues.
+    #[error("the page ends with an object without a readable name")]
+    NoContinuation,
     /// The answer's body is not JSON of the expected type.
     #[error("malformed answer: {0}")]
     Malformed(#[source] serde_json::Error),
