entry, platform: a refusal that an upstream writes once more is not believed

Callers were told 'not run' for requests that an upstream ran, and such requests ran a second time. Cause: a refusal without an attempt id was taken for the answer to the current request, also on a connection that had carried another one; and an attempt that came back to the same upstream could use the connection of its own earlier refusal, whose id it shares. Change: a refusal (also 421) without the id counts only in the first exchange of a connection, otherwise the request may have run; and an attempt that is sent to the same upstream again uses a new connection.

--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -51,6 +51,8 @@
             .metrics
             .count_placement(region, reservation.decision.reason);
         self.tried.push(reservation.key);
+        let is_repeated = self.sent_to.contains(&reservation.key);
+        self.sent_to.push(reservation.key);
         self.sent_attempts += 1;
         let message = |attempt_body| ExchangeRequest {
             method: &self.parts.method,
@@ -59,6 +61,7 @@
             body: attempt_body,
             body_bytes: is_replayable.then_some(body.bytes().len() as u64),
             deadline: self.context.deadline,
+            is_repeated,
         };
         let first = Box::pin(exchange(&self.context, listed, message(sent_body)));
         let is_hedged = self.try_reserve_hedge(reservation, body);
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -78,6 +78,8 @@
     pub(crate) headers: HeaderMap,
     /// Upstreams that are not selected again.
     pub(crate) tried: Vec<UpstreamKey>,
+    /// Upstreams to which an attempt was sent, also those that may be selected again.
+    pub(crate) sent_to: Vec<UpstreamKey>,
     /// The number of attempts in which at least a part of the request may have been sent.
     pub(crate) sent_attempts: u32,
     /// The slot for the next attempt, if it was reserved before the previous attempt ended.
@@ -106,6 +108,7 @@
             parts,
             headers,
             tried: Vec::new(),
+            sent_to: Vec::new(),
             sent_attempts: 0,
             next_reservation: None,
             failed_connects: 0,
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -4,7 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use coltsfootkeel_adapter::{
-    AnswerClass, UpstreamHead, classify_answer, read_upstream_signals, write_upstream_head,
+    AnswerClass, ConnectionUse, UpstreamHead, classify_answer, read_upstream_signals,
+    write_upstream_head,
 };
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{LimitStatement, UpstreamState};
@@ -95,6 +96,9 @@
     pub body_bytes: Option<u64>,
     /// When the attempt ends with [`ExchangeOutcome::TimedOut`].
     pub deadline: MonotonicTime,
+    /// Whether an earlier attempt was sent to the same upstream. Its refusal has the same attempt id, so on a connection
+    /// that carried it a repeated refusal would be taken for the answer to this attempt.
+    pub is_repeated: bool,
 }
 
 /// Sends a request to one upstream and reads the answer, or its beginning if it is long.
@@ -104,7 +108,11 @@
     request: ExchangeRequest<'_>,
 ) -> ExchangeOutcome {
     let now = context.shared.clock.now();
-    let policy = reuse_policy(context, listed, now);
+    let policy = if request.is_repeated {
+        ReusePolicy::NEW_CONNECTION
+    } else {
+        reuse_policy(context, listed, now)
+    };
     let deadline = Instant::from_std(context.shared.clock.instant_of(request.deadline));
     let may_reuse = request
         .body_bytes
@@ -142,7 +150,13 @@
             listed.client.put_idle(now, connection);
         }
     };
-    let class = classify_answer(head.status, &head.headers, &context.head.attempt_id);
+    let connection_use = if body.is_on_reused_connection() {
+        ConnectionUse::Repeated
+    } else {
+        ConnectionUse::First
+    };
+    let attempt_id = &context.head.attempt_id;
+    let class = classify_answer(head.status, &head.headers, attempt_id, connection_use);
     if matches!(class, AnswerClass::Valid { .. } | AnswerClass::NotRun) {
         let now = context.shared.clock.now();
         record_signals(&listed.state, &head.headers, now);
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -77,6 +77,8 @@
     driver: Connection<TokioIo<LimitedStream<TcpStream>>, Body>,
     read_allowance: ReadAllowance,
     is_closed: bool,
+    /// Whether the connection carried an exchange before the current one.
+    is_reused: bool,
     idle_since: MonotonicTime,
 }
 
@@ -133,6 +135,12 @@
 }
 
 impl UpstreamBody {
+    /// Returns whether the connection carried an exchange before the one that this body belongs to.
+    #[must_use]
+    pub fn is_on_reused_connection(&self) -> bool {
+        self.connection.is_reused
+    }
+
     /// Returns the connection, which can carry the next exchange if this one is complete.
     #[must_use]
     pub fn into_connection(self) -> Box<UpstreamConnection> {
@@ -203,6 +211,7 @@
     /// Keeps a connection for reuse after a complete exchange; it is idle since `now`.
     pub fn put_idle(&self, now: MonotonicTime, mut connection: Box<UpstreamConnection>) {
         connection.idle_since = now;
+        connection.is_reused = true;
         // If the queue is full, the connection is dropped and thereby closed.
         let _ = self.idle.push(connection);
     }
@@ -264,6 +273,7 @@
             driver,
             read_allowance,
             is_closed: false,
+            is_reused: false,
             idle_since: MonotonicTime::default(),
         }))
     }
