steering, entry: a caller refused because of rate limits returns when any instance may send

Cause: the Retry-After was at least the time until this instance may send. Where a limited upstream is left to other instances that time is the life of a limit, 10 s, although another instance sends sooner. Change: in that case the time between two requests of all instances counts. The decisions of one request about rate limits have a file of their own. Result: requests_to_a_limited_upstream_keep_the_interval covers both delays (0.25 s instead of 10 s for a limit of 4 a second).

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 mod health_check;
 mod heartbeat_socket;
 mod http_services;
+mod limit_delays;
 mod limit_division;
 mod limit_log;
 mod member_list;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -17,12 +17,13 @@
 use crate::answer_delivery::{deliver_answer, deliver_failure};
 use crate::caller_body::CallerBody;
 use crate::entry_metrics::CounterName;
+use crate::limit_delays::retry_delay;
 use crate::rejection::{RejectKind, Rejection};
 use crate::request_attempt::outcome_code;
 use crate::request_context::{RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended, time_until_send};
+use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
@@ -285,7 +286,7 @@
         Err(Rejection {
             kind,
             may_have_run: self.may_have_run,
-            retry_after: Some(retry_after.max(time_until_send(&self.context))),
+            retry_after: Some(retry_after.max(retry_delay(&self.context))),
         })
     }
 
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -8,10 +8,11 @@
 
 use crate::entry_metrics::CounterName;
 use crate::entry_snapshot::WakeSender;
+use crate::limit_delays::time_until_send;
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot, time_until_send};
+use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
 
 /// The time that a stopping instance reserves to deliver the response.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::entry_snapshot::{ListedUpstream, PoolState};
+use crate::limit_delays::count_limited_demand;
 use crate::request_context::RequestContext;
 use crate::shared_state::PlacementReport;
 
@@ -317,31 +318,6 @@
         && state.rate_limit.time_until_send(now).is_zero()
 }
 
-/// Counts the request as demand for the upstreams with a rate limit in its region, by which the instances divide the
-/// limits.
-fn count_limited_demand(context: &RequestContext, region: RegionKey) {
-    let now = context.shared.clock.now();
-    for key in &context.listed_pool().upstreams {
-        let listed = &context.snapshot.upstreams[*key];
-        let is_limited = listed.state.rate_limit.limit(now).is_some();
-        if is_limited && listed.state.info.region == region && is_allowed(context, listed) {
-            listed.state.rate_limit.count_demand();
-        }
-    }
-}
-
-/// Returns the time until the rate limits of the upstreams that may run the request let this instance send one; zero if
-/// one of them has none.
-pub fn time_until_send(context: &RequestContext) -> Duration {
-    let now = context.shared.clock.now();
-    let upstreams = context.listed_pool().upstreams.iter();
-    let allowed = upstreams
-        .map(|key| &context.snapshot.upstreams[*key])
-        .filter(|listed| is_allowed(context, listed));
-    let times = allowed.map(|listed| listed.state.rate_limit.time_until_send(now));
-    times.min().unwrap_or_default()
-}
-
 fn candidate(
     context: &RequestContext,
     key: UpstreamKey,
--- a/crates/steering/src/rate_limit.rs
+++ b/crates/steering/src/rate_limit.rs
@@ -161,6 +161,18 @@
         }
     }
 
+    /// Returns the time after which a refused caller finds an instance that may send: as [`time_until_send`], or the time
+    /// between two requests of all instances if only others may send.
+    ///
+    /// [`time_until_send`]: Self::time_until_send
+    #[must_use]
+    pub fn retry_delay(&self, now: MonotonicTime) -> Duration {
+        match (self.limit(now), self.interval.load(Ordering::Relaxed)) {
+            (Some(limit), UNDIVIDED | NEVER) => Duration::from_secs_f64(1.0 / limit.per_second()),
+            _ => self.time_until_send(now),
+        }
+    }
+
     /// Claims the next request of this instance. Returns whether it may be sent now.
     pub fn claim(&self, now: MonotonicTime) -> bool {
         if !self.time_until_send(now).is_zero() {
--- a/crates/steering/tests/rate_share.rs
+++ b/crates/steering/tests/rate_share.rs
@@ -225,6 +225,9 @@
     // A higher share also shortens the current interval.
     upstream.set_interval(Some(Duration::from_millis(100)), at(1_700));
     assert!(upstream.claim(at(1_800)));
+    assert_eq!(upstream.retry_delay(at(1_850)), Duration::from_millis(50));
     upstream.set_interval(None, at(1_900));
     assert!(!upstream.claim(at(5_000)));
+    // Another instance sends a request every quarter of a second, so a refused caller need not wait for this one.
+    assert_eq!(upstream.retry_delay(at(5_000)), Duration::from_millis(250));
 }
