entry: an outage of the store does not confirm a plan older than that of another instance

Callers could use a withdrawn key for as long as an outage of the store lasted, at an instance that had missed the withdrawal before it. Cause: while no instance reaches the store, nothing can be withdrawn, so each confirmed its plan, also one whose version others had passed. Change: an instance that knows of a newer version does not.

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -101,11 +101,12 @@
     }
 
     /// Confirms the plan while every registered instance sends heartbeats and none of them reaches the store: in such
-    /// an outage no key can be withdrawn.
+    /// an outage no key can be withdrawn. A plan that was older than that of another instance before stays so.
     pub(crate) fn confirm_in_store_outage(&self) {
         let now = self.shared.clock.now_with_suspension();
         let is_initialized = self.plan.is_some() && self.members.iter().next().is_some();
-        if !is_initialized || self.reaches_store() {
+        let is_outdated = self.plan_version() < self.shared.freshness.newest_version();
+        if !is_initialized || is_outdated || self.reaches_store() {
             return;
         }
         let is_also_disconnected = |name: &str| {
--- a/crates/entry/src/plan_lag.rs
+++ b/crates/entry/src/plan_lag.rs
@@ -34,7 +34,7 @@
 
 impl ControlLoop {
     /// Returns the version of the active plan; zero without one.
-    fn plan_version(&self) -> u64 {
+    pub(crate) fn plan_version(&self) -> u64 {
         self.plan.as_ref().map_or(0, |plan| plan.version)
     }
 
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -162,3 +162,34 @@
     wait_for_plan(&fleet, 2, 2).await;
     assert_eq!(fleet.call(2, &call("known")).await.unwrap().status, 200);
 }
+
+/// Guards against an instance that missed the withdrawal of a key before an outage of the store, and takes the outage for
+/// a confirmation of its plan although the others have a newer one. Found by the soak, seed 3013.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_does_not_confirm_a_plan_older_than_that_of_another_instance() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "outage-after-cut",
+        instances: 2,
+        ..FleetSetup::default()
+    })
+    .await;
+    let mut relay = FaultRelay::start(fleet.store.address()).await.unwrap();
+    fleet.start_instance(EntryOptions::on_loopback(2, relay.address()));
+    fleet.instances[2].wait_until_ready().await.unwrap();
+    // In this time the instances register and receive heartbeats of each other.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    relay.set(RelayMode::BLACKHOLE).await;
+    fleet.write_plan(2, &["another-key"]);
+    wait_for_plan(&fleet, 0, 2).await;
+    wait_for_plan(&fleet, 1, 2).await;
+    fleet.store.set_mode(StoreMode::Unresponsive);
+    // The withdrawal holds everywhere after 5 s.
+    tokio::time::sleep(Duration::from_millis(5_200)).await;
+    let call = shop_request(Method::POST, "/orders/1", "withdrawn", SHOP_KEY);
+    let answer = fleet.call(2, &call).await.unwrap();
+    assert!([401, 503].contains(&answer.status), "{}", answer.status);
+    assert!(fleet.runs().is_empty());
+    // The others know that no key can have been withdrawn since the outage began.
+    let call = shop_request(Method::POST, "/orders/1", "kept", "another-key");
+    assert_eq!(fleet.call(0, &call).await.unwrap().status, 200);
+}
