--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -14,11 +14,20 @@
 /// each.
 #[test]
 fn guarantees_hold_under_overlapping_faults() {
-    let cases = [SoakCase {
-        name: "a short run",
-        seed: 1,
-        seconds: 8,
-    }];
+    let cases = [
+        SoakCase {
+            name: "a short run",
+            seed: 1,
+            seconds: 8,
+        },
+        // An instance missed a withdrawal that the others had, and took an outage that followed for a confirmation of its
+        // plan.
+        SoakCase {
+            name: "a withdrawal before an outage",
+            seed: 3013,
+            seconds: 20,
+        },
+    ];
     let runtime = tokio::runtime::Runtime::new().unwrap();
     for case in cases {
         let report = runtime.block_on(run_soak(SoakPlan {
