steering, entry: reports of an ended rate limit end too

Cause: the report of another instance counted as news of the limit, so two instances that each reported its end for three seconds kept each other reporting it forever; every heartbeat then carried all upstreams that had ever had a limit. Found when the change was read again. Change: only a limit that holds prolongs its reports. The table of reports is a decision without messages and moves to the steering package; the entry translates it to heartbeats.

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -61,12 +61,11 @@
             return;
         };
         self.quotas.record_heartbeat(hash, &peer.heartbeat, now);
-        self.limit_division
-            .record_heartbeat(hash, &peer.heartbeat, now);
         if let Some(sent) = echoed {
             let round_trip = now.since(sent.sent_at).saturating_sub(echo_hold);
             self.shared.record_round_trip(peer.region, round_trip);
         }
+        self.record_limits(hash, now);
     }
 
     fn record_placements(&self, message: &FleetHeartbeat, now: MonotonicTime) {
@@ -190,9 +189,7 @@
             instances_revision: revisions.instances,
             failing_kinds: shared.reader_role.failing_kinds(),
             loads: self.upstream_loads(),
-            limits: self
-                .limit_division
-                .reports(&self.registry, self.heartbeat_number, now),
+            limits: self.stated_limits(now),
             accounts,
             objects: objects
                 .map(|report| ObjectPlacement {
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, InstanceView, QuotaExcess, SteeringPlan, is_store_reader, pacing_instances,
-    stable_hash,
+    CrashTable, InstanceView, LimitTable, QuotaExcess, SteeringPlan, is_store_reader,
+    pacing_instances, stable_hash,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -19,7 +19,6 @@
 use crate::control_heartbeats::SentHeartbeat;
 use crate::entry_snapshot::ListedUpstream;
 use crate::health_check::check_upstream;
-use crate::limit_division::LimitDivision;
 use crate::limit_log::LimitLog;
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
@@ -76,7 +75,7 @@
     connections_checked_at: MonotonicTime,
     expired_at: MonotonicTime,
     pub(crate) plan_lag: PlanLag,
-    pub(crate) limit_division: LimitDivision,
+    pub(crate) limit_table: LimitTable,
     pub(crate) limit_log: LimitLog,
     is_registering: bool,
 }
@@ -115,7 +114,7 @@
             connections_checked_at: MonotonicTime::default(),
             expired_at: MonotonicTime::default(),
             plan_lag: PlanLag::default(),
-            limit_division: LimitDivision::default(),
+            limit_table: LimitTable::default(),
             limit_log: LimitLog::default(),
             is_registering: false,
         }
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -217,6 +217,11 @@
         self.upstreams.values()
     }
 
+    /// Returns the states of the upstreams of all pools, in no particular order.
+    pub fn states(&self) -> impl Iterator<Item = &UpstreamState> {
+        self.iter().map(|upstream| &*upstream.listed.state)
+    }
+
     /// Returns the upstream with this id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&RegisteredUpstream> {
