--- a/crates/entry/tests/endless_answers.rs
+++ b/crates/entry/tests/endless_answers.rs
@@ -10,8 +10,9 @@
 
 use coltsfootkeel_standins::{SHOP_KEY, call_once, register_upstream, shop_request};
 use http::Method;
+use platform_fleet::raw_requests::{attempt_id, read_head};
 use platform_fleet::{FleetSetup, PlatformFleet};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Time within which a request whose answer is known to be unusable is rejected: a fraction of the route's timeout of
@@ -97,27 +98,6 @@
     }
 }
 
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
-        let mut bytes = [0; 4096];
-        let count = stream
-            .read(&mut bytes)
-            .await
-            .ok()
-            .filter(|count| *count > 0)?;
-        head.extend_from_slice(&bytes[..count]);
-    }
-    String::from_utf8(head).ok()
-}
-
-fn attempt_id(head: &str) -> &str {
-    let mut values = head
-        .lines()
-        .filter_map(|line| line.strip_prefix("coltsfootkeel-attempt-id: "));
-    values.next().unwrap_or_default()
-}
-
 struct EndlessCase {
     name: &'static str,
     script: AnswerScript,
--- a/crates/entry/tests/faulty_answers.rs
+++ b/crates/entry/tests/faulty_answers.rs
@@ -10,8 +10,9 @@
 
 use coltsfootkeel_standins::{SHOP_KEY, register_upstream, shop_request};
 use http::Method;
+use platform_fleet::raw_requests::{attempt_id, read_head};
 use platform_fleet::{FleetSetup, PlatformFleet};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// What an upstream does with a request.
@@ -104,25 +105,6 @@
     }
 }
 
-/// Reads a request with a body of at most a few bytes, which arrive with the head.
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    while !head.windows(4).any(|end| end == b"\r\n\r\n") {
-        let mut bytes = [0; 4096];
-        let read = stream.read(&mut bytes).await.ok();
-        let count = read.filter(|count| *count > 0)?;
-        head.extend_from_slice(&bytes[..count]);
-    }
-    String::from_utf8(head).ok()
-}
-
-fn attempt_id(head: &str) -> &str {
-    let mut values = head
-        .lines()
-        .filter_map(|line| line.strip_prefix("coltsfootkeel-attempt-id: "));
-    values.next().unwrap_or_default()
-}
-
 async fn start_fleet(name: &'static str) -> PlatformFleet {
     PlatformFleet::start(FleetSetup {
         name,
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of entry processes on stand-ins of the platform.
 
+pub mod raw_requests;
+
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
--- a/crates/entry/tests/served_requests.rs
+++ b/crates/entry/tests/served_requests.rs
@@ -1,5 +1,6 @@
 //! Requests to entry processes that run on stand-ins of the platform's store and upstreams.
 
+#[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
 
 use std::time::{Duration, Instant};
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -107,11 +107,10 @@
     started.elapsed()
 }
 
-/// Guards against an instance that waits for its silent watch although the others already have a newer plan.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_plan_that_other_instances_have_replaces_one_behind_a_silent_watch() {
+/// Starts three instances, of which the last one reaches the store through a relay.
+async fn start_behind_relay(name: &'static str) -> (PlatformFleet, FaultRelay) {
     let mut fleet = PlatformFleet::start(FleetSetup {
-        name: "silent-watch",
+        name,
         instances: 2,
         ..FleetSetup::default()
     })
@@ -119,8 +118,15 @@
     let relay = FaultRelay::start(fleet.store.address()).await.unwrap();
     fleet.start_instance(EntryOptions::on_loopback(2, relay.address()));
     fleet.instances[2].wait_until_ready().await.unwrap();
-    // In this time the instances receive heartbeats of each other.
-    tokio::time::sleep(Duration::from_secs(2)).await;
+    // In this time the instances register and receive heartbeats of each other.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    (fleet, relay)
+}
+
+/// Guards against an instance that waits for its silent watch although the others already have a newer plan.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plan_that_other_instances_have_replaces_one_behind_a_silent_watch() {
+    let (fleet, relay) = start_behind_relay("silent-watch").await;
     fleet.write_plan(2, &[SHOP_KEY]);
     wait_for_plan(&fleet, 2, 2).await;
     // By now the short watch after a change has ended, and a watch of 2.4 s has begun.
@@ -136,17 +142,7 @@
 /// Callers do not retry after 401.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_that_a_newer_plan_may_contain_is_not_refused_as_unknown() {
-    let mut fleet = PlatformFleet::start(FleetSetup {
-        name: "outdated-plan",
-        instances: 2,
-        ..FleetSetup::default()
-    })
-    .await;
-    let mut relay = FaultRelay::start(fleet.store.address()).await.unwrap();
-    fleet.start_instance(EntryOptions::on_loopback(2, relay.address()));
-    fleet.instances[2].wait_until_ready().await.unwrap();
-    // In this time the instances receive heartbeats of each other.
-    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (fleet, mut relay) = start_behind_relay("outdated-plan").await;
     let call = |id| shop_request(Method::GET, "/previews/1", id, "new-key");
     let current = fleet.call(2, &call("unknown")).await.unwrap();
     assert_eq!(current.status, 401);
@@ -167,17 +163,7 @@
 /// a confirmation of its plan although the others have a newer one. Found by the soak, seed 3013.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outage_does_not_confirm_a_plan_older_than_that_of_another_instance() {
-    let mut fleet = PlatformFleet::start(FleetSetup {
-        name: "outage-after-cut",
-        instances: 2,
-        ..FleetSetup::default()
-    })
-    .await;
-    let mut relay = FaultRelay::start(fleet.store.address()).await.unwrap();
-    fleet.start_instance(EntryOptions::on_loopback(2, relay.address()));
-    fleet.instances[2].wait_until_ready().await.unwrap();
-    // In this time the instances register and receive heartbeats of each other.
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (fleet, mut relay) = start_behind_relay("outage-after-cut").await;
     relay.set(RelayMode::BLACKHOLE).await;
     fleet.write_plan(2, &["another-key"]);
     wait_for_plan(&fleet, 0, 2).await;
