steering: a plan is not outdated while an open watch would have returned a change

Cause: found when the change was read again. A watch without changes confirms the plan every 2.4 s and a round trip. With a bound for changes below that, an instance that hears no others would refuse unknown routes and keys with 503 for most of the time, although its watch is open. Change: the age that makes a plan outdated is at least 2.6 s. Result: a_plan_counts_as_outdated_if_a_newer_one_may_be_in_force has two more cases, of which the first failed before.

--- a/crates/steering/src/plan_freshness.rs
+++ b/crates/steering/src/plan_freshness.rs
@@ -15,6 +15,9 @@
 /// Longest time for which a stalled watch may return no changes although there are some. After it, the store discards
 /// the watch history, and the objects are listed again.
 const MAX_WATCH_DELAY: Duration = Duration::from_secs(1);
+/// Longest time between two confirmations by a watch that returns no changes, with the way to the store and back. Such a
+/// plan is not outdated, however short the bound for changes is: a change would end the watch.
+const CONFIRMATION_PERIOD: Duration = Duration::from_millis(2_600);
 /// Network delay between caller, instance and store, including delays on a busy processor.
 const NETWORK_DELAY_ALLOWANCE: Duration = Duration::from_millis(500);
 
@@ -66,6 +69,7 @@
         now: MonotonicTime,
         change_bound: Duration,
     ) -> bool {
-        self.newest_version() > active_version || self.age(now) > change_bound
+        self.newest_version() > active_version
+            || self.age(now) > change_bound.max(CONFIRMATION_PERIOD)
     }
 }
