transport: requests behind one another on a connection: a caller that left is noticed, and the close is no reset

Cause: while bytes of later requests wait in the buffer of the HTTP library it does not read, so the end of the connection went unnoticed: the running request stayed with its upstream until it ended. A connection with unread bytes was closed at once, which resets it.

Change: the task of a connection asks the socket every 100 ms while the HTTP library does not read, and ends the sending direction and discards input before it closes. Callers of the soak send several requests at once, and a request that ran behind a closing answer is a violation.

--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -5,7 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use coltsfootkeel_standins::{PersistentConnection, SHOP_KEY, call_once, shop_request};
+use coltsfootkeel_standins::{
+    CallAnswer, CallRequest, PersistentConnection, PipelinedConnection, SHOP_KEY, call_once,
+    encode_request, shop_request,
+};
 use fastrand::Rng;
 use http::Method;
 
@@ -15,6 +18,12 @@
 const CALL_PAUSE_MS: std::ops::Range<u64> = 5..40;
 /// A caller closes its keep-alive connection before one request in this many, on average.
 const CLOSE_CONNECTION_ONE_IN: u32 = 4;
+/// A caller sends several requests before the first one is answered instead of one in this many times, on average.
+const PIPELINE_ONE_IN: u32 = 8;
+/// Range of the number of requests that are sent at once.
+const PIPELINED_REQUESTS: std::ops::Range<usize> = 2..6;
+/// Time after which a caller gives up requests that it sent at once.
+const PIPELINE_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Outcome of one request, as observed by its caller.
 #[derive(Debug, Clone)]
@@ -29,6 +38,8 @@
     pub entry: SocketAddr,
     /// Time at which the request was sent.
     pub sent_at: Instant,
+    /// Whether the connection was closed by an answer to an earlier request, so that this one must not run.
+    pub is_behind_close: bool,
     /// HTTP status, or `None` without a complete answer.
     pub status: Option<u16>,
     /// Body of the answer; empty without a complete answer.
@@ -64,7 +75,57 @@
     }
 }
 
-/// Sends random requests to `entries`, one at a time, until `stop` is set.
+/// A random request and what its outcome records of it.
+struct SoakCall {
+    request: CallRequest,
+    attempt_id: String,
+    is_idempotent: bool,
+    has_changing_key: bool,
+}
+
+impl SoakCall {
+    fn draw(rng: &mut Rng, attempt_id: String, is_idempotent: bool) -> Self {
+        let has_changing_key = rng.bool();
+        let (method, path) = if is_idempotent {
+            (Method::GET, "/previews/")
+        } else {
+            (Method::POST, "/orders/")
+        };
+        let key = if has_changing_key {
+            CHANGING_KEY
+        } else {
+            SHOP_KEY
+        };
+        let path = format!("{path}{}", rng.u8(..20));
+        Self {
+            request: shop_request(method, &path, &attempt_id, key),
+            attempt_id,
+            is_idempotent,
+            has_changing_key,
+        }
+    }
+
+    fn outcome(
+        self,
+        entry: SocketAddr,
+        sent_at: Instant,
+        answer: Option<&CallAnswer>,
+    ) -> CallOutcome {
+        let body = answer.map(|answer| answer.body.to_vec());
+        CallOutcome {
+            attempt_id: self.attempt_id,
+            is_idempotent: self.is_idempotent,
+            has_changing_key: self.has_changing_key,
+            entry,
+            sent_at,
+            is_behind_close: false,
+            status: answer.map(|answer| answer.status),
+            body: String::from_utf8_lossy(&body.unwrap_or_default()).into_owned(),
+        }
+    }
+}
+
+/// Sends random requests to `entries` until `stop` is set, mostly one at a time.
 pub async fn run_caller(
     entries: Vec<SocketAddr>,
     seed: u64,
@@ -77,20 +138,16 @@
     while !stop.load(Ordering::Relaxed) {
         number += 1;
         let attempt_id = format!("{seed:x}-{number}");
+        if rng.u32(..PIPELINE_ONE_IN) == 0 {
+            let entry = entries[rng.usize(..entries.len())];
+            let calls = (0..rng.usize(PIPELINED_REQUESTS))
+                .map(|place| SoakCall::draw(&mut rng, format!("{attempt_id}-{place}"), true))
+                .collect();
+            send_pipelined(entry, calls, &outcome_log).await;
+            continue;
+        }
         let is_idempotent = rng.bool();
-        let has_changing_key = rng.bool();
-        let (method, path) = if is_idempotent {
-            (Method::GET, "/previews/")
-        } else {
-            (Method::POST, "/orders/")
-        };
-        let key = if has_changing_key {
-            CHANGING_KEY
-        } else {
-            SHOP_KEY
-        };
-        let path = format!("{path}{}", rng.u8(..20));
-        let request = shop_request(method, &path, &attempt_id, key);
+        let call = SoakCall::draw(&mut rng, attempt_id, is_idempotent);
         let sent_at = Instant::now();
         if rng.u32(..CLOSE_CONNECTION_ONE_IN) == 0 {
             keep_alive = None;
@@ -106,23 +163,48 @@
             None => entries[rng.usize(..entries.len())],
         };
         let answer = match &mut keep_alive {
-            Some(connection) => connection.call(&request).await,
-            None => call_once(entry, &request).await,
+            Some(connection) => connection.call(&call.request).await,
+            None => call_once(entry, &call.request).await,
         };
         if answer.is_err() {
             keep_alive = None;
         }
-        let answer = answer.ok();
-        let body = answer.as_ref().map(|answer| answer.body.to_vec());
-        outcome_log.add(CallOutcome {
-            attempt_id,
-            is_idempotent,
-            has_changing_key,
-            entry,
-            sent_at,
-            status: answer.map(|answer| answer.status),
-            body: String::from_utf8_lossy(&body.unwrap_or_default()).into_owned(),
-        });
+        outcome_log.add(call.outcome(entry, sent_at, answer.ok().as_ref()));
         tokio::time::sleep(Duration::from_millis(rng.u64(CALL_PAUSE_MS))).await;
     }
 }
+
+/// Sends all requests at once over a new connection, and records the answers in the order in which they arrive.
+async fn send_pipelined(entry: SocketAddr, calls: Vec<SoakCall>, outcome_log: &OutcomeLog) {
+    let sent_at = Instant::now();
+    let deadline = tokio::time::Instant::now() + PIPELINE_TIMEOUT;
+    let bytes: Vec<u8> = calls
+        .iter()
+        .flat_map(|call| encode_request(&call.request))
+        .collect();
+    let open_and_send = async {
+        let mut connection = PipelinedConnection::open(entry).await?;
+        connection.send(&bytes).await?;
+        std::io::Result::Ok(connection)
+    };
+    let mut connection = match tokio::time::timeout_at(deadline, open_and_send).await {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(_)) | Err(_) => None,
+    };
+    let mut is_behind_close = false;
+    for call in calls {
+        let mut answer = None;
+        if let Some(open) = &mut connection {
+            let read = tokio::time::timeout_at(deadline, open.read_answer()).await;
+            answer = read.ok().and_then(Result::ok).flatten();
+        }
+        let mut outcome = call.outcome(entry, sent_at, answer.as_ref());
+        outcome.is_behind_close = is_behind_close;
+        outcome_log.add(outcome);
+        let Some(answer) = answer else {
+            connection = None;
+            continue;
+        };
+        is_behind_close |= answer.header("connection") == Some("close");
+    }
+}
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -100,6 +100,12 @@
         /// Time in milliseconds from the end of the bound to the sending of the request.
         late_ms: u128,
     },
+    /// A request ran although an answer to an earlier one had closed its connection.
+    #[error("{attempt_id} was sent behind an answer that closes the connection, and ran")]
+    RanBehindClose {
+        /// Attempt id of the request.
+        attempt_id: String,
+    },
     /// The fleet served too few requests after all faults had ended.
     #[error("{served} of {sent} requests were served after the faults; the others: {unserved:?}")]
     NotRecovered {
@@ -159,6 +165,9 @@
     key_periods: &[KeyPeriod],
 ) -> Option<GuaranteeViolation> {
     let attempt_id = outcome.attempt_id.clone();
+    if outcome.is_behind_close && !runs.is_empty() {
+        return Some(GuaranteeViolation::RanBehindClose { attempt_id });
+    }
     if !outcome.is_idempotent && runs.len() > 1 {
         let runs = runs.len();
         return Some(GuaranteeViolation::RanTwice { attempt_id, runs });
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -32,6 +32,7 @@
 mod load_run;
 mod load_tally;
 mod object_store;
+mod pipelined_calls;
 mod platform_faults;
 mod platform_standin;
 mod run_record;
@@ -71,6 +72,7 @@
     ObjectChange, ObjectListing, ObjectStore, StoreCondition, StoreRefusal, StoredValue,
     VALUE_LIMIT_BYTES,
 };
+pub use pipelined_calls::{AnswerReader, PipelinedConnection, encode_request};
 pub use platform_faults::{CallCounts, CallKind, DownMode, PlatformFaults};
 pub use platform_standin::{PlatformOptions, PlatformStandinError, run_platform, serve_platform};
 pub use run_record::{
--- a/crates/transport/src/http_listener.rs
+++ b/crates/transport/src/http_listener.rs
@@ -23,6 +23,9 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use crate::caller_connection::{ConnectionEnd, close_connection, drive_connection};
+use crate::shared_stream::SharedStream;
+
 /// Delay after a failed accept, so that running out of file descriptors does not keep a core busy.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -152,22 +155,35 @@
     limits: ListenerLimits,
     token: CancellationToken,
 ) {
+    let stream = SharedStream::new(stream);
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(TokioIo::new(stream), ConnectionService { service, peer });
-    let mut connection = std::pin::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        .serve_connection(
+            TokioIo::new(stream.clone()),
+            ConnectionService { service, peer },
+        );
+    let mut connection = Box::pin(connection);
+    let end = tokio::select! {
+        end = drive_connection(connection.as_mut(), &stream) => end,
         () = token.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            drive_connection(connection.as_mut(), &stream).await
         }
     };
-    if let Err(error) = ended {
-        log::debug!("listener: Connection of {peer} ended: {error}");
+    // Ends a request that is still running, and releases the stream.
+    drop(connection);
+    match end {
+        ConnectionEnd::Finished(Ok(())) => {}
+        ConnectionEnd::Finished(Err(error)) => {
+            log::debug!("listener: Connection of {peer} ended: {error}");
+        }
+        ConnectionEnd::Abandoned => {
+            log::debug!("listener: {peer} left before all of its requests were answered");
+        }
     }
+    close_connection(stream).await;
 }
 
 struct ConnectionService<S> {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 //! report whether a request was sent, and calls to the platform that report whether a write may have taken effect.
 
 mod call_error;
+mod caller_connection;
 mod connection_pool;
 mod head_limit;
 mod hop_headers;
@@ -9,6 +10,7 @@
 mod in_flight;
 mod prefixed_body;
 mod process_clock;
+mod shared_stream;
 mod upstream_client;
 
 pub use call_error::{AnswerFailure, CallError, UnsentReason};
