steering, entry: a tick of the account rates costs no step for each pair of account and instance

Cause: the tick asked for each account and each peer whether the peer is a member, and each answer hashed all names again: at 118 instances and 190 accounts four fifths of the control thread. Each heartbeat took a step for each account.

Change: the hashes of members are kept in a set; the last message of a peer is kept once for all accounts; the sum of the reported demands is kept up to date with each report; only silent peers are looked at in a refill.

--- a/crates/entry/src/account_quotas.rs
+++ b/crates/entry/src/account_quotas.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{AccountUsage, FleetHeartbeat};
 use coltsfootkeel_steering::{
-    AccountPlan, QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport, stable_hash,
+    AccountPlan, PeerContacts, QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport,
+    stable_hash,
 };
 
 /// The number of instances among which the rates are divided after a restart, until the list of instances is read.
@@ -19,6 +21,12 @@
 /// The change of an account's demand, as a fraction of the reported one, from which it is reported again.
 const MIN_DEMAND_CHANGE_FRACTION: f64 = 0.25;
 
+/// Time without messages after which an instance is assumed to keep spending its share.
+const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of refill periods without messages after which an instance counts as silent, if that is longer than
+/// [`MIN_SILENCE_TIMEOUT`], as in a large fleet.
+const SILENCE_TIMEOUT_PERIODS: f64 = 2.5;
+
 #[derive(Debug)]
 struct QuotaEntry {
     budget: Arc<QuotaBudget>,
@@ -63,6 +71,8 @@
     excess: QuotaExcess,
     /// The number of registered instances, among which the rates are divided; assumed until their list is read.
     registered_instances: usize,
+    contacts: PeerContacts,
+    refilled_at: MonotonicTime,
 }
 
 impl AccountQuotas {
@@ -75,6 +85,8 @@
             is_first_start,
             excess,
             registered_instances: if is_first_start { 1 } else { ASSUMED_INSTANCES },
+            contacts: PeerContacts::default(),
+            refilled_at: MonotonicTime::default(),
         }
     }
 
@@ -99,7 +111,7 @@
             let budget = Arc::default();
             let mut bucket = QuotaBucket::new(limit, initial_tokens, now);
             // Requests may arrive before the first tick of the control thread.
-            bucket.refill(&budget, registered_instances, now);
+            bucket.refill(&budget, registered_instances, &[], now);
             QuotaEntry {
                 budget,
                 bucket,
@@ -113,8 +125,10 @@
 
     /// Records the usage that another instance reported. An account that the heartbeat leaves out is unchanged.
     pub fn record_heartbeat(&mut self, peer: u64, message: &FleetHeartbeat, now: MonotonicTime) {
-        for entry in self.entries.values_mut() {
-            entry.bucket.record_contact(peer, message.incarnation, now);
+        if self.contacts.record(peer, message.incarnation, now) {
+            for entry in self.entries.values_mut() {
+                entry.bucket.mark_restarted(peer, message.incarnation);
+            }
         }
         for usage in &message.accounts {
             if let Some(entry) = self.entries.get_mut(&usage.account) {
@@ -122,9 +136,7 @@
                     admitted: usage.admitted,
                     demand: f64::from(usage.demand_milli) / 1_000.0,
                 };
-                entry
-                    .bucket
-                    .apply_report(peer, message.incarnation, report, now);
+                entry.bucket.apply_report(peer, message.incarnation, report);
             }
         }
     }
@@ -139,11 +151,18 @@
         if registered_instances > 0 {
             self.registered_instances = registered_instances;
         }
+        let period = now.since(self.refilled_at);
+        self.refilled_at = now;
+        let removed = self.contacts.remove_others(is_member);
+        let silence_timeout = MIN_SILENCE_TIMEOUT.max(period.mul_f64(SILENCE_TIMEOUT_PERIODS));
+        let silent = self.contacts.silent(silence_timeout, now);
         for entry in self.entries.values_mut() {
-            entry.bucket.retain_peers(&is_member);
+            if !removed.is_empty() {
+                entry.bucket.remove_peers(&removed);
+            }
             entry
                 .bucket
-                .refill(&entry.budget, self.registered_instances, now);
+                .refill(&entry.budget, self.registered_instances, &silent, now);
         }
     }
 
--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -6,7 +6,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{CrashSuspect, FleetHeartbeat, ObjectPlacement, UpstreamLoad};
-use coltsfootkeel_steering::{short_hash, stable_hash};
+use coltsfootkeel_steering::short_hash;
 
 use crate::control_loop::ControlLoop;
 use crate::heartbeat_socket::send_heartbeat;
@@ -108,8 +108,7 @@
         if !is_initialized || is_outdated || self.reaches_store() {
             return;
         }
-        let is_also_disconnected = |name: &str| {
-            let hash = stable_hash(name.as_bytes());
+        let is_also_disconnected = |hash: u64| {
             hash == self.shared.own_hash
                 || self.peers.get(hash).is_some_and(|peer| {
                     let is_too_old =
@@ -117,11 +116,7 @@
                     !peer.earliest_sent_at.is_none_or(is_too_old) && !peer.heartbeat.reaches_store
                 })
         };
-        if self
-            .members
-            .iter()
-            .all(|(name, _)| is_also_disconnected(name))
-        {
+        if self.members.hashes().all(is_also_disconnected) {
             self.shared.freshness.confirm(now - MAX_HEARTBEAT_AGE);
         }
     }
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -9,7 +9,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
     CrashTable, InstanceView, LimitTable, QuotaExcess, SteeringPlan, is_store_reader,
-    pacing_instances, stable_hash,
+    pacing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -379,7 +379,7 @@
             return;
         }
         for (name, member) in self.members.iter() {
-            let hash = stable_hash(name.as_bytes());
+            let hash = member.hash;
             let received = self.peers.get(hash).map(|peer| peer.received_at);
             let last_seen = received.map_or(member.updated_at, |received| {
                 received.max(member.updated_at)
--- a/crates/entry/src/limit_division.rs
+++ b/crates/entry/src/limit_division.rs
@@ -4,9 +4,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::StatedLimit;
-use coltsfootkeel_steering::{
-    LimitReport, LimitStatement, RateLimit, SendingInstance, stable_hash,
-};
+use coltsfootkeel_steering::{LimitReport, LimitStatement, RateLimit, SendingInstance};
 
 use crate::control_loop::ControlLoop;
 
@@ -60,11 +58,13 @@
             region: Some(shared.home.region),
         };
         let topology = &shared.topology;
-        let registered = self.members.iter().map(|(name, member)| {
+        let registered = self.members.iter().map(|(_, member)| {
             let domain = topology.domain(&member.record.domain);
             let region = domain.map(|domain| topology.domains[domain].region);
-            let hash = stable_hash(name.as_bytes());
-            SendingInstance { hash, region }
+            SendingInstance {
+                hash: member.hash,
+                region,
+            }
         });
         let others: Vec<SendingInstance> = registered
             .filter(|instance| instance.hash != own.hash)
--- a/crates/entry/src/member_list.rs
+++ b/crates/entry/src/member_list.rs
@@ -1,6 +1,6 @@
 //! The entry instances as registered in the store.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +18,8 @@
 /// An instance that is registered in the store.
 #[derive(Debug)]
 pub struct RegisteredInstance {
+    /// The hash of the instance's name.
+    pub hash: u64,
     /// The decoded record of the registration.
     pub record: InstanceRecord,
     /// The store's revision of the registration, which a removal must match.
@@ -30,6 +32,7 @@
 #[derive(Debug, Default)]
 pub struct MemberList {
     members: HashMap<String, RegisteredInstance>,
+    hashes: HashSet<u64>,
 }
 
 impl MemberList {
@@ -37,7 +40,10 @@
     pub fn set(&mut self, object: &StoreObject, now: MonotonicTime) {
         match InstanceRecord::from_spec(&object.spec) {
             Ok(record) => {
+                let hash = stable_hash(object.name.as_bytes());
+                self.hashes.insert(hash);
                 let member = RegisteredInstance {
+                    hash,
                     record,
                     revision: object.revision,
                     updated_at: now,
@@ -50,12 +56,15 @@
 
     /// Removes the registration with this name, if there is one.
     pub fn remove(&mut self, name: &str) {
-        self.members.remove(name);
+        if let Some(member) = self.members.remove(name) {
+            self.hashes.remove(&member.hash);
+        }
     }
 
     /// Removes all registrations.
     pub fn clear(&mut self) {
         self.members.clear();
+        self.hashes.clear();
     }
 
     /// Returns the registration with this name.
@@ -71,14 +80,13 @@
 
     /// Returns the hashes of the names of all registered instances.
     pub fn hashes(&self) -> impl Iterator<Item = u64> {
-        let names = self.members.keys();
-        names.map(|name| stable_hash(name.as_bytes()))
+        self.hashes.iter().copied()
     }
 
     /// Returns whether an instance whose name has this hash is registered.
     #[must_use]
     pub fn contains_hash(&self, hash: u64) -> bool {
-        self.hashes().any(|other| other == hash)
+        self.hashes.contains(&hash)
     }
 
     /// Returns the addresses at which the registered instances receive heartbeats.
--- a/crates/entry/tests/pipelined_requests.rs
+++ b/crates/entry/tests/pipelined_requests.rs
@@ -210,7 +210,9 @@
     let mut value = metrics
         .lines()
         .filter_map(|line| line.split_once("requests_in_flight "));
-    value.next_back().is_some_and(|(_, value)| value.trim() != "0")
+    value
+        .next_back()
+        .is_some_and(|(_, value)| value.trim() != "0")
 }
 
 /// Guards against work for a caller that has left with five requests outstanding: the HTTP library does not read the
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -45,6 +45,7 @@
 mod hashing;
 mod limit_table;
 mod lookup_selection;
+mod peer_contacts;
 mod placement;
 mod placement_decision;
 mod plan;
@@ -73,6 +74,7 @@
 pub use hashing::{combine_hashes, stable_hash};
 pub use limit_table::{LimitReport, LimitTable, SendingInstance};
 pub use lookup_selection::{InstanceView, LookupQuery, select_instances};
+pub use peer_contacts::PeerContacts;
 pub use placement::{PlacementRequest, UpstreamCandidate};
 pub use placement_decision::{PlacementDecision, PlacementReason};
 pub use plan::{
--- a/crates/steering/src/quota_bucket.rs
+++ b/crates/steering/src/quota_bucket.rs
@@ -28,12 +28,6 @@
 const HEADROOM_FRACTION: f64 = 0.5;
 /// Weight of the latest period in the moving average of the demand.
 const DEMAND_SMOOTHING_FACTOR: f64 = 0.25;
-/// Time without messages after which an instance is assumed to keep spending its share. The assumed spending is
-/// subtracted from its next report.
-const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Number of report periods without messages after which an instance counts as silent, if that is longer than
-/// [`MIN_SILENCE_TIMEOUT`], as in a large fleet.
-const SILENCE_TIMEOUT_PERIODS: f64 = 2.5;
 
 /// This instance's current share of an account's quota, spent by the request threads.
 #[derive(Debug, Default)]
@@ -131,11 +125,19 @@
     incarnation: u64,
     admitted: u64,
     demand: f64,
-    last_contact_at: MonotonicTime,
     /// Requests charged to the bucket while the instance was silent.
     assumed_spent: f64,
 }
 
+/// Sums over the demands that the other instances reported, kept up to date with each report.
+#[derive(Debug, Default)]
+struct DemandTotals {
+    /// Sum of the reported demands in requests per second.
+    reported: f64,
+    /// The same sum, in which each instance counts with at least the lowest demand.
+    floored: f64,
+}
+
 /// Token bucket of one account, maintained by the control thread.
 #[derive(Debug)]
 pub struct QuotaBucket {
@@ -147,6 +149,9 @@
     local_demand: f64,
     local_fraction: f64,
     peers: HashMap<u64, PeerUsage>,
+    /// Instances that have restarted and have not reported the account since.
+    restarted_peers: Vec<u64>,
+    totals: DemandTotals,
 }
 
 impl QuotaBucket {
@@ -162,13 +167,33 @@
             local_demand: 0.0,
             local_fraction: 0.0,
             peers: HashMap::new(),
+            restarted_peers: Vec::new(),
+            totals: DemandTotals::default(),
         }
     }
 
     /// Replaces the limit and discards tokens above the new burst.
     pub fn set_limit(&mut self, limit: QuotaLimit) {
+        let is_changed = limit != self.limit;
         self.limit = limit;
         self.tokens = self.tokens.min(limit.burst);
+        if is_changed {
+            self.update_totals();
+        }
+    }
+
+    fn min_demand(&self) -> f64 {
+        self.limit.rate_per_s * MIN_DEMAND_FRACTION + f64::MIN_POSITIVE
+    }
+
+    /// Calculates the totals anew, for a changed limit or a removed instance.
+    fn update_totals(&mut self) {
+        let min_demand = self.min_demand();
+        let demands = || self.peers.values().map(|peer| peer.demand);
+        self.totals = DemandTotals {
+            reported: demands().sum(),
+            floored: demands().map(|demand| demand.max(min_demand)).sum(),
+        };
     }
 
     /// Returns the average demand at this instance in requests per second.
@@ -178,50 +203,60 @@
     }
 
     /// Charges the bucket for the requests that another instance admitted since its previous report.
-    pub fn apply_report(
-        &mut self,
-        peer: u64,
-        incarnation: u64,
-        report: QuotaReport,
-        now: MonotonicTime,
-    ) {
+    pub fn apply_report(&mut self, peer: u64, incarnation: u64, report: QuotaReport) {
+        let min_demand = self.min_demand();
+        let is_new = !self.peers.contains_key(&peer);
         let usage = self.peers.entry(peer).or_insert(PeerUsage {
             incarnation,
             admitted: report.admitted,
-            demand: report.demand,
-            last_contact_at: now,
+            demand: 0.0,
             assumed_spent: 0.0,
         });
         if usage.incarnation != incarnation {
             usage.incarnation = incarnation;
             usage.admitted = 0;
+            self.restarted_peers.retain(|restarted| *restarted != peer);
         }
         #[expect(clippy::cast_precision_loss)]
         let spent = report.admitted.saturating_sub(usage.admitted) as f64;
         self.tokens -= (spent - usage.assumed_spent).max(0.0);
         usage.admitted = usage.admitted.max(report.admitted);
         usage.assumed_spent = 0.0;
+        let previous_floored = if is_new {
+            0.0
+        } else {
+            usage.demand.max(min_demand)
+        };
+        self.totals.reported += report.demand - usage.demand;
+        self.totals.floored += report.demand.max(min_demand) - previous_floored;
         usage.demand = report.demand;
-        usage.last_contact_at = now;
     }
 
-    /// Records that another instance is alive although its message has no new report of this account.
-    pub fn record_contact(&mut self, peer: u64, incarnation: u64, now: MonotonicTime) {
-        if let Some(usage) = self.peers.get_mut(&peer)
-            && usage.incarnation == incarnation
-        {
-            // The spending assumed so far is subtracted from the next report.
-            usage.last_contact_at = now;
+    /// Records that another instance has restarted. Until it reports the account again, it counts as silent.
+    pub fn mark_restarted(&mut self, peer: u64, incarnation: u64) {
+        let is_reported = self
+            .peers
+            .get(&peer)
+            .is_none_or(|usage| usage.incarnation == incarnation);
+        if !is_reported && !self.restarted_peers.contains(&peer) {
+            self.restarted_peers.push(peer);
         }
     }
 
     /// Removes instances that are no longer members.
-    pub fn retain_peers(&mut self, is_member: impl Fn(u64) -> bool) {
-        self.peers.retain(|peer, _| is_member(*peer));
+    pub fn remove_peers(&mut self, peers: &[u64]) {
+        let previous_count = self.peers.len();
+        for peer in peers {
+            self.peers.remove(peer);
+        }
+        if self.peers.len() < previous_count {
+            self.restarted_peers.retain(|peer| !peers.contains(peer));
+            self.update_totals();
+        }
     }
 
     /// Refills the budget for the next period. `registered_instances` is the number of instances that may admit
-    /// requests, including this one.
+    /// requests, including this one, and `silent_peers` those of them that have sent no message for some periods.
     ///
     /// Load pattern: all instances restart at once while an account exceeds its rate. Until their first reports arrive,
     /// each instance assumes that every other one has the same demand as itself; otherwise all of them together would
@@ -230,25 +265,20 @@
         &mut self,
         budget: &QuotaBudget,
         registered_instances: usize,
+        silent_peers: &[u64],
         now: MonotonicTime,
     ) {
         let period = now.since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         self.charge_local(budget, period);
-        self.charge_silent_peers(period, now);
+        self.charge_silent_peers(period, silent_peers);
         let refill = self.limit.rate_per_s * period;
         self.tokens = (self.tokens + refill).min(self.limit.burst);
-        let min_demand = self.limit.rate_per_s * MIN_DEMAND_FRACTION + f64::MIN_POSITIVE;
-        let demand = self.local_demand.max(min_demand);
-        let reported_demand: f64 = self
-            .peers
-            .values()
-            .map(|peer| peer.demand.max(min_demand))
-            .sum();
+        let demand = self.local_demand.max(self.min_demand());
         let instances = registered_instances.max(self.peers.len() + 1);
         #[expect(clippy::cast_precision_loss)]
         let (instances, unreported) = (instances as f64, (instances - 1 - self.peers.len()) as f64);
-        let remote_demand = reported_demand + unreported * demand;
+        let remote_demand = self.totals.floored + unreported * demand;
         self.local_fraction = demand / (demand + remote_demand);
         let debt_fraction =
             self.tokens.min(0.0) / (self.limit.rate_per_s * DEBT_REPAYMENT_TIME.as_secs_f64());
@@ -286,17 +316,20 @@
         self.counted_requested = requested;
     }
 
-    /// Charges the bucket for instances that have sent no message within the timeout. They may be partitioned from this
-    /// one and still spend their share.
-    fn charge_silent_peers(&mut self, period: f64, now: MonotonicTime) {
-        let silence_timeout =
-            MIN_SILENCE_TIMEOUT.max(Duration::from_secs_f64(period * SILENCE_TIMEOUT_PERIODS));
-        let total: f64 =
-            self.local_demand + self.peers.values().map(|peer| peer.demand).sum::<f64>();
-        for peer in self.peers.values_mut() {
-            if now.since(peer.last_contact_at) > silence_timeout && total > 0.0 {
-                let assumed_spent = self.limit.rate_per_s * period * (peer.demand / total).min(1.0);
-                peer.assumed_spent += assumed_spent;
+    /// Charges the bucket for instances that send no messages. They may be partitioned from this one and still spend
+    /// their share. What was assumed is subtracted from their next report.
+    fn charge_silent_peers(&mut self, period: f64, silent_peers: &[u64]) {
+        let total = self.local_demand + self.totals.reported;
+        if total <= 0.0 {
+            return;
+        }
+        let restarted = self.restarted_peers.iter();
+        let restarted = restarted.filter(|peer| !silent_peers.contains(peer));
+        for peer in silent_peers.iter().chain(restarted) {
+            if let Some(usage) = self.peers.get_mut(peer) {
+                let fraction = (usage.demand / total).min(1.0);
+                let assumed_spent = self.limit.rate_per_s * period * fraction;
+                usage.assumed_spent += assumed_spent;
                 self.tokens -= assumed_spent;
             }
         }
--- a/crates/steering/tests/quota_bucket.rs
+++ b/crates/steering/tests/quota_bucket.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_steering::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
+use coltsfootkeel_steering::{
+    PeerContacts, QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport,
+};
 
 const TICK_MS: u64 = 100;
+/// Time without messages after which an instance is assumed to keep spending its share.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
 
 struct FleetCase {
     name: &'static str,
@@ -27,6 +31,7 @@
 struct FleetInstance {
     budget: QuotaBudget,
     bucket: QuotaBucket,
+    contacts: PeerContacts,
     incarnation: u64,
 }
 
@@ -50,6 +55,7 @@
     FleetInstance {
         budget: QuotaBudget::default(),
         bucket: QuotaBucket::new(case.limit, initial_tokens, now),
+        contacts: PeerContacts::default(),
         incarnation,
     }
 }
@@ -81,9 +87,10 @@
             .map(|instance| instance.budget.admitted())
             .sum();
         for (instance, requested) in fleet.iter_mut().zip(case.requested) {
+            let silent = instance.contacts.silent(SILENCE_TIMEOUT, now);
             instance
                 .bucket
-                .refill(&instance.budget, case.requested.len(), now);
+                .refill(&instance.budget, case.requested.len(), &silent, now);
             let due = requested * (now_ms + TICK_MS) / 1_000 - requested * now_ms / 1_000;
             for _ in 0..due {
                 instance.budget.count_demand();
@@ -109,8 +116,13 @@
             for own in 0..fleet.len() {
                 let incarnation = fleet[peer].incarnation;
                 if own != peer {
-                    let bucket = &mut fleet[own].bucket;
-                    bucket.apply_report(peer as u64, incarnation, *report, now);
+                    let instance = &mut fleet[own];
+                    if instance.contacts.record(peer as u64, incarnation, now) {
+                        instance.bucket.mark_restarted(peer as u64, incarnation);
+                    }
+                    instance
+                        .bucket
+                        .apply_report(peer as u64, incarnation, *report);
                 }
             }
         }
@@ -225,7 +237,7 @@
     };
     let budget = QuotaBudget::default();
     let mut bucket = QuotaBucket::new(limit, 10.0, MonotonicTime::default());
-    bucket.refill(&budget, 1, MonotonicTime::from_millis(100));
+    bucket.refill(&budget, 1, &[], MonotonicTime::from_millis(100));
     let first = std::iter::from_fn(|| budget.try_admit().then_some(())).count();
     budget.refund();
     assert!(first > 0);
@@ -268,7 +280,7 @@
         // Reports are one period old when they are applied.
         for (own, (_, bucket)) in fleet.iter_mut().enumerate() {
             for (peer, report) in reports.iter().enumerate().filter(|(peer, _)| *peer != own) {
-                bucket.apply_report(peer as u64, 1, *report, now);
+                bucket.apply_report(peer as u64, 1, *report);
             }
         }
         let report = |(budget, bucket): &(QuotaBudget, QuotaBucket)| QuotaReport {
@@ -285,7 +297,7 @@
         let rate_per_period = rate * SPREAD_PERIOD.as_secs_f64() / f64::from(SPREAD_INSTANCES);
         let before: u64 = fleet.iter().map(|(budget, _)| budget.admitted()).sum();
         for (budget, bucket) in &mut fleet {
-            bucket.refill(budget, SPREAD_INSTANCES as usize, now);
+            bucket.refill(budget, SPREAD_INSTANCES as usize, &[], now);
             // The time to the next request of a Poisson process is exponentially distributed.
             let mut time = -rng.f64().ln() / rate_per_period;
             while time < 1.0 {
