entry, steering: a few instances watch the configuration too, and an outage is found in a few rounds

Change: the readers of the lists watch the configuration for all. Their heartbeats carry the version and the age of its confirmation, and go out at once when a reader has a new version; the others then read it. The number of readers grows with each instance whose calls fail, so an outage for all is known after a few rounds at any size, and a plan is confirmed by an outage only when no instance reaches the store.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -241,7 +241,8 @@
         self.confirm_in_store_outage();
         self.observe_plan_lag(now);
         let readers = self.peers.reader_candidates(now);
-        let is_reader = is_store_reader(self.shared.own_hash, readers);
+        let failing = self.peers.failing_readers(now);
+        let is_reader = is_store_reader(self.shared.own_hash, readers, failing);
         self.shared.reader_role.set_reader(is_reader);
         self.publish_fleet(now);
         self.send_heartbeats();
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -31,7 +31,8 @@
 /// The timeout of a call to the store, which answers in milliseconds, or within some tenths of a second when it is
 /// slow.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// How each kind of objects is watched. The return of a watch on the configuration confirms that no key was withdrawn.
+/// How each kind of objects is watched. The return of a watch on the configuration confirms that no key was withdrawn; the
+/// heartbeats of its reader carry the age of that confirmation to the others.
 /// A dead connection is detected when its watch times out, so the waits bound how long a draining upstream or an
 /// evacuated failure domain may be missed. Upstreams and instances often change many at a time, and the delay after a
 /// change batches them.
@@ -40,25 +41,21 @@
         kind: ObjectKind::Config,
         wait: Duration::from_millis(2_400),
         batch_delay: Duration::ZERO,
-        is_shared: false,
     },
     WatchConfig {
         kind: ObjectKind::Upstreams,
         wait: Duration::from_millis(2_400),
         batch_delay: Duration::from_millis(150),
-        is_shared: true,
     },
     WatchConfig {
         kind: ObjectKind::Evacuations,
         wait: Duration::from_millis(2_400),
         batch_delay: Duration::ZERO,
-        is_shared: true,
     },
     WatchConfig {
         kind: ObjectKind::Instances,
         wait: Duration::from_secs(8),
         batch_delay: Duration::from_millis(300),
-        is_shared: true,
     },
 ];
 /// File descriptors that are reserved for files, the store, other instances and upstreams.
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -111,6 +111,14 @@
             .map(|(hash, _)| hash)
     }
 
+    /// Returns the number of live instances whose last call to the store failed.
+    #[must_use]
+    pub fn failing_readers(&self, now: MonotonicTime) -> usize {
+        self.live(now)
+            .filter(|(_, peer)| peer.heartbeat.failing_kinds > 0)
+            .count()
+    }
+
     /// Returns whether a live instance has read the list of upstreams without a failure for at least `period`.
     #[must_use]
     pub fn has_steady_reader(&self, period: Duration, now: MonotonicTime) -> bool {
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -163,7 +163,7 @@
     pub async fn wait_until_due(&self, kind: ObjectKind, revision: u64) -> ReadCause {
         let mut state = self.state.subscribe();
         let is_due = |state: &ReaderState| {
-            state.is_reader || state.is_config_failing || state.revisions.of(kind) > revision
+            state.is_reader || state.is_config_failing || state.is_behind(kind, revision)
         };
         // The wait cannot fail, because the sender lives as long as `self`.
         match state.wait_for(is_due).await {
--- a/crates/entry/src/store_updates.rs
+++ b/crates/entry/src/store_updates.rs
@@ -142,6 +142,10 @@
                 self.plan = Some(Arc::new(plan));
                 self.record_plan_version(version);
                 self.publish();
+                if self.shared.reader_role.is_reader() {
+                    // The other instances learn of the version without the delay of a heartbeat period.
+                    self.send_heartbeats();
+                }
                 true
             }
             Err(error) => {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -39,9 +39,6 @@
     pub wait: Duration,
     /// The pause after a change, so that the next watch returns several changes together.
     pub batch_delay: Duration,
-    /// Whether only a few instances watch the kind and report its changes to the others. Every instance watches the
-    /// configuration, because the watch confirms that no key was withdrawn.
-    pub is_shared: bool,
 }
 
 /// Lists and watches a kind until the process ends.
@@ -180,7 +177,7 @@
     /// it.
     async fn wait_until_due(&self, revision: u64) -> ReadCause {
         let reader_role = &self.shared.reader_role;
-        if !self.config.is_shared || reader_role.is_reader() {
+        if reader_role.is_reader() {
             return ReadCause::OwnWatch;
         }
         if self.config.kind == ObjectKind::Upstreams {
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -179,3 +179,32 @@
     let call = shop_request(Method::POST, "/orders/1", "kept", "another-key");
     assert_eq!(fleet.call(0, &call).await.unwrap().status, 200);
 }
+
+/// Counts the calls to the store of a fleet without requests and changes.
+async fn count_calm_calls(instances: usize) -> u64 {
+    let fleet = PlatformFleet::start(FleetSetup {
+        name: "calm-calls",
+        instances,
+        ..FleetSetup::default()
+    })
+    .await;
+    // In this time the instances register and learn of each other, and all but the readers stop watching.
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let calls = fleet.store.calls();
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    fleet.store.calls() - calls
+}
+
+/// Guards against calls to the store that grow with the fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_in_calm_are_the_same_for_fleets_of_any_size() {
+    let base = count_calm_calls(15).await;
+    for instances in [30, 60] {
+        let calls = count_calm_calls(instances).await;
+        let difference = calls.abs_diff(base);
+        assert!(
+            difference * 10 <= base,
+            "{calls} calls with {instances} instances, {base} with 15"
+        );
+    }
+}
--- a/crates/steering/src/store_readers.rs
+++ b/crates/steering/src/store_readers.rs
@@ -1,7 +1,8 @@
-//! Selects the instances that watch the lists in the store on behalf of all others.
+//! Selects the instances that watch the configuration and the lists in the store on behalf of all others.
 //!
 //! Load pattern: in a large fleet, the watches of all instances would cause more calls to the store than all other
-//! operations together. A few instances watch, and notify the others of each change.
+//! operations together. A few instances watch, and notify the others of each change. When some of them lose the store,
+//! others have to find out quickly whether it is down for all.
 
 use crate::hashing::combine_hashes;
 
@@ -12,10 +13,14 @@
 /// other modules derive from the same hashes.
 const READER_ORDER_SALT: u64 = 0x7265_6164;
 
-/// Returns whether the instance `own` watches the store. `others` are the other live instances that reach the store.
+/// Returns whether the instance `own` watches the store. `others` are the other live instances whose calls to the store do
+/// not fail, and `failing` is the number of live instances whose calls fail.
+///
+/// The number of readers grows with each failing instance, so a few rounds of failures reach all instances of a large
+/// fleet. Only when every instance has had the occasion to call the store do they know that it is down for all.
 #[must_use]
-pub fn is_store_reader(own: u64, others: impl Iterator<Item = u64>) -> bool {
+pub fn is_store_reader(own: u64, others: impl Iterator<Item = u64>, failing: usize) -> bool {
     let weight = |instance: u64| combine_hashes(READER_ORDER_SALT, instance);
     let preferred = others.filter(|other| *other != own && weight(*other) > weight(own));
-    preferred.count() < READER_COUNT
+    preferred.count() < READER_COUNT * (1 + failing)
 }
--- a/crates/steering/tests/store_readers.rs
+++ b/crates/steering/tests/store_readers.rs
@@ -56,7 +56,7 @@
         let reads = |own: &u32| {
             let others = (0..case.instances)
                 .filter(|other| (case.receives_from)(*own, *other) && (case.reaches_store)(*other));
-            is_store_reader(hash(*own), others.map(hash))
+            is_store_reader(hash(*own), others.map(hash), 0)
         };
         let readers = (0..case.instances).filter(reads).count();
         assert!(
@@ -73,7 +73,7 @@
     let hashes: Vec<u64> = (0..12_u32)
         .map(|index| stable_hash(&index.to_le_bytes()))
         .collect();
-    let reads = |own: &&u64| is_store_reader(**own, hashes.iter().copied());
+    let reads = |own: &&u64| is_store_reader(**own, hashes.iter().copied(), 0);
     let refused: Vec<u64> = hashes.iter().filter(reads).copied().collect();
     let remaining = || {
         hashes
@@ -81,6 +81,46 @@
             .filter(|hash| !refused.contains(hash))
             .copied()
     };
-    let replacing = remaining().filter(|own| is_store_reader(*own, remaining()));
+    let replacing = remaining().filter(|own| is_store_reader(*own, remaining(), 0));
     assert_eq!(replacing.count(), refused.len());
 }
+
+/// Guards against an outage of the store that the instances of a large fleet find out one by one, while those that have
+/// not called the store yet cannot tell it from a failure of the few readers.
+#[test]
+fn an_outage_reaches_all_instances_within_a_few_rounds() {
+    struct OutageCase {
+        instances: u64,
+        max_rounds: u32,
+    }
+    let cases = [
+        OutageCase {
+            instances: 7,
+            max_rounds: 2,
+        },
+        OutageCase {
+            instances: 36,
+            max_rounds: 3,
+        },
+        OutageCase {
+            instances: 118,
+            max_rounds: 4,
+        },
+        OutageCase {
+            instances: 547,
+            max_rounds: 5,
+        },
+    ];
+    for case in cases {
+        let mut working: Vec<u64> = (0..case.instances)
+            .map(|index| stable_hash(&index.to_le_bytes()))
+            .collect();
+        let mut failing = 0;
+        for _ in 0..case.max_rounds {
+            let others = working.clone();
+            working.retain(|own| !is_store_reader(*own, others.iter().copied(), failing));
+            failing += others.len() - working.len();
+        }
+        assert!(working.is_empty(), "{}: {}", case.instances, working.len());
+    }
+}
