entry, steering, protocol: heartbeats go to the own failure domain and through one instance of each other one

Change: above 16 instances, a heartbeat goes to the own domain (130 ms at 118) and every 1.2 s to one instance of each other domain, which passes it on and exchanges a reply and an acknowledgement, so that plans are confirmed between domains. Timeouts follow from the periods. The evidence that the store is down for all is gathered by each domain and exchanged with its age. Refills of account rates keep to the period of reports.

--- a/crates/entry/src/account_quotas.rs
+++ b/crates/entry/src/account_quotas.rs
@@ -16,50 +16,86 @@
 
 /// A change is reported in this many heartbeats, so that one may be lost.
 const REPORTS_PER_CHANGE: u64 = 2;
-/// Every account is reported in one of this many heartbeats, for instances that missed the reports of its changes.
-const HEARTBEATS_PER_FULL_REPORT: u64 = 4;
 /// The change of an account's demand, as a fraction of the reported one, from which it is reported again.
 const MIN_DEMAND_CHANGE_FRACTION: f64 = 0.25;
 
 /// Time without messages after which an instance is assumed to keep spending its share.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Number of refill periods without messages after which an instance counts as silent, if that is longer than
+/// Number of report periods without messages after which an instance counts as silent, if that is longer than
 /// [`MIN_SILENCE_TIMEOUT`], as in a large fleet.
 const SILENCE_TIMEOUT_PERIODS: f64 = 2.5;
 
+/// The receivers of a heartbeat. Each scope has reports of its own, because the heartbeats of one are more frequent than
+/// those of the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportScope {
+    /// The instances of the own failure domain; all instances in a full mesh.
+    Near,
+    /// The other failure domains.
+    Far,
+}
+
+/// The place of a heartbeat among those of its scope.
+#[derive(Debug, Clone, Copy)]
+pub struct ReportTurn {
+    /// The receivers of the heartbeat.
+    pub scope: ReportScope,
+    /// The number of the heartbeat among those of the scope.
+    pub number: u64,
+    /// Every account is reported in one of this many heartbeats, for instances that missed the reports of its changes.
+    pub full_report_turns: u64,
+}
+
+/// What one scope was told of an account.
+#[derive(Debug, Default)]
+struct AccountReport {
+    reported: AccountUsage,
+    /// The turn that first reported the latest change.
+    change_reported_in: u64,
+}
+
+impl AccountReport {
+    /// Returns the usage to report in this turn; `None` if the heartbeat leaves the account out.
+    fn next(&mut self, usage: AccountUsage, turn: ReportTurn) -> Option<AccountUsage> {
+        let reported_demand = f64::from(self.reported.demand_milli);
+        let is_new_demand = (f64::from(usage.demand_milli) - reported_demand).abs()
+            > reported_demand * MIN_DEMAND_CHANGE_FRACTION;
+        if usage.admitted != self.reported.admitted || is_new_demand {
+            self.change_reported_in = turn.number;
+        }
+        let is_change = turn.number - self.change_reported_in < REPORTS_PER_CHANGE;
+        let is_due = usage
+            .account
+            .wrapping_add(turn.number)
+            .is_multiple_of(turn.full_report_turns);
+        (is_change || is_due).then(|| {
+            self.reported = usage;
+            usage
+        })
+    }
+}
+
 #[derive(Debug)]
 struct QuotaEntry {
     budget: Arc<QuotaBudget>,
     bucket: QuotaBucket,
-    reported: AccountUsage,
-    /// The number of the heartbeat that first reported the latest change.
-    change_reported_in: u64,
+    near_report: AccountReport,
+    far_report: AccountReport,
 }
 
 impl QuotaEntry {
-    /// Returns the usage of the account that heartbeat `number` reports; `None` if it leaves the account out.
-    fn report(&mut self, hash: u64, number: u64) -> Option<AccountUsage> {
+    fn report(&mut self, hash: u64, turn: ReportTurn) -> Option<AccountUsage> {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let demand_milli = (self.bucket.local_demand() * 1_000.0) as u32;
-        let admitted = self.budget.admitted();
-        let reported_demand = f64::from(self.reported.demand_milli);
-        let is_new_demand = (f64::from(demand_milli) - reported_demand).abs()
-            > reported_demand * MIN_DEMAND_CHANGE_FRACTION;
-        if admitted != self.reported.admitted || is_new_demand {
-            self.change_reported_in = number;
+        let usage = AccountUsage {
+            account: hash,
+            admitted: self.budget.admitted(),
+            demand_milli,
+        };
+        match turn.scope {
+            ReportScope::Near => self.near_report.next(usage, turn),
+            ReportScope::Far => self.far_report.next(usage, turn),
         }
-        let is_change = number - self.change_reported_in < REPORTS_PER_CHANGE;
-        let is_due = hash
-            .wrapping_add(number)
-            .is_multiple_of(HEARTBEATS_PER_FULL_REPORT);
-        (is_change || is_due).then(|| {
-            self.reported = AccountUsage {
-                account: hash,
-                admitted,
-                demand_milli,
-            };
-            self.reported
-        })
     }
 }
 
@@ -115,8 +151,8 @@
             QuotaEntry {
                 budget,
                 bucket,
-                reported: AccountUsage::default(),
-                change_reported_in: 0,
+                near_report: AccountReport::default(),
+                far_report: AccountReport::default(),
             }
         });
         entry.bucket.set_limit(limit);
@@ -141,10 +177,12 @@
         }
     }
 
-    /// Refills all budgets. `registered_instances` is the number of registered instances, zero while it is unknown.
+    /// Refills all budgets. `registered_instances` is the number of registered instances, zero while it is unknown, and
+    /// `report_period` the time between two reports of an instance in another failure domain.
     pub fn tick(
         &mut self,
         now: MonotonicTime,
+        report_period: Duration,
         registered_instances: usize,
         is_member: impl Fn(u64) -> bool,
     ) {
@@ -154,23 +192,25 @@
         let period = now.since(self.refilled_at);
         self.refilled_at = now;
         let removed = self.contacts.remove_others(is_member);
+        let period = period.max(report_period);
         let silence_timeout = MIN_SILENCE_TIMEOUT.max(period.mul_f64(SILENCE_TIMEOUT_PERIODS));
         let silent = self.contacts.silent(silence_timeout, now);
         for entry in self.entries.values_mut() {
             if !removed.is_empty() {
                 entry.bucket.remove_peers(&removed);
             }
+            entry.bucket.set_report_period(report_period);
             entry
                 .bucket
                 .refill(&entry.budget, self.registered_instances, &silent, now);
         }
     }
 
-    /// Returns the usages that this instance reports in heartbeat `number`.
-    pub fn usages(&mut self, number: u64) -> Vec<AccountUsage> {
+    /// Returns the usages that this instance reports in a heartbeat.
+    pub fn usages(&mut self, turn: ReportTurn) -> Vec<AccountUsage> {
         let entries = self.entries.iter_mut();
         entries
-            .filter_map(|(hash, entry)| entry.report(*hash, number))
+            .filter_map(|(hash, entry)| entry.report(*hash, turn))
             .collect()
     }
 }
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,17 +8,17 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, InstanceView, LimitTable, QuotaExcess, SteeringPlan, is_store_reader,
-    pacing_instances,
+    CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
+    is_store_reader, pacing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::account_quotas::AccountQuotas;
 use crate::control_event::ControlEvent;
-use crate::control_heartbeats::SentHeartbeat;
 use crate::entry_snapshot::ListedUpstream;
 use crate::health_check::check_upstream;
+use crate::heartbeat_sending::{PendingReports, SentHeartbeat};
 use crate::limit_log::LimitLog;
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
@@ -28,11 +28,6 @@
 use crate::upstream_choice::wake_queued;
 use crate::upstream_registry::{STORE_RECOVERY_PERIOD, UpstreamRegistry};
 
-/// The time between two heartbeats to each other instance in a small fleet.
-const HEARTBEAT_PERIOD: Duration = Duration::from_millis(100);
-/// In a larger fleet, the heartbeat period grows by this much with each instance, so that an instance handles about a
-/// hundred heartbeats a second at any size.
-const HEARTBEAT_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(10);
 /// An instance counts as reading the list of upstreams after reading it without a failure for this long.
 const MIN_READING_TIME: Duration = Duration::from_millis(1);
 /// The shortest time between two health checks of one upstream.
@@ -62,6 +57,8 @@
     pub(crate) plan: Option<Arc<SteeringPlan>>,
     pub(crate) heartbeat_number: u64,
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
+    pub(crate) pending: PendingReports,
+    pub(crate) outages: OutageEvidence,
     /// When the store last answered a call about the plan, on the clock that includes suspension.
     pub(crate) store_answered_at: Option<MonotonicTime>,
     pub(crate) registry: UpstreamRegistry,
@@ -90,19 +87,22 @@
             tolerance: bounds.quota_tolerance,
             slack: bounds.quota_slack,
         };
-        let snapshot_builder = SnapshotBuilder::new(shared.home.region, &shared.topology.regions);
+        let home = shared.home;
+        let snapshot_builder = SnapshotBuilder::new(home.region, &shared.topology.regions);
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
             client,
             socket,
-            peers: PeerTable::default(),
+            peers: PeerTable::new(home.domain),
             members: MemberList::default(),
             crash_table: CrashTable::default(),
             plan: None,
             // A random start, so that the numbers of an earlier process are not mistaken for those of this one.
             heartbeat_number: fastrand::u64(..1 << 48),
             sent_heartbeats: VecDeque::new(),
+            pending: PendingReports::default(),
+            outages: OutageEvidence::default(),
             store_answered_at: None,
             registry: UpstreamRegistry::default(),
             evacuations: HashSet::new(),
@@ -132,7 +132,7 @@
                 },
                 () = tokio::time::sleep_until(next_tick) => {
                     self.tick();
-                    next_tick = tokio::time::Instant::now() + self.heartbeat_period();
+                    next_tick = tokio::time::Instant::now() + self.heartbeat_periods().near;
                 }
             }
         }
@@ -218,6 +218,8 @@
 
     fn tick(&mut self) {
         let now = self.shared.clock.now();
+        let periods = self.heartbeat_periods();
+        self.peers.set_periods(periods);
         if self.peers.has_steady_reader(STORE_RECOVERY_PERIOD, now) {
             self.registry.end_recovery(now);
         }
@@ -235,8 +237,9 @@
         self.update_spreads(now);
         let members = &self.members;
         let registered = members.iter().count();
-        self.quotas
-            .tick(now, registered, |hash| members.contains_hash(hash));
+        self.quotas.tick(now, periods.far, registered, |hash| {
+            members.contains_hash(hash)
+        });
         self.shared.quota_refilled.notify_waiters();
         self.confirm_in_store_outage();
         self.observe_plan_lag(now);
@@ -288,11 +291,6 @@
         }
     }
 
-    fn heartbeat_period(&self) -> Duration {
-        let instances = u32::try_from(self.shared.fleet.load().hashes.len()).unwrap_or(u32::MAX);
-        HEARTBEAT_PERIOD.max(HEARTBEAT_PERIOD_PER_INSTANCE * instances)
-    }
-
     fn publish_fleet(&self, now: MonotonicTime) {
         let own_view = InstanceView {
             address: self.shared.settings.entry,
@@ -363,6 +361,7 @@
 
     fn leave_fleet(&mut self) {
         self.publish_fleet(self.shared.clock.now());
+        self.pending.hurry();
         self.send_heartbeats();
         if let Some(own) = self.members.get(&self.shared.settings.instance) {
             let name = self.shared.settings.instance.clone();
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -39,7 +39,7 @@
 const WATCHED_KINDS: [WatchConfig; 4] = [
     WatchConfig {
         kind: ObjectKind::Config,
-        wait: Duration::from_millis(2_400),
+        wait: Duration::from_millis(1_200),
         batch_delay: Duration::ZERO,
     },
     WatchConfig {
--- a/crates/entry/src/member_list.rs
+++ b/crates/entry/src/member_list.rs
@@ -1,7 +1,6 @@
 //! The entry instances as registered in the store.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -88,11 +87,6 @@
     pub fn contains_hash(&self, hash: u64) -> bool {
         self.hashes.contains(&hash)
     }
-
-    /// Returns the addresses at which the registered instances receive heartbeats.
-    pub fn peer_addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.members.values().map(|member| member.record.peer)
-    }
 }
 
 /// Registers this instance, and repeats failed attempts until one succeeds or the process stops.
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -5,12 +5,10 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::RegionKey;
+use coltsfootkeel_model::{DomainKey, RegionKey};
 use coltsfootkeel_protocol::FleetHeartbeat;
-use coltsfootkeel_steering::{FleetTopology, InstanceView, stable_hash};
+use coltsfootkeel_steering::{FleetTopology, HeartbeatPeriods, InstanceView, stable_hash};
 
-/// An instance without a heartbeat for this long is left out of look-ups, and its requests in flight no longer count.
-const LIVE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// An instance without a heartbeat for this long is removed from the table unless it is still registered in the store.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -19,6 +17,8 @@
 pub struct PeerState {
     /// The address at which it receives heartbeats.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainKey,
     /// The region of its failure domain.
     pub region: RegionKey,
     /// The address at which it receives requests of callers.
@@ -33,12 +33,34 @@
 }
 
 /// The instances from which a heartbeat was received, by the hash of their names.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerTable {
     peers: HashMap<u64, PeerState>,
+    own_domain: DomainKey,
+    near_timeout: Duration,
+    far_timeout: Duration,
 }
 
 impl PeerTable {
+    /// Creates an empty table of an instance in the failure domain `own_domain`.
+    #[must_use]
+    pub fn new(own_domain: DomainKey) -> Self {
+        let periods = HeartbeatPeriods::new(0, 0);
+        Self {
+            peers: HashMap::new(),
+            own_domain,
+            near_timeout: periods.near_timeout(),
+            far_timeout: periods.far_timeout(),
+        }
+    }
+
+    /// Sets the times without a heartbeat after which instances no longer count as live. They are left out of look-ups,
+    /// and their requests in flight no longer count.
+    pub fn set_periods(&mut self, periods: HeartbeatPeriods) {
+        self.near_timeout = periods.near_timeout();
+        self.far_timeout = periods.far_timeout();
+    }
+
     /// Records a heartbeat. Returns the hash of its sender, or `None` if a newer heartbeat was received before or if
     /// its failure domain or address is invalid.
     pub fn record_heartbeat(
@@ -60,6 +82,7 @@
         }
         let peer = PeerState {
             address,
+            domain,
             region: topology.domains[domain].region,
             entry,
             heartbeat: message,
@@ -82,11 +105,18 @@
             .retain(|hash, peer| now.since(peer.received_at) < EXPIRY_TIMEOUT || is_member(*hash));
     }
 
-    /// Returns the live instances: those that sent a heartbeat within [`LIVE_TIMEOUT`].
+    /// Returns the live instances: those whose latest heartbeat is recent enough.
     pub fn live(&self, now: MonotonicTime) -> impl Iterator<Item = (u64, &PeerState)> {
+        let timeout = |peer: &PeerState| {
+            if peer.domain == self.own_domain {
+                self.near_timeout
+            } else {
+                self.far_timeout
+            }
+        };
         self.peers
             .iter()
-            .filter(move |(_, peer)| now.since(peer.received_at) < LIVE_TIMEOUT)
+            .filter(move |(_, peer)| now.since(peer.received_at) < timeout(peer))
             .map(|(hash, peer)| (*hash, peer))
     }
 
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use coltsfootkeel_adapter::{LocalSettings, SettingsBounds};
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{Arena, RegionKey};
+use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
     AffinityTable, AtomicTime, CrashTable, FleetTopology, InstanceView, PlanFreshness, RetryLimit,
     stable_hash,
@@ -32,6 +32,8 @@
 /// The location of this instance.
 #[derive(Debug, Clone, Copy)]
 pub struct HomeLocation {
+    /// Its failure domain.
+    pub domain: DomainKey,
     /// The region of its failure domain.
     pub region: RegionKey,
 }
@@ -127,6 +129,7 @@
     ) -> Option<Self> {
         let domain = topology.domain(&settings.domain)?;
         let home = HomeLocation {
+            domain,
             region: topology.domains[domain].region,
         };
         let metrics = EntryMetrics::new(topology.regions.len());
--- a/crates/entry/src/store_updates.rs
+++ b/crates/entry/src/store_updates.rs
@@ -144,6 +144,7 @@
                 self.publish();
                 if self.shared.reader_role.is_reader() {
                     // The other instances learn of the version without the delay of a heartbeat period.
+                    self.pending.hurry();
                     self.send_heartbeats();
                 }
                 true
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -19,7 +19,7 @@
 /// removed, so the recovery must be detected well within that time.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
-/// The longest wait of a watch after one that returned changes. Such an answer confirms only the state at the start of
+/// The longest wait of the first watch of a new reader, and of a watch after one that returned changes. Such an answer confirms only the state at the start of
 /// the watch, so a short next watch keeps the age of the confirmed state from adding up over two waits.
 const WAIT_AFTER_CHANGE: Duration = Duration::from_millis(400);
 
@@ -96,6 +96,7 @@
     async fn watch(&mut self, mut revision: u64) {
         let mut is_after_change = false;
         let mut is_abandoned = false;
+        let mut was_reader = false;
         loop {
             let cause = match self.wait_until_due(revision).await {
                 ReadCause::OwnWatch if is_abandoned => ReadCause::PeerReport,
@@ -111,7 +112,10 @@
             }
             let requested_at = self.shared.clock.now_with_suspension();
             self.shared.metrics.count(CounterName::StoreCalls);
-            let wait = if is_after_change || cause == ReadCause::PeerReport {
+            // A new reader does not know yet whether it reaches the store.
+            let is_first_watch = !was_reader;
+            was_reader = cause == ReadCause::OwnWatch;
+            let wait = if is_after_change || is_first_watch {
                 WAIT_AFTER_CHANGE.min(self.config.wait)
             } else {
                 self.config.wait
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -73,6 +73,41 @@
     /// A rotating subset of the upstreams that state a rate limit, or did so until recently.
     #[prost(message, repeated, tag = "22")]
     pub limits: Vec<StatedLimit>,
+    /// What the datagram is for; replies and acknowledgements leave out most of the state.
+    #[prost(enumeration = "HeartbeatStep", tag = "23")]
+    pub step: i32,
+    /// Heartbeats of instances in other failure domains that the sender passes on.
+    #[prost(message, repeated, tag = "24")]
+    pub relayed: Vec<FleetHeartbeat>,
+    /// The failure domains none of whose instances reaches the store, as the sender knows.
+    #[prost(message, repeated, tag = "25")]
+    pub outages: Vec<DomainOutage>,
+}
+
+/// The purpose of a datagram between instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum HeartbeatStep {
+    /// A heartbeat to an instance of the same failure domain, or to any one in a full mesh.
+    Regular = 0,
+    /// A heartbeat to an instance of another failure domain, which passes it on to its domain and replies.
+    Relay = 1,
+    /// The reply to a heartbeat from another failure domain. It proves to its receiver that the sender is not suspended, and
+    /// has a number that the receiver echoes.
+    Reply = 2,
+    /// The answer to a reply, which proves the same in the other direction.
+    Acknowledgement = 3,
+}
+
+/// A failure domain none of whose instances reached the store.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct DomainOutage {
+    /// The hash of the domain's name.
+    #[prost(fixed64, tag = "1")]
+    pub domain: u64,
+    /// The milliseconds since the time for which this is known.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 
 /// What an upstream last stated about its rate limit, and the demand at the sender.
--- a/crates/steering/src/quota_bucket.rs
+++ b/crates/steering/src/quota_bucket.rs
@@ -152,6 +152,7 @@
     /// Instances that have restarted and have not reported the account since.
     restarted_peers: Vec<u64>,
     totals: DemandTotals,
+    report_period: Duration,
 }
 
 impl QuotaBucket {
@@ -169,6 +170,7 @@
             peers: HashMap::new(),
             restarted_peers: Vec::new(),
             totals: DemandTotals::default(),
+            report_period: Duration::ZERO,
         }
     }
 
@@ -182,6 +184,11 @@
         }
     }
 
+    /// Sets the time between two reports of another instance, if the budget is refilled more often than that.
+    pub fn set_report_period(&mut self, report_period: Duration) {
+        self.report_period = report_period;
+    }
+
     fn min_demand(&self) -> f64 {
         self.limit.rate_per_s * MIN_DEMAND_FRACTION + f64::MIN_POSITIVE
     }
@@ -283,7 +290,11 @@
         let debt_fraction =
             self.tokens.min(0.0) / (self.limit.rate_per_s * DEBT_REPAYMENT_TIME.as_secs_f64());
         let steady_spend = refill * (1.0 + debt_fraction).max(0.0);
-        let spend = (steady_spend + self.tokens.max(0.0) * SPEND_FRACTION) * self.local_fraction;
+        // The reserve is spent between two reports, and each refill gives its part of it.
+        let report_period = self.report_period.as_secs_f64().max(period);
+        let reserve_fraction = SPEND_FRACTION * (period / report_period.max(f64::MIN_POSITIVE));
+        let reserve_spend = self.tokens.max(0.0) * reserve_fraction;
+        let spend = (steady_spend + reserve_spend) * self.local_fraction;
         let allowance = to_units(spend);
         let overdraft_limit = self.tokens.max(0.0) * OVERDRAFT_FRACTION / instances;
         budget
