entry, protocol: readers pass changes of the lists on in heartbeats

Cause: each change of an upstream, an evacuation or an instance made every instance that does not watch the lists call the store.

An instance applies them if they continue what it has applied; otherwise it reads the store as before, after a random delay in which the changes usually arrive. Changes that are known already are not applied again, because they could undo later ones.

Ruled out: no watch in the first second of a process. Instances that start together would not learn of each other in that time (planned_stop_interrupts_no_request and two other tests of served_requests failed).

--- a/crates/entry/src/control_event.rs
+++ b/crates/entry/src/control_event.rs
@@ -31,6 +31,8 @@
         events: Vec<ObjectEvent>,
         /// The names of the objects whose changes cannot be decoded.
         unreadable: Vec<String>,
+        /// The revision after which the changes begin.
+        since: u64,
         /// The store's revision up to which the changes are complete.
         revision: u64,
         /// A time up to which there are no other changes, on the clock that includes suspension.
--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -86,11 +86,14 @@
     /// Applies the state in a regular heartbeat.
     fn apply_state(
         &mut self,
-        message: FleetHeartbeat,
+        mut message: FleetHeartbeat,
         address: SocketAddr,
         earliest_sent_at: Option<MonotonicTime>,
     ) {
         let now = self.shared.clock.now();
+        for changes in std::mem::take(&mut message.changes) {
+            self.apply_peer_changes(changes);
+        }
         self.shared.reader_role.advance(KindRevisions {
             upstreams: message.upstreams_revision,
             evacuations: message.evacuations_revision,
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -23,6 +23,7 @@
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
 use crate::plan_lag::PlanLag;
+use crate::reader_role::KindRevisions;
 use crate::shared_state::{FleetView, SharedState};
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::upstream_choice::wake_queued;
@@ -59,6 +60,10 @@
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
     pub(crate) pending: PendingReports,
     pub(crate) outages: OutageEvidence,
+    /// The revisions up to which the lists of the store are applied.
+    pub(crate) applied: KindRevisions,
+    /// When the changes of another instance were last applied, on the clock that includes suspension.
+    pub(crate) peer_changes_applied_at: MonotonicTime,
     /// When the store last answered a call about the plan, on the clock that includes suspension.
     pub(crate) store_answered_at: Option<MonotonicTime>,
     pub(crate) registry: UpstreamRegistry,
@@ -103,6 +108,8 @@
             sent_heartbeats: VecDeque::new(),
             pending: PendingReports::default(),
             outages: OutageEvidence::default(),
+            applied: KindRevisions::default(),
+            peer_changes_applied_at: MonotonicTime::default(),
             store_answered_at: None,
             registry: UpstreamRegistry::default(),
             evacuations: HashSet::new(),
@@ -150,19 +157,26 @@
                 if is_repeated && self.shared.reader_role.is_reader() {
                     self.shared.reader_role.advance_kind(kind, list.revision);
                 }
-                self.apply_list(kind, list, requested_at, outage);
+                if self.reset_applied(kind, list.revision, requested_at) {
+                    self.apply_list(kind, list, requested_at, outage);
+                }
             }
             ControlEvent::Changed {
                 kind,
                 events,
                 unreadable,
+                since,
                 revision,
                 current_as_of,
             } => {
-                if !events.is_empty() && self.shared.reader_role.is_reader() {
+                let is_changed = !events.is_empty() || !unreadable.is_empty();
+                if is_changed && self.shared.reader_role.is_reader() {
                     self.shared.reader_role.advance_kind(kind, revision);
+                    self.report_changes(kind, &events, &unreadable, since..revision);
+                }
+                if self.advance_applied(kind, revision) {
+                    self.apply_changes(kind, &events, &unreadable, current_as_of);
                 }
-                self.apply_changes(kind, &events, &unreadable, current_as_of);
             }
             ControlEvent::Heartbeat { message, from } => self.apply_heartbeat(*message, from),
             ControlEvent::Checked {
@@ -223,6 +237,9 @@
         if self.peers.has_steady_reader(STORE_RECOVERY_PERIOD, now) {
             self.registry.end_recovery(now);
         }
+        self.shared
+            .reader_role
+            .set_reader(self.is_selected_reader(now));
         if !self.shared.reader_role.is_reader()
             && !self.peers.has_steady_reader(MIN_READING_TIME, now)
         {
@@ -243,10 +260,6 @@
         self.shared.quota_refilled.notify_waiters();
         self.confirm_in_store_outage();
         self.observe_plan_lag(now);
-        let readers = self.peers.reader_candidates(now);
-        let failing = self.peers.failing_readers(now);
-        let is_reader = is_store_reader(self.shared.own_hash, readers, failing);
-        self.shared.reader_role.set_reader(is_reader);
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
@@ -272,6 +285,12 @@
         }
     }
 
+    fn is_selected_reader(&self, now: MonotonicTime) -> bool {
+        let readers = self.peers.reader_candidates(now);
+        let failing = self.peers.failing_readers(now);
+        is_store_reader(self.shared.own_hash, readers, failing)
+    }
+
     /// Updates the recently used objects of each upstream, and the estimate of how many an upstream caches.
     fn update_recent_objects(&self, now: MonotonicTime) {
         let recent = self.shared.affinity_table.recent_objects(now);
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -7,7 +7,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{
-    CrashSuspect, FleetHeartbeat, HeartbeatStep, ObjectPlacement, UpstreamLoad,
+    CrashSuspect, FleetHeartbeat, HeartbeatStep, ListChanges, ObjectPlacement, UpstreamLoad,
 };
 use coltsfootkeel_steering::{HeartbeatPeer, HeartbeatPeriods, select_relays, short_hash};
 
@@ -40,6 +40,9 @@
     far_sent_at: MonotonicTime,
     far_turn: u64,
     near_turn: u64,
+    /// Changes of lists for the next heartbeat of each scope.
+    pub(crate) near_changes: Vec<ListChanges>,
+    pub(crate) far_changes: Vec<ListChanges>,
     /// Heartbeats of other failure domains that this instance passes on to its own.
     pub(crate) relayed: Vec<FleetHeartbeat>,
 }
@@ -140,7 +143,9 @@
         let mut message = self.heartbeat(turn, now);
         message.objects = self.drain_placements();
         message.crashes = self.drain_crashes(now);
-        if !periods.is_full_mesh {
+        if periods.is_full_mesh {
+            self.pending.far_changes.clear();
+        } else {
             let free = MAX_FAR_PLACEMENTS.saturating_sub(self.pending.far_objects.len());
             let kept = message.objects.iter().take(free);
             self.pending.far_objects.extend(kept.cloned());
@@ -148,6 +153,7 @@
                 .far_crashes
                 .extend(message.crashes.iter().cloned());
         }
+        message.changes = std::mem::take(&mut self.pending.near_changes);
         message.relayed = std::mem::take(&mut self.pending.relayed);
         for recipient in recipients {
             (message.echo_number, message.echo_held_us) =
@@ -169,6 +175,7 @@
         let mut message = self.heartbeat(turn, now);
         message.objects = std::mem::take(&mut self.pending.far_objects);
         message.crashes = std::mem::take(&mut self.pending.far_crashes);
+        message.changes = std::mem::take(&mut self.pending.far_changes);
         message.step = HeartbeatStep::Relay.into();
         let own = HeartbeatPeer {
             hash: self.shared.own_hash,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod limit_delays;
 mod limit_division;
 mod limit_log;
+mod list_changes;
 mod member_list;
 mod peer_table;
 mod plan_lag;
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -16,7 +16,9 @@
 }
 
 impl KindRevisions {
-    fn of(&self, kind: ObjectKind) -> u64 {
+    /// Returns the revision of one list; zero for other kinds.
+    #[must_use]
+    pub fn of(&self, kind: ObjectKind) -> u64 {
         match kind {
             ObjectKind::Upstreams => self.upstreams,
             ObjectKind::Evacuations => self.evacuations,
@@ -25,6 +27,16 @@
         }
     }
 
+    /// Sets the revision of one list.
+    pub fn set(&mut self, kind: ObjectKind, revision: u64) {
+        match kind {
+            ObjectKind::Upstreams => self.upstreams = revision,
+            ObjectKind::Evacuations => self.evacuations = revision,
+            ObjectKind::Instances => self.instances = revision,
+            ObjectKind::Config | ObjectKind::WarmPlaces => {}
+        }
+    }
+
     fn advance(&mut self, other: KindRevisions) {
         self.upstreams = self.upstreams.max(other.upstreams);
         self.evacuations = self.evacuations.max(other.evacuations);
@@ -59,6 +71,8 @@
     is_list_failing: bool,
     plan_versions: PlanVersions,
     revisions: KindRevisions,
+    /// The revisions up to which the control thread has applied the changes.
+    applied: KindRevisions,
 }
 
 impl ReaderState {
@@ -67,7 +81,7 @@
     fn is_behind(&self, kind: ObjectKind, revision: u64) -> bool {
         match kind {
             ObjectKind::Config => self.plan_versions.active < self.plan_versions.newest,
-            _ => self.revisions.of(kind) > revision,
+            _ => self.revisions.of(kind) > revision.max(self.applied.of(kind)),
         }
     }
 }
@@ -88,6 +102,7 @@
                 is_list_failing: false,
                 plan_versions: PlanVersions::default(),
                 revisions: KindRevisions::default(),
+                applied: KindRevisions::default(),
             }),
         }
     }
@@ -144,15 +159,28 @@
     /// Raises the known revision of one kind.
     pub fn advance_kind(&self, kind: ObjectKind, revision: u64) {
         let mut revisions = KindRevisions::default();
-        match kind {
-            ObjectKind::Upstreams => revisions.upstreams = revision,
-            ObjectKind::Evacuations => revisions.evacuations = revision,
-            ObjectKind::Instances => revisions.instances = revision,
-            ObjectKind::Config | ObjectKind::WarmPlaces => return,
-        }
+        revisions.set(kind, revision);
         self.advance(revisions);
     }
 
+    /// Sets the revisions up to which the control thread has applied the changes.
+    pub fn set_applied(&self, applied: KindRevisions) {
+        self.change(|state| state.applied = applied);
+    }
+
+    /// Returns the revision up to which the control thread has applied the changes of a list; zero for other kinds.
+    #[must_use]
+    pub fn applied(&self, kind: ObjectKind) -> u64 {
+        self.state.borrow().applied.of(kind)
+    }
+
+    /// Returns whether another instance has received a change of a kind that this one, which read the kind up to
+    /// `revision`, has not.
+    #[must_use]
+    pub fn is_behind(&self, kind: ObjectKind, revision: u64) -> bool {
+        self.state.borrow().is_behind(kind, revision)
+    }
+
     /// Returns the newest known revisions.
     #[must_use]
     pub fn revisions(&self) -> KindRevisions {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -26,6 +26,10 @@
 /// The longest delay between the report of a change by another instance and reading it.
 const MAX_PEER_REPORT_DELAY: Duration = Duration::from_millis(300);
 
+/// The same for the list of instances, which changes with each of their starts. Instances also learn of each other by
+/// heartbeats.
+const MAX_INSTANCES_DELAY: Duration = Duration::from_secs(2);
+
 /// How long a watch may miss a change that another instance has received, before it counts as dead. A live watch
 /// returns a change about as soon as that of another instance.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(300);
@@ -98,7 +102,10 @@
         let mut is_abandoned = false;
         let mut was_reader = false;
         loop {
-            let cause = match self.wait_until_due(revision).await {
+            let due = self.wait_until_due(revision).await;
+            // Other instances may have sent the changes up to a later revision.
+            revision = revision.max(self.shared.reader_role.applied(self.config.kind));
+            let cause = match due {
                 ReadCause::OwnWatch if is_abandoned => ReadCause::PeerReport,
                 cause => cause,
             };
@@ -133,6 +140,7 @@
                 }) => {
                     self.backoff = INITIAL_BACKOFF;
                     self.record_reading(requested_at);
+                    let since = revision;
                     revision = next;
                     // A watch without changes confirms the state up to the end of its wait.
                     let is_unchanged = events.is_empty() && unreadable.is_empty();
@@ -146,6 +154,7 @@
                         kind: self.config.kind,
                         events,
                         unreadable,
+                        since,
                         revision,
                         current_as_of: current_as_of.min(self.shared.clock.now_with_suspension()),
                     });
@@ -189,13 +198,23 @@
                 .upstreams_read_since
                 .set(MonotonicTime::default());
         }
-        let cause = reader_role.wait_until_due(self.config.kind, revision).await;
-        if cause == ReadCause::PeerReport {
+        loop {
+            let cause = reader_role.wait_until_due(self.config.kind, revision).await;
+            if cause != ReadCause::PeerReport {
+                return cause;
+            }
             // The random delay spreads the calls of instances that received the report together, and batches several
-            // changes.
-            tokio::time::sleep(MAX_PEER_REPORT_DELAY.mul_f64(fastrand::f64())).await;
+            // changes. In the meantime another instance may send the changes themselves.
+            let delay = if self.config.kind == ObjectKind::Instances {
+                MAX_INSTANCES_DELAY
+            } else {
+                MAX_PEER_REPORT_DELAY
+            };
+            tokio::time::sleep(delay.mul_f64(fastrand::f64())).await;
+            if reader_role.is_behind(self.config.kind, revision) {
+                return cause;
+            }
         }
-        cause
     }
 
     /// Waits until a watch misses a change that another instance has received. Never completes for a call that is made
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -82,6 +82,64 @@
     /// The failure domains none of whose instances reaches the store, as the sender knows.
     #[prost(message, repeated, tag = "25")]
     pub outages: Vec<DomainOutage>,
+    /// Changes of the lists in the store that the sender has watched, in the order in which it received them.
+    #[prost(message, repeated, tag = "26")]
+    pub changes: Vec<ListChanges>,
+}
+
+/// The changes of one list in the store between two of its revisions.
+#[derive(Clone, PartialEq, Message)]
+pub struct ListChanges {
+    /// The list.
+    #[prost(enumeration = "ListKind", tag = "1")]
+    pub list: i32,
+    /// The revision after which the changes begin.
+    #[prost(uint64, tag = "2")]
+    pub since: u64,
+    /// The revision up to which the changes are complete.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// The changed objects.
+    #[prost(message, repeated, tag = "4")]
+    pub objects: Vec<ChangedObject>,
+    /// The names of the objects that have changed and cannot be read.
+    #[prost(string, repeated, tag = "5")]
+    pub unreadable: Vec<String>,
+}
+
+/// A list that few instances watch for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ListKind {
+    /// The registered upstreams.
+    Upstreams = 0,
+    /// The evacuated failure domains.
+    Evacuations = 1,
+    /// The registered entry instances.
+    Instances = 2,
+}
+
+/// An object of the store after a change.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangedObject {
+    /// The name of the object.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The store's revision of the change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Whether the object was removed.
+    #[prost(bool, tag = "3")]
+    pub is_removed: bool,
+    /// Whether the object is about to be removed.
+    #[prost(bool, tag = "4")]
+    pub is_deletion_pending: bool,
+    /// The intended state in JSON.
+    #[prost(bytes = "vec", tag = "5")]
+    pub spec: Vec<u8>,
+    /// The observed state in JSON.
+    #[prost(bytes = "vec", tag = "6")]
+    pub status: Vec<u8>,
 }
 
 /// The purpose of a datagram between instances.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -22,8 +22,8 @@
 mod messages;
 
 pub use fleet_heartbeat::{
-    AccountUsage, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep, ObjectPlacement,
-    StatedLimit, UpstreamLoad,
+    AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
+    ListChanges, ListKind, ObjectPlacement, StatedLimit, UpstreamLoad,
 };
 pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
 pub use messages::{
