steering, entry: a stopping instance takes only what ends within the grace period

Change: a request that must not run twice is taken only if its deadline fits the rest of the grace period, and so is any request from 2.5 s after the signal on, also after a wait in the queue. The others get 503 and a Retry-After of 20 ms: another instance can take them at once. The process ends 0.4 s instead of 0.25 s before it would be killed.

Result: late_requests_that_may_outlast_the_grace_period_are_refused fails with the previous rule (the caller's connection is closed without an answer) and passes now.

--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -66,7 +66,7 @@
 /// time.
 const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(3_200);
 /// The time before the end of the grace period at which the process ends in any case.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(250);
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// The smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// The pause between two checks of the requests in progress during shutdown.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -1,6 +1,7 @@
 //! Processes one request from admission to the response: upstream selection, attempts and retries.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coltsfootkeel_adapter::read_caller_head;
 use coltsfootkeel_counters::MonotonicTime;
@@ -31,6 +32,9 @@
 /// retry.
 const MAX_FAILED_CONNECTS: u32 = 4;
 
+/// The `Retry-After` of an instance that stops. Another instance can take the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Processes a caller's request and returns the response for the caller.
 pub async fn handle_request(shared: &Arc<SharedState>, request: Request) -> Response {
     let in_flight_guard = InFlightGuard::new(&shared.in_flight);
@@ -282,11 +286,15 @@
         if self.sent_attempts == 0 {
             self.context.refund();
         }
-        let retry_after = self.context.retry_after();
+        let retry_after = if kind == RejectKind::Stopping {
+            STOPPING_RETRY_AFTER
+        } else {
+            self.context.retry_after().max(retry_delay(&self.context))
+        };
         Err(Rejection {
             kind,
             may_have_run: self.may_have_run,
-            retry_after: Some(retry_after.max(retry_delay(&self.context))),
+            retry_after: Some(retry_after),
         })
     }
 
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use coltsfootkeel_steering::{QueuePosition, RequestQueue, max_queue_wait, queue_priority};
+use coltsfootkeel_steering::{
+    QueuePosition, RequestQueue, StoppingRequest, max_queue_wait, queue_priority,
+};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
@@ -14,9 +16,6 @@
 use crate::request_log::RequestLog;
 use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
 
-/// The time that a stopping instance reserves to deliver the response.
-const STOP_MARGIN: Duration = Duration::from_millis(500);
-
 /// The lowest number of slots for which a wait is estimated.
 const MIN_EFFECTIVE_SLOTS: f64 = 0.1;
 
@@ -64,6 +63,7 @@
         let waited = self.context.shared.clock.now().since(started);
         request_log.waited += waited;
         self.context.shared.metrics.waits.add(waited);
+        self.check_grace_left()?;
         found.ok_or(RejectKind::NoCapacity)
     }
 
@@ -85,16 +85,21 @@
         slot_time.mul_f64(f64::from(queued_requests) / slots.max(MIN_EFFECTIVE_SLOTS))
     }
 
-    /// Rejects a request that would not complete before a stopping process is killed.
+    /// Rejects a request that may not complete before a stopping process is killed.
     fn check_grace_left(&self) -> Result<(), RejectKind> {
         let Some(grace_left) = self.context.shared.grace_left() else {
             return Ok(());
         };
-        let needed = self.context.home_time_estimate().cold + STOP_MARGIN;
-        if needed > grace_left {
-            return Err(RejectKind::Stopping);
+        let request = StoppingRequest {
+            is_idempotent: self.context.route_plan().is_idempotent(),
+            expected_time: self.context.home_time_estimate().cold,
+            deadline_left: self.context.remaining(),
+        };
+        if request.fits(grace_left) {
+            Ok(())
+        } else {
+            Err(RejectKind::Stopping)
         }
-        Ok(())
     }
 }
 
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -9,8 +9,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
-    AffinityTable, AtomicTime, CrashTable, FleetTopology, InstanceView, PlanFreshness, RetryLimit,
-    stable_hash,
+    AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceView, PlanFreshness,
+    RetryLimit, stable_hash,
 };
 use coltsfootkeel_transport::ProcessClock;
 use crossbeam_queue::ArrayQueue;
@@ -197,12 +197,12 @@
         self.is_stopping.load(Ordering::Acquire)
     }
 
-    /// Returns the time until the process is killed; `None` before the stop signal.
+    /// Returns the times since the stop signal and until the process is killed; `None` before the stop signal.
     #[must_use]
-    pub fn grace_left(&self) -> Option<Duration> {
+    pub fn grace_left(&self) -> Option<GraceTimes> {
         let passed = self.clock.now().since(self.stopping_since.get());
-        self.is_stopping()
-            .then(|| self.bounds.load().grace_period.saturating_sub(passed))
+        let left = self.bounds.load().grace_period.saturating_sub(passed);
+        self.is_stopping().then_some(GraceTimes { passed, left })
     }
 
     /// Returns whether the plan is recent enough to serve requests with an access key.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -52,6 +52,7 @@
 mod placement_decision;
 mod plan;
 mod plan_freshness;
+mod planned_stop;
 mod quota_bucket;
 mod rate_limit;
 mod rate_share;
@@ -85,6 +86,7 @@
     AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
 pub use plan_freshness::PlanFreshness;
+pub use planned_stop::{GraceTimes, StoppingRequest};
 pub use quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
 pub use rate_limit::{InvalidRate, LimitStatement, RateLimit, UpstreamLimit, UpstreamSignals};
 pub use rate_share::{InstanceDemand, limited_send_interval};
