steering, entry: in an outage of the store, unknown keys and routes are refused as unavailable, not as unknown

No instance could learn of the key; the outage confirmed the older plan for keys, and so callers got 401, after which they do not retry.

Change: an outage for all still confirms that no key was withdrawn, but no longer that the plan has every key and route.

Result: a_key_that_was_granted_just_before_an_outage_is_not_refused_as_unknown fails with the previous code (401) and passes.

--- a/crates/entry/src/store_outage.rs
+++ b/crates/entry/src/store_outage.rs
@@ -91,7 +91,7 @@
         let members = self.members.iter();
         let domains = members.filter_map(|(_, member)| topology.domain(&member.record.domain));
         if let Some(time) = self.outages.outage_time(domains, now) {
-            self.shared.freshness.confirm(time);
+            self.shared.freshness.confirm_in_outage(time);
         }
     }
 }
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -180,6 +180,33 @@
     assert_eq!(fleet.call(0, &call).await.unwrap().status, 200);
 }
 
+/// Guards against 401 for a key that was granted just before an outage of the store, while no instance could learn of it.
+/// Found by the soak, seed 9112: all connections were silent when the key was granted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_that_was_granted_just_before_an_outage_is_not_refused_as_unknown() {
+    let fleet = start("granted-before-outage").await;
+    fleet.store.set_mode(StoreMode::Unavailable);
+    // No watch is open any more, so no instance learns of the change.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.write_plan(2, &[SHOP_KEY, "new-key"]);
+    // In this time all instances notice the outage.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for instance in 0..INSTANCES {
+        let call = |key| {
+            shop_request(
+                Method::GET,
+                "/previews/1",
+                &format!("{key}-{instance}"),
+                key,
+            )
+        };
+        let unknown = fleet.call(instance, &call("new-key")).await.unwrap();
+        assert_eq!(unknown.status, 503, "{instance}");
+        let known = fleet.call(instance, &call(SHOP_KEY)).await.unwrap();
+        assert_eq!(known.status, 200, "{instance}");
+    }
+}
+
 /// Counts the calls to the store of a fleet without requests and changes.
 async fn count_calm_calls(instances: usize) -> u64 {
     let fleet = PlatformFleet::start(FleetSetup {
--- a/crates/steering/src/plan_freshness.rs
+++ b/crates/steering/src/plan_freshness.rs
@@ -18,6 +18,8 @@
 /// Longest time between two confirmations by a watch that returns no changes, with the way to the store and back. Such a
 /// plan is not outdated, however short the bound for changes is: a change would end the watch.
 const CONFIRMATION_PERIOD: Duration = Duration::from_millis(2_600);
+/// Time after the last evidence of an outage of the store for which the outage is assumed to last.
+const OUTAGE_END_DELAY: Duration = Duration::from_millis(2_600);
 /// Network delay between caller, instance and store, including delays on a busy processor.
 const NETWORK_DELAY_ALLOWANCE: Duration = Duration::from_millis(500);
 
@@ -26,6 +28,7 @@
 pub struct PlanFreshness {
     confirmed_at: AtomicTime,
     newest_version: AtomicU64,
+    outage_at: AtomicTime,
 }
 
 impl PlanFreshness {
@@ -35,6 +38,13 @@
         self.confirmed_at.advance(time);
     }
 
+    /// Confirms the plan because no instance reached the store at `time`, so that no key can have been withdrawn since the
+    /// outage began. What was added just before may be unknown to all instances.
+    pub fn confirm_in_outage(&self, time: MonotonicTime) {
+        self.outage_at.advance(time);
+        self.confirm(time);
+    }
+
     /// Records that a plan of this version is in force here or at another instance.
     pub fn record_version(&self, version: u64) {
         self.newest_version.fetch_max(version, Ordering::Relaxed);
@@ -59,9 +69,9 @@
         self.age(now) + MAX_WATCH_DELAY + NETWORK_DELAY_ALLOWANCE < withdrawal_bound
     }
 
-    /// Returns whether the store may hold a newer plan than the active one: another instance has a newer version, or the
-    /// active plan was not confirmed within `change_bound`, the time within which a change must be in force. A route or
-    /// an access key that the active plan lacks may then exist.
+    /// Returns whether the store may hold a newer plan than the active one: another instance has a newer version, the store
+    /// is down for all, or the active plan was not confirmed within `change_bound`, the time within which a change must be
+    /// in force. A route or an access key that the active plan lacks may then exist.
     #[must_use]
     pub fn may_be_outdated(
         &self,
@@ -69,7 +79,11 @@
         now: MonotonicTime,
         change_bound: Duration,
     ) -> bool {
+        let outage_at = self.outage_at.get();
+        let is_outage =
+            outage_at != MonotonicTime::default() && now.since(outage_at) < OUTAGE_END_DELAY;
         self.newest_version() > active_version
+            || is_outage
             || self.age(now) > change_bound.max(CONFIRMATION_PERIOD)
     }
 }
