steering, entry: readers that get answers end the growth of their number, and a lone failing instance calls the store less often

At a start every instance watched all kinds before it knew the others.

Change: four readers that get answers are enough whatever fails; an instance whose calls fail while another one reads backs off to 2 s; the first watch of the configuration, the upstreams and the evacuations begins 0.5 s after the first list.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -237,12 +237,11 @@
         if self.peers.has_steady_reader(STORE_RECOVERY_PERIOD, now) {
             self.registry.end_recovery(now);
         }
-        self.shared
-            .reader_role
-            .set_reader(self.is_selected_reader(now));
-        if !self.shared.reader_role.is_reader()
-            && !self.peers.has_steady_reader(MIN_READING_TIME, now)
-        {
+        let reader_role = &self.shared.reader_role;
+        let has_other_reader = self.peers.has_steady_reader(MIN_READING_TIME, now);
+        reader_role.set_reader(self.is_selected_reader(now));
+        reader_role.set_other_reader(has_other_reader);
+        if !reader_role.is_reader() && !has_other_reader {
             // No live instance reads the list of upstreams, so an outage of the store in which entries expire would not
             // be detected.
             self.registry.start_recovery(now);
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -7,7 +7,9 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{DomainKey, RegionKey};
 use coltsfootkeel_protocol::FleetHeartbeat;
-use coltsfootkeel_steering::{FleetTopology, HeartbeatPeriods, InstanceView, stable_hash};
+use coltsfootkeel_steering::{
+    FleetTopology, HeartbeatPeriods, InstanceView, ReaderCandidate, stable_hash,
+};
 
 /// An instance without a heartbeat for this long is removed from the table unless it is still registered in the store.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -132,13 +134,16 @@
             .collect()
     }
 
-    /// Returns the hashes of the live instances that can watch the store for the others.
-    pub fn reader_candidates(&self, now: MonotonicTime) -> impl Iterator<Item = u64> {
+    /// Returns the live instances that can watch the store for the others.
+    pub fn reader_candidates(&self, now: MonotonicTime) -> impl Iterator<Item = ReaderCandidate> {
         let can_read =
             |peer: &PeerState| peer.heartbeat.failing_kinds == 0 && !peer.heartbeat.is_leaving;
         self.live(now)
             .filter(move |(_, peer)| can_read(peer))
-            .map(|(hash, _)| hash)
+            .map(|(hash, peer)| ReaderCandidate {
+                instance: hash,
+                is_reading: peer.heartbeat.store_steady_ms > 0,
+            })
     }
 
     /// Returns the number of live instances whose last call to the store failed.
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -64,11 +64,19 @@
     Outage,
 }
 
+/// The kinds whose last call to the store failed. All lists count as one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct FailingKinds {
+    config: bool,
+    lists: bool,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ReaderState {
     is_reader: bool,
-    is_config_failing: bool,
-    is_list_failing: bool,
+    /// Whether another instance reads the lists of the store.
+    has_other_reader: bool,
+    failing: FailingKinds,
     plan_versions: PlanVersions,
     revisions: KindRevisions,
     /// The revisions up to which the control thread has applied the changes.
@@ -98,8 +106,8 @@
         Self {
             state: watch::Sender::new(ReaderState {
                 is_reader: true,
-                is_config_failing: false,
-                is_list_failing: false,
+                has_other_reader: false,
+                failing: FailingKinds::default(),
                 plan_versions: PlanVersions::default(),
                 revisions: KindRevisions::default(),
                 applied: KindRevisions::default(),
@@ -114,18 +122,29 @@
         self.change(|state| state.is_reader = is_reader);
     }
 
+    /// Sets whether another instance reads the lists of the store.
+    pub fn set_other_reader(&self, has_other_reader: bool) {
+        self.change(|state| state.has_other_reader = has_other_reader);
+    }
+
+    /// Returns whether another instance reads the lists of the store, so that it is not down for all.
+    #[must_use]
+    pub fn has_other_reader(&self) -> bool {
+        self.state.borrow().has_other_reader
+    }
+
     /// Returns whether this instance watches the lists: as a reader, or because it cannot read the configuration.
     #[must_use]
     pub fn is_reader(&self) -> bool {
         let state = self.state.borrow();
-        state.is_reader || state.is_config_failing
+        state.is_reader || state.failing.config
     }
 
     /// Sets whether the last call for a kind failed.
     pub fn set_failing(&self, kind: ObjectKind, is_failing: bool) {
         self.change(|state| match kind {
-            ObjectKind::Config => state.is_config_failing = is_failing,
-            _ => state.is_list_failing = is_failing,
+            ObjectKind::Config => state.failing.config = is_failing,
+            _ => state.failing.lists = is_failing,
         });
     }
 
@@ -148,7 +167,7 @@
     #[must_use]
     pub fn failing_kinds(&self) -> u32 {
         let state = self.state.borrow();
-        u32::from(state.is_config_failing) + u32::from(state.is_list_failing)
+        u32::from(state.failing.config) + u32::from(state.failing.lists)
     }
 
     /// Raises the known revisions to those of changes that this instance or another one received.
@@ -191,12 +210,12 @@
     pub async fn wait_until_due(&self, kind: ObjectKind, revision: u64) -> ReadCause {
         let mut state = self.state.subscribe();
         let is_due = |state: &ReaderState| {
-            state.is_reader || state.is_config_failing || state.is_behind(kind, revision)
+            state.is_reader || state.failing.config || state.is_behind(kind, revision)
         };
         // The wait cannot fail, because the sender lives as long as `self`.
         match state.wait_for(is_due).await {
             Ok(state) if state.is_reader => ReadCause::OwnWatch,
-            Ok(state) if state.is_config_failing => ReadCause::Outage,
+            Ok(state) if state.failing.config => ReadCause::Outage,
             _ => ReadCause::PeerReport,
         }
     }
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -19,6 +19,14 @@
 /// removed, so the recovery must be detected well within that time.
 const MAX_BACKOFF: Duration = Duration::from_millis(400);
 
+/// The longest pause after a failed call while another instance reads the store. What this instance misses then is only
+/// its own way to the store.
+const MAX_LONE_BACKOFF: Duration = Duration::from_secs(2);
+
+/// The pause between the first list and the first watch. Instances that start together learn of each other in this time,
+/// and only a few of them watch. Their own list is watched at once.
+const FIRST_WATCH_DELAY: Duration = Duration::from_millis(500);
+
 /// The longest wait of the first watch of a new reader, and of a watch after one that returned changes. Such an answer confirms only the state at the start of
 /// the watch, so a short next watch keeps the age of the confirmed state from adding up over two waits.
 const WAIT_AFTER_CHANGE: Duration = Duration::from_millis(400);
@@ -55,9 +63,13 @@
         failing_since: None,
         has_listed: false,
     };
+    let mut revision = watcher.list().await;
+    if config.kind != ObjectKind::Instances {
+        tokio::time::sleep(FIRST_WATCH_DELAY).await;
+    }
     loop {
-        let revision = watcher.list().await;
         watcher.watch(revision).await;
+        revision = watcher.list().await;
     }
 }
 
@@ -265,6 +277,11 @@
         }
         // The random pause spreads the calls of instances that lost the store at the same time.
         tokio::time::sleep(self.backoff.mul_f64(0.5 + fastrand::f64())).await;
-        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        let max_backoff = if self.shared.reader_role.has_other_reader() {
+            MAX_LONE_BACKOFF
+        } else {
+            MAX_BACKOFF
+        };
+        self.backoff = (self.backoff * 2).min(max_backoff);
     }
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -96,7 +96,7 @@
 pub use retry_budget::{RetryBudget, RetryLimit};
 pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
 pub use spill_budget::SpillBudget;
-pub use store_readers::is_store_reader;
+pub use store_readers::{ReaderCandidate, is_store_reader};
 pub use topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
--- a/crates/steering/src/store_readers.rs
+++ b/crates/steering/src/store_readers.rs
@@ -13,14 +13,34 @@
 /// other modules derive from the same hashes.
 const READER_ORDER_SALT: u64 = 0x7265_6164;
 
-/// Returns whether the instance `own` watches the store. `others` are the other live instances whose calls to the store do
-/// not fail, and `failing` is the number of live instances whose calls fail.
+/// A live instance whose calls to the store do not fail.
+#[derive(Debug, Clone, Copy)]
+pub struct ReaderCandidate {
+    /// Hash of the instance's name.
+    pub instance: u64,
+    /// Whether the instance watches the store and has received an answer.
+    pub is_reading: bool,
+}
+
+/// Returns whether the instance `own` watches the store. `others` are the other candidates, and `failing` is the number of
+/// live instances whose calls to the store fail.
 ///
 /// The number of readers grows with each failing instance, so a few rounds of failures reach all instances of a large
-/// fleet. Only when every instance has had the occasion to call the store do they know that it is down for all.
+/// fleet. Only when every instance has had the occasion to call the store do they know that it is down for all. Readers
+/// that get answers end the growth.
 #[must_use]
-pub fn is_store_reader(own: u64, others: impl Iterator<Item = u64>, failing: usize) -> bool {
+pub fn is_store_reader(
+    own: u64,
+    others: impl Iterator<Item = ReaderCandidate>,
+    failing: usize,
+) -> bool {
     let weight = |instance: u64| combine_hashes(READER_ORDER_SALT, instance);
-    let preferred = others.filter(|other| *other != own && weight(*other) > weight(own));
-    preferred.count() < READER_COUNT * (1 + failing)
+    let (mut preferred, mut reading) = (0, 0);
+    for other in others {
+        if other.instance != own && weight(other.instance) > weight(own) {
+            preferred += 1;
+            reading += usize::from(other.is_reading);
+        }
+    }
+    reading < READER_COUNT && preferred < READER_COUNT * (1 + failing)
 }
--- a/crates/steering/tests/store_readers.rs
+++ b/crates/steering/tests/store_readers.rs
@@ -1,6 +1,13 @@
 //! Selection of the instances that watch the lists in the store.
 
-use coltsfootkeel_steering::{is_store_reader, stable_hash};
+use coltsfootkeel_steering::{ReaderCandidate, is_store_reader, stable_hash};
+
+fn candidate(instance: u64) -> ReaderCandidate {
+    ReaderCandidate {
+        instance,
+        is_reading: false,
+    }
+}
 
 struct ReaderCase {
     name: &'static str,
@@ -56,7 +63,7 @@
         let reads = |own: &u32| {
             let others = (0..case.instances)
                 .filter(|other| (case.receives_from)(*own, *other) && (case.reaches_store)(*other));
-            is_store_reader(hash(*own), others.map(hash), 0)
+            is_store_reader(hash(*own), others.map(hash).map(candidate), 0)
         };
         let readers = (0..case.instances).filter(reads).count();
         assert!(
@@ -73,7 +80,7 @@
     let hashes: Vec<u64> = (0..12_u32)
         .map(|index| stable_hash(&index.to_le_bytes()))
         .collect();
-    let reads = |own: &&u64| is_store_reader(**own, hashes.iter().copied(), 0);
+    let reads = |own: &&u64| is_store_reader(**own, hashes.iter().copied().map(candidate), 0);
     let refused: Vec<u64> = hashes.iter().filter(reads).copied().collect();
     let remaining = || {
         hashes
@@ -81,7 +88,7 @@
             .filter(|hash| !refused.contains(hash))
             .copied()
     };
-    let replacing = remaining().filter(|own| is_store_reader(*own, remaining(), 0));
+    let replacing = remaining().filter(|own| is_store_reader(*own, remaining().map(candidate), 0));
     assert_eq!(replacing.count(), refused.len());
 }
 
@@ -118,9 +125,34 @@
         let mut failing = 0;
         for _ in 0..case.max_rounds {
             let others = working.clone();
-            working.retain(|own| !is_store_reader(*own, others.iter().copied(), failing));
+            working.retain(|own| {
+                !is_store_reader(*own, others.iter().copied().map(candidate), failing)
+            });
             failing += others.len() - working.len();
         }
         assert!(working.is_empty(), "{}: {}", case.instances, working.len());
     }
 }
+
+/// Guards against an outage for some instances that makes all others call the store.
+#[test]
+fn readers_that_get_answers_end_the_growth() {
+    let hashes: Vec<u64> = (0..118_u32)
+        .map(|index| stable_hash(&index.to_le_bytes()))
+        .collect();
+    let failing = 20;
+    let working = &hashes[failing..];
+    let readers = |is_reading: &dyn Fn(u64) -> bool| -> Vec<u64> {
+        let candidates = || {
+            working.iter().map(|instance| ReaderCandidate {
+                instance: *instance,
+                is_reading: is_reading(*instance),
+            })
+        };
+        let is_reader = |own: &&u64| is_store_reader(**own, candidates(), failing);
+        working.iter().filter(is_reader).copied().collect()
+    };
+    let first = readers(&|_| false);
+    assert!(first.len() > 4);
+    assert_eq!(readers(&|instance| first.contains(&instance)).len(), 4);
+}
