--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -8,6 +8,7 @@
     reason = "the results are printed with few digits"
 )]
 
+mod account_cost;
 mod document_cost;
 mod idle_fleet;
 mod loan_exchange;
@@ -22,6 +23,7 @@
 mod text_table;
 mod tick_cost;
 
+pub use account_cost::account_table;
 pub use document_cost::{DocumentCost, document_table, measure_document};
 pub use idle_fleet::{IdleFleetError, idle_fleet_table};
 pub use loan_exchange::{ExchangeCounts, ExchangePlan, run_exchange};
--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 
 use coltsfootkeel_capacity::{
-    FleetSize, bytes_text, document_table, entry_table, heartbeat_table, idle_fleet_table,
-    lender_table, loan_table, look_up_table, measure_document, message_table, peak_memory,
-    replay_table, request_table, tick_table,
+    FleetSize, account_table, bytes_text, document_table, entry_table, heartbeat_table,
+    idle_fleet_table, lender_table, loan_table, look_up_table, measure_document, message_table,
+    peak_memory, replay_table, request_table, tick_table,
 };
 use gumdrop::Options;
 
@@ -36,6 +36,7 @@
         Err(error) => eprintln!("configuration document: not measured: {error}"),
     }
     println!("{}", message_table());
+    println!("{}", account_table());
     println!("{}", tick_table());
     println!("{}", lender_table());
     println!("{}", heartbeat_table());
