--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -60,6 +60,8 @@
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
     pub(crate) pending: PendingReports,
     pub(crate) outages: OutageEvidence,
+    /// Whether the last log line about an outage for all instances states its begin.
+    pub(crate) is_outage_logged: bool,
     /// The revisions up to which the lists of the store are applied.
     pub(crate) applied: KindRevisions,
     /// When the changes of another instance were last applied, on the clock that includes suspension.
@@ -108,6 +110,7 @@
             sent_heartbeats: VecDeque::new(),
             pending: PendingReports::default(),
             outages: OutageEvidence::default(),
+            is_outage_logged: false,
             applied: KindRevisions::default(),
             peer_changes_applied_at: MonotonicTime::default(),
             store_answered_at: None,
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -117,8 +117,12 @@
 }
 
 impl ReaderRole {
-    /// Sets whether this instance is one of the few that watch the lists for all.
+    /// Sets whether this instance is one of the few that watch the store for all.
     pub fn set_reader(&self, is_reader: bool) {
+        if self.state.borrow().is_reader == is_reader {
+            return;
+        }
+        log::info!(is_reader; "store: The role of this instance as a reader for the others has changed.");
         self.change(|state| state.is_reader = is_reader);
     }
 
--- a/crates/entry/src/store_outage.rs
+++ b/crates/entry/src/store_outage.rs
@@ -85,13 +85,30 @@
         let is_initialized = self.plan.is_some() && self.members.iter().next().is_some();
         let is_outdated = self.plan_version() < self.shared.freshness.newest_version();
         if !is_initialized || is_outdated || self.may_reach_store() {
+            self.log_outage(false);
             return;
         }
         let topology = &self.shared.topology;
         let members = self.members.iter();
         let domains = members.filter_map(|(_, member)| topology.domain(&member.record.domain));
-        if let Some(time) = self.outages.outage_time(domains, now) {
+        let outage_time = self.outages.outage_time(domains, now);
+        if let Some(time) = outage_time {
             self.shared.freshness.confirm_in_outage(time);
         }
+        self.log_outage(outage_time.is_some());
+    }
+    /// Logs the begin and the end of an outage for all instances.
+    fn log_outage(&mut self, is_outage: bool) {
+        if self.is_outage_logged == is_outage {
+            return;
+        }
+        self.is_outage_logged = is_outage;
+        if is_outage {
+            log::warn!(
+                "store: No instance reaches it; access keys of the active plan stay accepted."
+            );
+        } else {
+            log::info!("store: The outage for all instances is over, or no longer proven.");
+        }
     }
 }
