--- a/crates/entry/tests/faulty_answers.rs
+++ b/crates/entry/tests/faulty_answers.rs
@@ -264,3 +264,49 @@
         assert!(is_delivered(&fleet, &id).await, "{id}");
     }
 }
+
+fn success(id: &str) -> Vec<u8> {
+    let body = format!("by faulty for {id}");
+    format!(
+        "HTTP/1.1 200 OK\r\ncoltsfootkeel-attempt-id: {id}\r\n\
+         coltsfootkeel-response-signature: s.1\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Guards against an answer that an upstream writes once more, late, on a connection that is in use again: the next caller
+/// would get the answer to another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_of_an_answer_reaches_no_caller() {
+    let fleet = start_fleet("second-copy").await;
+    let script = |id: &str, number: usize, previous: &[u8]| {
+        let own = success(id);
+        let is_copied = number > 0;
+        ScriptedAnswer {
+            bytes: if is_copied {
+                [previous, &own].concat()
+            } else {
+                own
+            },
+            has_run: true,
+            end: AnswerEnd::KeepOpen,
+        }
+    };
+    let upstream = FaultyUpstream::start(&fleet, Box::new(script)).await;
+    for number in 0..40 {
+        let id = format!("copy-{number}");
+        let (method, path) = if number % 2 == 0 {
+            (Method::GET, "/previews/1")
+        } else {
+            (Method::POST, "/orders/1")
+        };
+        let is_idempotent = method == Method::GET;
+        let call = shop_request(method, path, &id, SHOP_KEY);
+        let answer = fleet.call(0, &call).await.unwrap();
+        if answer.status == 200 {
+            assert_eq!(answer.body, format!("by faulty for {id}"));
+        }
+        assert!(is_idempotent || upstream.runs(&id) <= 1, "{id}");
+    }
+}
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -9,6 +9,7 @@
     EntryOptions, FaultRelay, RelayMode, SHOP_KEY, StoreMode, register_upstream, shop_request,
 };
 use http::Method;
+use nix::sys::signal::Signal;
 use platform_fleet::{FleetSetup, PlatformFleet};
 
 const INSTANCES: usize = 8;
@@ -207,6 +208,49 @@
     }
 }
 
+/// Guards against a process that uses a withdrawn key or an upstream that has left after it was started again: it has no
+/// memory, and its store is away or slow to return.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_instance_uses_no_withdrawn_key_and_no_upstream_that_has_left() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "restarted",
+        instances: 2,
+        upstreams: 2,
+        ..FleetSetup::default()
+    })
+    .await;
+    fleet.write_plan(2, &["another-key"]);
+    fleet.store.remove("servers", "u-0");
+    wait_for_plan(&fleet, 0, 2).await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    fleet.store.set_mode(StoreMode::Unavailable);
+    let options = fleet.instances[0].options.clone();
+    fleet.signal(0, Signal::SIGKILL);
+    fleet.instances.remove(0);
+    fleet.start_instance(options);
+    let restarted = fleet.instances.len() - 1;
+    let refused = async |fleet: &PlatformFleet, name: &str| {
+        for number in 0..10 {
+            let id = format!("{name}-{number}");
+            let call = shop_request(Method::POST, "/orders/1", &id, SHOP_KEY);
+            if let Ok(answer) = fleet.call(restarted, &call).await {
+                assert!([401, 503].contains(&answer.status), "{}", answer.status);
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    refused(&fleet, "away").await;
+    fleet.store.set_mode(StoreMode::Up);
+    refused(&fleet, "back").await;
+    assert!(fleet.runs().is_empty());
+    for number in 0..10 {
+        let id = format!("granted-{number}");
+        let call = shop_request(Method::POST, "/orders/1", &id, "another-key");
+        assert_eq!(fleet.call(restarted, &call).await.unwrap().status, 200);
+    }
+    assert!(fleet.upstreams[0].runs().is_empty());
+}
+
 /// Counts the calls to the store of a fleet without requests and changes.
 async fn count_calm_calls(instances: usize) -> u64 {
     let fleet = PlatformFleet::start(FleetSetup {
