--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -236,12 +236,16 @@
             return std::future::pending().await;
         }
         let kind = self.config.kind;
-        self.shared
-            .reader_role
-            .wait_until_behind(kind, revision)
-            .await;
-        // The random part spreads the calls of instances whose connections went silent at the same time.
-        tokio::time::sleep(MAX_WATCH_LAG.mul_f64(1.0 + fastrand::f64())).await;
+        let reader_role = &self.shared.reader_role;
+        loop {
+            reader_role.wait_until_behind(kind, revision).await;
+            // The random part spreads the calls of instances whose connections went silent at the same time. A change that
+            // the previous watch has returned may not be applied yet.
+            tokio::time::sleep(MAX_WATCH_LAG.mul_f64(1.0 + fastrand::f64())).await;
+            if reader_role.is_behind(kind, revision) {
+                return;
+            }
+        }
     }
 
     fn end_outage(&mut self) -> Duration {
