soak: a request behind others counts as sent when the answer before its own has arrived

The log shows them in plans 3 and 5, in which the key was granted again; they were sent up to 0.7 s earlier, behind others on their connection, and read only then.

Change: the time from which such a request counts is the arrival of the answer before it. Requests sent alone are checked as before.

--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -36,7 +36,8 @@
     pub has_changing_key: bool,
     /// Address of the entry instance that the request was sent to.
     pub entry: SocketAddr,
-    /// Time at which the request was sent.
+    /// Time at which the request was sent. One that was sent behind others counts as sent when the answer before its own
+    /// arrived: the instance reads it only then, and decides by what holds at that time.
     pub sent_at: Instant,
     /// Whether the connection was closed by an answer to an earlier request, so that this one must not run.
     pub is_behind_close: bool,
@@ -176,7 +177,7 @@
 
 /// Sends all requests at once over a new connection, and records the answers in the order in which they arrive.
 async fn send_pipelined(entry: SocketAddr, calls: Vec<SoakCall>, outcome_log: &OutcomeLog) {
-    let sent_at = Instant::now();
+    let mut sent_at = Instant::now();
     let deadline = tokio::time::Instant::now() + PIPELINE_TIMEOUT;
     let bytes: Vec<u8> = calls
         .iter()
@@ -206,5 +207,6 @@
             continue;
         };
         is_behind_close |= answer.header("connection") == Some("close");
+        sent_at = Instant::now();
     }
 }
