entry: heartbeats that are passed on are bounded by bytes

Cause: 64 heartbeats of 1.7 KB and more do not fit a datagram, for example after a pause of the control thread; the whole heartbeat would be lost. A count does not bound it, because a heartbeat may carry 16 KiB of changes.

Change: at most 24 KiB wait to be passed on.

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -6,13 +6,14 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{FleetHeartbeat, HeartbeatStep};
 use coltsfootkeel_steering::stable_hash;
+use prost::Message;
 
 use crate::control_loop::ControlLoop;
 use crate::reader_role::KindRevisions;
 
-/// The largest number of heartbeats that wait to be passed on. Each instance of another failure domain sends at most one
-/// in a period to this instance.
-const MAX_RELAYED: usize = 64;
+/// The most bytes of heartbeats that wait to be passed on. With the state of this instance and the changes that it has
+/// watched, they still fit a datagram. What is dropped comes again with the next heartbeat of its sender.
+const MAX_RELAYED_BYTES: usize = 24 * 1024;
 
 impl ControlLoop {
     /// Applies a message of another instance.
@@ -61,7 +62,8 @@
     }
 
     fn keep_to_relay(&mut self, message: &FleetHeartbeat) {
-        if self.pending.relayed.len() < MAX_RELAYED {
+        let waiting_bytes: usize = self.pending.relayed.iter().map(Message::encoded_len).sum();
+        if waiting_bytes + message.encoded_len() <= MAX_RELAYED_BYTES {
             let relayed = FleetHeartbeat {
                 step: HeartbeatStep::Regular.into(),
                 ..message.clone()
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -181,7 +181,7 @@
             hash: self.shared.own_hash,
             domain: self.shared.home.domain,
         };
-        let has_live: Vec<HeartbeatPeer> = recipients
+        let live: Vec<HeartbeatPeer> = recipients
             .iter()
             .filter(|recipient| recipient.latest.is_some())
             .map(|recipient| recipient.peer)
@@ -189,7 +189,7 @@
         // Registered instances that are not live pass heartbeats on only where no live one is known, as after a start.
         let is_candidate = |recipient: &&Recipient| {
             let domain = recipient.peer.domain;
-            recipient.latest.is_some() || !has_live.iter().any(|live| live.domain == domain)
+            recipient.latest.is_some() || !live.iter().any(|peer| peer.domain == domain)
         };
         let candidates: Vec<HeartbeatPeer> = recipients
             .iter()
