--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -8,6 +8,7 @@
     name: &'static str,
     seed: u64,
     seconds: u64,
+    instances: usize,
 }
 
 /// Guards against violations of a guarantee that appear only when faults overlap; the other tests inject one fault
@@ -19,6 +20,7 @@
             name: "a short run",
             seed: 1,
             seconds: 8,
+            instances: 3,
         },
         // An instance missed a withdrawal that the others had, and took an outage that followed for a confirmation of its
         // plan.
@@ -26,6 +28,21 @@
             name: "a withdrawal before an outage",
             seed: 3013,
             seconds: 20,
+            instances: 3,
+        },
+        // All connections to the store were silent when a key was granted, and the store went away. The key was refused as
+        // unknown.
+        SoakCase {
+            name: "a granted key before an outage",
+            seed: 9112,
+            seconds: 20,
+            instances: 3,
+        },
+        SoakCase {
+            name: "a fleet in which heartbeats are passed on",
+            seed: 11000,
+            seconds: 12,
+            instances: 20,
         },
     ];
     let runtime = tokio::runtime::Runtime::new().unwrap();
@@ -33,7 +50,7 @@
         let report = runtime.block_on(run_soak(SoakPlan {
             seed: case.seed,
             duration: Duration::from_secs(case.seconds),
-            instances: 3,
+            instances: case.instances,
             upstreams: 4,
             callers: 6,
         }));
