--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -1,4 +1,4 @@
-//! A stand-in of a client: one request on a new connection, whose answer is read at a limited speed.
+//! A stand-in of a client: one request on a new connection, sent in one or two pieces and read at a limited speed.
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -19,6 +19,8 @@
     /// Time budget in milliseconds.
     pub budget_ms: u64,
     pub body: &'a [u8],
+    /// The pause between the two halves of the head.
+    pub pause: Duration,
     /// The most bytes of the answer's body that are read each second; 0 for no limit.
     pub bytes_per_s: usize,
 }
@@ -124,7 +126,14 @@
         request.body.len()
     );
     let bytes = [head.as_bytes(), request.body].concat();
-    stream.write_all(&bytes)?;
+    if request.pause.is_zero() {
+        stream.write_all(&bytes)?;
+    } else {
+        let (first, second) = bytes.split_at(head.len() / 2);
+        stream.write_all(first)?;
+        thread::sleep(request.pause);
+        stream.write_all(second)?;
+    }
     let Some(answer) = read_head(&mut stream, Vec::new()) else {
         return Err(io::Error::other("the connection ended without an answer"));
     };
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    pub fn take_process(&mut self) -> Option<Child> {
+        self.process.take()
+    }
+
+    pub fn put_process(&mut self, process: Option<Child>) {
+        self.process = process;
+    }
+
     /// Returns how the process ended; `None` while it runs.
     pub fn end(&mut self) -> Option<String> {
         let process = self.process.as_mut()?;
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -101,6 +101,25 @@
         seen
     }
 
+    /// Calls a machine, and records meanwhile when its process ends.
+    fn call_and_watch(&mut self, machine: usize, request: &Request) -> Seen {
+        let record = self.record.clone();
+        let mut process = self.machines[machine].take_process();
+        let seen = thread::scope(|scope| {
+            let call = scope.spawn(|| self.call(machine, request));
+            while !call.is_finished() {
+                if let Some(Ok(Some(end))) = process.as_mut().map(|process| process.try_wait()) {
+                    record.line(&format!("the process of the machine has ended: {end}"));
+                    process = None;
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+            call.join().unwrap_or_default()
+        });
+        self.machines[machine].put_process(process);
+        seen
+    }
+
     /// Returns whether a target began to work on a request.
     fn has_run(&self, attempt: &str) -> bool {
         let runs = |target: &Target| target.runs.lock().unwrap().clone();
@@ -128,6 +147,7 @@
         key: KEY,
         budget_ms: 8_000,
         body: b"",
+        pause: Duration::ZERO,
         bytes_per_s: 0,
     }
 }
@@ -177,6 +197,37 @@
     Ok(late > 0)
 }
 
+/// A machine is stopped while a client sends the head of a request in two pieces.
+fn split_head(record: Record, folder: String) -> Outcome {
+    let zones = ["north-ridge-a", "north-ridge-b"];
+    let plan = Plan { zones: &zones, work: Duration::from_millis(700), body_bytes: 400 };
+    let mut setting = Setting::start(record, folder, &plan)?;
+    setting.warm_up()?;
+    if setting.trouble {
+        setting.record.line("SIGTERM to the first machine");
+        setting.machines[0].signal(SIGTERM);
+    }
+    thread::sleep(Duration::from_millis(2_800));
+    let request = Request {
+        method: "POST",
+        path: "/orders/7",
+        attempt: "order-in-two-pieces",
+        budget_ms: 2_000,
+        body: b"bracket order",
+        pause: Duration::from_millis(300),
+        ..plain_request()
+    };
+    let seen = setting.call_and_watch(0, &request);
+    thread::sleep(Duration::from_millis(1_500));
+    let has_run = setting.has_run(request.attempt);
+    let is_lost = has_run && !seen.is_whole();
+    setting.record.line(&format!("a target began to work on it: {has_run}; the answer is whole: {}", seen.is_whole()));
+    if !has_run && !seen.is_whole() {
+        return Err("the request was not taken".into());
+    }
+    Ok(is_lost)
+}
+
 /// A machine is stopped while a client reads a large answer.
 fn large_answer(record: Record, folder: String) -> Outcome {
     let zones = ["north-ridge-a", "north-ridge-b"];
@@ -195,13 +246,10 @@
         bytes_per_s: 1_150_000,
         ..plain_request()
     };
-    let seen = setting.call(0, &request);
+    let seen = setting.call_and_watch(0, &request);
     let has_run = setting.has_run(request.attempt);
     let is_lost = has_run && !seen.is_whole();
     setting.record.line(&format!("a target began to work on it: {has_run}; the answer is whole: {}", seen.is_whole()));
-    thread::sleep(Duration::from_millis(200));
-    let end = setting.machines[0].end();
-    setting.record.line(&format!("the first machine: {}", end.as_deref().unwrap_or("still runs")));
     if !has_run && !seen.is_whole() {
         return Err("the request was not taken".into());
     }
@@ -258,6 +306,7 @@
     let lines = record.clone();
     let outcome = match case.as_str() {
         "revoke" => revoke(record, folder.clone()),
+        "split-head" => split_head(record, folder.clone()),
         "large-answer" => large_answer(record, folder.clone()),
         "odd-entry" => odd_entry(record, folder.clone()),
         _ => Err(format!("no case {case}").into()),
