--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -197,6 +197,59 @@
     Ok(late > 0)
 }
 
+/// The store tells watches nothing for a second, in which the operator takes a key away; then it is down for 4.5 s.
+fn outage(record: Record, folder: String) -> Outcome {
+    let zones = ["north-ridge-a", "north-ridge-b", "lake-basin-a"];
+    let plan = Plan { zones: &zones, work: Duration::from_millis(50), body_bytes: 400 };
+    let setting = Setting::start(record, folder, &plan)?;
+    setting.warm_up()?;
+    if setting.trouble {
+        setting.record.line("watches hear nothing for 0.9 s");
+        setting.store.begin_compaction();
+        thread::sleep(Duration::from_millis(150));
+    }
+    let withdrawn = configuration(3, 2, &["another-key-of-the-tenant"]);
+    let revision = setting.store.put("config", "main", &withdrawn, "null");
+    let acknowledged = setting.record.now();
+    setting.record.line(&format!("the store acknowledges version 3 without the key, revision {revision}"));
+    let silence = |is_silent: bool| {
+        for door in &setting.doors {
+            door.silent.store(is_silent, std::sync::atomic::Ordering::SeqCst);
+        }
+    };
+    let mut late = 0;
+    thread::scope(|scope| {
+        if setting.trouble {
+            scope.spawn(|| {
+                thread::sleep(Duration::from_millis(750));
+                setting.record.line("the store is down for 4.5 s: silent to all machines");
+                silence(true);
+                thread::sleep(Duration::from_millis(200));
+                setting.store.end_compaction();
+                thread::sleep(Duration::from_millis(4_300));
+                silence(false);
+                setting.record.line("the store is up");
+            });
+        }
+        for number in 0.. {
+            let sent = setting.record.now();
+            if sent > acknowledged + 9.0 {
+                break;
+            }
+            let attempt = format!("with-key-{number}");
+            setting.call(number % zones.len(), &Request { attempt: &attempt, ..plain_request() });
+            if sent > acknowledged + 5.0 && setting.has_run(&attempt) {
+                let after = sent - acknowledged;
+                setting.record.line(&format!("{attempt} was sent {after:.3} s after the acknowledgement and ran"));
+                late += 1;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    setting.record.line(&format!("{late} requests with the withdrawn key were sent later than 5 s and ran"));
+    Ok(late > 0)
+}
+
 /// A machine is stopped while a client sends the head of a request in two pieces.
 fn split_head(record: Record, folder: String) -> Outcome {
     let zones = ["north-ridge-a", "north-ridge-b"];
@@ -306,6 +359,7 @@
     let lines = record.clone();
     let outcome = match case.as_str() {
         "revoke" => revoke(record, folder.clone()),
+        "outage" => outage(record, folder.clone()),
         "split-head" => split_head(record, folder.clone()),
         "large-answer" => large_answer(record, folder.clone()),
         "odd-entry" => odd_entry(record, folder.clone()),
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -27,11 +27,15 @@
     objects: BTreeMap<(String, String), Object>,
     /// Revision, kind, name, the object, and whether it was removed.
     history: Vec<(u64, String, String, Object, bool)>,
+    /// Changes up to this revision are no longer in the history.
+    compacted: u64,
 }
 
 #[derive(Clone, Default)]
 pub struct Store {
     shared: Arc<(Mutex<Content>, Condvar)>,
+    /// Whether watches hear nothing of changes, before the history is dropped.
+    is_deaf: Arc<AtomicBool>,
 }
 
 /// The way of one machine to the store.
@@ -91,6 +95,21 @@
         content.revision
     }
 
+    /// Lets watches hear nothing of changes from now on.
+    pub fn begin_compaction(&self) {
+        self.is_deaf.store(true, Ordering::SeqCst);
+    }
+
+    /// Drops the history and cuts the watches that wait.
+    pub fn end_compaction(&self) {
+        let (content, changed) = &*self.shared;
+        let mut content = content.lock().unwrap();
+        content.history.clear();
+        content.compacted = content.revision;
+        self.is_deaf.store(false, Ordering::SeqCst);
+        changed.notify_all();
+    }
+
     /// Opens the way of a machine to the store.
     pub fn open(&self) -> std::io::Result<Door> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -155,7 +174,7 @@
                 Some(since) => {
                     let wait = parameter("wait_ms").and_then(|text| text.parse().ok());
                     let wait = Duration::from_millis(wait.unwrap_or(0).min(30_000));
-                    ("200 OK", self.watch(&kind, since, wait, silent))
+                    self.watch(&kind, since, wait, silent)
                 }
                 None => ("200 OK", self.list(&kind, &parameter("after").unwrap_or_default())),
             },
@@ -232,15 +251,25 @@
         )
     }
 
-    fn watch(&self, kind: &str, since: u64, wait: Duration, silent: &AtomicBool) -> String {
+    fn watch(
+        &self,
+        kind: &str,
+        since: u64,
+        wait: Duration,
+        silent: &AtomicBool,
+    ) -> (&'static str, String) {
         let until = Instant::now() + wait;
         let (content, changed) = &*self.shared;
         let mut content = content.lock().unwrap();
         loop {
+            if since < content.compacted {
+                return ("410 Gone", "{}".to_string());
+            }
+            let is_deaf = self.is_deaf.load(Ordering::SeqCst);
             let events: Vec<String> = content
                 .history
                 .iter()
-                .filter(|(revision, of, ..)| *revision > since && of == kind)
+                .filter(|(revision, of, ..)| !is_deaf && *revision > since && of == kind)
                 .map(|(_, _, name, object, is_removed)| {
                     format!("{{\"removed\":{is_removed},\"object\":{}}}", encode(name, object))
                 })
@@ -248,8 +277,9 @@
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || silent.load(Ordering::SeqCst) {
                 let events = events.join(",");
-                let revision = content.revision;
-                return format!("{{\"events\":[{events}],\"store_revision\":{revision}}}");
+                let revision = if is_deaf { since } else { content.revision };
+                let answer = format!("{{\"events\":[{events}],\"store_revision\":{revision}}}");
+                return ("200 OK", answer);
             }
             let pause = left.min(Duration::from_millis(100));
             content = changed.wait_timeout(content, pause).unwrap().0;
