--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -1,7 +1,7 @@
 //! Runs one case of the review: starts the project's program and the stand-ins, writes the record, and exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case could not run.
 //!
-//! harness CASE RECORD FOLDER; with TROUBLE=0 in the environment, without the disruption.
+//! harness CASE RECORD FOLDER TROUBLE: TROUBLE is 1, or 0 for the same without the disruption.
 
 mod client;
 mod fleet;
@@ -45,7 +45,7 @@
 impl Setting {
     /// Starts the store, three targets and a machine in each of the zones.
     fn start(record: Record, folder: String, plan: &Plan) -> Result<Self, Box<dyn std::error::Error>> {
-        let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+        let trouble = std::env::args().nth(4).as_deref() != Some("0");
         record.line(if trouble { "with the disruption" } else { "without the disruption" });
         let store = Store::default();
         store.put("config", "main", &configuration(2, 1, &[KEY]), "null");
@@ -345,8 +345,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record, folder] = &arguments[..] else {
-        eprintln!("harness CASE RECORD FOLDER");
+    let [_, case, record, folder, _trouble] = &arguments[..] else {
+        eprintln!("harness CASE RECORD FOLDER TROUBLE");
         return ExitCode::from(2);
     };
     let record = match Record::create(record) {
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# run-case.sh CASE FOLDER: runs a case of the harness, with the record in FOLDER/record.txt.
+# run-case.sh CASE FOLDER TROUBLE: runs a case of the harness, with the record in FOLDER/record.txt. TROUBLE is 1, or 0 for
+# the same without the disruption.
 set -uo pipefail
 folder=$(cd "$2" && pwd)
 cd "$(dirname "$0")/.."
@@ -18,7 +19,7 @@
   rm -rf "$temporary"
 }
 trap clean_up EXIT
-timeout --kill-after=5 110 target/review/harness "$1" "$folder/record.txt" "$temporary"
+timeout --kill-after=5 110 target/review/harness "$1" "$folder/record.txt" "$temporary" "$3"
 result=$?
 if [ "$result" -gt 1 ]; then
   tail -n 5 "$temporary"/*.log 2>/dev/null
