entry, transport: a planned stop waits for heads that are still arriving

Cause: shut_down waited until no request was in flight and then at most 200 ms for the connections. A request counts as in flight from its complete head on, so a head that was partly received when the listener closed was not waited for, yet was admitted when it was complete.

Change: the shutdown waits for the connections until the end of the grace period, and the listener ends a connection only between requests. Related paths: kept connections with a partly received head, connections in the accept queue, requests in the queue of a pool.

--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -69,8 +69,6 @@
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// The smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
-/// The pause between two checks of the requests in progress during shutdown.
-const IN_FLIGHT_POLL_PERIOD: Duration = Duration::from_millis(20);
 
 /// Why the process could not be started.
 #[derive(Debug, Error)]
@@ -247,15 +245,13 @@
     let deadline = Instant::now() + grace.saturating_sub(SHUTDOWN_MARGIN);
     tokio::time::sleep(STOP_ACCEPTING_AFTER.min(grace / 2)).await;
     stop.stop();
-    while shared.in_flight.load(Ordering::Acquire) > 0 && Instant::now() < deadline {
-        tokio::time::sleep(IN_FLIGHT_POLL_PERIOD).await;
-    }
-    // Complete answers may still be in the send buffers of their connections.
-    let flush_deadline = deadline.min(Instant::now() + Duration::from_millis(200));
-    if tokio::time::timeout_at(flush_deadline, stop.finished())
-        .await
-        .is_err()
-    {
-        log::warn!("process: Connections are still open at the end of the grace period.");
+    // A connection stays open while a part of a request is received, a request is running or its answer is not written.
+    let is_finished = tokio::time::timeout_at(deadline, stop.finished()).await;
+    if is_finished.is_err() {
+        log::warn!(
+            connections = stop.open_connections(),
+            requests = shared.in_flight.load(Ordering::Acquire);
+            "process: Connections are still open at the end of the grace period."
+        );
     }
 }
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -56,6 +56,8 @@
             if !wait_in_queue(request_queue, position, self.instant_of(until)).await {
                 break reserve_slot(&self.context, &self.tried);
             }
+            // The signal to stop may have come during the wait. Another instance can take the request.
+            self.check_grace_left()?;
             if let Some(reservation) = reserve_slot(&self.context, &self.tried) {
                 break Some(reservation);
             }
--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -1,16 +1,24 @@
-//! Requests that arrive late in the grace period of a planned stop.
+//! Requests that arrive late in the grace period of a planned stop, and exchanges that are in progress during it.
 
 #[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
 
 use std::time::Duration;
 
-use coltsfootkeel_standins::{SHOP_KEY, UpstreamFault, shop_config, shop_request};
+use coltsfootkeel_standins::{
+    PipelinedConnection, SHOP_KEY, UpstreamFault, encode_request, shop_config, shop_request,
+};
 use http::Method;
 use nix::sys::signal::Signal;
 use platform_fleet::{FleetSetup, PlatformFleet};
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
+
+/// Time after the stop signal at which the listener is closed: half of the grace period.
+const LISTENER_CLOSED_AFTER: Duration = Duration::from_secs(3);
+/// Time after the close of the listener within which a process without work ends. It may wait for callers to close their
+/// connections for a second.
+const ENDED_WITHIN: Duration = Duration::from_millis(1_500);
 
 struct LateCase {
     name: &'static str,
@@ -64,3 +72,99 @@
         assert!(fleet.runs().is_empty(), "{}", case.name);
     }
 }
+
+struct HeadCase {
+    name: &'static str,
+    /// Whether the connection has carried an exchange before the stop signal.
+    is_kept: bool,
+    /// When the first part of the head is sent, after the stop signal.
+    first_after: Duration,
+    /// When the rest is sent, after the first part.
+    rest_after: Duration,
+}
+
+/// Guards against orders that run and get no answer, because their head is complete only after the listener has closed and
+/// the process ends as if nothing were in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_whose_head_arrives_around_the_close_of_the_listener_are_answered() {
+    let cases = [
+        HeadCase {
+            name: "head-before-close",
+            is_kept: false,
+            first_after: Duration::from_millis(2_800),
+            rest_after: Duration::from_millis(300),
+        },
+        HeadCase {
+            name: "head-long-before-close",
+            is_kept: false,
+            first_after: Duration::from_millis(1_500),
+            rest_after: Duration::from_millis(1_800),
+        },
+        HeadCase {
+            name: "head-on-kept-connection",
+            is_kept: true,
+            first_after: Duration::from_millis(2_800),
+            rest_after: Duration::from_millis(400),
+        },
+    ];
+    let runs = cases.map(|case| tokio::spawn(send_order_in_two_parts(case)));
+    for run in runs {
+        run.await.unwrap();
+    }
+}
+
+async fn send_order_in_two_parts(case: HeadCase) {
+    let fleet = PlatformFleet::start(FleetSetup {
+        name: case.name,
+        work: Duration::from_millis(250),
+        ..FleetSetup::default()
+    })
+    .await;
+    let address = fleet.instances[0].options.addresses.entry;
+    let mut connection = PipelinedConnection::open(address).await.unwrap();
+    if case.is_kept {
+        let page = shop_request(Method::GET, "/previews/1", "page", SHOP_KEY);
+        connection.send(&encode_request(&page)).await.unwrap();
+        connection.read_answer().await.unwrap().unwrap();
+    }
+    fleet.signal(0, Signal::SIGTERM);
+    sleep(case.first_after).await;
+    if !case.is_kept {
+        connection = PipelinedConnection::open(address).await.unwrap();
+    }
+    let order = shop_request(Method::POST, "/orders/1", "order", SHOP_KEY).body("two towels");
+    let order = encode_request(&order);
+    let (first, rest) = order.split_at(order.len() / 2);
+    connection.send(first).await.unwrap();
+    sleep(case.rest_after).await;
+    connection.send(rest).await.unwrap();
+    let answer = connection.read_answer().await;
+    let answer = answer.unwrap_or_else(|error| panic!("{}: {error}", case.name));
+    let answer = answer.unwrap_or_else(|| panic!("{}: closed without an answer", case.name));
+    assert_eq!(answer.status, 200, "{}", case.name);
+}
+
+/// Guards against a stop that lasts for the whole grace period although nothing is in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_do_not_delay_the_end() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "stop-idle",
+        ..FleetSetup::default()
+    })
+    .await;
+    let address = fleet.instances[0].options.addresses.entry;
+    let unused = PipelinedConnection::open(address).await.unwrap();
+    let mut kept = PipelinedConnection::open(address).await.unwrap();
+    let order = shop_request(Method::POST, "/orders/1", "order", SHOP_KEY).body("two towels");
+    kept.send(&encode_request(&order)).await.unwrap();
+    kept.read_answer().await.unwrap().unwrap();
+    fleet.signal(0, Signal::SIGTERM);
+    sleep(LISTENER_CLOSED_AFTER).await;
+    let ended = timeout(ENDED_WITHIN, async {
+        while !fleet.instances[0].has_ended().unwrap() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(ended.await.is_ok(), "the process still runs");
+    drop((unused, kept));
+}
--- a/crates/transport/src/http_listener.rs
+++ b/crates/transport/src/http_listener.rs
@@ -23,7 +23,9 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
-use crate::caller_connection::{ConnectionEnd, close_connection, drive_connection};
+use crate::caller_connection::{
+    ConnectionEnd, close_connection, drive_connection, wait_between_requests,
+};
 use crate::shared_stream::SharedStream;
 
 /// Delay after a failed accept, so that running out of file descriptors does not keep a core busy.
@@ -48,12 +50,18 @@
 }
 
 impl ListenerStop {
-    /// Stops accepting connections and closes idle ones. Running requests finish.
+    /// Stops accepting connections and closes idle ones. Requests finish that are running or partly received.
     pub fn stop(&self) {
         self.token.cancel();
         self.connections.close();
     }
 
+    /// Returns the number of open connections.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Waits until every connection is closed. Call [`stop`](Self::stop) first.
     pub async fn finished(&self) {
         self.connections.wait().await;
@@ -103,8 +111,10 @@
     let permits = Arc::new(Semaphore::new(limits().max_connections));
     loop {
         let accepted = tokio::select! {
-            () = stop.token.cancelled() => return,
+            // Connections that are established when the listener stops are still accepted.
+            biased;
             accepted = accept(&listener, &permits) => accepted,
+            () = stop.token.cancelled() => return,
         };
         let accepted = match accepted {
             Ok(accepted) => accepted,
@@ -156,18 +166,20 @@
     token: CancellationToken,
 ) {
     let stream = SharedStream::new(stream);
+    let service = ConnectionService {
+        service,
+        peer,
+        stream: stream.clone(),
+    };
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(
-            TokioIo::new(stream.clone()),
-            ConnectionService { service, peer },
-        );
+        .serve_connection(TokioIo::new(stream.clone()), service);
     let mut connection = Box::pin(connection);
     let end = tokio::select! {
         end = drive_connection(connection.as_mut(), &stream) => end,
-        () = token.cancelled() => {
+        () = wait_until_stoppable(&token, &stream) => {
             connection.as_mut().graceful_shutdown();
             drive_connection(connection.as_mut(), &stream).await
         }
@@ -186,9 +198,16 @@
     close_connection(stream).await;
 }
 
+/// Waits until the listener stops and the connection has no partly received request.
+async fn wait_until_stoppable(token: &CancellationToken, stream: &SharedStream) {
+    token.cancelled().await;
+    wait_between_requests(stream).await;
+}
+
 struct ConnectionService<S> {
     service: Arc<S>,
     peer: SocketAddr,
+    stream: SharedStream,
 }
 
 impl<S: HttpService> hyper::service::Service<hyper::Request<Incoming>> for ConnectionService<S> {
@@ -199,6 +218,13 @@
     fn call(&self, request: hyper::Request<Incoming>) -> Self::Future {
         let service = Arc::clone(&self.service);
         let peer = self.peer;
-        Box::pin(async move { Ok(service.call(peer, request.map(Body::from_incoming)).await) })
+        let stream = self.stream.clone();
+        stream.end_head();
+        Box::pin(async move {
+            let response = service.call(peer, request.map(Body::from_incoming)).await;
+            // The body of the request was received after its head.
+            stream.end_head();
+            Ok(response)
+        })
     }
 }
--- a/crates/transport/src/shared_stream.rs
+++ b/crates/transport/src/shared_stream.rs
@@ -12,29 +12,52 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A stream and whether its reader waits for bytes. Clones share both.
+/// A stream and the state of its input. Clones share both.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedStream {
     stream: Arc<TcpStream>,
-    is_awaiting_bytes: Arc<AtomicBool>,
+    input: Arc<InputState>,
+}
+
+/// What the reader of a stream has received.
+#[derive(Debug, Default)]
+struct InputState {
+    is_awaiting_bytes: AtomicBool,
+    has_received: AtomicBool,
+    is_within_head: AtomicBool,
 }
 
 impl SharedStream {
     pub(crate) fn new(stream: TcpStream) -> Self {
         Self {
             stream: Arc::new(stream),
-            is_awaiting_bytes: Arc::default(),
+            input: Arc::default(),
         }
     }
 
     /// Forgets that the reader waits for bytes, before it is polled again.
     pub(crate) fn clear_awaiting_bytes(&self) {
-        self.is_awaiting_bytes.store(false, Ordering::Relaxed);
+        self.input.is_awaiting_bytes.store(false, Ordering::Relaxed);
     }
 
     /// Returns whether the reader waits for bytes, so that it is also told of the end of the connection.
     pub(crate) fn is_awaiting_bytes(&self) -> bool {
-        self.is_awaiting_bytes.load(Ordering::Relaxed)
+        self.input.is_awaiting_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Records that the bytes received so far belong to requests whose heads are complete.
+    pub(crate) fn end_head(&self) {
+        self.input.is_within_head.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns whether a part of the next request was received, and its head is not complete.
+    pub(crate) fn is_within_head(&self) -> bool {
+        self.input.is_within_head.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether any byte was received.
+    pub(crate) fn has_received(&self) -> bool {
+        self.input.has_received.load(Ordering::Relaxed)
     }
 
     /// Returns whether the peer has closed or reset the connection, also if bytes from before are still unread.
@@ -61,12 +84,18 @@
     ) -> Poll<io::Result<()>> {
         loop {
             let Poll::Ready(readable) = self.stream.poll_read_ready(context) else {
-                self.is_awaiting_bytes.store(true, Ordering::Relaxed);
+                self.input.is_awaiting_bytes.store(true, Ordering::Relaxed);
                 return Poll::Pending;
             };
             readable?;
             match self.stream.try_read_buf(buffer) {
-                Ok(_) => return Poll::Ready(Ok(())),
+                Ok(count) => {
+                    if count > 0 {
+                        self.input.has_received.store(true, Ordering::Relaxed);
+                        self.input.is_within_head.store(true, Ordering::Relaxed);
+                    }
+                    return Poll::Ready(Ok(()));
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
