entry: test of a large answer that its caller reads during a planned stop

Cause: a buffered answer no longer counted as in flight when it was handed to the HTTP library, and the shutdown waited for at most 200 ms after that.

--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -3,6 +3,7 @@
 #[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use coltsfootkeel_standins::{
@@ -10,8 +11,12 @@
 };
 use http::Method;
 use nix::sys::signal::Signal;
+use nix::sys::socket::setsockopt;
+use nix::sys::socket::sockopt::TcpMaxSeg;
 use platform_fleet::{FleetSetup, PlatformFleet};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout};
 
 /// Time after the stop signal at which the listener is closed: half of the grace period.
@@ -19,6 +24,11 @@
 /// Time after the close of the listener within which a process without work ends. It may wait for callers to close their
 /// connections for a second.
 const ENDED_WITHIN: Duration = Duration::from_millis(1_500);
+/// Length of an answer that is buffered whole before it is written.
+const LARGE_ANSWER_BYTES: usize = 4_000_000;
+/// A caller that reads this much in each period takes 3.5 s for the large answer.
+const READ_BYTES: usize = 23_000;
+const READ_PERIOD: Duration = Duration::from_millis(20);
 
 struct LateCase {
     name: &'static str,
@@ -168,3 +178,40 @@
     assert!(ended.await.is_ok(), "the process still runs");
     drop((unused, kept));
 }
+
+/// Guards against an answer that is cut although its caller reads on, because the process ends when the answer is handed to
+/// the HTTP library and not when it is written.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_callers_read_slowly_are_written_to_their_end() {
+    let fleet = PlatformFleet::start(FleetSetup {
+        name: "stop-large-answer",
+        ..FleetSetup::default()
+    })
+    .await;
+    fleet.upstreams[0].set_answer_bytes(LARGE_ANSWER_BYTES);
+    let address = fleet.instances[0].options.addresses.entry;
+    fleet.signal(0, Signal::SIGTERM);
+    sleep(Duration::from_millis(1_700)).await;
+    let mut stream = connect_with_small_buffers(address).await;
+    let page = shop_request(Method::GET, "/previews/1", "page", SHOP_KEY);
+    stream.write_all(&encode_request(&page)).await.unwrap();
+    let mut answer = Vec::new();
+    let mut bytes = vec![0; READ_BYTES];
+    loop {
+        let count = stream.read(&mut bytes).await.unwrap();
+        if count == 0 {
+            break;
+        }
+        answer.extend_from_slice(&bytes[..count]);
+        sleep(READ_PERIOD).await;
+    }
+    assert!(answer.len() > LARGE_ANSWER_BYTES, "{} bytes", answer.len());
+}
+
+/// Connects with buffers that are small enough for a slow reader to hold up the writer.
+async fn connect_with_small_buffers(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(64 * 1024).unwrap();
+    setsockopt(&socket, TcpMaxSeg, &1_460).unwrap();
+    socket.connect(address).await.unwrap()
+}
--- a/crates/standins/src/signed_upstream.rs
+++ b/crates/standins/src/signed_upstream.rs
@@ -75,6 +75,8 @@
     runs: Vec<UpstreamRun>,
     fault: UpstreamFault,
     rate_limit: Option<f64>,
+    /// The length to which the bodies of signed answers are padded.
+    answer_bytes: usize,
     cached_objects: HashSet<String>,
 }
 
@@ -139,6 +141,11 @@
         self.lock().rate_limit = per_s;
     }
 
+    /// Pads the bodies of signed answers to this length from now on.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        self.lock().answer_bytes = bytes;
+    }
+
     /// Returns the requests that ran so far.
     #[must_use]
     pub fn runs(&self) -> Vec<UpstreamRun> {
@@ -217,7 +224,12 @@
     }
 
     fn reply(&self, status: StatusCode, attempt_id: &str, is_signed: bool) -> Response {
-        let mut response = Response::new(Body::from(format!("by {} for {attempt_id}", self.id)));
+        let mut text = format!("by {} for {attempt_id}", self.id);
+        if is_signed {
+            let padding = self.lock().answer_bytes.saturating_sub(text.len());
+            text.push_str(&" ".repeat(padding));
+        }
+        let mut response = Response::new(Body::from(text));
         *response.status_mut() = status;
         let running = SLOTS - self.slots.available_permits();
         let mut values = HashMap::from([
