platform, transport: the slots of an entry do not size an allocation

Callers saw: no instance answers.

Cause: UpstreamClient::new allocates 16 bytes a slot for idle connections, and the registry creates a client for each entry, also of pools that no route uses. Ruled out: the decoder; numbers of another type were already skipped.

--- a/crates/entry/tests/endless_answers.rs
+++ b/crates/entry/tests/endless_answers.rs
@@ -324,10 +324,6 @@
             assert!(caller.await.unwrap().is_ok(), "{}", case.name);
         }
     }
-    let status = format!("/proc/{}/status", fleet.instances[0].process_id());
-    let status = std::fs::read_to_string(status).unwrap();
-    let mut lines = status.lines();
-    let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    let peak_kb: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    let peak_kb = fleet.peak_memory_kb(0);
     assert!(peak_kb < MAX_MEMORY_KB, "{peak_kb} kB");
 }
--- a/crates/entry/tests/pipelined_requests.rs
+++ b/crates/entry/tests/pipelined_requests.rs
@@ -302,13 +302,7 @@
     }
     let (sent, _writer) = sending.await.unwrap();
     sent.unwrap();
-    let status = format!("/proc/{}/status", fleet.instances[0].process_id());
-    let status = std::fs::read_to_string(status).unwrap();
-    let peak = status
-        .lines()
-        .find(|line| line.starts_with("VmHWM:"))
-        .unwrap();
-    let peak_kb: u64 = peak.split_whitespace().nth(1).unwrap().parse().unwrap();
+    let peak_kb = fleet.peak_memory_kb(0);
     assert!(peak_kb < MAX_MEMORY_KB, "{peak_kb} kB");
 }
 
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -141,6 +141,15 @@
         String::from_utf8(answer.body.to_vec()).unwrap()
     }
 
+    /// Returns the largest resident memory that the process of an instance has had, in kB.
+    pub fn peak_memory_kb(&self, instance: usize) -> u64 {
+        let status = format!("/proc/{}/status", self.instances[instance].process_id());
+        let status = std::fs::read_to_string(status).unwrap();
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Returns the requests that all upstreams have run.
     pub fn runs(&self) -> Vec<UpstreamRun> {
         let upstreams = self.upstreams.iter();
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -28,6 +28,9 @@
 /// The longest idle time of a connection that is still reused. The upstream may be about to close one that has been idle
 /// for longer.
 const MAX_IDLE: Duration = Duration::from_secs(8);
+/// The most idle connections that are kept for one upstream. Room for them is allocated when the upstream is listed, and its
+/// entry may state any number of slots.
+const MAX_IDLE_CONNECTIONS: usize = 256;
 
 /// Which connections a request may use, by the time for which they have been idle.
 #[derive(Debug, Clone, Copy)]
@@ -170,12 +173,13 @@
 }
 
 impl UpstreamClient {
-    /// Creates a client that keeps at most `max_idle` idle connections, but at least one.
+    /// Creates a client that keeps at most `max_idle` idle connections, but at least one and no more than
+    /// [`MAX_IDLE_CONNECTIONS`].
     #[must_use]
     pub fn new(address: SocketAddr, max_idle: usize) -> Self {
         Self {
             address,
-            idle: ArrayQueue::new(max_idle.max(1)),
+            idle: ArrayQueue::new(max_idle.clamp(1, MAX_IDLE_CONNECTIONS)),
         }
     }
 
