entry, steering: under a strict bound, an outage of the store confirms no plan

Cause: while no instance reached the store, each tick confirmed the plan as of that time. A withdrawal between the last confirmation and the begin of the outage was bridged over, for as long as the outage lasted. Ruled out: the age of confirmations by watches and by other instances, which counts from answers of the store; and a shorter gap before the outage, which leaves a window.

Change: with strict_revoke, which the adapter now reads, an outage is only recorded. Without a strict bound the behaviour is as before.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -260,7 +260,7 @@
             members.contains_hash(hash)
         });
         self.shared.quota_refilled.notify_waiters();
-        self.confirm_in_store_outage();
+        self.observe_store_outage();
         self.observe_plan_lag(now);
         self.publish_fleet(now);
         self.send_heartbeats();
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -222,14 +222,17 @@
     }
 
     /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan and is not
-    /// stopping.
+    /// stopping. While the store is down for all, no other instance has a more recent plan, and routes without keys are
+    /// served.
     #[must_use]
     pub fn is_accepting(&self) -> bool {
         let snapshot = self.snapshot.load();
         let has_upstreams = snapshot
             .as_ref()
             .is_some_and(|snapshot| !snapshot.upstreams.is_empty());
-        has_upstreams && !self.is_stopping() && self.allows_keys()
+        let now = self.clock.now_with_suspension();
+        let is_best_plan = self.allows_keys() || self.freshness.is_outage(now);
+        has_upstreams && !self.is_stopping() && is_best_plan
     }
 
     /// Returns the retry limit of all instances together.
--- a/crates/entry/src/store_outage.rs
+++ b/crates/entry/src/store_outage.rs
@@ -77,9 +77,10 @@
         self.outages.recent(now).map(encode).collect()
     }
 
-    /// Confirms the plan while no registered instance reaches the store: in such an outage no key can be withdrawn. A plan
-    /// that was older than that of another instance before stays so.
-    pub(crate) fn confirm_in_store_outage(&mut self) {
+    /// Records an outage in which no registered instance reaches the store. No key can be withdrawn in it, so it confirms the
+    /// plan, unless the bound on withdrawals is strict: a key may have been withdrawn between the last confirmation and the
+    /// outage. A plan that was older than that of another instance before stays so.
+    pub(crate) fn observe_store_outage(&mut self) {
         let now = self.shared.clock.now_with_suspension();
         self.update_outages(now);
         let is_initialized = self.plan.is_some() && self.members.iter().next().is_some();
@@ -93,10 +94,14 @@
         let domains = members.filter_map(|(_, member)| topology.domain(&member.record.domain));
         let outage_time = self.outages.outage_time(domains, now);
         if let Some(time) = outage_time {
-            self.shared.freshness.confirm_in_outage(time);
+            self.shared.freshness.record_outage(time);
+            if !self.shared.bounds.load().is_revocation_strict {
+                self.shared.freshness.confirm(time);
+            }
         }
         self.log_outage(outage_time.is_some());
     }
+
     /// Logs the begin and the end of an outage for all instances.
     fn log_outage(&mut self, is_outage: bool) {
         if self.is_outage_logged == is_outage {
@@ -104,8 +109,13 @@
         }
         self.is_outage_logged = is_outage;
         if is_outage {
+            let now = self.shared.clock.now_with_suspension();
+            let keys_stay_accepted = !self.shared.bounds.load().is_revocation_strict;
             log::warn!(
-                "store: No instance reaches it; access keys of the active plan stay accepted."
+                keys_stay_accepted,
+                plan_version = self.plan_version(),
+                plan_age_ms:% = self.shared.freshness.age(now).as_millis();
+                "store: No instance reaches it."
             );
         } else {
             log::info!("store: The outage for all instances is over, or no longer proven.");
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -87,7 +87,10 @@
         }
         for index in 0..instances {
             let store_relay = FaultRelay::start(fleet.store.address()).await?;
-            let options = EntryOptions::on_loopback(index, store_relay.address());
+            let options = EntryOptions {
+                is_revocation_strict: true,
+                ..EntryOptions::on_loopback(index, store_relay.address())
+            };
             fleet.instances.push(RelayedInstance {
                 process: None,
                 options,
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -38,6 +38,20 @@
             seconds: 20,
             instances: 3,
         },
+        // All connections to the store were silent when a key was withdrawn, and the store went away.
+        SoakCase {
+            name: "a withdrawal that nobody heard of before an outage",
+            seed: 9107,
+            seconds: 20,
+            instances: 3,
+        },
+        // The store turned all instances away one by one and accepted a withdrawal.
+        SoakCase {
+            name: "a withdrawal while all instances are cut off",
+            seed: 7040,
+            seconds: 20,
+            instances: 3,
+        },
         SoakCase {
             name: "a fleet in which heartbeats are passed on",
             seed: 11000,
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -48,6 +48,8 @@
     pub addresses: EntryAddresses,
     /// Address of the store, or of a relay in front of it.
     pub store: SocketAddr,
+    /// Whether withdrawn keys must stop working in time also while the store is down for all.
+    pub is_revocation_strict: bool,
 }
 
 impl EntryOptions {
@@ -65,6 +67,7 @@
                 metrics: free_port(),
             },
             store,
+            is_revocation_strict: false,
         }
     }
 }
@@ -135,7 +138,9 @@
 fn settings(options: &EntryOptions) -> Value {
     let addresses = options.addresses;
     let host = |address: SocketAddr| -> IpAddr { address.ip() };
+    let strict_revoke = format!("strict_revoke={}", options.is_revocation_strict);
     let bounds = [
+        &strict_revoke,
         "grace=6s",
         "revoke=5s",
         "retry_budget_ratio=0.2",
--- a/crates/steering/src/plan_freshness.rs
+++ b/crates/steering/src/plan_freshness.rs
@@ -2,8 +2,9 @@
 //! must refuse them.
 //!
 //! A confirmation is a time at which the active plan was the latest one in the store. It comes from this instance's own
-//! watch or from another instance with the same plan. If heartbeats of all members arrive and none of them reaches the
-//! store, the store cannot accept a withdrawal either, which also counts as a confirmation.
+//! watch or from another instance with the same plan. While no member reaches the store, it accepts no withdrawal either, but
+//! one that it accepted just before may be known to nobody. The settings decide whether such an outage also counts as a
+//! confirmation.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -38,11 +39,16 @@
         self.confirmed_at.advance(time);
     }
 
-    /// Confirms the plan because no instance reached the store at `time`, so that no key can have been withdrawn since the
-    /// outage began. What was added just before may be unknown to all instances.
-    pub fn confirm_in_outage(&self, time: MonotonicTime) {
+    /// Records that no instance reached the store at `time`. What it accepted just before may be unknown to all instances.
+    pub fn record_outage(&self, time: MonotonicTime) {
         self.outage_at.advance(time);
-        self.confirm(time);
+    }
+
+    /// Returns whether the store is down for all instances.
+    #[must_use]
+    pub fn is_outage(&self, now: MonotonicTime) -> bool {
+        let outage_at = self.outage_at.get();
+        outage_at != MonotonicTime::default() && now.since(outage_at) < OUTAGE_END_DELAY
     }
 
     /// Records that a plan of this version is in force here or at another instance.
@@ -79,11 +85,8 @@
         now: MonotonicTime,
         change_bound: Duration,
     ) -> bool {
-        let outage_at = self.outage_at.get();
-        let is_outage =
-            outage_at != MonotonicTime::default() && now.since(outage_at) < OUTAGE_END_DELAY;
         self.newest_version() > active_version
-            || is_outage
+            || self.is_outage(now)
             || self.age(now) > change_bound.max(CONFIRMATION_PERIOD)
     }
 }
