steering, entry: an outage of the store needs the evidence of two instances

Cause: the evidence of an outage for all covers the registered instances. A stopping instance removes its registration, so the last one was the only witness, and its own failed calls proved an outage.

Change: an outage needs two witnesses. Other conclusions about all instances were read through; they rest on an instance that reaches the store.

--- a/crates/entry/src/store_outage.rs
+++ b/crates/entry/src/store_outage.rs
@@ -83,9 +83,8 @@
     pub(crate) fn observe_store_outage(&mut self) {
         let now = self.shared.clock.now_with_suspension();
         self.update_outages(now);
-        let is_initialized = self.plan.is_some() && self.members.iter().next().is_some();
         let is_outdated = self.plan_version() < self.shared.freshness.newest_version();
-        if !is_initialized || is_outdated || self.may_reach_store() {
+        if self.plan.is_none() || is_outdated || self.may_reach_store() {
             self.log_outage(false);
             return;
         }
--- a/crates/entry/tests/key_withdrawal.rs
+++ b/crates/entry/tests/key_withdrawal.rs
@@ -1,4 +1,4 @@
-//! Keys that are withdrawn when instances cannot learn of it, under a strict bound on withdrawals.
+//! Keys that are withdrawn when instances cannot learn of it.
 
 #[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
@@ -9,6 +9,7 @@
     EntryOptions, FaultRelay, RelayMode, SHOP_KEY, StoreMode, shop_request,
 };
 use http::Method;
+use nix::sys::signal::Signal;
 use platform_fleet::{FleetSetup, PlatformFleet};
 use tokio::time::sleep;
 
@@ -120,3 +121,33 @@
         assert!(!fleet.look_up(0).await.is_empty(), "{}", case.name);
     }
 }
+
+/// Guards against the only registered instance that takes its own loss of the store for an outage for all, also where the
+/// bound on withdrawals is not strict: its own failed calls are no evidence of what others reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_others_does_not_take_its_cut_for_an_outage() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "cut-of-the-last",
+        instances: 1,
+        ..FleetSetup::default()
+    })
+    .await;
+    let mut relay = FaultRelay::start(fleet.store.address()).await.unwrap();
+    fleet.start_instance(EntryOptions::on_loopback(1, relay.address()));
+    fleet.instances[1].wait_until_ready().await.unwrap();
+    sleep(SETTLING_TIME).await;
+    fleet.signal(0, Signal::SIGTERM);
+    while !fleet.instances[0].has_ended().unwrap() {
+        sleep(Duration::from_millis(20)).await;
+    }
+    // The other instance learns from the store that it is the only one that is left.
+    sleep(SETTLING_TIME).await;
+    relay.set(RelayMode::BLACKHOLE).await;
+    relay.silence_connections();
+    fleet.write_plan(2, &["another-key"]);
+    sleep(WITHDRAWAL_BOUND).await;
+    let order = shop_request(Method::POST, "/orders/1", "withdrawn", SHOP_KEY);
+    let answer = fleet.call(1, &order).await.unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(fleet.runs().is_empty());
+}
--- a/crates/steering/src/outage_evidence.rs
+++ b/crates/steering/src/outage_evidence.rs
@@ -15,6 +15,10 @@
 /// evidence on.
 const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(2);
 
+/// The fewest instances whose failed calls show an outage. The calls of one instance also fail if only its own way to the store
+/// is lost.
+const MIN_WITNESSES: usize = 2;
+
 /// For each failure domain, the latest time at which none of its instances had reached the store for a while.
 #[derive(Debug, Default)]
 pub struct OutageEvidence {
@@ -39,7 +43,8 @@
             .filter(move |(_, time)| now.since(*time) < MAX_EVIDENCE_AGE)
     }
 
-    /// Returns a time at which no instance of any of the `domains` reached the store, or `None` if that is not known.
+    /// Returns a time at which none of the registered instances reached the store, or `None` if that is not known. `domains`
+    /// holds the failure domain of each of them.
     #[must_use]
     pub fn outage_time(
         &self,
@@ -47,9 +52,12 @@
         now: MonotonicTime,
     ) -> Option<MonotonicTime> {
         let mut earliest = now;
+        let mut witnesses = 0;
         for domain in domains {
             earliest = earliest.min(*self.disconnected_at.get(&domain)?);
+            witnesses += 1;
         }
-        (now.since(earliest) < MAX_EVIDENCE_AGE).then_some(earliest)
+        let is_proven = witnesses >= MIN_WITNESSES && now.since(earliest) < MAX_EVIDENCE_AGE;
+        is_proven.then_some(earliest)
     }
 }
--- a/crates/steering/tests/outage_evidence.rs
+++ b/crates/steering/tests/outage_evidence.rs
@@ -56,3 +56,16 @@
         assert_eq!(outage, expected, "{}", case.name);
     }
 }
+
+/// Guards against a lone instance whose own failed calls are taken for an outage for all.
+#[test]
+fn an_outage_needs_two_instances() {
+    let now = MonotonicTime::from_millis(10_000);
+    let domain = DomainKey::from_index(0);
+    let mut evidence = OutageEvidence::default();
+    evidence.record(domain, now);
+    assert_eq!(evidence.outage_time([].into_iter(), now), None);
+    assert_eq!(evidence.outage_time([domain].into_iter(), now), None);
+    let two = [domain, domain].into_iter();
+    assert_eq!(evidence.outage_time(two, now), Some(now));
+}
