entry, transport, counters: kept bytes of requests and answers have one budget that follows memory_mb

Reported by another operator: bytes without end from a faulty upstream fill the memory of the instance that called it.

Cause: each request may keep 4 MiB of its answer and 1 MiB of its body, whatever their number; the memory in the settings was not read. Ruled out, by tests that were there: endless heads, chunk extensions, interim answers and refusals.

Change: a lock-free budget of a quarter of memory_mb, from which kept bytes take until their last reference is dropped. A body that does not fit is forwarded while it arrives. Buffers of connections to upstreams grow to 72 kB instead of 417 kB.

--- a/crates/counters/src/lib.rs
+++ b/crates/counters/src/lib.rs
@@ -17,11 +17,13 @@
 //! ```
 
 mod atomics;
+mod byte_budget;
 mod monotonic_time;
 mod rate_bucket;
 mod slot_counter;
 mod time_lease;
 
+pub use byte_budget::ByteBudget;
 pub use monotonic_time::MonotonicTime;
 pub use rate_bucket::RateBucket;
 pub use slot_counter::SlotCounter;
--- a/crates/counters/tests/interleavings.rs
+++ b/crates/counters/tests/interleavings.rs
@@ -3,7 +3,7 @@
 //! Run with `RUSTFLAGS="--cfg loom" cargo test -p coltsfootkeel-counters --test interleavings`.
 #![cfg(loom)]
 
-use coltsfootkeel_counters::{RateBucket, SlotCounter};
+use coltsfootkeel_counters::{ByteBudget, RateBucket, SlotCounter};
 use loom::sync::Arc;
 use loom::thread;
 
@@ -54,3 +54,23 @@
         assert_eq!(u32::from(acquired) + lent, 1);
     });
 }
+
+/// Guards against two requests that both keep the last free bytes, and against bytes that are lost when they are given back.
+#[test]
+fn last_bytes_are_taken_once() {
+    loom::model(|| {
+        let budget = Arc::new(ByteBudget::new(10));
+        let other = Arc::clone(&budget);
+        let thread = thread::spawn(move || {
+            let is_taken = other.try_take(7);
+            if is_taken {
+                other.give_back(7);
+            }
+            is_taken
+        });
+        let is_taken_here = budget.try_take(7);
+        let is_taken_there = thread.join().unwrap();
+        assert!(is_taken_here || is_taken_there);
+        assert_eq!(budget.taken(), if is_taken_here { 7 } else { 0 });
+    });
+}
--- a/crates/entry/src/answer_stream.rs
+++ b/crates/entry/src/answer_stream.rs
@@ -4,7 +4,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use coltsfootkeel_transport::UpstreamBody;
+use coltsfootkeel_transport::{BodyStart, UpstreamBody};
 use http_body::{Body as HttpBody, Frame};
 use thiserror::Error;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -27,7 +27,8 @@
 /// The body of a streamed answer. It holds the slot at the upstream until the answer ends.
 #[derive(Debug)]
 pub struct AnswerStream {
-    start: Option<Bytes>,
+    /// The bytes of the start that are not forwarded yet.
+    start: [Bytes; 2],
     rest: UpstreamBody,
     deadline: Pin<Box<Sleep>>,
     _reservation: SlotReservation,
@@ -38,14 +39,14 @@
     /// Creates a body of the bytes in `start` and the frames of `rest`, which ends with an error at the deadline.
     #[must_use]
     pub fn new(
-        start: Bytes,
+        start: BodyStart,
         rest: UpstreamBody,
         deadline: Instant,
         reservation: SlotReservation,
         in_flight_guard: InFlightGuard,
     ) -> Self {
         Self {
-            start: Some(start),
+            start: [start.kept, start.next],
             rest,
             deadline: Box::pin(sleep_until(deadline)),
             _reservation: reservation,
@@ -62,8 +63,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
-        if let Some(start) = self.start.take() {
-            return Poll::Ready(Some(Ok(Frame::data(start))));
+        let piece = self.start.iter_mut().find(|piece| !piece.is_empty());
+        if let Some(piece) = piece.map(std::mem::take) {
+            return Poll::Ready(Some(Ok(Frame::data(piece))));
         }
         if self.deadline.as_mut().poll(context).is_ready() {
             return Poll::Ready(Some(Err(StreamError::Deadline)));
--- a/crates/entry/src/caller_body.rs
+++ b/crates/entry/src/caller_body.rs
@@ -1,7 +1,10 @@
 //! The body of a caller's request.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
-use coltsfootkeel_transport::PrefixedBody;
+use coltsfootkeel_counters::ByteBudget;
+use coltsfootkeel_transport::{BodyStart, PrefixedBody};
 use http_body_util::Limited;
 use volo_http::body::Body;
 
@@ -20,29 +23,36 @@
 }
 
 impl CallerBody {
-    /// Reads a body of up to [`MAX_BUFFERED_BYTES`] to its end. A longer one is streamed after its beginning.
+    /// Reads a body of up to [`MAX_BUFFERED_BYTES`] to its end. A longer one, or one that does not fit `budget`, is streamed
+    /// after its beginning.
     ///
     /// # Errors
     ///
     /// Returns [`RejectKind::TooLarge`] if the body exceeds `max_bytes`, and [`RejectKind::Malformed`] if it cannot be
     /// read.
-    pub async fn read(body: Body, length: Option<u64>, max_bytes: u64) -> Result<Self, RejectKind> {
+    pub async fn read(
+        mut body: Body,
+        length: Option<u64>,
+        max_bytes: u64,
+        budget: &Arc<ByteBudget>,
+    ) -> Result<Self, RejectKind> {
         if length.is_some_and(|length| length > max_bytes) {
             return Err(RejectKind::TooLarge);
         }
         if length == Some(0) || http_body::Body::is_end_stream(&body) {
             return Ok(Self::Buffered(Bytes::new()));
         }
-        let read = PrefixedBody::read_ahead(body, MAX_BUFFERED_BYTES).await;
-        match read.map_err(|_| RejectKind::Malformed)?.try_into_bytes() {
-            Ok(bytes) if bytes.len() as u64 > max_bytes => Err(RejectKind::TooLarge),
-            Ok(bytes) => Ok(Self::Buffered(bytes)),
-            Err(body) => {
-                let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-                let limited = Limited::new(body, limit);
-                Ok(Self::Streamed(Some(Body::from_body(limited))))
-            }
+        let start = BodyStart::read(&mut body, MAX_BUFFERED_BYTES, budget).await;
+        let start = start.map_err(|_| RejectKind::Malformed)?;
+        if start.kept.len() as u64 > max_bytes {
+            return Err(RejectKind::TooLarge);
+        }
+        if start.is_complete {
+            return Ok(Self::Buffered(start.kept));
         }
+        let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        let limited = Limited::new(PrefixedBody::new(start, body), limit);
+        Ok(Self::Streamed(Some(Body::from_body(limited))))
     }
 
     /// Returns the body for one attempt, or `None` if a streamed body was taken before.
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -136,6 +136,8 @@
     pub plan_age: Duration,
     /// Requests of callers in progress.
     pub in_flight: u64,
+    /// Bytes of requests and answers that are kept.
+    pub kept_bytes: u64,
     /// Upstreams that accept new requests.
     pub usable_upstreams: usize,
     /// Upstreams that state a rate limit.
@@ -219,6 +221,7 @@
                 format!("{:.3}", gauges.plan_age.as_secs_f64()),
             ),
             ("requests_in_flight", gauges.in_flight.to_string()),
+            ("kept_bytes", gauges.kept_bytes.to_string()),
             ("usable_upstreams", gauges.usable_upstreams.to_string()),
             ("limited_upstreams", gauges.limited_upstreams.to_string()),
             ("live_instances", gauges.instances.to_string()),
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -137,6 +137,7 @@
             newest_plan_version: self.shared.freshness.newest_version(),
             plan_age: self.shared.freshness.age(now),
             in_flight: self.shared.in_flight.load(Ordering::Acquire),
+            kept_bytes: self.shared.kept_bytes.taken(),
             usable_upstreams: count_upstreams(&UpstreamState::is_usable),
             limited_upstreams: count_upstreams(&|state| {
                 state.rate_limit.limit(steady_now).is_some()
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -170,7 +170,9 @@
         let length = body_length(&self.parts);
         let max_bytes = self.context.snapshot.plan.limits.max_body_bytes;
         let deadline = self.instant_of(self.context.deadline);
-        match timeout_at(deadline, CallerBody::read(body, length, max_bytes)).await {
+        let budget = &self.context.shared.kept_bytes;
+        let reading = CallerBody::read(body, length, max_bytes, budget);
+        match timeout_at(deadline, reading).await {
             Ok(read) => read.map_err(|kind| Rejection::not_run(kind, None)),
             Err(_) => Err(Rejection::not_run(RejectKind::TimedOut, None)),
         }
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use coltsfootkeel_adapter::{LocalSettings, SettingsBounds};
-use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_counters::{ByteBudget, MonotonicTime};
 use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
     AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceView, PlanFreshness,
@@ -25,6 +25,9 @@
 /// report, other instances may send the object to an upstream that has to load it first; without a crash report, the
 /// request may crash one more upstream.
 const MAX_QUEUED_REPORTS: usize = 512;
+/// The part of the memory limit that bytes of requests and answers may take. The rest is for connections, the tables of the
+/// control thread, and memory that the allocator keeps.
+const KEPT_MEMORY_DIVISOR: u64 = 4;
 
 /// The assumed round trip to another region before the first measurement.
 const DEFAULT_ROUND_TRIP: Duration = Duration::from_millis(40);
@@ -106,6 +109,8 @@
     pub crash_table: ArcSwap<CrashTable>,
     /// Notifies requests that wait for their account's budget of each refill.
     pub quota_refilled: Notify,
+    /// The bytes of requests and answers that may be kept.
+    pub kept_bytes: Arc<ByteBudget>,
     /// Requests of callers in progress.
     pub in_flight: Arc<AtomicU64>,
     /// The counters and histograms of the process.
@@ -133,6 +138,7 @@
             region: topology.domains[domain].region,
         };
         let metrics = EntryMetrics::new(topology.regions.len());
+        let kept_bytes = settings.memory_bytes / KEPT_MEMORY_DIVISOR;
         Some(Self {
             own_hash: stable_hash(settings.instance.as_bytes()),
             round_trips: topology
@@ -156,6 +162,7 @@
             crash_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
             crash_table: ArcSwap::default(),
             quota_refilled: Notify::new(),
+            kept_bytes: Arc::new(ByteBudget::new(kept_bytes)),
             in_flight: Arc::default(),
             metrics,
             events,
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -1,18 +1,20 @@
 //! Sends a request to an upstream and reads the answer.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use coltsfootkeel_adapter::{
     AnswerClass, ConnectionUse, UpstreamHead, classify_answer, read_upstream_signals,
     write_upstream_head,
 };
-use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_counters::{ByteBudget, MonotonicTime};
 use coltsfootkeel_steering::{LimitStatement, UpstreamState};
-use coltsfootkeel_transport::{ReusePolicy, SendFailure, UpstreamBody, UpstreamConnection};
+use coltsfootkeel_transport::{
+    BodyStart, ReusePolicy, SendFailure, UpstreamBody, UpstreamConnection,
+};
 use http::response::Parts;
 use http::{HeaderMap, Uri};
-use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout, timeout_at};
 use volo_http::body::Body;
 
@@ -21,7 +23,7 @@
 use crate::upstream_choice::SlotReservation;
 
 /// An answer up to this many bytes is buffered before any of it is forwarded, so that the request can still be sent
-/// again if the connection breaks.
+/// again if the connection breaks. It is forwarded earlier if the process keeps as many bytes as it may.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
 /// The longest body, in bytes, that is read of an upstream's refusal.
@@ -42,7 +44,7 @@
     /// The body was read only partially.
     Streamed {
         /// The bytes that were read.
-        start: Bytes,
+        start: BodyStart,
         /// The remaining body with its connection.
         rest: UpstreamBody,
     },
@@ -161,9 +163,11 @@
         let now = context.shared.clock.now();
         record_signals(&listed.state, &head.headers, now);
     }
+    let kept_bytes = &context.shared.kept_bytes;
     match class {
         AnswerClass::Valid { is_success } => {
-            let read = match timeout_at(deadline, read_content(body, MAX_BUFFERED_BYTES)).await {
+            let reading = read_content(body, MAX_BUFFERED_BYTES, kept_bytes);
+            let read = match timeout_at(deadline, reading).await {
                 Err(_) => return ExchangeOutcome::TimedOut,
                 Ok(None) => return ExchangeOutcome::Broken,
                 Ok(Some(read)) => read,
@@ -177,7 +181,7 @@
         }
         AnswerClass::NotRun => {
             // The body tells nothing, and may have no end. It is read so that the connection can be reused.
-            let reading = read_content(body, MAX_REFUSAL_BYTES);
+            let reading = read_content(body, MAX_REFUSAL_BYTES, kept_bytes);
             let read = timeout(REFUSAL_TIMEOUT, reading).await.ok().flatten();
             read.and_then(|read| read.connection).map(keep_connection);
             ExchangeOutcome::NotRun
@@ -232,26 +236,23 @@
     connection: Option<Box<UpstreamConnection>>,
 }
 
-/// Reads a body of up to `max_bytes` to its end, or the beginning of a longer one. Returns `None` if the connection
-/// breaks.
-async fn read_content(mut body: UpstreamBody, max_bytes: usize) -> Option<ReadContent> {
-    let mut bytes = BytesMut::new();
-    while bytes.len() <= max_bytes {
-        let Some(frame) = body.frame().await else {
-            return Some(ReadContent {
-                content: AnswerContent::Buffered(bytes.freeze()),
-                connection: Some(body.into_connection()),
-            });
-        };
-        if let Ok(data) = frame.ok()?.into_data() {
-            bytes.extend_from_slice(&data);
+/// Reads a body of up to `max_bytes` to its end, or the beginning of a longer one or of one that does not fit the budget.
+/// Returns `None` if the connection breaks.
+async fn read_content(
+    mut body: UpstreamBody,
+    max_bytes: usize,
+    budget: &Arc<ByteBudget>,
+) -> Option<ReadContent> {
+    let start = BodyStart::read(&mut body, max_bytes, budget).await.ok()?;
+    Some(if start.is_complete {
+        ReadContent {
+            content: AnswerContent::Buffered(start.kept),
+            connection: Some(body.into_connection()),
+        }
+    } else {
+        ReadContent {
+            content: AnswerContent::Streamed { start, rest: body },
+            connection: None,
         }
-    }
-    Some(ReadContent {
-        content: AnswerContent::Streamed {
-            start: bytes.freeze(),
-            rest: body,
-        },
-        connection: None,
     })
 }
--- a/crates/entry/tests/endless_answers.rs
+++ b/crates/entry/tests/endless_answers.rs
@@ -3,101 +3,23 @@
 #[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{SHOP_KEY, call_once, register_upstream, shop_request};
 use http::Method;
-use platform_fleet::raw_requests::{attempt_id, read_head};
+use platform_fleet::endless_upstream::{AnswerScript, EndlessUpstream};
 use platform_fleet::{FleetSetup, PlatformFleet};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 
 /// Time within which a request whose answer is known to be unusable is rejected: a fraction of the route's timeout of
 /// 2 s.
 const REJECTED_WITHIN: Duration = Duration::from_millis(700);
 /// Time within which every request has its answer: the route's timeout, and half a second.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2_500);
-/// Time within which the connection to the upstream is closed after the answer.
-const CLOSED_WITHIN: Duration = Duration::from_millis(500);
 /// Requests that receive bytes without end at the same time.
 const CONCURRENT_REQUESTS: usize = 32;
 /// Largest resident memory of an instance, in kB. The capacity target is 128 MB for a daemon.
 const MAX_MEMORY_KB: u64 = 128_000;
 
-/// What an endless upstream sends after each request.
-#[derive(Debug, Clone, Copy, Default)]
-struct AnswerScript {
-    /// The start of the answer; `{id}` stands for the attempt id of the request.
-    start: &'static str,
-    /// The bytes that are repeated, and how many times they are joined into one write.
-    repeated: &'static str,
-    joined: usize,
-    pause: Duration,
-}
-
-/// An upstream that sends its answer until the connection is closed.
-#[derive(Debug, Clone)]
-struct EndlessUpstream {
-    address: SocketAddr,
-    script: Arc<Mutex<AnswerScript>>,
-    open_answers: Arc<AtomicUsize>,
-}
-
-impl EndlessUpstream {
-    async fn start() -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
-        let upstream = Self {
-            address: listener.local_addr().unwrap(),
-            script: Arc::default(),
-            open_answers: Arc::default(),
-        };
-        let accepting = upstream.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(accepting.clone().answer(stream));
-            }
-        });
-        upstream
-    }
-
-    async fn answer(self, mut stream: TcpStream) {
-        let Some(head) = read_head(&mut stream).await else {
-            return;
-        };
-        if head.starts_with("GET /healthz") {
-            let healthy = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-            // Best effort: a failed health check only delays the test.
-            let _ = stream.write_all(healthy).await;
-            return;
-        }
-        let script = *self.script.lock().unwrap();
-        let start = script.start.replace("{id}", attempt_id(&head));
-        let repeated = script.repeated.repeat(script.joined);
-        self.open_answers.fetch_add(1, Ordering::Relaxed);
-        let mut sent = stream.write_all(start.as_bytes()).await;
-        while sent.is_ok() {
-            sent = stream.write_all(repeated.as_bytes()).await;
-            tokio::time::sleep(script.pause).await;
-        }
-        self.open_answers.fetch_sub(1, Ordering::Relaxed);
-    }
-
-    /// Waits until the instance has closed the connections of all answers.
-    async fn wait_until_closed(&self) -> bool {
-        let started = Instant::now();
-        while self.open_answers.load(Ordering::Relaxed) > 0 {
-            if started.elapsed() > CLOSED_WITHIN {
-                return false;
-            }
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        true
-    }
-}
-
 struct EndlessCase {
     name: &'static str,
     script: AnswerScript,
@@ -285,7 +207,7 @@
     let (fleet, upstream) = start_fleet("endless").await;
     let mut failures = Vec::new();
     for (number, case) in head_cases().into_iter().chain(body_cases()).enumerate() {
-        *upstream.script.lock().unwrap() = case.script;
+        upstream.set_script(case.script);
         let path = format!("/orders/{number}");
         let call = shop_request(Method::POST, &path, &path, SHOP_KEY).body("two towels");
         let started = Instant::now();
@@ -312,7 +234,7 @@
         if case.script.start == SIGNED {
             continue;
         }
-        *upstream.script.lock().unwrap() = case.script;
+        upstream.set_script(case.script);
         let address = fleet.instances[0].options.addresses.entry;
         let callers = (0..CONCURRENT_REQUESTS).map(|number| {
             let path = format!("/orders/{}-{number}", case.name.replace(' ', "-"));
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of entry processes on stand-ins of the platform.
 
+pub mod endless_upstream;
 pub mod raw_requests;
 
 use std::path::{Path, PathBuf};
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -19,6 +19,8 @@
 pub const SHOP_HOST: &str = "shop.example";
 /// Access key of the account `hotel` that most tests pass to [`shop_config`].
 pub const SHOP_KEY: &str = "hotel-key";
+/// Memory limit of an instance in its settings, in megabytes.
+pub const INSTANCE_MEMORY_MB: u64 = 260;
 /// Time between two readiness checks.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -159,7 +161,7 @@
         },
         "internal_port_range": [addresses.peer.port(), addresses.metrics.port()],
         "bootstrap": true,
-        "limits": {"max_fds": 2_000},
+        "limits": {"max_fds": 2_000, "memory_mb": INSTANCE_MEMORY_MB},
         "platform": {"address": options.store},
         "bounds": bounds,
     })
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -47,8 +47,8 @@
 pub use backoff_incoming::BackoffIncoming;
 pub use child_process::{ChildProcess, sibling_program};
 pub use entry_fleet::{
-    EntryAddresses, EntryInstance, EntryOptions, SHOP_HOST, SHOP_KEY, register_upstream,
-    shop_config, shop_request,
+    EntryAddresses, EntryInstance, EntryOptions, INSTANCE_MEMORY_MB, SHOP_HOST, SHOP_KEY,
+    register_upstream, shop_config, shop_request,
 };
 pub use experiment_fleet::ExperimentError;
 pub use experiment_load::{CallOutcome, CallRecord};
--- a/crates/transport/src/head_limit.rs
+++ b/crates/transport/src/head_limit.rs
@@ -12,7 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The longest head of a response in bytes, with the interim responses before it.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 const UNLIMITED: usize = usize::MAX;
 
 /// The number of bytes that a connection may still read. Clones share it.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,6 +8,7 @@
 mod hop_headers;
 mod http_listener;
 mod in_flight;
+mod kept_bytes;
 mod prefixed_body;
 mod process_clock;
 mod shared_stream;
@@ -18,6 +19,7 @@
 pub use hop_headers::remove_hop_by_hop_headers;
 pub use http_listener::{HttpService, ListenerLimits, ListenerStop, RouterService, serve};
 pub use in_flight::InFlightGuard;
+pub use kept_bytes::BodyStart;
 pub use prefixed_body::PrefixedBody;
 pub use process_clock::ProcessClock;
 pub use upstream_client::{
--- a/crates/transport/src/prefixed_body.rs
+++ b/crates/transport/src/prefixed_body.rs
@@ -8,12 +8,16 @@
 use http_body_util::BodyExt;
 use volo_http::body::Body;
 
+use crate::kept_bytes::BodyStart;
+
 type BodyError = <Body as HttpBody>::Error;
 
 /// A body that yields the bytes that were read ahead, then the remaining ones.
 #[derive(Debug)]
 pub struct PrefixedBody {
     prefix: Option<Bytes>,
+    /// The bytes between the prefix and the rest.
+    next: Option<Bytes>,
     rest: Body,
     is_read_to_end: bool,
 }
@@ -39,11 +43,23 @@
         }
         Ok(Self {
             prefix: Some(prefix.freeze()),
+            next: None,
             is_read_to_end: is_read_to_end || body.is_end_stream(),
             rest: body,
         })
     }
 
+    /// Creates a body of the bytes in `start` and the remaining ones.
+    #[must_use]
+    pub fn new(start: BodyStart, rest: Body) -> Self {
+        Self {
+            prefix: Some(start.kept),
+            next: Some(start.next),
+            is_read_to_end: start.is_complete,
+            rest,
+        }
+    }
+
     /// Returns the complete body if it was read to its end.
     ///
     /// # Errors
@@ -62,6 +78,10 @@
     pub fn prefix(&self) -> &[u8] {
         self.prefix.as_deref().unwrap_or_default()
     }
+
+    fn next_length(&self) -> usize {
+        self.next.as_ref().map_or(0, Bytes::len)
+    }
 }
 
 impl HttpBody for PrefixedBody {
@@ -72,18 +92,24 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match self.prefix.take() {
-            Some(prefix) if !prefix.is_empty() => Poll::Ready(Some(Ok(Frame::data(prefix)))),
-            _ => Pin::new(&mut self.rest).poll_frame(context),
-        }
+        let start = [self.prefix.take(), self.next.take()];
+        let mut pieces = start
+            .into_iter()
+            .flatten()
+            .filter(|piece| !piece.is_empty());
+        let Some(piece) = pieces.next() else {
+            return Pin::new(&mut self.rest).poll_frame(context);
+        };
+        self.next = pieces.next();
+        Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.prefix().is_empty() && self.rest.is_end_stream()
+        self.prefix().is_empty() && self.next_length() == 0 && self.rest.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let prefix_length = self.prefix().len() as u64;
+        let prefix_length = (self.prefix().len() + self.next_length()) as u64;
         let rest = self.rest.size_hint();
         let mut hint = SizeHint::new();
         hint.set_lower(rest.lower() + prefix_length);
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
-use crate::head_limit::{LimitedStream, ReadAllowance};
+use crate::head_limit::{LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
 
 /// The longest time for setting up a connection. It normally takes about 1 ms and a round trip; the timeout covers lost
 /// packets and upstreams that do not respond.
@@ -31,6 +31,8 @@
 /// The most idle connections that are kept for one upstream. Room for them is allocated when the upstream is listed, and its
 /// entry may state any number of slots.
 const MAX_IDLE_CONNECTIONS: usize = 256;
+/// The size to which the buffer of a connection may grow. It holds a head of the longest length.
+const MAX_BUFFER_BYTES: usize = MAX_HEAD_BYTES + 8 * 1024;
 
 /// Which connections a request may use, by the time for which they have been idle.
 #[derive(Debug, Clone, Copy)]
@@ -271,7 +273,10 @@
         stream.set_nodelay(true)?;
         let read_allowance = ReadAllowance::default();
         let limited = LimitedStream::new(stream, read_allowance.clone());
-        let (sender, driver) = http1::handshake(TokioIo::new(limited)).await?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(limited))
+            .await?;
         Ok(Box::new(UpstreamConnection {
             sender,
             driver,
