entry: signals are held back until their handlers are installed

Operators saw: processes that end by themselves. Reproduced with real processes: SIGHUP 1 ms after the begin of the program ended it with signal 1, SIGTERM with signal 15.

Cause: the default action applies until a handler is installed, and that of SIGHUP was installed last, after all listeners were bound.

Change: the program blocks the three signals first, and unblocks them when all handlers stand.

--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -13,7 +13,6 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -22,6 +21,7 @@
 use crate::control_loop::ControlLoop;
 use crate::heartbeat_socket::receive_heartbeats;
 use crate::http_services::{CallerService, DiagnosticsService, LookupService};
+use crate::process_signals::listen_for_signals;
 use crate::settings_reload::reload_settings;
 use crate::shared_state::SharedState;
 use crate::store_watch::{WatchConfig, watch_kind};
@@ -116,22 +116,19 @@
     let incarnation = fastrand::u64(1..);
     let shared = SharedState::new(settings, topology, incarnation, events);
     let shared = Arc::new(shared.ok_or(unknown_domain)?);
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
+    let (mut stop_signals, reload_signal) = listen_for_signals()?;
     start_control(&shared, event_queue)?;
     let stop = ListenerStop::default();
     start_listeners(&shared, &stop).await?;
-    tokio::spawn(reload_settings(Arc::clone(&shared), settings_path));
+    let reload = reload_settings(Arc::clone(&shared), settings_path, reload_signal);
+    tokio::spawn(reload);
     log::info!(
         instance = shared.settings.instance.as_str(),
         incarnation,
         entry:% = shared.settings.entry;
         "process: Started."
     );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stop_signals.received().await;
     shut_down(&shared, &stop).await;
     log::info!("process: Stopped.");
     Ok(())
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod member_list;
 mod peer_table;
 mod plan_lag;
+mod process_signals;
 mod reader_role;
 mod rejection;
 mod request_attempt;
@@ -46,3 +47,4 @@
 mod upstream_registry;
 
 pub use entry_program::{StartError, run_entry};
+pub use process_signals::hold_signals;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use coltsfootkeel_adapter::{LocalSettings, SETTINGS_VARIABLE};
-use coltsfootkeel_entry::run_entry;
+use coltsfootkeel_entry::{hold_signals, run_entry};
 use coltsfootkeel_insight::{LogTarget, set_up_logs};
 use coltsfootkeel_settings::{LogFormat, LogSettings};
 use entry_options::EntryOptions;
@@ -15,6 +15,10 @@
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
+    if let Err(error) = hold_signals() {
+        eprintln!("coltsfootkeel-entry: signals cannot be held back: {error}");
+        return ExitCode::FAILURE;
+    }
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let options = match EntryOptions::parse_args_default(&arguments) {
         Ok(options) => options,
--- a/crates/entry/src/settings_reload.rs
+++ b/crates/entry/src/settings_reload.rs
@@ -4,26 +4,23 @@
 use std::time::Duration;
 
 use coltsfootkeel_adapter::LocalSettings;
-use tokio::signal::unix::{SignalKind, signal};
 
+use crate::process_signals::ReloadSignal;
 use crate::shared_state::SharedState;
 
 /// The time between two reads of the settings file without a signal.
 const POLL_PERIOD: Duration = Duration::from_secs(2);
 
 /// Reads the settings file on SIGHUP and every [`POLL_PERIOD`]. An invalid file leaves the previous settings in force.
-pub async fn reload_settings(shared: Arc<SharedState>, path: String) {
-    let mut hang_up = match signal(SignalKind::hangup()) {
-        Ok(hang_up) => hang_up,
-        Err(error) => {
-            log::error!("settings: SIGHUP cannot be received: {error}.");
-            return;
-        }
-    };
+pub(crate) async fn reload_settings(
+    shared: Arc<SharedState>,
+    path: String,
+    mut reload_signal: ReloadSignal,
+) {
     let mut current_text = std::fs::read_to_string(&path).unwrap_or_default();
     loop {
         // The file is read on a signal and on the timeout; the result shows which of them it was.
-        let is_signalled = tokio::time::timeout(POLL_PERIOD, hang_up.recv())
+        let is_signalled = tokio::time::timeout(POLL_PERIOD, reload_signal.received())
             .await
             .is_ok();
         let text = match std::fs::read_to_string(&path) {
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -84,6 +84,11 @@
         fleet
     }
 
+    /// Returns the folder of the settings files and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Starts one more instance without waiting for it.
     pub fn start_instance(&mut self, options: EntryOptions) {
         let program = Path::new(env!("CARGO_BIN_EXE_coltsfootkeel-entry"));
--- /dev/null
+++ b/crates/entry/tests/process_start.rs
@@ -0,0 +1,83 @@
+//! Processes that are started while their surroundings change: signals.
+
+#[allow(dead_code, reason = "each test file uses a part of the fleet")]
+mod platform_fleet;
+
+use std::time::{Duration, Instant};
+
+use coltsfootkeel_standins::EntryOptions;
+use nix::sys::signal::Signal;
+use platform_fleet::{FleetSetup, PlatformFleet};
+use tokio::time::sleep;
+
+/// Starts of a process that each receive a signal.
+const STARTS: usize = 8;
+/// How long after the begin of the program the signal is sent. The handlers are installed some milliseconds later.
+const SIGNAL_DELAY: Duration = Duration::from_millis(1);
+/// The grace period in the settings.
+const GRACE_PERIOD: Duration = Duration::from_secs(6);
+/// The signal mask in `/proc/PID/status` that contains SIGPIPE, which is ignored from the begin of the program on.
+const PIPE_MASK: u64 = 1 << 12;
+
+async fn empty_fleet(name: &'static str) -> PlatformFleet {
+    PlatformFleet::start(FleetSetup {
+        name,
+        instances: 0,
+        ..FleetSetup::default()
+    })
+    .await
+}
+
+/// Waits until the program of a process has begun, after the loader and the set-up of its runtime.
+async fn wait_until_begun(process_id: u32) {
+    let path = format!("/proc/{process_id}/status");
+    let is_begun = || {
+        let status = std::fs::read_to_string(&path).unwrap();
+        let mut lines = status.lines();
+        let ignored = lines.find_map(|line| line.strip_prefix("SigIgn:")).unwrap();
+        u64::from_str_radix(ignored.trim(), 16).unwrap() & PIPE_MASK != 0
+    };
+    while !is_begun() {
+        sleep(Duration::from_micros(100)).await;
+    }
+}
+
+/// Guards against a process that is ended by SIGHUP because new settings are named in the moment in which it starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_settings_during_the_start_do_not_end_the_process() {
+    let mut fleet = empty_fleet("start-hup").await;
+    for index in 0..STARTS {
+        let store = fleet.store.address();
+        fleet.start_instance(EntryOptions::on_loopback(index, store));
+        wait_until_begun(fleet.instances[index].process_id()).await;
+        sleep(SIGNAL_DELAY).await;
+        fleet.signal(index, Signal::SIGHUP);
+        let ready = fleet.instances[index].wait_until_ready().await;
+        let status = fleet.instances[index].exit_status().unwrap();
+        assert!(ready.is_ok() && status.is_none(), "{index}: {status:?}");
+    }
+}
+
+/// Guards against a planned stop that kills a process, instead of ending it in order, because it is still starting.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_during_the_start_ends_the_process_in_order() {
+    let mut fleet = empty_fleet("start-term").await;
+    for index in 0..STARTS {
+        let store = fleet.store.address();
+        fleet.start_instance(EntryOptions::on_loopback(index, store));
+        wait_until_begun(fleet.instances[index].process_id()).await;
+        sleep(SIGNAL_DELAY).await;
+        fleet.signal(index, Signal::SIGTERM);
+    }
+    let started = Instant::now();
+    for index in 0..STARTS {
+        let status = loop {
+            if let Some(status) = fleet.instances[index].exit_status().unwrap() {
+                break status;
+            }
+            assert!(started.elapsed() < GRACE_PERIOD, "{index} still runs");
+            sleep(Duration::from_millis(10)).await;
+        };
+        assert!(status.success(), "{index}: {status}");
+    }
+}
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::process::ExitStatus;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -112,6 +113,15 @@
         Ok(self.process.exit_status()?.is_some())
     }
 
+    /// Returns the exit status of the process; `None` while it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an I/O error if the state of the process cannot be read.
+    pub fn exit_status(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.process.exit_status()
+    }
+
     /// Waits until the readiness check of the instance returns 200.
     ///
     /// # Errors
