entry: a settings file that is being written is read again at the start

Operators saw: processes that end by themselves. Reproduced: a process that starts while its settings file is empty or half written ends with exit code 1.

Cause: the file was read once at the start. Change: it is read again for 3 s.

Evidence: settings_that_are_being_written_are_read_again failed before with an empty file (exit code 1) and passes now, with an empty and with half a file.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,6 +3,8 @@
 mod entry_options;
 
 use std::process::ExitCode;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use coltsfootkeel_adapter::{LocalSettings, SETTINGS_VARIABLE};
 use coltsfootkeel_entry::{hold_signals, run_entry};
@@ -13,6 +15,10 @@
 
 /// Exit code for an invalid command line.
 const EXIT_USAGE: u8 = 2;
+/// How long a settings file that cannot be used is read again at the start.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(3);
+/// The time between two reads of such a file.
+const SETTINGS_RETRY_PERIOD: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     if let Err(error) = hold_signals() {
@@ -53,13 +59,12 @@
 }
 
 fn start(path: &str, is_check_only: bool) -> Result<(), String> {
-    let text =
-        std::fs::read_to_string(path).map_err(|error| format!("cannot read {path}: {error}"))?;
-    let settings = LocalSettings::parse(&text).map_err(|error| format!("{path}: {error}"))?;
     if is_check_only {
+        read_settings(path)?;
         println!("{path}: the settings are valid");
         return Ok(());
     }
+    let settings = wait_for_settings(path)?;
     let log = LogSettings {
         level: log::LevelFilter::Info,
         format: LogFormat::Json,
@@ -67,3 +72,24 @@
     set_up_logs(log, LogTarget::QueuedOutput).map_err(|error| error.to_string())?;
     run_entry(settings, path.to_string()).map_err(|error| error.to_string())
 }
+
+fn read_settings(path: &str) -> Result<LocalSettings, String> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("cannot read {path}: {error}"))?;
+    LocalSettings::parse(&text).map_err(|error| format!("{path}: {error}"))
+}
+
+/// Reads the settings file. The platform may be writing it, so a file that cannot be used is read again for
+/// [`SETTINGS_TIMEOUT`].
+fn wait_for_settings(path: &str) -> Result<LocalSettings, String> {
+    let started = Instant::now();
+    loop {
+        match read_settings(path) {
+            Err(text) if started.elapsed() < SETTINGS_TIMEOUT => {
+                eprintln!("coltsfootkeel-entry: {text}; reading again");
+                thread::sleep(SETTINGS_RETRY_PERIOD);
+            }
+            read => return read,
+        }
+    }
+}
--- a/crates/entry/tests/process_start.rs
+++ b/crates/entry/tests/process_start.rs
@@ -1,8 +1,10 @@
-//! Processes that are started while their surroundings change: signals.
+//! Processes that are started while their surroundings change: signals, and the settings file.
 
 #[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
 
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::EntryOptions;
@@ -16,6 +18,8 @@
 const SIGNAL_DELAY: Duration = Duration::from_millis(1);
 /// The grace period in the settings.
 const GRACE_PERIOD: Duration = Duration::from_secs(6);
+/// How long the settings file is incomplete.
+const TROUBLE_TIME: Duration = Duration::from_millis(700);
 /// The signal mask in `/proc/PID/status` that contains SIGPIPE, which is ignored from the begin of the program on.
 const PIPE_MASK: u64 = 1 << 12;
 
@@ -81,3 +85,46 @@
         assert!(status.success(), "{index}: {status}");
     }
 }
+
+/// A process that a test starts with a settings file of its own.
+struct StartedProcess(Child);
+
+impl StartedProcess {
+    fn start(settings: &Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_coltsfootkeel-entry"));
+        command
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::null());
+        Self(command.spawn().unwrap())
+    }
+}
+
+impl Drop for StartedProcess {
+    fn drop(&mut self) {
+        // An error means that the process has already ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards against a process that ends because its settings file is replaced in the moment in which it starts.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_are_being_written_are_read_again() {
+    let mut fleet = empty_fleet("start-settings").await;
+    let options = EntryOptions::on_loopback(0, fleet.store.address());
+    fleet.start_instance(options);
+    fleet.instances[0].wait_until_ready().await.unwrap();
+    let settings: PathBuf = fleet.folder().join("entry-0.json");
+    let text = std::fs::read_to_string(&settings).unwrap();
+    for part in ["", &text[..text.len() / 2]] {
+        fleet.signal(0, Signal::SIGKILL);
+        std::fs::write(&settings, part).unwrap();
+        let mut process = StartedProcess::start(&settings);
+        sleep(TROUBLE_TIME).await;
+        std::fs::write(&settings, &text).unwrap();
+        let ready = fleet.instances[0].wait_until_ready().await;
+        let status = process.0.try_wait().unwrap();
+        assert!(ready.is_ok() && status.is_none(), "{part:?}: {status:?}");
+    }
+}
