entry: an address that is in use at the start is waited for

Operators saw: processes that end by themselves. Reproduced: a process ends with exit code 1 if a port is taken for 0.7 s.

Cause: each address was bound once. Change: it is tried again for 10 s while the error says that it is in use; a signal to stop ends the wait.

Evidence: a_port_that_is_taken_for_a_moment_is_waited_for failed before (exit code 1) and passes now.

--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -1,6 +1,7 @@
 //! Starts the threads, tasks and listeners of the process, and stops them in order.
 
 use std::collections::HashSet;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -67,6 +68,10 @@
 const STOP_ACCEPTING_AFTER: Duration = Duration::from_millis(3_200);
 /// The time before the end of the grace period at which the process ends in any case.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
+/// How long an address that is in use is waited for at the start.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time between two tries to use such an address.
+const ADDRESS_RETRY_PERIOD: Duration = Duration::from_millis(50);
 /// The smallest head buffer that the HTTP library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
@@ -117,9 +122,18 @@
     let shared = SharedState::new(settings, topology, incarnation, events);
     let shared = Arc::new(shared.ok_or(unknown_domain)?);
     let (mut stop_signals, reload_signal) = listen_for_signals()?;
-    start_control(&shared, event_queue)?;
     let stop = ListenerStop::default();
-    start_listeners(&shared, &stop).await?;
+    let start = async {
+        start_control(&shared, event_queue).await?;
+        start_listeners(&shared, &stop).await
+    };
+    tokio::select! {
+        started = start => started?,
+        () = stop_signals.received() => {
+            log::info!("process: Stopped before the start was complete.");
+            return Ok(());
+        }
+    }
     let reload = reload_settings(Arc::clone(&shared), settings_path, reload_signal);
     tokio::spawn(reload);
     log::info!(
@@ -135,13 +149,37 @@
 }
 
 async fn listen(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| StartError::Listen {
-            address,
-            purpose,
-            source,
-        })
+    open_socket(address, purpose, || TcpListener::bind(address)).await
+}
+
+/// Opens a socket on `address`. An address that is in use is waited for: the process before this one may still hold it, or a
+/// connection that happens to have its port.
+async fn open_socket<S, F: Future<Output = std::io::Result<S>>>(
+    address: SocketAddr,
+    purpose: &'static str,
+    open: impl Fn() -> F,
+) -> Result<S, StartError> {
+    let deadline = Instant::now() + ADDRESS_TIMEOUT;
+    let mut is_logged = false;
+    loop {
+        match open().await {
+            Ok(socket) => return Ok(socket),
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < deadline => {
+                if !is_logged {
+                    log::warn!(address:%, purpose; "process: The address is in use, waiting for it.");
+                    is_logged = true;
+                }
+                tokio::time::sleep(ADDRESS_RETRY_PERIOD).await;
+            }
+            Err(source) => {
+                return Err(StartError::Listen {
+                    address,
+                    purpose,
+                    source,
+                });
+            }
+        }
+    }
 }
 
 async fn start_listeners(shared: &Arc<SharedState>, stop: &ListenerStop) -> Result<(), StartError> {
@@ -192,16 +230,13 @@
     }
 }
 
-fn start_control(
+async fn start_control(
     shared: &Arc<SharedState>,
     events: mpsc::UnboundedReceiver<ControlEvent>,
 ) -> Result<(), StartError> {
     let address = shared.settings.peer;
-    let socket = std::net::UdpSocket::bind(address).map_err(|source| StartError::Listen {
-        address,
-        purpose: "other instances",
-        source,
-    })?;
+    let open = async || std::net::UdpSocket::bind(address);
+    let socket = open_socket(address, "other instances", open).await?;
     socket.set_nonblocking(true)?;
     let shared = Arc::clone(shared);
     let runtime = runtime::Builder::new_current_thread()
--- a/crates/entry/tests/process_start.rs
+++ b/crates/entry/tests/process_start.rs
@@ -1,8 +1,9 @@
-//! Processes that are started while their surroundings change: signals, and the settings file.
+//! Processes that are started while their surroundings change: signals, the settings file and the ports.
 
 #[allow(dead_code, reason = "each test file uses a part of the fleet")]
 mod platform_fleet;
 
+use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -18,7 +19,7 @@
 const SIGNAL_DELAY: Duration = Duration::from_millis(1);
 /// The grace period in the settings.
 const GRACE_PERIOD: Duration = Duration::from_secs(6);
-/// How long the settings file is incomplete.
+/// How long the settings file is incomplete, or a port is taken.
 const TROUBLE_TIME: Duration = Duration::from_millis(700);
 /// The signal mask in `/proc/PID/status` that contains SIGPIPE, which is ignored from the begin of the program on.
 const PIPE_MASK: u64 = 1 << 12;
@@ -128,3 +129,19 @@
         assert!(ready.is_ok() && status.is_none(), "{part:?}: {status:?}");
     }
 }
+
+/// Guards against a process that ends because a port is still taken when it starts, for example by the process before it or
+/// by a connection that happens to use it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_port_that_is_taken_for_a_moment_is_waited_for() {
+    let mut fleet = empty_fleet("start-port").await;
+    let options = EntryOptions::on_loopback(0, fleet.store.address());
+    let entry = TcpListener::bind(options.addresses.entry).unwrap();
+    let peer = std::net::UdpSocket::bind(options.addresses.peer).unwrap();
+    fleet.start_instance(options);
+    sleep(TROUBLE_TIME).await;
+    drop((entry, peer));
+    let ready = fleet.instances[0].wait_until_ready().await;
+    let status = fleet.instances[0].exit_status().unwrap();
+    assert!(ready.is_ok() && status.is_none(), "{status:?}");
+}
