soak: a profile of planned work, and ends of processes that nothing explains

Cause: the soak could not show the faults of the users' report. It did not look at how processes end, sent no SIGHUP, and no caller sent a request in parts; with overlapping faults a lost answer or a late request to a leaving upstream proves nothing.

Each request that ran must be answered, and leaving upstreams receive nothing after 2.5 s. In every profile a process must end as a signal asked it to. As many callers again send their requests in two parts.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use coltsfootkeel_soak::{SoakPlan, run_soak};
+use coltsfootkeel_soak::{SoakPlan, SoakProfile, run_soak};
 use gumdrop::Options;
 
 /// Exit code for an invalid command line.
@@ -41,6 +41,9 @@
         default = "1"
     )]
     at_once: u64,
+    /// Whether there is only planned work, and no fault.
+    #[options(no_short, help = "only planned work, no faults")]
+    planned: bool,
     /// Whether to print the faults of each run.
     #[options(no_short, help = "print the faults of each run")]
     faults: bool,
@@ -82,6 +85,11 @@
                 break;
             };
             let plan = SoakPlan {
+                profile: if options.planned {
+                    SoakProfile::PlannedWork
+                } else {
+                    SoakProfile::AllFaults
+                },
                 seed,
                 duration: Duration::from_secs(options.seconds),
                 instances: options.instances,
--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -25,6 +25,9 @@
 /// Time after which a caller gives up requests that it sent at once.
 const PIPELINE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Range of the pause between the two parts of a request, in milliseconds.
+const PART_PAUSE_MS: std::ops::Range<u64> = 1..900;
+
 /// Outcome of one request, as observed by its caller.
 #[derive(Debug, Clone)]
 pub struct CallOutcome {
@@ -210,3 +213,35 @@
         sent_at = Instant::now();
     }
 }
+
+/// Sends random requests to `entries` until `stop` is set, each in two parts with a pause between them.
+pub async fn run_slow_sender(
+    entries: Vec<SocketAddr>,
+    seed: u64,
+    outcome_log: OutcomeLog,
+    stop: Arc<AtomicBool>,
+) {
+    let mut rng = Rng::with_seed(seed);
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let entry = entries[rng.usize(..entries.len())];
+        let is_idempotent = rng.bool();
+        let call = SoakCall::draw(&mut rng, format!("{seed:x}-{number}"), is_idempotent);
+        let bytes = encode_request(&call.request);
+        let (first, rest) = bytes.split_at(rng.usize(1..bytes.len()));
+        let pause = Duration::from_millis(rng.u64(PART_PAUSE_MS));
+        let mut sent_at = Instant::now();
+        let exchange = async {
+            let mut connection = PipelinedConnection::open(entry).await?;
+            connection.send(first).await?;
+            tokio::time::sleep(pause).await;
+            sent_at = Instant::now();
+            connection.send(rest).await?;
+            connection.read_answer().await
+        };
+        let exchange = tokio::time::timeout(PIPELINE_TIMEOUT, exchange).await;
+        let answer = exchange.ok().and_then(Result::ok).flatten();
+        outcome_log.add(call.outcome(entry, sent_at, answer.as_ref()));
+    }
+}
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -1,6 +1,6 @@
 //! Checks the guarantees of the system against the records of callers and upstreams.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,8 @@
 /// Time within which a granted key must no longer be refused as unknown: the bound in the settings of the daemons for a
 /// change of the configuration, and the time for which a request may be on its way.
 const MAX_GRANT_DELAY: Duration = Duration::from_secs(3);
+/// Time after which a leaving upstream receives no new request.
+const MAX_DEPARTURE_DELAY: Duration = Duration::from_millis(2_500);
 /// Client account that both access keys belong to.
 const ACCOUNT: &str = "hotel";
 
@@ -38,6 +40,17 @@
     }
 }
 
+/// Period in which an upstream was registered as leaving.
+#[derive(Debug, Clone)]
+pub struct Departure {
+    /// Id of the upstream.
+    pub upstream: String,
+    /// Time at which the store accepted the registration.
+    pub from: Instant,
+    /// Time at which the upstream was registered as ready again, or `None` if it was not.
+    pub to: Option<Instant>,
+}
+
 /// Execution of a request, as an upstream recorded it.
 #[derive(Debug, Clone)]
 pub struct RecordedRun {
@@ -106,6 +119,32 @@
         /// Attempt id of the request.
         attempt_id: String,
     },
+    /// A request ran and its caller got no answer, although there was only planned work.
+    #[error("{attempt_id} ran and got no answer from {entry}")]
+    LostAnswer {
+        /// Attempt id of the request.
+        attempt_id: String,
+        /// Address of the instance that took the request.
+        entry: SocketAddr,
+    },
+    /// A request reached an upstream that was leaving for longer than `MAX_DEPARTURE_DELAY`.
+    #[error("{attempt_id} ran at {upstream} {late_ms} ms after the end of its departure")]
+    LateAtUpstream {
+        /// Attempt id of the request.
+        attempt_id: String,
+        /// Id of the upstream.
+        upstream: String,
+        /// Time in milliseconds from the end of the bound to the run.
+        late_ms: u128,
+    },
+    /// A process of the fleet ended although no signal asked it to, or not as the signal asked.
+    #[error("{instance} ended by itself: {status}")]
+    EndedByItself {
+        /// Name of the instance.
+        instance: String,
+        /// Exit status of the process.
+        status: String,
+    },
     /// The fleet served too few requests after all faults had ended.
     #[error("{served} of {sent} requests were served after the faults; the others: {unserved:?}")]
     NotRecovered {
@@ -141,6 +180,50 @@
     violations
 }
 
+/// Returns the violations of the guarantees for planned work: every request that ran is answered, and leaving upstreams
+/// receive no new one.
+#[must_use]
+pub fn check_planned_work(
+    outcomes: &[CallOutcome],
+    runs: &[RecordedRun],
+    departures: &[Departure],
+) -> Vec<GuaranteeViolation> {
+    let run_ids: HashSet<&str> = runs
+        .iter()
+        .map(|recorded| recorded.run.attempt_id.as_str())
+        .collect();
+    let lost = outcomes.iter().filter(|outcome| {
+        outcome.status.is_none() && run_ids.contains(outcome.attempt_id.as_str())
+    });
+    let lost = lost.map(|outcome| GuaranteeViolation::LostAnswer {
+        attempt_id: outcome.attempt_id.clone(),
+        entry: outcome.entry,
+    });
+    let late = runs
+        .iter()
+        .filter_map(|recorded| check_departures(recorded, departures));
+    lost.chain(late).collect()
+}
+
+fn check_departures(
+    recorded: &RecordedRun,
+    departures: &[Departure],
+) -> Option<GuaranteeViolation> {
+    let started_at = recorded.run.started_at;
+    let late = departures
+        .iter()
+        .filter(|departure| departure.upstream == recorded.upstream)
+        .filter(|departure| departure.to.is_none_or(|to| started_at < to))
+        .find_map(|departure| {
+            started_at.checked_duration_since(departure.from + MAX_DEPARTURE_DELAY)
+        })?;
+    Some(GuaranteeViolation::LateAtUpstream {
+        attempt_id: recorded.run.attempt_id.clone(),
+        upstream: recorded.upstream.clone(),
+        late_ms: late.as_millis(),
+    })
+}
+
 /// Checks that at least the fraction `min_fraction` of the requests sent after the recovery was served.
 #[must_use]
 pub fn check_recovery(outcomes: &[&CallOutcome], min_fraction: f64) -> Option<GuaranteeViolation> {
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{
@@ -14,7 +15,7 @@
 use nix::unistd::Pid;
 use serde_json::Value;
 
-use crate::soak_checks::KeyPeriod;
+use crate::soak_checks::{Departure, GuaranteeViolation, KeyPeriod};
 use crate::soak_run::SoakError;
 
 /// Access key that faults withdraw and grant again.
@@ -42,6 +43,18 @@
     pub store_relay: FaultRelay,
     /// Whether the process is stopped by `SIGSTOP`.
     pub is_paused: bool,
+    /// Signal that ends the process, if one was sent. `SIGKILL` counts before `SIGTERM`.
+    pub end_signal: Option<Signal>,
+}
+
+impl RelayedInstance {
+    /// Returns whether a signal that was sent explains the exit status.
+    fn is_expected_end(&self, status: ExitStatus) -> bool {
+        match self.end_signal {
+            Some(Signal::SIGTERM) => status.success(),
+            end_signal => end_signal.is_some(),
+        }
+    }
 }
 
 /// Store, upstreams and daemons of one run.
@@ -55,6 +68,8 @@
     pub instances: Vec<RelayedInstance>,
     /// Periods in which [`CHANGING_KEY`] was granted or withdrawn, in order. The last one has not ended.
     key_periods: Vec<KeyPeriod>,
+    departures: Vec<Departure>,
+    unexpected_ends: Vec<GuaranteeViolation>,
     program: PathBuf,
     folder: PathBuf,
     is_folder_kept: bool,
@@ -73,6 +88,8 @@
             upstreams: Vec::new(),
             instances: Vec::new(),
             key_periods: Vec::new(),
+            departures: Vec::new(),
+            unexpected_ends: Vec::new(),
             program: sibling_program("coltsfootkeel-entry")?,
             folder,
             is_folder_kept: false,
@@ -96,6 +113,7 @@
                 options,
                 store_relay,
                 is_paused: false,
+                end_signal: None,
             });
             fleet.start_instance(index)?;
         }
@@ -158,6 +176,7 @@
         let process = EntryInstance::start(&self.program, &self.folder, options)?;
         instance.process = Some(process);
         instance.is_paused = false;
+        instance.end_signal = None;
         Ok(())
     }
 
@@ -172,25 +191,81 @@
             let _ = kill(Pid::from_raw(id), signal);
         }
         match signal {
+            Signal::SIGKILL => instance.end_signal = Some(Signal::SIGKILL),
+            Signal::SIGTERM => {
+                instance.end_signal.get_or_insert(Signal::SIGTERM);
+            }
             Signal::SIGSTOP => instance.is_paused = true,
             Signal::SIGCONT => instance.is_paused = false,
             _ => {}
         }
     }
 
-    /// Restarts the daemons that have ended.
-    pub fn restart_ended(&mut self) -> Result<(), SoakError> {
+    /// Restarts the daemons that have ended, and records those that ended although nothing asked them to. Returns whether any
+    /// was restarted.
+    pub fn restart_ended(&mut self) -> Result<bool, SoakError> {
+        let mut is_restarted = false;
         for index in 0..self.instances.len() {
-            let process = &mut self.instances[index].process;
-            let has_ended = match process {
-                Some(process) => process.has_ended()?,
-                None => true,
-            };
-            if has_ended {
-                *process = None;
-                self.start_instance(index)?;
+            let instance = &mut self.instances[index];
+            if let Some(process) = &mut instance.process {
+                let Some(status) = process.exit_status()? else {
+                    continue;
+                };
+                if !instance.is_expected_end(status) {
+                    self.unexpected_ends
+                        .push(GuaranteeViolation::EndedByItself {
+                            instance: instance.options.name.clone(),
+                            status: status.to_string(),
+                        });
+                }
+            }
+            self.start_instance(index)?;
+            is_restarted = true;
+        }
+        Ok(is_restarted)
+    }
+
+    /// Returns the ends of daemons that nothing explains.
+    #[must_use]
+    pub fn unexpected_ends(&self) -> &[GuaranteeViolation] {
+        &self.unexpected_ends
+    }
+
+    /// Returns the periods in which an upstream was registered as leaving.
+    #[must_use]
+    pub fn departures(&self) -> &[Departure] {
+        &self.departures
+    }
+
+    /// Registers an upstream as leaving, or as ready again, and records the period.
+    pub fn set_leaving(&mut self, index: usize, is_leaving: bool) {
+        let id = self.upstreams[index].upstream.id().to_string();
+        let open = self
+            .departures
+            .iter_mut()
+            .find(|departure| departure.upstream == id && departure.to.is_none());
+        match (open, is_leaving) {
+            (Some(departure), false) => {
+                departure.to = Some(Instant::now());
+                self.register(index, "ready");
+            }
+            (None, true) => {
+                self.register(index, "draining");
+                self.departures.push(Departure {
+                    upstream: id,
+                    from: Instant::now(),
+                    to: None,
+                });
             }
+            _ => {}
         }
+    }
+
+    /// Writes the settings file of a daemon anew, and tells it so.
+    pub fn rewrite_settings(&mut self, index: usize) -> Result<(), SoakError> {
+        let options = &self.instances[index].options;
+        EntryInstance::write_settings(&self.folder, options)?;
+        self.signal(index, Signal::SIGHUP);
         Ok(())
     }
 
@@ -208,7 +283,12 @@
             relayed.relay.set(RelayMode::PASS).await;
             self.register(index, "ready");
         }
-        self.restart_ended()
+        let now = Instant::now();
+        for departure in &mut self.departures {
+            departure.to.get_or_insert(now);
+        }
+        self.restart_ended()?;
+        Ok(())
     }
 
     /// Keeps the folder with the logs of the daemons when the fleet is dropped, and returns its path.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -8,8 +8,11 @@
 use fastrand::Rng;
 use thiserror::Error;
 
-use crate::soak_callers::{OutcomeLog, run_caller};
-use crate::soak_checks::{GuaranteeViolation, RecordedRun, check_guarantees, check_recovery};
+use crate::planned_work::{draw_step_pause, take_planned_step};
+use crate::soak_callers::{OutcomeLog, run_caller, run_slow_sender};
+use crate::soak_checks::{
+    GuaranteeViolation, RecordedRun, check_guarantees, check_planned_work, check_recovery,
+};
 use crate::soak_faults::{draw_fault_pause, inject_fault, silence_connections};
 use crate::soak_fleet::SoakFleet;
 
@@ -22,9 +25,20 @@
 /// Smallest fraction of the requests in the final window that must be served.
 const MIN_SERVED_FRACTION: f64 = 0.9;
 
+/// What happens to the fleet in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SoakProfile {
+    /// Overlapping faults of all kinds.
+    AllFaults,
+    /// Stops, reloads, departures and changes of the configuration, without a fault.
+    PlannedWork,
+}
+
 /// Parameters of a run.
 #[derive(Debug, Clone, Copy)]
 pub struct SoakPlan {
+    /// What happens to the fleet.
+    pub profile: SoakProfile,
     /// Seed of the random faults and requests.
     pub seed: u64,
     /// Time for which faults are injected.
@@ -33,7 +47,7 @@
     pub instances: usize,
     /// Number of upstreams, at least 1.
     pub upstreams: usize,
-    /// Number of callers, each of which sends one request at a time.
+    /// Number of callers, each of which sends one request at a time. With planned work, as many others send theirs in parts.
     pub callers: u64,
 }
 
@@ -69,7 +83,7 @@
     let mut fleet = SoakFleet::start(plan.seed, plan.instances, plan.upstreams).await?;
     let outcome_log = OutcomeLog::default();
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..plan.callers)
+    let mut callers: Vec<_> = (0..plan.callers)
         .map(|caller| {
             let seed = plan.seed.wrapping_mul(1_000).wrapping_add(caller);
             let entry_addresses = fleet.entry_addresses();
@@ -81,21 +95,42 @@
             ))
         })
         .collect();
+    if plan.profile == SoakProfile::PlannedWork {
+        callers.extend((0..plan.callers).map(|caller| {
+            let seed = (!plan.seed).wrapping_mul(1_000).wrapping_add(caller);
+            let entry_addresses = fleet.entry_addresses();
+            tokio::spawn(run_slow_sender(
+                entry_addresses,
+                seed,
+                outcome_log.clone(),
+                Arc::clone(&stop),
+            ))
+        }));
+    }
     let mut rng = Rng::with_seed(plan.seed);
     let mut faults = Vec::new();
     // A sequence of its own keeps the other faults of each seed as they are.
     let mut silence_rng = Rng::with_seed(!plan.seed);
     let started = Instant::now();
     while started.elapsed() < plan.duration {
-        let mut descriptions = vec![inject_fault(&mut fleet, &mut rng).await?];
-        descriptions.extend(silence_connections(&fleet, &mut silence_rng));
+        let (descriptions, pause) = match plan.profile {
+            SoakProfile::AllFaults => {
+                let mut descriptions = vec![inject_fault(&mut fleet, &mut rng).await?];
+                descriptions.extend(silence_connections(&fleet, &mut silence_rng));
+                (descriptions, draw_fault_pause(&mut rng))
+            }
+            SoakProfile::PlannedWork => {
+                let description = take_planned_step(&mut fleet, &mut rng).await?;
+                (vec![description], draw_step_pause(&mut rng))
+            }
+        };
         let elapsed = started.elapsed().as_millis();
         faults.extend(
             descriptions
                 .iter()
                 .map(|fault| format!("{elapsed} ms: {fault}")),
         );
-        tokio::time::sleep(draw_fault_pause(&mut rng)).await;
+        tokio::time::sleep(pause).await;
     }
     fleet.write_config(true);
     fleet.clear_faults().await?;
@@ -125,6 +160,11 @@
         })
         .collect();
     let mut violations = check_guarantees(&outcomes, &runs, fleet.key_periods());
+    if plan.profile == SoakProfile::PlannedWork {
+        let departures = fleet.departures();
+        violations.extend(check_planned_work(&outcomes, &runs, departures));
+    }
+    violations.extend_from_slice(fleet.unexpected_ends());
     let final_outcomes = outcomes
         .iter()
         .filter(|outcome| outcome.sent_at > final_window_start);
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use coltsfootkeel_soak::{SoakPlan, run_soak};
+use coltsfootkeel_soak::{SoakPlan, SoakProfile, run_soak};
 
 struct SoakCase {
     name: &'static str,
+    profile: SoakProfile,
     seed: u64,
     seconds: u64,
     instances: usize,
@@ -18,6 +19,7 @@
     let cases = [
         SoakCase {
             name: "a short run",
+            profile: SoakProfile::AllFaults,
             seed: 1,
             seconds: 8,
             instances: 3,
@@ -26,6 +28,7 @@
         // plan.
         SoakCase {
             name: "a withdrawal before an outage",
+            profile: SoakProfile::AllFaults,
             seed: 3013,
             seconds: 20,
             instances: 3,
@@ -34,6 +37,7 @@
         // unknown.
         SoakCase {
             name: "a granted key before an outage",
+            profile: SoakProfile::AllFaults,
             seed: 9112,
             seconds: 20,
             instances: 3,
@@ -41,6 +45,7 @@
         // All connections to the store were silent when a key was withdrawn, and the store went away.
         SoakCase {
             name: "a withdrawal that nobody heard of before an outage",
+            profile: SoakProfile::AllFaults,
             seed: 9107,
             seconds: 20,
             instances: 3,
@@ -48,12 +53,21 @@
         // The store turned all instances away one by one and accepted a withdrawal.
         SoakCase {
             name: "a withdrawal while all instances are cut off",
+            profile: SoakProfile::AllFaults,
             seed: 7040,
             seconds: 20,
             instances: 3,
         },
+        SoakCase {
+            name: "stops, reloads and departures without a fault",
+            profile: SoakProfile::PlannedWork,
+            seed: 1,
+            seconds: 15,
+            instances: 3,
+        },
         SoakCase {
             name: "a fleet in which heartbeats are passed on",
+            profile: SoakProfile::AllFaults,
             seed: 11000,
             seconds: 12,
             instances: 20,
@@ -62,6 +76,7 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     for case in cases {
         let report = runtime.block_on(run_soak(SoakPlan {
+            profile: case.profile,
             seed: case.seed,
             duration: Duration::from_secs(case.seconds),
             instances: case.instances,
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -90,14 +90,24 @@
     ///
     /// Returns an I/O error if a file cannot be written or the program cannot be started.
     pub fn start(program: &Path, folder: &Path, options: EntryOptions) -> io::Result<Self> {
+        Self::write_settings(folder, &options)?;
         let file = settings_file(folder, &options.name);
-        std::fs::write(&file, settings(&options).to_string())?;
         let arguments = [Path::new("--settings").to_path_buf(), file];
         let log = folder.join(format!("{}.log", options.name));
         let process = ChildProcess::start_logged(&options.name, program, arguments, &log)?;
         Ok(Self { options, process })
     }
 
+    /// Writes the settings file of an instance, which may be running.
+    ///
+    /// # Errors
+    ///
+    /// Returns an I/O error if the file cannot be written.
+    pub fn write_settings(folder: &Path, options: &EntryOptions) -> io::Result<()> {
+        let file = settings_file(folder, &options.name);
+        std::fs::write(&file, settings(options).to_string())
+    }
+
     /// Returns the process id of the instance.
     #[must_use]
     pub fn process_id(&self) -> u32 {
