entry: a watch without an answer renews the other watches, instead of shorter waits

Change: the wait is 2.4 s again. A watch that gets no answer in time wakes the other watches of the instance, which are renewed on new connections and get at once what they missed. The watch on the configuration, of 1.2 s, begins at other times than those on the lists, so the first of the instances notices silent connections well within 2.4 s.

Evidence: all_instances_apply_changes_that_few_of_them_watch failed before ("48 calls in five seconds") and passes now; leaving_upstreams_receive_no_request_behind_silent_watches passes as before (3.54 s without either change).

--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -34,9 +34,9 @@
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// How each kind of objects is watched. The return of a watch on the configuration confirms that no key was withdrawn; the
 /// heartbeats of its reader carry the age of that confirmation to the others.
-/// A dead connection is detected when its watch times out, so the waits bound how long a draining upstream or an
-/// evacuated failure domain may be missed: with the timeout of a call, the wait for upstreams stays below the 2.5 s within
-/// which requests to a draining one must end. Upstreams and instances often change many at a time, and the delay after a
+/// A dead connection is detected when its watch times out, and the other watches are then renewed as well. So the shortest
+/// wait, with the timeout of a call, bounds how long a draining upstream or an evacuated failure domain may be missed: it
+/// stays below the 2.5 s within which requests to a draining one must end. Upstreams and instances often change many at a time, and the delay after a
 /// change batches them.
 const WATCHED_KINDS: [WatchConfig; 4] = [
     WatchConfig {
@@ -46,7 +46,7 @@
     },
     WatchConfig {
         kind: ObjectKind::Upstreams,
-        wait: Duration::from_secs(1),
+        wait: Duration::from_millis(2_400),
         batch_delay: Duration::from_millis(150),
     },
     WatchConfig {
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -97,6 +97,8 @@
     /// When this instance began to read the list of upstreams without a failure, on the clock that includes suspension.
     /// The start of the process while the list cannot be read or is read by other instances.
     pub upstreams_read_since: AtomicTime,
+    /// Notifies the open watches on the store that the connection of one of them has gone silent.
+    pub store_silence: Notify,
     /// Whether this instance watches the lists of the store for the others.
     pub reader_role: ReaderRole,
     /// The upstreams that handled each object within the retention time of the table.
@@ -156,6 +158,7 @@
             fleet: ArcSwap::default(),
             freshness: PlanFreshness::default(),
             upstreams_read_since: AtomicTime::default(),
+            store_silence: Notify::new(),
             reader_role: ReaderRole::default(),
             affinity_table: AffinityTable::default(),
             placement_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -42,6 +42,15 @@
 /// returns a change about as soon as that of another instance.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(300);
 
+/// Why an open watch is renewed on a new connection.
+#[derive(Debug, Clone, Copy)]
+enum RenewalReason {
+    /// Another instance has received a change that this watch has not.
+    MissedChange,
+    /// A watch on another kind got no answer in time.
+    SilentConnection,
+}
+
 /// How a kind of objects is watched.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchConfig {
@@ -139,12 +148,10 @@
             } else {
                 self.config.wait
             };
-            let lag = self.wait_until_lagging(cause, revision);
-            match self
-                .client
-                .watch(self.config.kind, revision, wait, lag)
-                .await
-            {
+            let mut reason = None;
+            let renewal = async { reason = Some(self.wait_for_renewal(cause, revision).await) };
+            let watching = self.client.watch(self.config.kind, revision, wait, renewal);
+            match watching.await {
                 Ok(WatchAnswer::Changes {
                     events,
                     unreadable,
@@ -183,12 +190,17 @@
                 }
                 Err(CallError::Unknown(AnswerFailure::Abandoned)) => {
                     log::warn!(
-                        "store: Another instance has received a change of {:?} that this watch has not, reading again.",
+                        reason:?;
+                        "store: The watch on {:?} may be dead, reading again.",
                         self.config.kind
                     );
                     is_abandoned = true;
                 }
                 Err(error) => {
+                    if matches!(error, CallError::Unknown(AnswerFailure::Timeout)) {
+                        // Connections to the store often go silent together.
+                        self.shared.store_silence.notify_waiters();
+                    }
                     self.back_off(&error).await;
                     // Entries may have expired in the outage, and a list shows which are missing. It also succeeds
                     // sooner after the recovery than a watch, which may wait for a change.
@@ -229,6 +241,14 @@
         }
     }
 
+    /// Waits until an open watch has to be renewed, and returns the reason.
+    async fn wait_for_renewal(&self, cause: ReadCause, revision: u64) -> RenewalReason {
+        tokio::select! {
+            () = self.wait_until_lagging(cause, revision) => RenewalReason::MissedChange,
+            () = self.shared.store_silence.notified() => RenewalReason::SilentConnection,
+        }
+    }
+
     /// Waits until a watch misses a change that another instance has received. Never completes for a call that is made
     /// because of such a report: a store that answers slowly would otherwise never complete a call.
     async fn wait_until_lagging(&self, cause: ReadCause, revision: u64) {
