--- a/crates/counters/tests/interleavings.rs
+++ b/crates/counters/tests/interleavings.rs
@@ -55,7 +55,8 @@
     });
 }
 
-/// Guards against two requests that both keep the last free bytes, and against bytes that are lost when they are given back.
+/// Guards against two requests that both keep the last free bytes, and against bytes that are lost when they are given
+/// back.
 #[test]
 fn last_bytes_are_taken_once() {
     loom::model(|| {
--- a/crates/entry/src/caller_body.rs
+++ b/crates/entry/src/caller_body.rs
@@ -23,8 +23,8 @@
 }
 
 impl CallerBody {
-    /// Reads a body of up to [`MAX_BUFFERED_BYTES`] to its end. A longer one, or one that does not fit `budget`, is streamed
-    /// after its beginning.
+    /// Reads a body of up to [`MAX_BUFFERED_BYTES`] to its end. A longer one, or one that does not fit `budget`, is
+    /// streamed after its beginning.
     ///
     /// # Errors
     ///
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -32,12 +32,12 @@
 /// The timeout of a call to the store, which answers in milliseconds, or within some tenths of a second when it is
 /// slow.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// How each kind of objects is watched. The return of a watch on the configuration confirms that no key was withdrawn; the
-/// heartbeats of its reader carry the age of that confirmation to the others.
-/// A dead connection is detected when its watch times out, and the other watches are then renewed as well. So the shortest
-/// wait, with the timeout of a call, bounds how long a draining upstream or an evacuated failure domain may be missed: it
-/// stays below the 2.5 s within which requests to a draining one must end. Upstreams and instances often change many at a time, and the delay after a
-/// change batches them.
+/// How each kind of objects is watched. The return of a watch on the configuration confirms that no key was withdrawn;
+/// the heartbeats of its reader carry the age of that confirmation to the others. A dead connection is detected when
+/// its watch times out, and the other watches are then renewed as well. So the shortest wait, with the timeout of a
+/// call, bounds how long a draining upstream or an evacuated failure domain may be missed: it stays below the 2.5 s
+/// within which requests to a draining one must end. Upstreams and instances often change many at a time, and the delay
+/// after a change batches them.
 const WATCHED_KINDS: [WatchConfig; 4] = [
     WatchConfig {
         kind: ObjectKind::Config,
@@ -153,8 +153,8 @@
     open_socket(address, purpose, || TcpListener::bind(address)).await
 }
 
-/// Opens a socket on `address`. An address that is in use is waited for: the process before this one may still hold it, or a
-/// connection that happens to have its port.
+/// Opens a socket on `address`. An address that is in use is waited for: the process before this one may still hold it,
+/// or a connection that happens to have its port.
 async fn open_socket<S, F: Future<Output = std::io::Result<S>>>(
     address: SocketAddr,
     purpose: &'static str,
--- a/crates/entry/src/process_signals.rs
+++ b/crates/entry/src/process_signals.rs
@@ -1,7 +1,7 @@
 //! The signals by which the platform controls the process.
 //!
-//! Load pattern: the platform stops a process, or names new settings, in the moment in which it starts. Until a handler is
-//! installed such a signal ends the process, so signals are held back from the first statement of the program on.
+//! Load pattern: the platform stops a process, or names new settings, in the moment in which it starts. Until a handler
+//! is installed such a signal ends the process, so signals are held back from the first statement of the program on.
 
 use std::io;
 
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -25,8 +25,8 @@
 /// report, other instances may send the object to an upstream that has to load it first; without a crash report, the
 /// request may crash one more upstream.
 const MAX_QUEUED_REPORTS: usize = 512;
-/// The part of the memory limit that bytes of requests and answers may take. The rest is for connections, the tables of the
-/// control thread, and memory that the allocator keeps.
+/// The part of the memory limit that bytes of requests and answers may take. The rest is for connections, the tables of
+/// the control thread, and memory that the allocator keeps.
 const KEPT_MEMORY_DIVISOR: u64 = 4;
 
 /// The assumed round trip to another region before the first measurement.
--- a/crates/entry/src/store_outage.rs
+++ b/crates/entry/src/store_outage.rs
@@ -77,9 +77,9 @@
         self.outages.recent(now).map(encode).collect()
     }
 
-    /// Records an outage in which no registered instance reaches the store. No key can be withdrawn in it, so it confirms the
-    /// plan, unless the bound on withdrawals is strict: a key may have been withdrawn between the last confirmation and the
-    /// outage. A plan that was older than that of another instance before stays so.
+    /// Records an outage in which no registered instance reaches the store. No key can be withdrawn in it, so it
+    /// confirms the plan, unless the bound on withdrawals is strict: a key may have been withdrawn between the last
+    /// confirmation and the outage. A plan that was older than that of another instance before stays so.
     pub(crate) fn observe_store_outage(&mut self) {
         let now = self.shared.clock.now_with_suspension();
         self.update_outages(now);
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -236,8 +236,8 @@
     connection: Option<Box<UpstreamConnection>>,
 }
 
-/// Reads a body of up to `max_bytes` to its end, or the beginning of a longer one or of one that does not fit the budget.
-/// Returns `None` if the connection breaks.
+/// Reads a body of up to `max_bytes` to its end, or the beginning of a longer one or of one that does not fit the
+/// budget. Returns `None` if the connection breaks.
 async fn read_content(
     mut body: UpstreamBody,
     max_bytes: usize,
--- a/crates/entry/tests/key_withdrawal.rs
+++ b/crates/entry/tests/key_withdrawal.rs
@@ -61,8 +61,8 @@
     },
 ];
 
-/// Guards against a withdrawn key that is accepted for as long as the store is away, because instances that cannot reach it
-/// take that for a confirmation of their plan. Routes without keys are served meanwhile.
+/// Guards against a withdrawn key that is accepted for as long as the store is away, because instances that cannot
+/// reach it take that for a confirmation of their plan. Routes without keys are served meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_that_are_withdrawn_just_before_the_store_is_lost_stop_working() {
     let runs = CASES.map(|case| tokio::spawn(withdraw_and_lose_store(case)));
@@ -122,8 +122,8 @@
     }
 }
 
-/// Guards against the only registered instance that takes its own loss of the store for an outage for all, also where the
-/// bound on withdrawals is not strict: its own failed calls are no evidence of what others reach.
+/// Guards against the only registered instance that takes its own loss of the store for an outage for all, also where
+/// the bound on withdrawals is not strict: its own failed calls are no evidence of what others reach.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_without_others_does_not_take_its_cut_for_an_outage() {
     let mut fleet = PlatformFleet::start(FleetSetup {
--- a/crates/entry/tests/leaving_upstreams.rs
+++ b/crates/entry/tests/leaving_upstreams.rs
@@ -25,8 +25,8 @@
 /// In this time the instances read an upstream that is back. Their next watches have just begun then.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
 
-/// Guards against requests that still reach a leaving upstream, because all instances wait for the answers of watches whose
-/// connections have gone silent.
+/// Guards against requests that still reach a leaving upstream, because all instances wait for the answers of watches
+/// whose connections have gone silent.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_upstreams_receive_no_request_behind_silent_watches() {
     let mut fleet = PlatformFleet::start(FleetSetup {
--- a/crates/entry/tests/memory_limit.rs
+++ b/crates/entry/tests/memory_limit.rs
@@ -94,8 +94,8 @@
     },
 ];
 
-/// Guards against processes that run out of memory because each request may keep some megabytes, however many requests there
-/// are and however little memory the process has.
+/// Guards against processes that run out of memory because each request may keep some megabytes, however many requests
+/// there are and however little memory the process has.
 #[tokio::test(flavor = "multi_thread")]
 async fn kept_bytes_stay_within_the_memory_limit() {
     let mut failures = Vec::new();
--- a/crates/entry/tests/odd_entries.rs
+++ b/crates/entry/tests/odd_entries.rs
@@ -24,8 +24,8 @@
     entries: usize,
 }
 
-/// Guards against processes that end, or take more memory than they have, because an entry of another writer states a huge
-/// number of slots.
+/// Guards against processes that end, or take more memory than they have, because an entry of another writer states a
+/// huge number of slots.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_with_many_slots_take_little_memory() {
     let cases = [
--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -21,8 +21,8 @@
 
 /// Time after the stop signal at which the listener is closed: half of the grace period.
 const LISTENER_CLOSED_AFTER: Duration = Duration::from_secs(3);
-/// Time after the close of the listener within which a process without work ends. It may wait for callers to close their
-/// connections for a second.
+/// Time after the close of the listener within which a process without work ends. It may wait for callers to close
+/// their connections for a second.
 const ENDED_WITHIN: Duration = Duration::from_millis(1_500);
 /// Length of an answer that is buffered whole before it is written.
 const LARGE_ANSWER_BYTES: usize = 4_000_000;
@@ -93,8 +93,8 @@
     rest_after: Duration,
 }
 
-/// Guards against orders that run and get no answer, because their head is complete only after the listener has closed and
-/// the process ends as if nothing were in progress.
+/// Guards against orders that run and get no answer, because their head is complete only after the listener has closed
+/// and the process ends as if nothing were in progress.
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_whose_head_arrives_around_the_close_of_the_listener_are_answered() {
     let cases = [
@@ -179,8 +179,8 @@
     drop((unused, kept));
 }
 
-/// Guards against an answer that is cut although its caller reads on, because the process ends when the answer is handed to
-/// the HTTP library and not when it is written.
+/// Guards against an answer that is cut although its caller reads on, because the process ends when the answer is
+/// handed to the HTTP library and not when it is written.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_callers_read_slowly_are_written_to_their_end() {
     let fleet = PlatformFleet::start(FleetSetup {
--- a/crates/entry/tests/process_start.rs
+++ b/crates/entry/tests/process_start.rs
@@ -130,8 +130,8 @@
     }
 }
 
-/// Guards against a process that ends because a port is still taken when it starts, for example by the process before it or
-/// by a connection that happens to use it.
+/// Guards against a process that ends because a port is still taken when it starts, for example by the process before
+/// it or by a connection that happens to use it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_port_that_is_taken_for_a_moment_is_waited_for() {
     let mut fleet = empty_fleet("start-port").await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,8 +1,9 @@
 //! Randomized soak test of the daemons against stand-ins of the platform.
 //!
-//! [`run_soak`] starts a store, upstreams behind relays, and daemons as child processes. It injects random faults, or only takes
-//! planned steps, while callers send requests, and then checks the records of callers and upstreams against the guarantees
-//! of the system. A seed always yields the same sequence of faults; their effect also depends on the timing of the machine.
+//! [`run_soak`] starts a store, upstreams behind relays, and daemons as child processes. It injects random faults, or
+//! only takes planned steps, while callers send requests, and then checks the records of callers and upstreams against
+//! the guarantees of the system. A seed always yields the same sequence of faults; their effect also depends on the
+//! timing of the machine.
 
 mod planned_work;
 mod soak_callers;
--- a/crates/soak/src/planned_work.rs
+++ b/crates/soak/src/planned_work.rs
@@ -1,5 +1,5 @@
-//! Random planned work: stops, reloads, departures of upstreams and changes of the configuration, in series and overlapping.
-//! Nothing fails meanwhile, so that no request may be lost.
+//! Random planned work: stops, reloads, departures of upstreams and changes of the configuration, in series and
+//! overlapping. Nothing fails meanwhile, so that no request may be lost.
 
 use std::time::Duration;
 
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -201,8 +201,8 @@
         }
     }
 
-    /// Restarts the daemons that have ended, and records those that ended although nothing asked them to. Returns whether any
-    /// was restarted.
+    /// Restarts the daemons that have ended, and records those that ended although nothing asked them to. Returns
+    /// whether any was restarted.
     pub fn restart_ended(&mut self) -> Result<bool, SoakError> {
         let mut is_restarted = false;
         for index in 0..self.instances.len() {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -47,7 +47,8 @@
     pub instances: usize,
     /// Number of upstreams, at least 1.
     pub upstreams: usize,
-    /// Number of callers, each of which sends one request at a time. With planned work, as many others send theirs in parts.
+    /// Number of callers, each of which sends one request at a time. With planned work, as many others send theirs in
+    /// parts.
     pub callers: u64,
 }
 
--- a/crates/steering/src/outage_evidence.rs
+++ b/crates/steering/src/outage_evidence.rs
@@ -15,8 +15,8 @@
 /// evidence on.
 const MAX_EVIDENCE_AGE: Duration = Duration::from_secs(2);
 
-/// The fewest instances whose failed calls show an outage. The calls of one instance also fail if only its own way to the store
-/// is lost.
+/// The fewest instances whose failed calls show an outage. The calls of one instance also fail if only its own way to
+/// the store is lost.
 const MIN_WITNESSES: usize = 2;
 
 /// For each failure domain, the latest time at which none of its instances had reached the store for a while.
@@ -43,8 +43,8 @@
             .filter(move |(_, time)| now.since(*time) < MAX_EVIDENCE_AGE)
     }
 
-    /// Returns a time at which none of the registered instances reached the store, or `None` if that is not known. `domains`
-    /// holds the failure domain of each of them.
+    /// Returns a time at which none of the registered instances reached the store, or `None` if that is not known.
+    /// `domains` holds the failure domain of each of them.
     #[must_use]
     pub fn outage_time(
         &self,
--- a/crates/steering/src/plan_freshness.rs
+++ b/crates/steering/src/plan_freshness.rs
@@ -2,9 +2,9 @@
 //! must refuse them.
 //!
 //! A confirmation is a time at which the active plan was the latest one in the store. It comes from this instance's own
-//! watch or from another instance with the same plan. While no member reaches the store, it accepts no withdrawal either, but
-//! one that it accepted just before may be known to nobody. The settings decide whether such an outage also counts as a
-//! confirmation.
+//! watch or from another instance with the same plan. While no member reaches the store, it accepts no withdrawal
+//! either, but one that it accepted just before may be known to nobody. The settings decide whether such an outage also
+//! counts as a confirmation.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -39,7 +39,8 @@
         self.confirmed_at.advance(time);
     }
 
-    /// Records that no instance reached the store at `time`. What it accepted just before may be unknown to all instances.
+    /// Records that no instance reached the store at `time`. What it accepted just before may be unknown to all
+    /// instances.
     pub fn record_outage(&self, time: MonotonicTime) {
         self.outage_at.advance(time);
     }
--- a/crates/transport/src/caller_connection.rs
+++ b/crates/transport/src/caller_connection.rs
@@ -19,8 +19,8 @@
 /// The most bytes of a caller that are discarded after the last answer.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
-/// How long a stopping listener waits for the first bytes of a connection. A caller that has just connected is about to send
-/// a request.
+/// How long a stopping listener waits for the first bytes of a connection. A caller that has just connected is about to
+/// send a request.
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(200);
 /// The time between two checks whether the head of a request is complete while the listener stops.
 const INPUT_CHECK_PERIOD: Duration = Duration::from_millis(10);
@@ -61,8 +61,8 @@
     .await
 }
 
-/// Waits until no request is partly received. The HTTP library closes a connection that waits for a request, also if a part
-/// of it has arrived.
+/// Waits until no request is partly received. The HTTP library closes a connection that waits for a request, also if a
+/// part of it has arrived.
 pub(crate) async fn wait_between_requests(stream: &SharedStream) {
     let first_bytes = async {
         while !stream.has_received() {
--- a/crates/transport/src/kept_bytes.rs
+++ b/crates/transport/src/kept_bytes.rs
@@ -1,8 +1,8 @@
 //! Bytes of bodies that are kept, counted in a budget of the process.
 //!
-//! Load pattern: many requests at the same time whose answers or bodies are long, or have no end. Each may be kept whole, so that
-//! the request can be sent again, but all of them together must fit the memory of the process. What does not fit is forwarded
-//! while it arrives.
+//! Load pattern: many requests at the same time whose answers or bodies are long, or have no end. Each may be kept
+//! whole, so that the request can be sent again, but all of them together must fit the memory of the process. What does
+//! not fit is forwarded while it arrives.
 
 use std::sync::Arc;
 
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -28,8 +28,8 @@
 /// The longest idle time of a connection that is still reused. The upstream may be about to close one that has been idle
 /// for longer.
 const MAX_IDLE: Duration = Duration::from_secs(8);
-/// The most idle connections that are kept for one upstream. Room for them is allocated when the upstream is listed, and its
-/// entry may state any number of slots.
+/// The most idle connections that are kept for one upstream. Room for them is allocated when the upstream is listed,
+/// and its entry may state any number of slots.
 const MAX_IDLE_CONNECTIONS: usize = 256;
 /// The size to which the buffer of a connection may grow. It holds a head of the longest length.
 const MAX_BUFFER_BYTES: usize = MAX_HEAD_BYTES + 8 * 1024;
