--- a/review/harness-2/endless.rs
+++ b/review/harness-2/endless.rs
@@ -89,8 +89,11 @@
     let mut threads = Vec::new();
     for (index, machine) in machines.iter().enumerate() {
         for client in 0..CLIENTS {
-            let (clients, name, front) = (Arc::clone(&clients), machine.name.clone(), machine.front);
-            threads.push(thread::spawn(move || clients.run(index * CLIENTS + client, &name, front)));
+            let (clients, name, front) =
+                (Arc::clone(&clients), machine.name.clone(), machine.front);
+            threads.push(thread::spawn(move || {
+                clients.run(index * CLIENTS + client, &name, front)
+            }));
         }
     }
     // All machines are in touch before the first spoiled answer.
@@ -110,9 +113,15 @@
         return Err("too few orders were sent".to_string());
     }
     let is_open = |order: &&Order, after: Duration| order.ended > order.sent + after;
-    let long = orders.iter().filter(|order| is_open(order, ROUTE_TIMEOUT)).count();
+    let long = orders
+        .iter()
+        .filter(|order| is_open(order, ROUTE_TIMEOUT))
+        .count();
     let late_after = ROUTE_TIMEOUT + Duration::from_millis(500);
-    let late = orders.iter().filter(|order| is_open(order, late_after)).count();
+    let late = orders
+        .iter()
+        .filter(|order| is_open(order, late_after))
+        .count();
     record.line(&format!(
         "{} orders; {long} last longer than their route's timeout, {late} of them have no final answer half a second later; allowed are seven, or a quarter",
         orders.len()
--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -46,7 +46,13 @@
 }
 
 impl Machine {
-    pub fn new(index: usize, ports: Ports, store: SocketAddr, folder: &std::path::Path, bounds: &str) -> io::Result<Self> {
+    pub fn new(
+        index: usize,
+        ports: Ports,
+        store: SocketAddr,
+        folder: &std::path::Path,
+        bounds: &str,
+    ) -> io::Result<Self> {
         let zone = ZONES[index % ZONES.len()];
         let name = format!("edge-{zone}-{}", index / ZONES.len() + 1);
         let ip = format!("127.0.{}.1", index + 1);
@@ -68,7 +74,10 @@
         );
         let settings = folder.join(format!("{name}.json"));
         fs::write(&settings, text)?;
-        let parse = |text: String| text.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidInput));
+        let parse = |text: String| {
+            text.parse()
+                .map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))
+        };
         Ok(Self {
             front: parse(at(0))?,
             ready: parse(at(1))?,
@@ -81,7 +90,10 @@
 
     /// Starts the program of the deploy file with the settings in its environment.
     pub fn start(&mut self) -> io::Result<()> {
-        let log = fs::File::options().create(true).append(true).open(&self.log)?;
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
         let mut command = Command::new("target/release/coltsfootkeel-entry");
         command.env_clear();
         for name in ["PATH", "HOME", "LANG"] {
@@ -90,10 +102,16 @@
             }
         }
         command.env("COLTSFOOTKEEL_CONFIG", &self.settings);
-        command.stdin(Stdio::null()).stderr(log.try_clone()?).stdout(log);
+        command
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log);
         let child = command.spawn()?;
         if let Some(folder) = self.log.parent() {
-            let pids = fs::File::options().create(true).append(true).open(folder.join("pids"));
+            let pids = fs::File::options()
+                .create(true)
+                .append(true)
+                .open(folder.join("pids"));
             writeln!(pids?, "{}", child.id())?;
         }
         self.child = Some(child);
@@ -102,7 +120,10 @@
 
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
-        let request = format!("GET /-/readyz HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", self.ready);
+        let request = format!(
+            "GET /-/readyz HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+            self.ready
+        );
         while Instant::now() < until {
             let answer = call(self.ready, request.as_bytes(), Duration::from_secs(1));
             if answer.is_ok_and(|answer| answer.status() == 200) {
@@ -117,7 +138,9 @@
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             let id = child.id().to_string();
-            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).status();
+            let _ = Command::new("/bin/sh")
+                .args(["-c", &format!("kill -{name} {id}")])
+                .status();
         }
     }
 
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -71,7 +71,9 @@
             message.body.extend_from_slice(&chunk[..size]);
         }
     }
-    let length = message.header("content-length").and_then(|text| text.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     message.body = body;
--- a/review/harness-2/json.rs
+++ b/review/harness-2/json.rs
@@ -73,10 +73,9 @@
             }
         }
         _ => {
-            while bytes
-                .get(at)
-                .is_some_and(|byte| !matches!(byte, b',' | b'}' | b']') && !byte.is_ascii_whitespace())
-            {
+            while bytes.get(at).is_some_and(|byte| {
+                !matches!(byte, b',' | b'}' | b']') && !byte.is_ascii_whitespace()
+            }) {
                 at += 1;
             }
             Some(at)
--- a/review/harness-2/poison.rs
+++ b/review/harness-2/poison.rs
@@ -33,7 +33,8 @@
             "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nColtsfootkeel-Attempt-Id: {id}\r\nColtsfootkeel-Affinity-Key: 7\r\nColtsfootkeel-Request-Deadline: 3000\r\nAuthorization: Token {KEY}\r\nConnection: close\r\n\r\n"
         );
         let to = &self.machines[machine];
-        self.record.line(&format!("client sends {id} ({path}) to {}", to.name));
+        self.record
+            .line(&format!("client sends {id} ({path}) to {}", to.name));
         let answer = call(to.front, request.as_bytes(), Duration::from_secs(3));
         let status = answer.as_ref().map_or(0, |answer| answer.status());
         self.record.line(&format!("client gets {status} for {id}"));
@@ -81,7 +82,10 @@
             record.line(&format!("SIGTERM to {}", restarted.name));
             restarted.signal("TERM");
             let by_itself = restarted.wait_for_end(Duration::from_secs(6));
-            record.line(&format!("{} has ended, by itself: {by_itself}", restarted.name));
+            record.line(&format!(
+                "{} has ended, by itself: {by_itself}",
+                restarted.name
+            ));
             thread::sleep(Duration::from_millis(500));
             restarted.start().map_err(text)?;
             if !restarted.wait_until_ready(Duration::from_secs(10)) {
@@ -97,7 +101,10 @@
     let runs = site.runs.lock().unwrap().clone();
     let poison: Vec<_> = runs.iter().filter(|run| run.path == POISON_PATH).collect();
     let Some(third) = poison.get(2) else {
-        return Err(format!("the request has crashed {} targets, not three", poison.len()));
+        return Err(format!(
+            "the request has crashed {} targets, not three",
+            poison.len()
+        ));
     };
     let judged_from = third.at + STABLE_WINDOW;
     let late: Vec<_> = poison.iter().filter(|run| run.at > judged_from).collect();
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -100,10 +100,12 @@
         };
         let parts: Vec<&str> = path.split('/').collect();
         let body = String::from_utf8_lossy(&request.body).into_owned();
-        let condition = argument("revision").and_then(|text| text.parse().ok()).or_else(|| {
-            let metadata = member(&body, "metadata")?;
-            member(metadata, "revision")?.parse().ok()
-        });
+        let condition = argument("revision")
+            .and_then(|text| text.parse().ok())
+            .or_else(|| {
+                let metadata = member(&body, "metadata")?;
+                member(metadata, "revision")?.parse().ok()
+            });
         match (request.first[0].as_str(), parts.as_slice()) {
             ("GET", [kind]) => match argument("watch").and_then(|text| text.parse().ok()) {
                 Some(after) => {
@@ -159,7 +161,8 @@
     }
 
     fn get(&self, kind: &str, name: &str) -> Option<String> {
-        self.object(kind, name).map(|object| object_text(name, &object))
+        self.object(kind, name)
+            .map(|object| object_text(name, &object))
     }
 
     /// Creates or replaces an object. A part that is `None` stays as it is.
@@ -188,17 +191,28 @@
         object.revision = revision;
         let text = object_text(name, &object);
         objects.insert(name.to_string(), object);
-        self.record(&mut state, kind, format!("{{\"removed\":false,\"object\":{text}}}"));
+        self.record(
+            &mut state,
+            kind,
+            format!("{{\"removed\":false,\"object\":{text}}}"),
+        );
     }
 
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.shared.0.lock().unwrap();
         let revision = state.revision + 1;
-        let removed = state.kinds.get_mut(kind).and_then(|objects| objects.remove(name));
+        let removed = state
+            .kinds
+            .get_mut(kind)
+            .and_then(|objects| objects.remove(name));
         if let Some(mut object) = removed {
             object.revision = revision;
             let text = object_text(name, &object);
-            self.record(&mut state, kind, format!("{{\"removed\":true,\"object\":{text}}}"));
+            self.record(
+                &mut state,
+                kind,
+                format!("{{\"removed\":true,\"object\":{text}}}"),
+            );
         }
     }
 
@@ -211,7 +225,11 @@
             text,
         };
         state.events.push(event);
-        let old = state.events.iter().take_while(|event| event.at.elapsed() > RETENTION).count();
+        let old = state
+            .events
+            .iter()
+            .take_while(|event| event.at.elapsed() > RETENTION)
+            .count();
         if old > 0 {
             state.dropped_until = state.events[old - 1].revision;
             state.events.drain(..old);
@@ -224,7 +242,9 @@
         let none = BTreeMap::new();
         let objects = state.kinds.get(kind).unwrap_or(&none);
         let items = objects.iter().filter(|(name, _)| name.as_str() > after);
-        let items: Vec<String> = items.map(|(name, object)| object_text(name, object)).collect();
+        let items: Vec<String> = items
+            .map(|(name, object)| object_text(name, object))
+            .collect();
         let page = items.len().min(500);
         let body = format!(
             "{{\"items\":[{}],\"has_more\":{},\"store_revision\":{}}}",
@@ -250,7 +270,10 @@
                 let revision = state.revision;
                 return (
                     200,
-                    format!("{{\"events\":[{}],\"store_revision\":{revision}}}", texts.join(",")),
+                    format!(
+                        "{{\"events\":[{}],\"store_revision\":{revision}}}",
+                        texts.join(",")
+                    ),
                 );
             }
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
--- a/review/harness-2/target.rs
+++ b/review/harness-2/target.rs
@@ -110,14 +110,17 @@
 
 fn register(site: &Site, address: SocketAddr, zone: &str, cold: &str) -> String {
     let id = site.new_id();
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |age| age.as_millis());
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |age| age.as_millis());
     let spec = format!(
         "{{\"address\":\"{address}\",\"info\":{{\"service\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":9}},\"born\":{born}}}",
         site.service
     );
     let status = format!("{{\"state\":\"ready\",\"seq\":1,\"cold_remaining\":\"{cold}\"}}");
     site.store.put("servers", &id, Some(&spec), Some(&status));
-    site.record.line(&format!("target {id} starts at {address} in {zone}"));
+    site.record
+        .line(&format!("target {id} starts at {address} in {zone}"));
     id
 }
 
@@ -179,19 +182,28 @@
             write_answer(writer, 200, &[instance, keep_alive], b"well")?;
             return Ok(true);
         }
-        let Some(attempt) = request.header("coltsfootkeel-attempt-id").map(str::to_string) else {
+        let Some(attempt) = request
+            .header("coltsfootkeel-attempt-id")
+            .map(str::to_string)
+        else {
             let refused = ("Coltsfootkeel-Not-Executed", "no-id".to_string());
             write_answer(writer, 400, &[refused], b"")?;
             return Ok(true);
         };
         let echo = ("Coltsfootkeel-Attempt-Id", attempt.clone());
-        if request.header("coltsfootkeel-expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("coltsfootkeel-expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             let refused = ("Coltsfootkeel-Not-Executed", "other-instance".to_string());
             write_answer(writer, 421, &[refused, echo], b"")?;
             return Ok(true);
         }
         let at = self.site.record.now();
-        self.site.record.line(&format!("target {} begins to run {attempt} ({path})", self.id));
+        self.site.record.line(&format!(
+            "target {} begins to run {attempt} ({path})",
+            self.id
+        ));
         self.site.runs.lock().unwrap().push(Run {
             at,
             attempt,
@@ -203,23 +215,36 @@
             return Ok(false);
         }
         thread::sleep(WORK_TIME);
-        let signature = ("Coltsfootkeel-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1".to_string());
+        let signature = (
+            "Coltsfootkeel-Response-Signature",
+            "3e1b.07.5a2.600.0.c9f2a4d1".to_string(),
+        );
         if self.is_faulty && self.site.is_spoiling.load(Ordering::Relaxed) {
             let answer = self.answers.fetch_add(1, Ordering::Relaxed);
             if answer.is_multiple_of(SPOILED_EACH) {
-                self.site.record.line(&format!("target {} spoils the answer to {}", self.id, echo.1));
+                self.site.record.line(&format!(
+                    "target {} spoils the answer to {}",
+                    self.id, echo.1
+                ));
                 return write_without_end(writer, &echo.1, &signature.1);
             }
         }
         let load = ("Coltsfootkeel-Server-Load", "0,0,9".to_string());
-        write_answer(writer, 200, &[echo, signature, load, keep_alive], b"thread stock: 12")?;
+        write_answer(
+            writer,
+            200,
+            &[echo, signature, load, keep_alive],
+            b"thread stock: 12",
+        )?;
         Ok(true)
     }
 
     /// Closes the listener and all connections, as the end of the process does.
     fn crash(&self) {
         *self.has_crashed.lock().unwrap() = true;
-        self.site.record.line(&format!("target {} crashes", self.id));
+        self.site
+            .record
+            .line(&format!("target {} crashes", self.id));
         for connection in self.connections.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
@@ -229,7 +254,11 @@
 }
 
 /// Writes an answer whose body has no end, in chunks of one byte, until the caller closes.
-fn write_without_end(writer: &mut TcpStream, attempt: &str, signature: &str) -> std::io::Result<bool> {
+fn write_without_end(
+    writer: &mut TcpStream,
+    attempt: &str,
+    signature: &str,
+) -> std::io::Result<bool> {
     let head = format!(
         "HTTP/1.1 200 X\r\nColtsfootkeel-Attempt-Id: {attempt}\r\nColtsfootkeel-Response-Signature: {signature}\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
