steering: modules grouped by concern, in folders

Change: folders for placement, load, queue, regions, lookup, limits, recovery and fleet; the public names are unchanged. The kind `download` is decoded: its requests may be repeated, its answers are large.

--- /dev/null
+++ b/crates/steering/src/fleet/mod.rs
@@ -0,0 +1,4 @@
+//! How the instances hear of one another.
+
+pub(crate) mod heartbeat_routes;
+pub(crate) mod peer_contacts;
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -37,66 +37,54 @@
 //! assert_eq!(decision.map(|decision| decision.key), Some("warm"));
 //! ```
 
-mod affinity_table;
 mod atomic_time;
-mod cache_estimator;
-mod cold_pacing;
-mod crash_table;
+mod fleet;
 mod hashing;
-mod heartbeat_routes;
-mod limit_table;
-mod lookup_selection;
-mod outage_evidence;
-mod peer_contacts;
+mod limits;
+mod load;
+mod lookup;
 mod placement;
-mod placement_decision;
 mod plan;
-mod plan_freshness;
-mod planned_stop;
-mod quota_bucket;
-mod rate_limit;
-mod rate_share;
+mod queue;
 mod raw_plan;
-mod region_spread;
-mod request_queue;
-mod retry_budget;
-mod service_times;
-mod spill_budget;
-mod store_readers;
-mod topology;
+mod recovery;
+mod regions;
 mod upstream_record;
-mod upstream_state;
 
-pub use affinity_table::{
-    AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
-};
 pub use atomic_time::AtomicTime;
-pub use cache_estimator::{CacheEstimator, RecentObjects};
-pub use cold_pacing::{cold_send_interval, pacing_instances};
-pub use crash_table::CrashTable;
+pub use fleet::heartbeat_routes::{HeartbeatPeer, HeartbeatPeriods, select_relays};
+pub use fleet::peer_contacts::PeerContacts;
 pub use hashing::{combine_hashes, stable_hash};
-pub use heartbeat_routes::{HeartbeatPeer, HeartbeatPeriods, select_relays};
-pub use limit_table::{LimitReport, LimitTable, SendingInstance};
-pub use lookup_selection::{InstanceView, LookupQuery, select_instances};
-pub use outage_evidence::OutageEvidence;
-pub use peer_contacts::PeerContacts;
-pub use placement::{PlacementRequest, UpstreamCandidate};
-pub use placement_decision::{PlacementDecision, PlacementReason};
+pub use limits::limit_table::{LimitReport, LimitTable, SendingInstance};
+pub use limits::quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
+pub use limits::rate_limit::{
+    InvalidRate, LimitStatement, RateLimit, UpstreamLimit, UpstreamSignals,
+};
+pub use limits::rate_share::{InstanceDemand, limited_send_interval};
+pub use limits::retry_budget::{RetryBudget, RetryLimit};
+pub use load::cold_pacing::{cold_send_interval, pacing_instances};
+pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
+pub use load::upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
+pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances};
+pub use placement::affinity_table::{
+    AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
+};
+pub use placement::cache_estimator::{CacheEstimator, RecentObjects};
+pub use placement::placement_decision::{PlacementDecision, PlacementReason};
+pub use placement::placement_request::{PlacementRequest, UpstreamCandidate};
+pub use placement::spill_budget::SpillBudget;
 pub use plan::{
     AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
-pub use plan_freshness::PlanFreshness;
-pub use planned_stop::{GraceTimes, StoppingRequest};
-pub use quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
-pub use rate_limit::{InvalidRate, LimitStatement, RateLimit, UpstreamLimit, UpstreamSignals};
-pub use rate_share::{InstanceDemand, limited_send_interval};
+pub use queue::request_queue::{
+    QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after,
+};
 pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind};
-pub use region_spread::{RegionLoad, RegionSpread, SpreadInput};
-pub use request_queue::{QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after};
-pub use retry_budget::{RetryBudget, RetryLimit};
-pub use service_times::{AverageTime, ServiceTimes, TimeEstimate};
-pub use spill_budget::SpillBudget;
-pub use store_readers::{ReaderCandidate, is_store_reader};
-pub use topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
+pub use recovery::crash_table::CrashTable;
+pub use recovery::outage_evidence::OutageEvidence;
+pub use recovery::plan_freshness::PlanFreshness;
+pub use recovery::planned_stop::{GraceTimes, StoppingRequest};
+pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
+pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
+pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
-pub use upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
--- a/crates/steering/src/limit_table.rs
+++ b/crates/steering/src/limits/limit_table.rs
@@ -9,10 +9,10 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::RegionKey;
 
-use crate::affinity_table::short_hash;
-use crate::rate_limit::{LimitStatement, RateLimit};
-use crate::rate_share::{InstanceDemand, limited_send_interval};
-use crate::upstream_state::UpstreamState;
+use crate::limits::rate_limit::{LimitStatement, RateLimit};
+use crate::limits::rate_share::{InstanceDemand, limited_send_interval};
+use crate::load::upstream_state::UpstreamState;
+use crate::placement::affinity_table::short_hash;
 
 /// Time over which the demand is averaged. Reports of the demand are up to seconds old where many limits take turns.
 const DEMAND_AVERAGING_TIME: Duration = Duration::from_secs(2);
--- a/crates/steering/src/rate_share.rs
+++ b/crates/steering/src/limits/rate_share.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::hashing::combine_hashes;
-use crate::rate_limit::RateLimit;
+use crate::limits::rate_limit::RateLimit;
 
 /// Fraction of a limit that is the least demand of an instance, so that the first requests of one with little demand
 /// receive a share.
--- a/crates/steering/src/upstream_state.rs
+++ b/crates/steering/src/load/upstream_state.rs
@@ -10,9 +10,9 @@
 use coltsfootkeel_model::{DomainKey, RegionKey};
 
 use crate::atomic_time::AtomicTime;
-use crate::cache_estimator::RecentObjects;
 use crate::hashing::stable_hash;
-use crate::rate_limit::UpstreamLimit;
+use crate::limits::rate_limit::UpstreamLimit;
+use crate::placement::cache_estimator::RecentObjects;
 
 /// Failure level, in thousandths, from which an upstream is avoided. Two interrupted requests in a row reach it; one
 /// failure in ten answers does not.
--- a/crates/steering/src/lookup_selection.rs
+++ b/crates/steering/src/lookup/lookup_selection.rs
@@ -4,7 +4,7 @@
 
 use coltsfootkeel_model::RegionKey;
 
-use crate::topology::RegionSet;
+use crate::regions::topology::RegionSet;
 
 /// An entry instance that a look-up may return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- /dev/null
+++ b/crates/steering/src/lookup/mod.rs
@@ -0,0 +1,3 @@
+//! Which entry instances a look-up names.
+
+pub(crate) mod lookup_selection;
--- a/crates/steering/src/affinity_table.rs
+++ b/crates/steering/src/placement/affinity_table.rs
@@ -10,8 +10,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use papaya::HashMap;
 
-use crate::cache_estimator::RecentObjects;
 use crate::hashing::{combine_hashes, stable_hash};
+use crate::placement::cache_estimator::RecentObjects;
 
 /// Maximum number of upstreams tracked per object.
 const UPSTREAMS_PER_OBJECT: usize = 8;
--- a/crates/steering/src/cache_estimator.rs
+++ b/crates/steering/src/placement/cache_estimator.rs
@@ -9,7 +9,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 
-use crate::affinity_table::wrapping_ms;
+use crate::placement::affinity_table::wrapping_ms;
 
 /// Number of adjacent reuse distances that share a bucket. The reuse distance of an object is the number of other
 /// objects that were used at the upstream since its last use.
--- a/crates/steering/src/placement.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::hashing::unit_interval;
-use crate::placement_decision::{PlacementDecision, PlacementReason};
-use crate::service_times::TimeEstimate;
+use crate::load::service_times::TimeEstimate;
+use crate::placement::placement_decision::{PlacementDecision, PlacementReason};
 
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
 const MAX_WARM_QUEUE_FRACTION: f64 = 0.8;
--- a/crates/steering/src/plan.rs
+++ b/crates/steering/src/plan.rs
@@ -8,7 +8,7 @@
 use thiserror::Error;
 
 use crate::raw_plan::{CallerLimits, RawAccount, RawPlan, RawRoute, RouteKind};
-use crate::topology::{FleetTopology, RegionSet};
+use crate::regions::topology::{FleetTopology, RegionSet};
 
 /// SHA-256 digest of an access key. The plan does not retain the keys themselves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -64,7 +64,7 @@
     /// Returns whether its requests may be executed more than once.
     #[must_use]
     pub fn is_idempotent(&self) -> bool {
-        self.kind == RouteKind::Idempotent
+        matches!(self.kind, RouteKind::Idempotent | RouteKind::Download)
     }
 
     /// Returns whether its requests have large bodies.
@@ -73,6 +73,12 @@
         self.kind == RouteKind::Upload
     }
 
+    /// Returns whether the answers to its requests are large.
+    #[must_use]
+    pub fn has_large_answers(&self) -> bool {
+        self.kind == RouteKind::Download
+    }
+
     /// Returns the pool for a request, where `uniform` is a random number from 0 to 1; `None` if the route has no pool.
     #[must_use]
     pub fn pool(&self, uniform: f64) -> Option<PoolKey> {
--- /dev/null
+++ b/crates/steering/src/queue/mod.rs
@@ -0,0 +1,3 @@
+//! How requests wait for an upstream and when they are turned away.
+
+pub(crate) mod request_queue;
--- a/crates/steering/src/raw_plan.rs
+++ b/crates/steering/src/raw_plan.rs
@@ -17,7 +17,7 @@
     pub limits: CallerLimits,
 }
 
-/// Whether the requests of a route may be repeated, and whether they have large bodies.
+/// Whether the requests of a route may be repeated, and whether they or their answers have large bodies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
     /// Requests may be executed more than once.
@@ -26,6 +26,8 @@
     NonIdempotent,
     /// Requests must not be executed more than once and have large bodies.
     Upload,
+    /// Requests may be executed more than once and have large answers.
+    Download,
 }
 
 /// A route that refers to its pools and regions by name.
--- /dev/null
+++ b/crates/steering/src/recovery/mod.rs
@@ -0,0 +1,7 @@
+//! What holds while instances stop, the store is away or requests crash upstreams.
+
+pub(crate) mod crash_table;
+pub(crate) mod outage_evidence;
+pub(crate) mod plan_freshness;
+pub(crate) mod planned_stop;
+pub(crate) mod store_readers;
