--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
@@ -38,6 +39,9 @@
     pub slot_time: Arc<AverageTime>,
     /// The requests that may change the region of their object.
     pub spill_budget: Arc<SpillBudget>,
+    /// Whether an upstream of the pool has stated the present cost of work on its machine, so that the room of the pool
+    /// changes many times a second.
+    pub states_cost: Arc<AtomicBool>,
 }
 
 /// A pool of the plan with its upstreams and its state.
