platform, steering, entry: an unreadable part of the configuration costs only its own requests

Cause: one route of the unknown kind `download` made the whole configuration unreadable, so nothing was served; a missing field, a number out of range, an unknown service or a shared key did the same. Change: routes, services and accounts are decoded one by one. What cannot be used becomes a finding with its place, in the log and in /state, and its requests get 503 with Retry-After. `PlanMatch` tells unreadable from unknown.

--- a/crates/entry/src/rejection.rs
+++ b/crates/entry/src/rejection.rs
@@ -18,6 +18,8 @@
     UnknownKey,
     /// The plan is too old to exclude that the access key was withdrawn, or that the unknown route or key was added.
     StalePlan,
+    /// The part of the plan that decides about the request cannot be read.
+    UnreadablePart,
     /// The client account is over its rate.
     OverQuota,
     /// The body exceeds the plan's limit.
@@ -45,6 +47,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::StalePlan => "stale_plan",
+            Self::UnreadablePart => "unreadable_part",
             Self::OverQuota => "over_quota",
             Self::TooLarge => "too_large",
             Self::Malformed => "malformed",
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -7,8 +7,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{AccountKey, PoolKey, RegionKey, RouteKey};
 use coltsfootkeel_steering::{
-    QuotaBudget, RegionSet, RegionSpread, RoutePlan, TimeEstimate, combine_hashes, retry_after,
-    stable_hash,
+    PlanMatch, QuotaBudget, RegionSet, RegionSpread, RoutePlan, TimeEstimate, combine_hashes,
+    retry_after, stable_hash,
 };
 use http::header::{CONTENT_LENGTH, HOST};
 use http::request::Parts;
@@ -85,8 +85,15 @@
                 reject(kind)
             }
         };
-        let route =
-            find_route(&snapshot, parts).ok_or_else(|| reject_unknown(RejectKind::NoRoute))?;
+        let reject_unreadable = || {
+            let after = retry_after(timeout, fastrand::f64());
+            Rejection::not_run(RejectKind::UnreadablePart, Some(after))
+        };
+        let route = match find_route(&snapshot, parts) {
+            PlanMatch::Found(route) => route,
+            PlanMatch::Unreadable => return Err(reject_unreadable()),
+            PlanMatch::Unknown => return Err(reject_unknown(RejectKind::NoRoute)),
+        };
         let route_plan = &plan.routes[route];
         let timeout = timeout.min(route_plan.timeout);
         let mut account = None;
@@ -96,13 +103,14 @@
                 return Err(Rejection::not_run(RejectKind::StalePlan, Some(after)));
             }
             let key = head.access_key.as_deref();
-            account = key.and_then(|key| plan.account(key));
-            if account.is_none() {
-                return Err(reject_unknown(RejectKind::UnknownKey));
+            match key.map_or(PlanMatch::Unknown, |key| plan.account(key)) {
+                PlanMatch::Found(found) => account = Some(found),
+                PlanMatch::Unreadable => return Err(reject_unreadable()),
+                PlanMatch::Unknown => return Err(reject_unknown(RejectKind::UnknownKey)),
             }
         }
         let pool = route_plan.pool(fastrand::f64());
-        let pool = pool.ok_or_else(|| reject(RejectKind::NoRoute))?;
+        let pool = pool.ok_or_else(reject_unreadable)?;
         let account_plan = account.map(|account| &plan.accounts[account]);
         let object = head.object.as_deref().filter(|_| route_plan.has_affinity);
         let route_hash = || stable_hash(route_plan.path_prefix.as_bytes());
@@ -249,10 +257,12 @@
     }
 }
 
-fn find_route(snapshot: &EntrySnapshot, parts: &Parts) -> Option<RouteKey> {
+fn find_route(snapshot: &EntrySnapshot, parts: &Parts) -> PlanMatch<RouteKey> {
     let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = named.or(parts.uri.host())?;
-    snapshot.plan.route(host, parts.uri.path())
+    match named.or(parts.uri.host()) {
+        Some(host) => snapshot.plan.route(host, parts.uri.path()),
+        None => PlanMatch::Unknown,
+    }
 }
 
 /// Returns the value of `Content-Length`; `None` if the header is missing or invalid.
--- a/crates/entry/src/snapshot_builder.rs
+++ b/crates/entry/src/snapshot_builder.rs
@@ -110,9 +110,7 @@
         let mut spreads = HashMap::new();
         let mut spreads_by_route = Arena::new();
         for (_, route) in plan.routes.iter() {
-            let weighted_pools = route.weighted_pools.iter();
-            let pool_spreads = weighted_pools.map(|weighted_pool| {
-                let pool = weighted_pool.pool;
+            let pool_spreads = route.usable_pools().map(|pool| {
                 let key = (route.path_prefix.clone(), plan.pools[pool].name.clone());
                 let existing = self.spreads.get(&key);
                 let new_spread = || Arc::new(RegionSpread::new(self.region_hashes.clone()));
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -55,7 +55,27 @@
             })
         })
         .collect();
-    json!({"version": plan.version, "routes": routes, "upstreams": upstreams})
+    let findings: Vec<Value> = plan
+        .findings
+        .iter()
+        .map(|finding| json!({"place": finding.field, "fault": finding.expected}))
+        .collect();
+    json!({
+        "version": plan.version,
+        "unreadable": findings,
+        "pools_stating_cost": pools_stating_cost(snapshot),
+        "routes": routes,
+        "upstreams": upstreams,
+    })
+}
+
+/// Returns the names of the pools whose upstreams state the present cost of work on their machines.
+fn pools_stating_cost(snapshot: &EntrySnapshot) -> Vec<&str> {
+    let pools = snapshot.pools.iter();
+    pools
+        .filter(|(_, pool)| pool.state.states_cost.load(Ordering::Relaxed))
+        .map(|(key, _)| snapshot.plan.pools[key].name.as_str())
+        .collect()
 }
 
 /// Returns the shares of a route's requests by pool and region.
--- a/crates/entry/src/store_updates.rs
+++ b/crates/entry/src/store_updates.rs
@@ -127,35 +127,32 @@
         if active_version.is_some_and(|version| version >= raw.version) {
             return true;
         }
-        match SteeringPlan::build(raw, &self.shared.topology) {
-            Ok(plan) => {
-                log::info!(version = plan.version, revision = object.revision; "plan: In force.");
-                for (_, account) in plan.accounts.iter() {
-                    log::info!(
-                        account = account.name.as_str(),
-                        rate_per_s:? = account.rate_per_s,
-                        burst = account.burst;
-                        "plan: The limit of an account."
-                    );
-                }
-                let version = plan.version;
-                self.plan = Some(Arc::new(plan));
-                self.record_plan_version(version);
-                self.publish();
-                if self.shared.reader_role.is_reader() {
-                    // The other instances learn of the version without the delay of a heartbeat period.
-                    self.pending.hurry();
-                    self.send_heartbeats();
-                }
-                true
-            }
-            Err(error) => {
-                log::error!(
-                    "plan: The configuration is refused: {error}; the previous one stays in force."
-                );
-                false
-            }
+        let plan = SteeringPlan::build(raw, &self.shared.topology);
+        log::info!(version = plan.version, revision = object.revision; "plan: In force.");
+        for finding in &plan.findings {
+            log::error!(
+                place = finding.field.as_str(), fault = finding.expected.as_str();
+                "plan: A part cannot be used, its requests are refused."
+            );
+        }
+        for (_, account) in plan.accounts.iter() {
+            log::info!(
+                account = account.name.as_str(),
+                rate_per_s:? = account.rate_per_s,
+                burst = account.burst;
+                "plan: The limit of an account."
+            );
+        }
+        let version = plan.version;
+        self.plan = Some(Arc::new(plan));
+        self.record_plan_version(version);
+        self.publish();
+        if self.shared.reader_role.is_reader() {
+            // The other instances learn of the version without the delay of a heartbeat period.
+            self.pending.hurry();
+            self.send_heartbeats();
         }
+        true
     }
 
     fn set_upstream(&mut self, object: &StoreObject, now: MonotonicTime) -> bool {
--- a/crates/entry/tests/odd_entries.rs
+++ b/crates/entry/tests/odd_entries.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use coltsfootkeel_standins::{SHOP_KEY, shop_request};
+use coltsfootkeel_standins::{SHOP_KEY, shop_config, shop_request};
 use http::Method;
 use platform_fleet::{FleetSetup, PlatformFleet};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 /// Largest resident memory of an instance, in kB. The capacity target is 128 MB for a daemon.
@@ -79,3 +79,60 @@
         assert!(memory_kb < MAX_MEMORY_KB, "{}: {memory_kb} kB", case.name);
     }
 }
+
+/// What an instance answers to requests of one part of a plan.
+struct PartCase {
+    name: &'static str,
+    change: fn(&mut Value),
+    /// The status of requests for `/previews/` and `/open/`.
+    statuses: [u16; 2],
+}
+
+/// Guards against a part of the configuration that cannot be read and that costs more than its own requests: the routes
+/// beside it, or the callers, who do not repeat a request after a 404.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreadable_part_of_the_configuration_costs_only_its_requests() {
+    let cases = [
+        PartCase {
+            name: "an unknown kind",
+            change: |plan| plan["routes"][2]["kind"] = json!("stream"),
+            statuses: [200, 503],
+        },
+        PartCase {
+            name: "a route to a service that cannot be read",
+            change: |plan| {
+                plan["routes"][0]["service"] = json!("odd");
+                let services = plan["services"].as_array_mut().unwrap();
+                services.push(json!({"name": "odd", "cold_start": 3}));
+            },
+            statuses: [503, 200],
+        },
+        PartCase {
+            name: "an account without a name",
+            change: |plan| plan["tenants"][0]["name"] = json!(null),
+            statuses: [503, 200],
+        },
+    ];
+    let fleet = PlatformFleet::start(FleetSetup {
+        name: "odd-parts",
+        ..FleetSetup::default()
+    })
+    .await;
+    for (number, case) in cases.iter().enumerate() {
+        let mut plan = shop_config(100 + number as u64, &[SHOP_KEY]);
+        (case.change)(&mut plan);
+        fleet.store.put("config", "main", plan, Value::Null);
+        sleep(CHANGE_TIME).await;
+        let mut statuses = [0; 2];
+        for (status, path) in statuses.iter_mut().zip(["/previews/1", "/open/1"]) {
+            let page = shop_request(Method::GET, path, case.name, SHOP_KEY);
+            let answer = fleet.call(0, &page).await.unwrap();
+            assert!(answer.status == 200 || answer.header("retry-after").is_some());
+            *status = answer.status;
+        }
+        assert_eq!(statuses, case.statuses, "{}", case.name);
+        let state = fleet.state(0).await;
+        let unreadable = state["plan"]["unreadable"].as_array().map(Vec::len);
+        assert!(unreadable > Some(0), "{}", case.name);
+    }
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -74,12 +74,15 @@
 pub use placement::placement_request::{PlacementRequest, UpstreamCandidate};
 pub use placement::spill_budget::SpillBudget;
 pub use plan::{
-    AccountPlan, KeyDigest, PlanError, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
+    AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
 pub use queue::request_queue::{
     QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after,
 };
-pub use raw_plan::{CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind};
+pub use raw_plan::{
+    CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind, UnreadableParts,
+    UnreadableRoute,
+};
 pub use recovery::crash_table::CrashTable;
 pub use recovery::outage_evidence::OutageEvidence;
 pub use recovery::plan_freshness::PlanFreshness;
--- a/crates/steering/src/raw_plan.rs
+++ b/crates/steering/src/raw_plan.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-/// All records of a plan.
+use coltsfootkeel_model::Finding;
+
+/// All records of a plan that can be read, and what is known of the others.
 #[derive(Debug, Clone, Default)]
 pub struct RawPlan {
     /// Version of the plan, which never decreases.
@@ -15,6 +17,31 @@
     pub accounts: Vec<RawAccount>,
     /// Limits for connections and requests of callers.
     pub limits: CallerLimits,
+    /// The parts that cannot be read.
+    pub unreadable: UnreadableParts,
+}
+
+/// What is known of the parts of a configuration that cannot be read. Their requests are refused, and the rest of the
+/// plan serves.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UnreadableParts {
+    /// The place and the fault of each part.
+    pub findings: Vec<Finding>,
+    /// Host and path prefix of each route that cannot be read; `None` for what is unknown itself.
+    pub routes: Vec<UnreadableRoute>,
+    /// Access keys in plain text whose client account cannot be read.
+    pub access_keys: Vec<String>,
+    /// Whether there are access keys that cannot be read themselves.
+    pub has_unknown_keys: bool,
+}
+
+/// The requests that a route selects which cannot be read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UnreadableRoute {
+    /// Host name that requests are addressed to; `None` if it cannot be read.
+    pub host: Option<String>,
+    /// Prefix that request paths must start with; `None` if it cannot be read.
+    pub path_prefix: Option<String>,
 }
 
 /// Whether the requests of a route may be repeated, and whether they or their answers have large bodies.
