--- a/crates/entry/tests/faulty_answers.rs
+++ b/crates/entry/tests/faulty_answers.rs
@@ -310,3 +310,79 @@
         assert!(is_idempotent || upstream.runs(&id) <= 1, "{id}");
     }
 }
+
+/// A status line that an upstream sends for a request, and the status that the caller may get.
+struct StatusCase {
+    line: &'static str,
+    expected: u16,
+}
+
+/// Guards against a status that is none in the protocol, or that switches to another one, and that reaches the caller as
+/// the answer to its request.
+#[tokio::test(flavor = "multi_thread")]
+async fn statuses_outside_the_protocol_reach_no_caller() {
+    let cases = [
+        StatusCase {
+            line: "000 None",
+            expected: 502,
+        },
+        StatusCase {
+            line: "000",
+            expected: 502,
+        },
+        StatusCase {
+            line: "099 Early",
+            expected: 502,
+        },
+        StatusCase {
+            line: "101 Switching Protocols",
+            expected: 502,
+        },
+        StatusCase {
+            line: "20 Short",
+            expected: 502,
+        },
+        StatusCase {
+            line: "2000 Long",
+            expected: 502,
+        },
+        StatusCase {
+            line: "600 Odd",
+            expected: 502,
+        },
+        StatusCase {
+            line: "999 Odd",
+            expected: 502,
+        },
+        StatusCase {
+            line: "404 Not Found",
+            expected: 404,
+        },
+    ];
+    let lines: Vec<&str> = cases.iter().map(|case| case.line).collect();
+    let fleet = start_fleet("odd-status").await;
+    let script = move |id: &str, _: usize, _: &[u8]| {
+        let number: usize = id.rsplit('-').next().unwrap().parse().unwrap();
+        let line = lines[number];
+        let bytes = format!(
+            "HTTP/1.1 {line}\r\ncoltsfootkeel-attempt-id: {id}\r\n\
+             coltsfootkeel-response-signature: s.1\r\ncontent-length: 2\r\n\r\nok"
+        );
+        ScriptedAnswer {
+            bytes: bytes.into_bytes(),
+            has_run: true,
+            end: AnswerEnd::KeepOpen,
+        }
+    };
+    let upstream = FaultyUpstream::start(&fleet, Box::new(script)).await;
+    for (number, case) in cases.iter().enumerate() {
+        for (method, path) in [(Method::POST, "/orders/1"), (Method::GET, "/previews/1")] {
+            let id = format!("{method}-{number}");
+            let is_order = method == Method::POST;
+            let call = shop_request(method, path, &id, SHOP_KEY);
+            let answer = fleet.call(0, &call).await.unwrap();
+            assert_eq!(answer.status, case.expected, "{id} {}", case.line);
+            assert!(!is_order || upstream.runs(&id) <= 1, "{id} {}", case.line);
+        }
+    }
+}
