steering, platform, entry: upstreams' load reports decide where requests run

Cause: upstreams on shared machines state running and waiting requests, slots and the present cost of work. Nothing read it; an upstream that is 2.5 times slower for 600 ms was noticed by its slow answers, when it was over.

Change: the header is decoded once into LoadReport; malformed and impossible ones are dropped and counted. Reports with a cost are kept by upstream, corrected by what was sent and finished since, passed on in heartbeats (tag 28, 64 at most), and count for as long as raised costs last on average. They give the requests at an upstream, the time of a run and the return of a busy one. Reports that predict worse than own observation are ignored. Pools whose upstreams state three figures are placed as before.

Idle upstreams that state to be full or slow refuse no request (crates/entry/tests/load_reports.rs).

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -103,6 +103,7 @@
         });
         self.record_plan_version(message.plan_version);
         self.record_placements(&message, now);
+        self.record_peer_loads(&message, now);
         self.record_crashes(&message, now);
         let topology = &self.shared.topology;
         let recorded =
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
+    CostExposure, CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
     is_store_reader, pacing_instances,
 };
 use tokio::net::UdpSocket;
@@ -81,6 +81,8 @@
     pub(crate) plan_lag: PlanLag,
     pub(crate) limit_table: LimitTable,
     pub(crate) limit_log: LimitLog,
+    /// How long raised costs of work last, by the name of the pool.
+    pub(crate) cost_exposures: HashMap<String, CostExposure>,
     is_registering: bool,
 }
 
@@ -126,6 +128,7 @@
             plan_lag: PlanLag::default(),
             limit_table: LimitTable::default(),
             limit_log: LimitLog::default(),
+            cost_exposures: HashMap::new(),
             is_registering: false,
         }
     }
@@ -253,6 +256,7 @@
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
         self.divide_limits(now);
+        self.update_load_reports();
         self.update_spreads(now);
         let members = &self.members;
         let registered = members.iter().count();
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -50,9 +50,13 @@
     StoreFailures,
     /// Health checks of upstreams that were started.
     HealthChecks,
+    /// Load reports of upstreams that were read.
+    LoadReportsRead,
+    /// Load reports of upstreams or peers that were malformed or impossible.
+    LoadReportsDropped,
 }
 
-const COUNTERS: [(CounterName, &str); 17] = [
+const COUNTERS: [(CounterName, &str); 19] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -73,6 +77,11 @@
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
     (CounterName::HealthChecks, "health_checks_total"),
+    (CounterName::LoadReportsRead, "load_reports_read_total"),
+    (
+        CounterName::LoadReportsDropped,
+        "load_reports_dropped_total",
+    ),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
--- a/crates/entry/src/health_check.rs
+++ b/crates/entry/src/health_check.rs
@@ -12,6 +12,7 @@
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::CounterName;
 use crate::entry_snapshot::ListedUpstream;
+use crate::load_exchange::record_load;
 use crate::shared_state::SharedState;
 use crate::upstream_exchange::record_signals;
 
@@ -61,7 +62,9 @@
     if is_other {
         listed.state.mark_address_reused();
     } else {
-        record_signals(&listed.state, response.headers(), shared.clock.now());
+        let now = shared.clock.now();
+        record_signals(&listed.state, response.headers(), now);
+        record_load(shared, &listed.state, response.headers(), 0, now);
     }
     (response.status() == StatusCode::OK && !is_other).then_some(report.cold_start_remaining)
 }
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -14,6 +14,7 @@
 use crate::account_quotas::{ReportScope, ReportTurn};
 use crate::control_loop::ControlLoop;
 use crate::heartbeat_socket::send_heartbeat;
+use crate::load_exchange::PendingLoads;
 
 /// The number of sent heartbeats that are kept to measure round trips.
 const MAX_TRACKED_HEARTBEATS: usize = 128;
@@ -43,6 +44,9 @@
     /// Changes of lists for the next heartbeat of each scope.
     pub(crate) near_changes: Vec<ListChanges>,
     pub(crate) far_changes: Vec<ListChanges>,
+    /// Load reports for the next heartbeat of each scope.
+    pub(crate) near_loads: PendingLoads,
+    pub(crate) far_loads: PendingLoads,
     /// Heartbeats of other failure domains that this instance passes on to its own.
     pub(crate) relayed: Vec<FleetHeartbeat>,
 }
@@ -155,6 +159,8 @@
         }
         message.changes = std::mem::take(&mut self.pending.near_changes);
         message.relayed = std::mem::take(&mut self.pending.relayed);
+        self.collect_loads(periods.is_full_mesh);
+        message.load_reports = self.pending.near_loads.take(now);
         for recipient in recipients {
             (message.echo_number, message.echo_held_us) =
                 recipient.latest.map_or((0, 0), |(number, received_at)| {
@@ -176,6 +182,7 @@
         message.objects = std::mem::take(&mut self.pending.far_objects);
         message.crashes = std::mem::take(&mut self.pending.far_crashes);
         message.changes = std::mem::take(&mut self.pending.far_changes);
+        message.load_reports = self.pending.far_loads.take(now);
         message.step = HeartbeatStep::Relay.into();
         let own = HeartbeatPeer {
             hash: self.shared.own_hash,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod limit_division;
 mod limit_log;
 mod list_changes;
+mod load_exchange;
 mod member_list;
 mod peer_table;
 mod plan_lag;
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coltsfootkeel_steering::{AttemptOutcome, TimeEstimate, short_hash};
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_steering::{
+    AttemptOutcome, LoadView, PredictedTimes, TimeEstimate, UpstreamState, short_hash,
+};
 use volo_http::body::Body;
 
 use crate::caller_body::CallerBody;
@@ -210,6 +213,8 @@
         let slot_time = &self.context.listed_pool().state.slot_time;
         slot_time.record(response_time.saturating_sub(round_trip));
         let times = self.context.time_estimate(region);
+        let cost_factor = cost_factor(reservation, &listed.state, now);
+        let usual_time = response_time.div_f64(cost_factor);
         // A hedged request is answered in the time of a warm one, so its time is no sample of a cold request.
         let expected = if reservation.decision.is_warm || reservation.is_hedged() {
             times.warm
@@ -217,15 +222,29 @@
             times.cold
         };
         if reservation.decision.queue_delay.is_zero() && !reservation.is_hedged() {
-            self.record_cache_result(reservation, response_time, times);
+            self.record_cache_result(reservation, usual_time, times);
             let service_times = &self.context.snapshot.service_times[self.context.route];
-            service_times.record(region, times, reservation.decision.is_warm, response_time);
+            service_times.record(region, times, reservation.decision.is_warm, usual_time);
         }
         listed.state.record_latency(
             response_time,
-            expected + reservation.decision.queue_delay,
+            expected.mul_f64(cost_factor) + reservation.decision.queue_delay,
             now,
         );
+        if let Some(stated) = reservation.stated_load {
+            let slots = listed.state.info.slots;
+            let slot_time = slot_time.get().unwrap_or(expected);
+            let predict =
+                |load: LoadView| load.queue_delay(slots, slot_time) + load.run_time(expected);
+            listed
+                .state
+                .reported_load
+                .record_prediction(PredictedTimes {
+                    measured: response_time,
+                    reported: predict(stated),
+                    observed: predict(reservation.observed_load),
+                });
+        }
     }
 
     /// Records whether the upstream still had the object cached, as derived from the response time.
@@ -248,6 +267,16 @@
     }
 }
 
+/// Returns the factor by which the stated cost has lengthened a run: the mean of its begin and its end.
+fn cost_factor(reservation: &SlotReservation, state: &UpstreamState, now: MonotonicTime) -> f64 {
+    if state.reported_load.is_distrusted() {
+        return 1.0;
+    }
+    let at_begin = reservation.stated_load.map(|load| load.cost_factor);
+    let at_end = state.reported_load.cost_factor(now);
+    f64::midpoint(at_begin.unwrap_or(at_end), at_end)
+}
+
 /// Waits for the first of two requests that is answered and cancels the other. If neither is answered, returns the
 /// outcome in which the request may have run.
 async fn first_answered(
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -19,6 +19,7 @@
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_snapshot::EntrySnapshot;
+use crate::load_exchange::ReceivedLoad;
 use crate::reader_role::ReaderRole;
 
 /// The capacity of each queue of reports for the next heartbeat. Further reports are dropped. Without a placement
@@ -107,6 +108,8 @@
     pub placement_reports: ArrayQueue<PlacementReport>,
     /// Connections that broke while a request ran since the last heartbeat.
     pub crash_reports: ArrayQueue<CrashReport>,
+    /// Load reports that were received since the last heartbeat.
+    pub load_reports: ArrayQueue<ReceivedLoad>,
     /// Requests that are suspected to crash upstreams.
     pub crash_table: ArcSwap<CrashTable>,
     /// Notifies requests that wait for their account's budget of each refill.
@@ -163,6 +166,7 @@
             affinity_table: AffinityTable::default(),
             placement_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
             crash_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
+            load_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
             crash_table: ArcSwap::default(),
             quota_refilled: Notify::new(),
             kept_bytes: Arc::new(ByteBudget::new(kept_bytes)),
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::RouteKey;
-use coltsfootkeel_steering::RateLimit;
+use coltsfootkeel_steering::{RateLimit, UpstreamState};
 use serde_json::{Value, json};
 
 use crate::entry_snapshot::{EntrySnapshot, ListedUpstream};
@@ -91,6 +92,23 @@
     Value::Object(pools.collect())
 }
 
+/// Returns the newest load report of an upstream, and what it counts for.
+fn dump_stated_load(state: &UpstreamState, now: MonotonicTime) -> Value {
+    let Some(timed) = state.reported_load.newest() else {
+        return Value::Null;
+    };
+    let stated = state.stated_load(now);
+    json!({
+        "running": timed.report.running,
+        "waiting": timed.report.waiting,
+        "cost_percent": timed.report.cost_percent,
+        "age_ms": now.since(timed.stated_at).as_millis(),
+        "distrusted": state.reported_load.is_distrusted(),
+        "in_flight": stated.map(|load| load.in_flight),
+        "cost_factor": stated.map(|load| load.cost_factor),
+    })
+}
+
 /// Returns the state of an upstream, which shows why it is used or avoided.
 fn dump_upstream(shared: &SharedState, listed: &ListedUpstream) -> Value {
     let now = shared.clock.now();
@@ -108,5 +126,6 @@
         "cold": state.is_in_cold_start(now),
         "limit_per_s": state.rate_limit.limit(now).map(RateLimit::per_second),
         "slowness": state.slowness(now),
+        "stated_load": dump_stated_load(state, now),
     })
 }
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -11,7 +11,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{RegionKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    PlacementDecision, PlacementReason, PlacementRequest, RecentUpstreams, RegionSet,
+    LoadView, PlacementDecision, PlacementReason, PlacementRequest, RecentUpstreams, RegionSet,
     UpstreamCandidate, UpstreamState, cold_send_interval, combine_hashes, short_hash,
 };
 
@@ -33,6 +33,10 @@
     pub reuse_distance: Option<usize>,
     /// When the slot was reserved.
     pub reserved_at: MonotonicTime,
+    /// The load that the upstream had stated when the slot was reserved; `None` without a valid report.
+    pub stated_load: Option<LoadView>,
+    /// The load that was observed when the slot was reserved.
+    pub observed_load: LoadView,
     /// Whether the request is hedged: sent a second time to the same upstream.
     is_hedged: AtomicBool,
     state: Arc<UpstreamState>,
@@ -50,12 +54,17 @@
         reuse_distance: Option<usize>,
     ) -> Self {
         let state = Arc::clone(&context.snapshot.upstreams[decision.key].state);
+        let now = context.shared.clock.now();
+        let stated_load = state.stated_load(now);
+        let observed_load = state.observed_load(now);
         state.begin_request();
         Self {
             key: decision.key,
             decision,
             reuse_distance,
-            reserved_at: context.shared.clock.now(),
+            reserved_at: now,
+            stated_load,
+            observed_load,
             is_hedged: AtomicBool::new(false),
             state,
             pool: context.listed_pool().state.clone(),
@@ -149,14 +158,20 @@
     };
     let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
     count_limited_demand(context, region);
-    let upstreams = context.listed_pool().upstreams.iter().copied();
-    let candidates = upstreams
-        .filter(is_eligible)
-        .map(|key| candidate(context, key, region, &recent, now));
-    let decision = match choose_untried(context, region, is_eligible) {
-        Some(decision) => decision,
-        None => request.choose(candidates)?,
+    let choose = |load: fn(&UpstreamState, MonotonicTime) -> LoadView| {
+        let upstreams = context.listed_pool().upstreams.iter().copied();
+        let candidates = upstreams.filter(is_eligible).map(|key| {
+            let load = load(&context.snapshot.upstreams[key].state, now);
+            candidate(context, key, region, &recent, load)
+        });
+        request.choose(candidates)
     };
+    let decision = choose_untried(context, region, is_eligible)
+        .or_else(|| choose(UpstreamState::load))
+        .or_else(|| {
+            let has_room = states_cost(context) && is_half_idle(context, is_eligible);
+            has_room.then(|| choose(UpstreamState::observed_load))?
+        })?;
     let state = &context.snapshot.upstreams[decision.key].state;
     let reuse_distance = reuse_distance(state, &recent);
     if !state.rate_limit.claim(now) {
@@ -248,6 +263,25 @@
         .region(context.placement_hash, |region| open.contains(region))
 }
 
+/// Returns whether upstreams of the request's pool state the present cost of work.
+pub fn states_cost(context: &RequestContext) -> bool {
+    let pool = &context.listed_pool().state;
+    pool.states_cost.load(Ordering::Relaxed)
+}
+
+/// Returns whether the requests that all instances have in flight leave half of the slots free, so that reports which
+/// say that no upstream has room are wrong.
+fn is_half_idle(context: &RequestContext, is_eligible: impl Fn(&UpstreamKey) -> bool) -> bool {
+    let upstreams = context.listed_pool().upstreams.iter();
+    let (mut in_flight, mut slots) = (0, 0);
+    for key in upstreams.filter(|key| is_eligible(key)) {
+        let state = &context.snapshot.upstreams[*key].state;
+        in_flight += state.in_flight();
+        slots += state.info.slots;
+    }
+    in_flight * 2 < slots
+}
+
 fn candidate_tier(
     context: &RequestContext,
     tried: &[UpstreamKey],
@@ -323,7 +357,7 @@
     key: UpstreamKey,
     assigned_region: RegionKey,
     recent: &RecentUpstreams,
-    now: MonotonicTime,
+    load: LoadView,
 ) -> UpstreamCandidate<UpstreamKey> {
     let state = &context.snapshot.upstreams[key].state;
     let capacity = context
@@ -336,11 +370,12 @@
         rendezvous_hash: combine_hashes(context.placement_hash, state.hash),
         is_assigned_region: state.info.region == assigned_region,
         times: context.time_estimate(state.info.region),
-        in_flight: state.in_flight(),
+        in_flight: load.in_flight,
         slots: state.info.slots,
         is_warm: reuse_distance(state, recent).is_some_and(|others| others < capacity),
         is_cache_full: state.objects_in_use() >= capacity,
-        slowness: state.slowness(now),
+        slowness: load.slowness,
+        cost_factor: load.cost_factor,
     }
 }
 
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -19,6 +19,7 @@
 use volo_http::body::Body;
 
 use crate::entry_snapshot::ListedUpstream;
+use crate::load_exchange::record_load;
 use crate::request_context::RequestContext;
 use crate::upstream_choice::SlotReservation;
 
@@ -162,6 +163,7 @@
     if matches!(class, AnswerClass::Valid { .. } | AnswerClass::NotRun) {
         let now = context.shared.clock.now();
         record_signals(&listed.state, &head.headers, now);
+        record_load(&context.shared, &listed.state, &head.headers, 1, now);
     }
     let kept_bytes = &context.shared.kept_bytes;
     match class {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod fleet_heartbeat;
 mod frame_codec;
+mod load_messages;
 mod messages;
 
 pub use fleet_heartbeat::{
@@ -26,6 +27,7 @@
     ListChanges, ListKind, ObjectPlacement, StatedLimit, UpstreamLoad,
 };
 pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
+pub use load_messages::StatedLoad;
 pub use messages::{
     AnswerHeader, ConfigPull, ConfigPush, CrashNumber, DrainNotice, HeartbeatMessage, HelloMessage,
     LimitKind, LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
--- a/crates/standins/src/signed_upstream.rs
+++ b/crates/standins/src/signed_upstream.rs
@@ -75,6 +75,8 @@
     runs: Vec<UpstreamRun>,
     fault: UpstreamFault,
     rate_limit: Option<f64>,
+    /// The load that answers state in place of the real one.
+    stated_load: Option<String>,
     /// The length to which the bodies of signed answers are padded.
     answer_bytes: usize,
     cached_objects: HashSet<String>,
@@ -141,6 +143,11 @@
         self.lock().rate_limit = per_s;
     }
 
+    /// Sets the load that all answers from now on state; `None` states the real one without a cost of work.
+    pub fn set_stated_load(&self, load: Option<&str>) {
+        self.lock().stated_load = load.map(str::to_string);
+    }
+
     /// Pads the bodies of signed answers to this length from now on.
     pub fn set_answer_bytes(&self, bytes: usize) {
         self.lock().answer_bytes = bytes;
@@ -235,8 +242,10 @@
         let mut values = HashMap::from([
             ("coltsfootkeel-attempt-id", attempt_id.to_string()),
             ("coltsfootkeel-instance-id", self.id.clone()),
-            ("coltsfootkeel-server-load", format!("{running},0,{SLOTS}")),
         ]);
+        let stated_load = self.lock().stated_load.clone();
+        let load = stated_load.unwrap_or_else(|| format!("{running},0,{SLOTS}"));
+        values.insert("coltsfootkeel-server-load", load);
         if let Some(per_s) = self.lock().rate_limit {
             values.insert("server-limit", per_s.to_string());
         }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -32,6 +32,7 @@
 //!     in_flight: 9,
 //!     slots: 9,
 //!     slowness: 1.0,
+//!     cost_factor: 1.0,
 //! };
 //! let decision = request.choose([candidate("warm", true), candidate("other", false)].into_iter());
 //! assert_eq!(decision.map(|decision| decision.key), Some("warm"));
@@ -63,8 +64,10 @@
 pub use limits::rate_share::{InstanceDemand, limited_send_interval};
 pub use limits::retry_budget::{RetryBudget, RetryLimit};
 pub use load::cold_pacing::{cold_send_interval, pacing_instances};
+pub use load::load_report::{InvalidReport, LoadReport, RawLoadReport};
+pub use load::reported_load::{CostExposure, PredictedTimes, ReportedLoad, TimedReport};
 pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
-pub use load::upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
+pub use load::upstream_state::{AttemptOutcome, LoadView, UpstreamInfo, UpstreamState};
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances};
 pub use placement::affinity_table::{
     AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
--- a/crates/steering/src/load/upstream_state.rs
+++ b/crates/steering/src/load/upstream_state.rs
@@ -12,6 +12,8 @@
 use crate::atomic_time::AtomicTime;
 use crate::hashing::stable_hash;
 use crate::limits::rate_limit::UpstreamLimit;
+use crate::load::load_report::LoadReport;
+use crate::load::reported_load::{ReportedLoad, TimedReport};
 use crate::placement::cache_estimator::RecentObjects;
 
 /// Failure level, in thousandths, from which an upstream is avoided. Two interrupted requests in a row reach it; one
@@ -62,6 +64,34 @@
     pub slots: u32,
 }
 
+/// Load of an upstream as of one point in time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadView {
+    /// Requests from all instances.
+    pub in_flight: u32,
+    /// Factor by which responses take longer than usual, apart from the stated cost; at least 1.
+    pub slowness: f64,
+    /// Factor by which responses take longer because of the stated cost of work.
+    pub cost_factor: f64,
+}
+
+impl LoadView {
+    /// Returns the time in the queue of an upstream with `slots` slots, each of which is usually occupied for
+    /// `slot_time`.
+    #[must_use]
+    pub fn queue_delay(&self, slots: u32, slot_time: Duration) -> Duration {
+        let excess = (self.in_flight + 1).saturating_sub(slots);
+        let rounds = f64::from(excess) / f64::from(slots.max(1));
+        slot_time.mul_f64(rounds * self.slowness * self.cost_factor)
+    }
+
+    /// Returns the time of a run that usually takes `service_time`.
+    #[must_use]
+    pub fn run_time(&self, service_time: Duration) -> Duration {
+        service_time.mul_f64(self.slowness * self.cost_factor)
+    }
+}
+
 /// State of one upstream, shared by all threads.
 #[derive(Debug)]
 pub struct UpstreamState {
@@ -78,6 +108,8 @@
     pub next_cold_send: AtomicTime,
     /// The rate limit that the upstream states in its answers.
     pub rate_limit: UpstreamLimit,
+    /// What the upstream states about its load.
+    pub reported_load: ReportedLoad,
     own_in_flight: AtomicU32,
     peer_in_flight: AtomicU32,
     failure_level: AtomicU32,
@@ -107,6 +139,7 @@
             cold_until: AtomicTime::default(),
             next_cold_send: AtomicTime::default(),
             rate_limit: UpstreamLimit::default(),
+            reported_load: ReportedLoad::default(),
             own_in_flight: AtomicU32::new(0),
             peer_in_flight: AtomicU32::new(0),
             failure_level: AtomicU32::new(0),
@@ -149,6 +182,50 @@
         self.own_in_flight() + self.peer_in_flight.load(Ordering::Relaxed)
     }
 
+    /// Records a load report of the upstream that was received at `stated_at`. `answered` is the number of requests that
+    /// this instance still counts as in flight and the upstream does not.
+    pub fn record_load(&self, report: LoadReport, stated_at: MonotonicTime, answered: u32) {
+        self.reported_load.record(TimedReport {
+            report,
+            stated_at,
+            own_in_flight: self.own_in_flight().saturating_sub(answered),
+            peer_in_flight: self.peer_in_flight.load(Ordering::Relaxed),
+        });
+    }
+
+    /// Returns the load from requests in flight and answers alone.
+    #[must_use]
+    pub fn observed_load(&self, now: MonotonicTime) -> LoadView {
+        LoadView {
+            in_flight: self.in_flight(),
+            slowness: self.slowness(now),
+            cost_factor: 1.0,
+        }
+    }
+
+    /// Returns the load from the newest report, also if reports are distrusted; `None` without a valid report.
+    #[must_use]
+    pub fn stated_load(&self, now: MonotonicTime) -> Option<LoadView> {
+        let own = self.own_in_flight();
+        let peers = self.peer_in_flight.load(Ordering::Relaxed);
+        Some(LoadView {
+            in_flight: self.reported_load.in_flight(own, peers, now)?,
+            slowness: self.slowness(now),
+            cost_factor: self.reported_load.cost_factor(now),
+        })
+    }
+
+    /// Returns the load from a valid report, or from own observation if there is none or reports are distrusted.
+    #[must_use]
+    pub fn load(&self, now: MonotonicTime) -> LoadView {
+        let stated = if self.reported_load.is_distrusted() {
+            None
+        } else {
+            self.stated_load(now)
+        };
+        stated.unwrap_or_else(|| self.observed_load(now))
+    }
+
     /// Sets the number of requests in flight from the other instances.
     pub fn set_peer_in_flight(&self, count: u32) {
         self.peer_in_flight.store(count, Ordering::Relaxed);
--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -10,6 +10,7 @@
 
 use crate::hashing::unit_interval;
 use crate::load::service_times::TimeEstimate;
+use crate::load::upstream_state::LoadView;
 use crate::placement::placement_decision::{PlacementDecision, PlacementReason};
 
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
@@ -52,8 +53,11 @@
     pub is_warm: bool,
     /// Whether caching a new object would evict one that is in use.
     pub is_cache_full: bool,
-    /// Factor by which responses take longer than usual; at least 1.
+    /// Factor by which responses take longer than usual, apart from the stated cost; at least 1.
     pub slowness: f64,
+    /// Factor by which responses take longer because of the cost of work that the upstream states. It changes many times a
+    /// second, so it does not change the preference order of objects.
+    pub cost_factor: f64,
 }
 
 /// Properties of a request that affect its placement.
@@ -98,6 +102,8 @@
     /// Requests in flight per slot.
     load: f64,
     is_cache_full: bool,
+    /// Whether work takes much longer than usual on the machine of the upstream for the moment.
+    is_busy: bool,
 }
 
 impl PlacementRequest {
@@ -218,19 +224,23 @@
         } else {
             candidate.times.cold
         };
-        let excess = (candidate.in_flight + 1).saturating_sub(candidate.slots);
-        let rounds = f64::from(excess) / f64::from(candidate.slots.max(1));
-        let queue_delay = self.slot_time.mul_f64(rounds * candidate.slowness);
+        let load = LoadView {
+            in_flight: candidate.in_flight,
+            slowness: candidate.slowness,
+            cost_factor: candidate.cost_factor,
+        };
+        let queue_delay = load.queue_delay(candidate.slots, self.slot_time);
         RankedCandidate {
             key: candidate.key,
             rank: self.rank(candidate),
             is_warm: candidate.is_warm,
-            expected: queue_delay + service_time.mul_f64(candidate.slowness),
+            expected: queue_delay + load.run_time(service_time),
             queue_delay,
-            warm_time: candidate.times.warm.mul_f64(candidate.slowness),
+            warm_time: load.run_time(candidate.times.warm),
             is_assigned_region: candidate.is_assigned_region,
             load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
             is_cache_full: candidate.is_cache_full,
+            is_busy: candidate.cost_factor > SLOWNESS_THRESHOLD,
         }
     }
 
@@ -285,7 +295,8 @@
 
 /// The best candidate of each class in the assigned region or in all others.
 struct RegionCandidates<K> {
-    /// The first in the preference order among the warm candidates that meet the objective.
+    /// The first in the preference order among the warm candidates that meet the objective; those that are not busy go
+    /// first.
     warm_in_time: Option<RankedCandidate<K>>,
     /// The fastest among the warm candidates that miss the objective but have a free slot.
     warm_late: Option<RankedCandidate<K>>,
@@ -337,6 +348,7 @@
             let order = |candidate: &RankedCandidate<K>| {
                 (
                     candidate.rank.is_nearby,
+                    !candidate.is_busy,
                     !candidate.is_cache_full,
                     candidate.rank.score,
                 )
@@ -352,7 +364,9 @@
         self.has_warm = true;
         self.has_nearby_warm |= candidate.rank.is_nearby;
         if candidate.expected <= objective_left && candidate.load < 1.0 + MAX_WARM_QUEUE_FRACTION {
-            if is_preferred(&self.warm_in_time) {
+            let order = |warm: &RankedCandidate<K>| (!warm.is_busy, warm.rank);
+            let is_better = |warm: &RankedCandidate<K>| order(&candidate) > order(warm);
+            if self.warm_in_time.as_ref().is_none_or(is_better) {
                 self.warm_in_time = Some(candidate);
             }
         } else if candidate.load < 1.0 {
--- a/crates/steering/tests/placement.rs
+++ b/crates/steering/tests/placement.rs
@@ -253,6 +253,7 @@
                 is_cache_full: false,
                 is_warm: false,
                 slowness: 1.0 + 0.05 * f64::from(u32::try_from(upstream).unwrap()),
+                cost_factor: 1.0,
             })
         };
         let key = |in_flight| request().choose(pool(in_flight)).map(|best| best.key);
--- a/crates/steering/tests/placement_cases/mod.rs
+++ b/crates/steering/tests/placement_cases/mod.rs
@@ -22,6 +22,7 @@
         is_warm: false,
         is_cache_full: false,
         slowness: 1.0,
+        cost_factor: 1.0,
     }
 }
 
--- a/crates/steering/tests/region_shares.rs
+++ b/crates/steering/tests/region_shares.rs
@@ -308,6 +308,7 @@
             is_warm: recent.last_used_ms(upstream.hash).is_some(),
             is_cache_full: false,
             slowness: 1.0,
+            cost_factor: 1.0,
         });
         let decision = request.choose(candidates)?;
         if decision.changes_region {
