steering, entry: a share of a limit belongs to an incarnation

Cause: each restart handed the whole share of the fixed number of retries to the new process, so all processes that were killed five times within a window spent it five times. A stopping instance removes its registration at once and admits requests for three more seconds; the others divided its part of each rate among themselves and no longer charged what it reported.

Change: a budget of a process that replaces another one starts empty, earns by the ratio and receives its share after a whole window. Rates and retries are divided among the live and the registered instances, which was already done for requests to cold upstreams. The window of retries is read from the settings.

--- a/crates/entry/src/account_quotas.rs
+++ b/crates/entry/src/account_quotas.rs
@@ -105,8 +105,8 @@
     entries: HashMap<u64, QuotaEntry>,
     is_first_start: bool,
     excess: QuotaExcess,
-    /// The number of registered instances, among which the rates are divided; assumed until their list is read.
-    registered_instances: usize,
+    /// The number of instances among which the rates are divided; assumed until their list is read.
+    sharing_instances: usize,
     contacts: PeerContacts,
     refilled_at: MonotonicTime,
 }
@@ -120,7 +120,7 @@
             entries: HashMap::new(),
             is_first_start,
             excess,
-            registered_instances: if is_first_start { 1 } else { ASSUMED_INSTANCES },
+            sharing_instances: if is_first_start { 1 } else { ASSUMED_INSTANCES },
             contacts: PeerContacts::default(),
             refilled_at: MonotonicTime::default(),
         }
@@ -142,12 +142,12 @@
         } else {
             self.excess.initial_tokens(limit)
         };
-        let registered_instances = self.registered_instances;
+        let sharing_instances = self.sharing_instances;
         let entry = self.entries.entry(hash).or_insert_with(|| {
             let budget = Arc::default();
             let mut bucket = QuotaBucket::new(limit, initial_tokens, now);
             // Requests may arrive before the first tick of the control thread.
-            bucket.refill(&budget, registered_instances, &[], now);
+            bucket.refill(&budget, sharing_instances, &[], now);
             QuotaEntry {
                 budget,
                 bucket,
@@ -177,21 +177,16 @@
         }
     }
 
-    /// Refills all budgets. `registered_instances` is the number of registered instances, zero while it is unknown, and
-    /// `report_period` the time between two reports of an instance in another failure domain.
-    pub fn tick(
-        &mut self,
-        now: MonotonicTime,
-        report_period: Duration,
-        registered_instances: usize,
-        is_member: impl Fn(u64) -> bool,
-    ) {
-        if registered_instances > 0 {
-            self.registered_instances = registered_instances;
+    /// Refills all budgets. `sharers` are the hashes of the instances that share the rates in ascending order, empty while
+    /// they are unknown, and `report_period` is the time between two reports of an instance in another failure domain.
+    pub fn tick(&mut self, now: MonotonicTime, report_period: Duration, sharers: &[u64]) {
+        if !sharers.is_empty() {
+            self.sharing_instances = sharers.len();
         }
         let period = now.since(self.refilled_at);
         self.refilled_at = now;
-        let removed = self.contacts.remove_others(is_member);
+        let is_sharer = |hash: u64| sharers.is_empty() || sharers.binary_search(&hash).is_ok();
+        let removed = self.contacts.remove_others(is_sharer);
         let period = period.max(report_period);
         let silence_timeout = MIN_SILENCE_TIMEOUT.max(period.mul_f64(SILENCE_TIMEOUT_PERIODS));
         let silent = self.contacts.silent(silence_timeout, now);
@@ -202,7 +197,7 @@
             entry.bucket.set_report_period(report_period);
             entry
                 .bucket
-                .refill(&entry.budget, self.registered_instances, &silent, now);
+                .refill(&entry.budget, self.sharing_instances, &silent, now);
         }
     }
 
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -9,7 +9,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
     CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
-    is_store_reader, pacing_instances,
+    is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -95,7 +95,13 @@
             slack: bounds.quota_slack,
         };
         let home = shared.home;
-        let snapshot_builder = SnapshotBuilder::new(home.region, &shared.topology.regions);
+        let retries_full_from = if shared.settings.is_first_start {
+            MonotonicTime::default()
+        } else {
+            shared.clock.now() + bounds.retry_window
+        };
+        let snapshot_builder =
+            SnapshotBuilder::new(home.region, &shared.topology.regions, retries_full_from);
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
@@ -254,11 +260,9 @@
         self.registry.set_peer_loads(&self.peers.loads(now));
         self.divide_limits(now);
         self.update_spreads(now);
-        let members = &self.members;
-        let registered = members.iter().count();
-        self.quotas.tick(now, periods.far, registered, |hash| {
-            members.contains_hash(hash)
-        });
+        let registered: Vec<u64> = self.members.hashes().collect();
+        let sharers = sharing_instances(&self.live_hashes(now), &registered);
+        self.quotas.tick(now, periods.far, &sharers);
         self.shared.quota_refilled.notify_waiters();
         self.observe_store_outage();
         self.observe_plan_lag(now);
@@ -312,6 +316,12 @@
         }
     }
 
+    /// Returns the hashes of the names of the live instances, this one included.
+    fn live_hashes(&self, now: MonotonicTime) -> Vec<u64> {
+        let live = self.peers.live(now).map(|(hash, _)| hash);
+        live.chain([self.shared.own_hash]).collect()
+    }
+
     fn publish_fleet(&self, now: MonotonicTime) {
         let own_view = InstanceView {
             address: self.shared.settings.entry,
@@ -320,14 +330,13 @@
         };
         let mut instances = self.peers.views(now);
         instances.push(own_view);
-        let mut hashes: Vec<u64> = self.peers.live(now).map(|(hash, _)| hash).collect();
-        hashes.push(self.shared.own_hash);
+        let hashes = self.live_hashes(now);
         let registered: Vec<u64> = self.members.hashes().collect();
-        let pacing = pacing_instances(&hashes, &registered);
+        let sharing = sharing_instances(&hashes, &registered);
         self.shared.fleet.store(Arc::new(FleetView {
             instances,
             hashes,
-            pacing_instances: pacing,
+            sharing_instances: sharing,
         }));
     }
 
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -111,7 +111,7 @@
     fn try_unreserved_retry(&self) -> bool {
         let shared = &self.context.shared;
         let retry_budget = &self.context.listed_pool().state.retry_budget;
-        retry_budget.try_unreserved_retry(shared.retry_limit(), shared.instance_count())
+        retry_budget.try_unreserved_retry(shared.retry_limit(), shared.sharer_count())
     }
 
     /// Waits for the outcome of an attempt. An idempotent request that has no answer after a multiple of the expected
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -142,7 +142,8 @@
         self.context.charge().await?;
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
-        retry_budget.count_request(limit, self.context.shared.instance_count());
+        let sharers = self.context.shared.sharer_count();
+        retry_budget.count_request(limit, sharers, self.context.shared.clock.now());
         self.context
             .listed_pool()
             .state
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -66,9 +66,9 @@
     pub instances: Vec<InstanceView>,
     /// The hashes of their names, this instance's included.
     pub hashes: Vec<u64>,
-    /// The hashes of the instances that share the request rate of cold upstreams; empty until the registered instances
-    /// are known.
-    pub pacing_instances: Vec<u64>,
+    /// The hashes of the instances that share limits, the live and the registered ones; empty until the registered
+    /// instances are known.
+    pub sharing_instances: Vec<u64>,
 }
 
 /// The state that is shared by all threads.
@@ -261,6 +261,14 @@
         self.fleet.load().hashes.len()
     }
 
+    /// Returns the number of instances that share limits: the live and the registered ones. Zero until the control thread
+    /// publishes them.
+    #[must_use]
+    pub fn sharer_count(&self) -> usize {
+        let fleet = self.fleet.load();
+        fleet.sharing_instances.len().max(fleet.hashes.len())
+    }
+
     /// Sends an event to the control thread.
     pub fn send_event(&self, event: ControlEvent) {
         // The receiver is dropped only when the process ends.
--- a/crates/entry/src/snapshot_builder.rs
+++ b/crates/entry/src/snapshot_builder.rs
@@ -5,7 +5,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{Arena, PoolKey, RegionKey, RouteKey};
-use coltsfootkeel_steering::{RegionSpread, ServiceTimes, SteeringPlan, stable_hash};
+use coltsfootkeel_steering::{RegionSpread, RetryBudget, ServiceTimes, SteeringPlan, stable_hash};
 
 use crate::account_quotas::AccountQuotas;
 use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolSpread, PoolState};
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub struct SnapshotBuilder {
     home_region: RegionKey,
+    /// When the retry budgets of this process receive their shares of the slack.
+    retries_full_from: MonotonicTime,
     /// Hashes of the names of the regions, the same at all instances.
     region_hashes: Arena<RegionKey, u64>,
     pools: HashMap<String, PoolState>,
@@ -26,11 +28,16 @@
 
 impl SnapshotBuilder {
     /// Creates a builder without state for an instance in the region `home_region`; `region_names` holds the names of all
-    /// regions.
+    /// regions. Retry budgets receive their shares of the slack at `retries_full_from`.
     #[must_use]
-    pub fn new(home_region: RegionKey, region_names: &Arena<RegionKey, String>) -> Self {
+    pub fn new(
+        home_region: RegionKey,
+        region_names: &Arena<RegionKey, String>,
+        retries_full_from: MonotonicTime,
+    ) -> Self {
         Self {
             home_region,
+            retries_full_from,
             region_hashes: region_names
                 .iter()
                 .map(|(_, name)| stable_hash(name.as_bytes()))
@@ -68,7 +75,11 @@
         let mut pool_states = HashMap::new();
         let mut pools: Arena<PoolKey, ListedPool> = Arena::new();
         for (_, pool) in plan.pools.iter() {
-            let state = self.pools.remove(&pool.name).unwrap_or_default();
+            let existing = self.pools.remove(&pool.name);
+            let state = existing.unwrap_or_else(|| PoolState {
+                retry_budget: Arc::new(RetryBudget::new(self.retries_full_from)),
+                ..PoolState::default()
+            });
             pool_states.insert(pool.name.clone(), state.clone());
             pools.push(ListedPool {
                 upstreams: upstreams_by_pool
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -192,7 +192,7 @@
 pub fn has_unreserved_retry(context: &RequestContext) -> bool {
     let retry_budget = &context.listed_pool().state.retry_budget;
     let shared = &context.shared;
-    retry_budget.has_unreserved_retry(shared.retry_limit(), shared.instance_count())
+    retry_budget.has_unreserved_retry(shared.retry_limit(), shared.sharer_count())
 }
 
 /// Chooses an upstream of a region that no instance has used yet, for an idempotent request. Returns `None` if there is
@@ -360,13 +360,13 @@
 ) -> bool {
     let fleet = context.shared.fleet.load();
     let cold_per_s = context.snapshot.plan.pools[context.pool].cold_per_s;
-    if fleet.pacing_instances.is_empty() {
+    if fleet.sharing_instances.is_empty() {
         return false;
     }
     let interval = cold_send_interval(
         state.hash,
         context.shared.own_hash,
-        &fleet.pacing_instances,
+        &fleet.sharing_instances,
         cold_per_s,
     );
     let Some(interval) = interval else {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -55,6 +55,7 @@
 pub use fleet::heartbeat_routes::{HeartbeatPeer, HeartbeatPeriods, select_relays};
 pub use fleet::peer_contacts::PeerContacts;
 pub use hashing::{combine_hashes, stable_hash};
+pub use limits::limit_sharers::sharing_instances;
 pub use limits::limit_table::{LimitReport, LimitTable, SendingInstance};
 pub use limits::quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
 pub use limits::rate_limit::{
@@ -62,7 +63,7 @@
 };
 pub use limits::rate_share::{InstanceDemand, limited_send_interval};
 pub use limits::retry_budget::{RetryBudget, RetryLimit};
-pub use load::cold_pacing::{cold_send_interval, pacing_instances};
+pub use load::cold_pacing::cold_send_interval;
 pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
 pub use load::upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances};
--- a/crates/steering/src/limits/retry_budget.rs
+++ b/crates/steering/src/limits/retry_budget.rs
@@ -1,14 +1,16 @@
 //! This instance's share of the budget for sending requests to a second upstream.
 //!
 //! Load pattern: upstreams fail or refuse requests under load, and every retry adds to the load. The retries of all
-//! instances stay within a fraction of the requests plus a fixed number, although each instance only counts its own.
+//! instances stay within a fraction of the requests plus a fixed number, although each instance only counts its own and
+//! may restart at any time.
 
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+
+use coltsfootkeel_counters::MonotonicTime;
 
 /// Balance units per retry.
 const UNITS_PER_RETRY: i64 = 1_000;
-/// Fraction of the limit that is used. The rest covers windows in which the request rate drops, and restarted
-/// instances, whose share starts anew.
+/// Fraction of the limit that is used. The rest covers windows in which the request rate drops.
 const USED_FRACTION: f64 = 0.8;
 
 /// Fraction of the maximum balance that is reserved for retries after failures.
@@ -27,22 +29,41 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     balance: AtomicI64,
+    /// When this instance receives its share of the slack.
+    full_from: MonotonicTime,
+    is_share_received: AtomicBool,
 }
 
-/// Starts above any maximum balance; the first request lowers the balance to the maximum.
+/// A budget that holds its share of the slack from the first request on.
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            balance: AtomicI64::new(i64::MAX / 2),
-        }
+        Self::new(MonotonicTime::default())
     }
 }
 
 impl RetryBudget {
+    /// Creates an empty budget that receives its share of the slack at `full_from`. A process that replaces another one
+    /// takes the share as spent by that one until a whole window has passed.
+    #[must_use]
+    pub fn new(full_from: MonotonicTime) -> Self {
+        Self {
+            balance: AtomicI64::new(0),
+            full_from,
+            is_share_received: AtomicBool::new(false),
+        }
+    }
+
     /// Counts a request, which adds a fraction of a retry. The balance is capped at this instance's share of the slack.
-    pub fn count_request(&self, limit: RetryLimit, instances: usize) {
-        let earned = to_units(limit.ratio * USED_FRACTION);
+    pub fn count_request(&self, limit: RetryLimit, instances: usize, now: MonotonicTime) {
         let max_units = max_balance(limit, instances);
+        let is_share_due = now >= self.full_from
+            && !self.is_share_received.load(Ordering::Relaxed)
+            && !self.is_share_received.swap(true, Ordering::Relaxed);
+        let earned = if is_share_due {
+            max_units
+        } else {
+            to_units(limit.ratio * USED_FRACTION)
+        };
         let _ = self
             .balance
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |balance| {
--- a/crates/steering/src/load/cold_pacing.rs
+++ b/crates/steering/src/load/cold_pacing.rs
@@ -12,21 +12,6 @@
 /// of instances.
 const USED_RATE_FRACTION: f64 = 0.8;
 
-/// Returns the instances that share the requests to cold upstreams: the live and the registered ones.
-///
-/// An instance that has just started has received no heartbeats yet while the others keep sending, so registered
-/// instances count as well. Until the registered instances are known, no instance may send.
-#[must_use]
-pub fn pacing_instances(live: &[u64], registered: &[u64]) -> Vec<u64> {
-    if registered.is_empty() {
-        return Vec::new();
-    }
-    let mut instances = [live, registered].concat();
-    instances.sort_unstable();
-    instances.dedup();
-    instances
-}
-
 /// Returns the minimum time between two requests of this instance to a cold upstream, or `None` if only other instances
 /// may send.
 ///
--- a/crates/steering/tests/retry_and_cold_limits.rs
+++ b/crates/steering/tests/retry_and_cold_limits.rs
@@ -4,7 +4,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    AtomicTime, RetryBudget, RetryLimit, cold_send_interval, pacing_instances,
+    AtomicTime, RetryBudget, RetryLimit, cold_send_interval, sharing_instances,
 };
 
 struct RetryCase {
@@ -49,11 +49,11 @@
         let mut retries = 0_u64;
         for request in 0..case.requests {
             let budget = &budgets[usize::try_from(request).unwrap() % case.instances];
-            budget.count_request(case.limit, case.instances);
+            budget.count_request(case.limit, case.instances, MonotonicTime::default());
             retries += u64::from(budget.try_retry());
         }
         for budget in &budgets {
-            budget.count_request(case.limit, case.instances);
+            budget.count_request(case.limit, case.instances, MonotonicTime::default());
             while budget.try_retry() {
                 retries += 1;
             }
@@ -77,12 +77,87 @@
         slack: 70.0,
     };
     let budget = RetryBudget::default();
-    budget.count_request(limit, 1);
+    budget.count_request(limit, 1, MonotonicTime::default());
     while budget.try_unreserved_retry(limit, 1) {}
     assert!(!budget.has_unreserved_retry(limit, 1));
     assert!(budget.try_retry());
 }
 
+struct RestartCase {
+    name: &'static str,
+    /// Times at which all instances restart, in milliseconds.
+    restarts_ms: &'static [u64],
+    /// Requests per second at each instance, each of which asks for a retry.
+    requests_per_s: u64,
+    /// Smallest number of retries over the whole run.
+    min_retries: u64,
+}
+
+/// Guards against restarts that give each instance its share of the fixed number of retries again within a window, and
+/// against a restarted instance that never gets it back.
+#[test]
+fn restarts_do_not_refill_the_retry_budget() {
+    const INSTANCES: usize = 7;
+    const WINDOW_MS: u64 = 10_000;
+    const STEP_MS: u64 = 100;
+    const WINDOW_STEPS: usize = 100;
+    let limit = RetryLimit {
+        ratio: 0.2,
+        slack: 62.0,
+    };
+    let cases = [
+        RestartCase {
+            name: "five restarts within a window",
+            restarts_ms: &[1_000, 3_500, 6_000, 8_500, 11_000],
+            requests_per_s: 10,
+            min_retries: 350,
+        },
+        RestartCase {
+            name: "one restart of an almost idle fleet",
+            restarts_ms: &[15_000],
+            requests_per_s: 1,
+            min_retries: 110,
+        },
+    ];
+    for case in cases {
+        let start = |full_from| -> Vec<RetryBudget> {
+            (0..INSTANCES)
+                .map(|_| RetryBudget::new(full_from))
+                .collect()
+        };
+        let mut budgets = start(MonotonicTime::default());
+        let mut retries_by_step = Vec::new();
+        for now_ms in (0..40_000).step_by(100) {
+            let now = MonotonicTime::from_millis(now_ms);
+            if case.restarts_ms.contains(&now_ms) {
+                budgets = start(now + Duration::from_millis(WINDOW_MS));
+            }
+            let count_by = |ms: u64| case.requests_per_s * ms / 1_000;
+            let mut retries = 0_u64;
+            for budget in &budgets {
+                for _ in count_by(now_ms)..count_by(now_ms + STEP_MS) {
+                    budget.count_request(limit, INSTANCES, now);
+                    while budget.try_retry() {
+                        retries += 1;
+                    }
+                }
+            }
+            retries_by_step.push(retries);
+        }
+        let requests = case.requests_per_s * INSTANCES as u64 * WINDOW_MS / 1_000;
+        #[expect(clippy::cast_precision_loss)]
+        let max_retries = requests as f64 * limit.ratio + limit.slack;
+        for window in retries_by_step.windows(WINDOW_STEPS) {
+            let sum: u64 = window.iter().sum();
+            #[expect(clippy::cast_precision_loss)]
+            let sum = sum as f64;
+            assert!(sum <= max_retries, "{}: {sum} of {max_retries}", case.name);
+        }
+        let total: u64 = retries_by_step.iter().sum();
+        assert!(total >= case.min_retries, "{}: {total}", case.name);
+    }
+}
+
 struct ColdCase {
     name: &'static str,
     instances: u64,
@@ -143,7 +218,7 @@
     }
 }
 
-struct PacingCase {
+struct SharersCase {
     name: &'static str,
     live: &'static [u64],
     registered: &'static [u64],
@@ -155,19 +230,25 @@
 #[test]
 fn restarted_instances_share_cold_sends_with_registered_ones() {
     let cases = [
-        PacingCase {
+        SharersCase {
             name: "no heartbeat received yet",
             live: &[3],
             registered: &[1, 2, 3],
             instances: &[1, 2, 3],
         },
-        PacingCase {
+        SharersCase {
             name: "registered instances are not known yet",
             live: &[3],
             registered: &[],
             instances: &[],
         },
-        PacingCase {
+        SharersCase {
+            name: "a stopping instance that still sends heartbeats",
+            live: &[1, 3],
+            registered: &[3],
+            instances: &[1, 3],
+        },
+        SharersCase {
             name: "a heartbeat before the registration",
             live: &[3, 4],
             registered: &[3],
@@ -175,7 +256,7 @@
         },
     ];
     for case in cases {
-        let instances = pacing_instances(case.live, case.registered);
+        let instances = sharing_instances(case.live, case.registered);
         assert_eq!(instances, case.instances, "{}", case.name);
     }
     assert_eq!(cold_send_interval(77, 3, &[], 7.9), None);
