steering: the part of a silent instance in a rate is set aside

Cause: an instance charged a silent one with the demand that it had reported last, and took its own part of the saved tokens by the known demand. An account that begins to press in a cut is nearly all of the demand that each part knows, so each part spent the same burst, and each charged the other with almost nothing.

Change: when an instance falls silent, its part of the tokens, of the rate and of the burst is set aside, by the demand before the silence. A report returns what it has not spent. A restarted or removed instance returns nothing. Half of a part goes by the number of instances, because the callers of an instance that has ended move to others.

--- a/crates/steering/src/limits/quota_bucket.rs
+++ b/crates/steering/src/limits/quota_bucket.rs
@@ -2,8 +2,11 @@
 //!
 //! Load pattern: an account sends many times its rate, through any of the instances. Each instance reports the requests
 //! that it received and admitted. Every instance maintains the same token bucket from these reports, and spends a share
-//! of its tokens in proportion to the local demand. An instance that sends no reports is assumed to keep spending its
-//! last share.
+//! of its tokens in proportion to the local demand.
+//!
+//! An instance that sends no reports may be cut off and spend the same tokens. Its part of the tokens and of the rate, by
+//! the demand before the silence, is set aside. Each part of a fleet that is cut does so, and all together spend the
+//! tokens once, however the demand changes after the cut.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
@@ -120,22 +123,20 @@
     }
 }
 
+/// The part of a bucket that is set aside for an instance that sends no reports.
+#[derive(Debug, Clone, Copy)]
+struct ReservedShare {
+    /// Fraction of the rate and of the burst.
+    fraction: f64,
+    tokens: f64,
+}
+
 #[derive(Debug)]
 struct PeerUsage {
     incarnation: u64,
     admitted: u64,
     demand: f64,
-    /// Requests charged to the bucket while the instance was silent.
-    assumed_spent: f64,
-}
-
-/// Sums over the demands that the other instances reported, kept up to date with each report.
-#[derive(Debug, Default)]
-struct DemandTotals {
-    /// Sum of the reported demands in requests per second.
-    reported: f64,
-    /// The same sum, in which each instance counts with at least the lowest demand.
-    floored: f64,
+    reserved: Option<ReservedShare>,
 }
 
 /// Token bucket of one account, maintained by the control thread.
@@ -149,9 +150,14 @@
     local_demand: f64,
     local_fraction: f64,
     peers: HashMap<u64, PeerUsage>,
-    /// Instances that have restarted and have not reported the account since.
-    restarted_peers: Vec<u64>,
-    totals: DemandTotals,
+    /// Sum of the demands of the instances without a reserved share, each at least the lowest demand.
+    remote_demand: f64,
+    /// Instances with a reserved share.
+    reserved_peers: Vec<u64>,
+    /// Sum of the fractions of the reserved shares.
+    reserved_fraction: f64,
+    /// Number of instances at the latest refill, including this one.
+    instances: usize,
     report_period: Duration,
 }
 
@@ -168,8 +174,10 @@
             local_demand: 0.0,
             local_fraction: 0.0,
             peers: HashMap::new(),
-            restarted_peers: Vec::new(),
-            totals: DemandTotals::default(),
+            remote_demand: 0.0,
+            reserved_peers: Vec::new(),
+            reserved_fraction: 0.0,
+            instances: 1,
             report_period: Duration::ZERO,
         }
     }
@@ -180,7 +188,7 @@
         self.limit = limit;
         self.tokens = self.tokens.min(limit.burst);
         if is_changed {
-            self.update_totals();
+            self.update_remote_demand();
         }
     }
 
@@ -193,14 +201,14 @@
         self.limit.rate_per_s * MIN_DEMAND_FRACTION + f64::MIN_POSITIVE
     }
 
-    /// Calculates the totals anew, for a changed limit or a removed instance.
-    fn update_totals(&mut self) {
+    /// Calculates the sum anew, for a changed limit or a removed instance.
+    fn update_remote_demand(&mut self) {
         let min_demand = self.min_demand();
-        let demands = || self.peers.values().map(|peer| peer.demand);
-        self.totals = DemandTotals {
-            reported: demands().sum(),
-            floored: demands().map(|demand| demand.max(min_demand)).sum(),
-        };
+        let peers = self.peers.values();
+        self.remote_demand = peers
+            .filter(|peer| peer.reserved.is_none())
+            .map(|peer| peer.demand.max(min_demand))
+            .sum();
     }
 
     /// Returns the average demand at this instance in requests per second.
@@ -209,59 +217,113 @@
         self.local_demand
     }
 
-    /// Charges the bucket for the requests that another instance admitted since its previous report.
+    /// Charges the bucket for the requests that another instance admitted since its previous report, and returns what was
+    /// set aside for it.
     pub fn apply_report(&mut self, peer: u64, incarnation: u64, report: QuotaReport) {
         let min_demand = self.min_demand();
+        let reserved = self.release(peer);
         let is_new = !self.peers.contains_key(&peer);
         let usage = self.peers.entry(peer).or_insert(PeerUsage {
             incarnation,
             admitted: report.admitted,
             demand: 0.0,
-            assumed_spent: 0.0,
+            reserved: None,
         });
-        if usage.incarnation != incarnation {
+        let is_restarted = usage.incarnation != incarnation;
+        if is_restarted {
             usage.incarnation = incarnation;
             usage.admitted = 0;
-            self.restarted_peers.retain(|restarted| *restarted != peer);
         }
         #[expect(clippy::cast_precision_loss)]
         let spent = report.admitted.saturating_sub(usage.admitted) as f64;
-        self.tokens -= (spent - usage.assumed_spent).max(0.0);
+        let reserved = reserved.map_or(0.0, |share| share.tokens);
+        // The last requests of a process that has ended may not have been reported.
+        self.tokens += if is_restarted {
+            (reserved - spent).min(0.0)
+        } else {
+            reserved - spent
+        };
         usage.admitted = usage.admitted.max(report.admitted);
-        usage.assumed_spent = 0.0;
-        let previous_floored = if is_new {
+        let previous_demand = if is_new {
             0.0
         } else {
             usage.demand.max(min_demand)
         };
-        self.totals.reported += report.demand - usage.demand;
-        self.totals.floored += report.demand.max(min_demand) - previous_floored;
+        self.remote_demand += report.demand.max(min_demand) - previous_demand;
         usage.demand = report.demand;
     }
 
-    /// Records that another instance has restarted. Until it reports the account again, it counts as silent.
+    /// Records that another instance has restarted. Until it reports the account again, its part is set aside.
     pub fn mark_restarted(&mut self, peer: u64, incarnation: u64) {
-        let is_reported = self
-            .peers
-            .get(&peer)
-            .is_none_or(|usage| usage.incarnation == incarnation);
-        if !is_reported && !self.restarted_peers.contains(&peer) {
-            self.restarted_peers.push(peer);
+        let usage = self.peers.get(&peer);
+        if usage.is_some_and(|usage| usage.incarnation != incarnation) {
+            self.reserve(&[peer]);
         }
     }
 
-    /// Removes instances that are no longer members.
+    /// Removes instances that are no longer members. What is set aside for them is not returned.
     pub fn remove_peers(&mut self, peers: &[u64]) {
         let previous_count = self.peers.len();
         for peer in peers {
+            self.release(*peer);
             self.peers.remove(peer);
         }
         if self.peers.len() < previous_count {
-            self.restarted_peers.retain(|peer| !peers.contains(peer));
-            self.update_totals();
+            self.update_remote_demand();
         }
     }
 
+    /// Sets aside the parts of instances that send no reports, unless that was done before.
+    ///
+    /// A part is the average of the instance's part of the demand and of an equal one: the callers of an instance that has
+    /// ended send their requests to others. All parts of a cut fleet know nearly the same demands and calculate the same
+    /// fractions.
+    fn reserve(&mut self, peers: &[u64]) {
+        let min_demand = self.min_demand();
+        let own_demand = self.local_demand.max(min_demand);
+        let heard_instances = (self.instances - self.reserved_peers.len()).max(1);
+        let unreported = self.instances.saturating_sub(1 + self.peers.len());
+        #[expect(clippy::cast_precision_loss)]
+        let (heard_instances, unreported) = (heard_instances as f64, unreported as f64);
+        let total_demand = own_demand * (1.0 + unreported) + self.remote_demand;
+        let heard_fraction = 1.0 - self.reserved_fraction;
+        let heard_tokens = self.tokens;
+        for peer in peers {
+            let Some(usage) = self.peers.get_mut(peer) else {
+                continue;
+            };
+            if usage.reserved.is_some() {
+                continue;
+            }
+            let demand = usage.demand.max(min_demand);
+            let part = f64::midpoint(demand / total_demand, 1.0 / heard_instances);
+            let share = ReservedShare {
+                fraction: heard_fraction * part,
+                tokens: heard_tokens * part,
+            };
+            usage.reserved = Some(share);
+            self.reserved_peers.push(*peer);
+            self.reserved_fraction += share.fraction;
+            self.tokens -= share.tokens;
+            self.remote_demand -= demand;
+        }
+    }
+
+    /// Ends the reservation for an instance, and returns what was set aside for it.
+    fn release(&mut self, peer: u64) -> Option<ReservedShare> {
+        let min_demand = self.min_demand();
+        let usage = self.peers.get_mut(&peer)?;
+        let share = usage.reserved.take()?;
+        self.remote_demand += usage.demand.max(min_demand);
+        self.reserved_peers.retain(|reserved| *reserved != peer);
+        self.reserved_fraction = if self.reserved_peers.is_empty() {
+            0.0
+        } else {
+            self.reserved_fraction - share.fraction
+        };
+        Some(share)
+    }
+
     /// Refills the budget for the next period. `registered_instances` is the number of instances that may admit
     /// requests, including this one, and `silent_peers` those of them that have sent no message for some periods.
     ///
@@ -278,17 +340,22 @@
         let period = now.since(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
         self.charge_local(budget, period);
-        self.charge_silent_peers(period, silent_peers);
-        let refill = self.limit.rate_per_s * period;
-        self.tokens = (self.tokens + refill).min(self.limit.burst);
+        self.instances = registered_instances.max(self.peers.len() + 1);
+        self.reserve(silent_peers);
+        self.refill_reserved(period);
+        let heard_fraction = 1.0 - self.reserved_fraction;
+        let refill = self.limit.rate_per_s * heard_fraction * period;
+        let burst = self.limit.burst * heard_fraction;
+        self.tokens = (self.tokens + refill).min(burst);
         let demand = self.local_demand.max(self.min_demand());
-        let instances = registered_instances.max(self.peers.len() + 1);
+        let unreported = self.instances - 1 - self.peers.len();
+        let heard_instances = self.instances - self.reserved_peers.len();
         #[expect(clippy::cast_precision_loss)]
-        let (instances, unreported) = (instances as f64, (instances - 1 - self.peers.len()) as f64);
-        let remote_demand = self.totals.floored + unreported * demand;
+        let (heard_instances, unreported) = (heard_instances as f64, unreported as f64);
+        let remote_demand = self.remote_demand + unreported * demand;
         self.local_fraction = demand / (demand + remote_demand);
-        let debt_fraction =
-            self.tokens.min(0.0) / (self.limit.rate_per_s * DEBT_REPAYMENT_TIME.as_secs_f64());
+        let debt_fraction = self.tokens.min(0.0)
+            / (self.limit.rate_per_s * heard_fraction * DEBT_REPAYMENT_TIME.as_secs_f64());
         let steady_spend = refill * (1.0 + debt_fraction).max(0.0);
         // The reserve is spent between two reports, and each refill gives its part of it.
         let report_period = self.report_period.as_secs_f64().max(period);
@@ -296,11 +363,11 @@
         let reserve_spend = self.tokens.max(0.0) * reserve_fraction;
         let spend = (steady_spend + reserve_spend) * self.local_fraction;
         let allowance = to_units(spend);
-        let overdraft_limit = self.tokens.max(0.0) * OVERDRAFT_FRACTION / instances;
+        let overdraft_limit = self.tokens.max(0.0) * OVERDRAFT_FRACTION / heard_instances;
         budget
             .overdraft_limit
             .store(to_units(overdraft_limit), Ordering::Relaxed);
-        let has_headroom = unreported <= 0.0 && self.tokens >= self.limit.burst * HEADROOM_FRACTION;
+        let has_headroom = unreported <= 0.0 && self.tokens >= burst * HEADROOM_FRACTION;
         budget.has_headroom.store(has_headroom, Ordering::Relaxed);
         // Only a debt is carried over, because unspent tokens are still in the bucket. With headroom the debt is
         // dropped as well: it comes from a single request, which the bucket has already paid for.
@@ -327,21 +394,14 @@
         self.counted_requested = requested;
     }
 
-    /// Charges the bucket for instances that send no messages. They may be partitioned from this one and still spend
-    /// their share. What was assumed is subtracted from their next report.
-    fn charge_silent_peers(&mut self, period: f64, silent_peers: &[u64]) {
-        let total = self.local_demand + self.totals.reported;
-        if total <= 0.0 {
-            return;
-        }
-        let restarted = self.restarted_peers.iter();
-        let restarted = restarted.filter(|peer| !silent_peers.contains(peer));
-        for peer in silent_peers.iter().chain(restarted) {
-            if let Some(usage) = self.peers.get_mut(peer) {
-                let fraction = (usage.demand / total).min(1.0);
-                let assumed_spent = self.limit.rate_per_s * period * fraction;
-                usage.assumed_spent += assumed_spent;
-                self.tokens -= assumed_spent;
+    /// Refills the shares that are set aside.
+    fn refill_reserved(&mut self, period: f64) {
+        for peer in &self.reserved_peers {
+            let usage = self.peers.get_mut(peer);
+            if let Some(share) = usage.and_then(|usage| usage.reserved.as_mut()) {
+                let refill = self.limit.rate_per_s * share.fraction * period;
+                let burst = self.limit.burst * share.fraction;
+                share.tokens = (share.tokens + refill).min(burst);
             }
         }
     }
--- a/crates/steering/tests/quota_bucket.rs
+++ b/crates/steering/tests/quota_bucket.rs
@@ -370,3 +370,151 @@
         );
     }
 }
+
+struct CutCase {
+    name: &'static str,
+    rate_per_s: f64,
+    /// Requests per second at each instance before the account presses.
+    usual: [u64; 7],
+    /// Requests per second at each instance while the account presses, from one second after the cut on.
+    pressing: [u64; 7],
+    /// Instances in the smaller part of the cut, which are the first ones.
+    cut_off: usize,
+    /// Minimum fraction of min(requested, rate) that must be admitted in the second before the account presses.
+    min_usual_fraction: f64,
+    /// The same in the last five seconds of the cut.
+    min_pressing_fraction: f64,
+}
+
+/// Simulates 30 s with a cut from 8 s to 20 s. Returns the admitted requests of each tick.
+fn simulate_cut(case: &CutCase) -> Vec<u64> {
+    let limit = QuotaLimit {
+        rate_per_s: case.rate_per_s,
+        burst: case.rate_per_s,
+    };
+    let mut fleet: Vec<FleetInstance> = (case.usual.iter())
+        .map(|_| FleetInstance {
+            budget: QuotaBudget::default(),
+            bucket: QuotaBucket::new(limit, limit.burst, MonotonicTime::default()),
+            contacts: PeerContacts::default(),
+            incarnation: 1,
+        })
+        .collect();
+    let mut admitted = Vec::new();
+    for tick in 0..300_u64 {
+        let now_ms = tick * TICK_MS;
+        let now = MonotonicTime::from_millis(now_ms);
+        let is_cut = (8_000..20_000).contains(&now_ms);
+        let reports: Vec<QuotaReport> = fleet
+            .iter()
+            .map(|instance| QuotaReport {
+                admitted: instance.budget.admitted(),
+                demand: instance.bucket.local_demand(),
+            })
+            .collect();
+        let rates = if now_ms < 9_000 {
+            &case.usual
+        } else {
+            &case.pressing
+        };
+        let mut admitted_in_tick = 0;
+        for (instance, rate) in fleet.iter_mut().zip(rates) {
+            let silent = instance.contacts.silent(SILENCE_TIMEOUT, now);
+            instance
+                .bucket
+                .refill(&instance.budget, case.usual.len(), &silent, now);
+            for _ in (rate * now_ms / 1_000)..(rate * (now_ms + TICK_MS) / 1_000) {
+                instance.budget.count_demand();
+                admitted_in_tick += u64::from(instance.budget.try_admit());
+            }
+        }
+        admitted.push(admitted_in_tick);
+        for (peer, report) in reports.iter().enumerate() {
+            for (own, instance) in fleet.iter_mut().enumerate() {
+                let is_cut_off = |index: usize| index < case.cut_off;
+                if own != peer && !(is_cut && is_cut_off(own) != is_cut_off(peer)) {
+                    instance.contacts.record(peer as u64, 1, now);
+                    instance.bucket.apply_report(peer as u64, 1, *report);
+                }
+            }
+        }
+    }
+    admitted
+}
+
+/// Guards against a burst that each part of a cut fleet spends, and against a part that refuses an account within its rate
+/// because it cannot hear the others.
+#[test]
+fn parts_of_a_cut_fleet_share_one_burst() {
+    let cases = [
+        CutCase {
+            name: "an account presses at all instances after the cut",
+            rate_per_s: 317.0,
+            usual: [20; 7],
+            pressing: [150; 7],
+            cut_off: 2,
+            min_usual_fraction: 0.99,
+            min_pressing_fraction: 0.9,
+        },
+        CutCase {
+            name: "one instance is cut off",
+            rate_per_s: 150.0,
+            usual: [10; 7],
+            pressing: [75; 7],
+            cut_off: 1,
+            min_usual_fraction: 0.99,
+            min_pressing_fraction: 0.9,
+        },
+        CutCase {
+            name: "an account that was idle before the cut",
+            rate_per_s: 200.0,
+            usual: [0; 7],
+            pressing: [150; 7],
+            cut_off: 3,
+            min_usual_fraction: 0.0,
+            min_pressing_fraction: 0.9,
+        },
+        CutCase {
+            name: "callers move to the other part",
+            rate_per_s: 100.0,
+            usual: [30, 0, 0, 0, 0, 0, 0],
+            pressing: [0, 30, 0, 0, 0, 0, 0],
+            cut_off: 1,
+            min_usual_fraction: 0.99,
+            min_pressing_fraction: 0.99,
+        },
+    ];
+    for case in cases {
+        let admitted = simulate_cut(&case);
+        let allowed = case.rate_per_s * 6.0;
+        let max_admitted = allowed * (1.0 + EXCESS.tolerance) + EXCESS.slack;
+        for (first, window) in admitted.windows(50).enumerate() {
+            let sum: u64 = window.iter().sum();
+            #[expect(clippy::cast_precision_loss)]
+            let sum = sum as f64;
+            assert!(
+                sum <= max_admitted,
+                "{}: {sum} from tick {first}, at most {max_admitted}",
+                case.name
+            );
+        }
+        let phases = [
+            (&case.usual, 80..90, case.min_usual_fraction),
+            (&case.pressing, 150..200, case.min_pressing_fraction),
+        ];
+        for (rates, ticks, min_fraction) in phases {
+            #[expect(clippy::cast_precision_loss)]
+            let seconds = ticks.len() as f64 / 10.0;
+            let (served, requested): (u64, u64) =
+                (admitted[ticks].iter().sum(), rates.iter().sum());
+            #[expect(clippy::cast_precision_loss)]
+            let (served, requested) = (served as f64 / seconds, requested as f64);
+            let min_rate = requested.min(case.rate_per_s) * min_fraction;
+            assert!(
+                served >= min_rate,
+                "{}: {served} a second, at least {min_rate}",
+                case.name
+            );
+        }
+    }
+}
