steering, entry: a fair queue for pools whose upstreams state the cost of work

Cause: one queue a pool, ordered by priority and arrival, lets a heavy account fill it and a lower rank starve, and counts the queues of the other instances as equally long.

Change: accounts share a rank by virtual time, ranks that are served too rarely go first, admission compares the expected turn with what the request can wait (half of its objective at most), queues and completions of the other instances come by heartbeat (tag 29), and Retry-After names the time at which room is expected.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -23,6 +23,7 @@
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
 use crate::plan_lag::PlanLag;
+use crate::queue_exchange::QueueUpdates;
 use crate::reader_role::KindRevisions;
 use crate::shared_state::{FleetView, SharedState};
 use crate::snapshot_builder::SnapshotBuilder;
@@ -83,6 +84,7 @@
     pub(crate) limit_log: LimitLog,
     /// How long raised costs of work last, by the name of the pool.
     pub(crate) cost_exposures: HashMap<String, CostExposure>,
+    pub(crate) queue_updates: QueueUpdates,
     is_registering: bool,
 }
 
@@ -129,6 +131,7 @@
             limit_table: LimitTable::default(),
             limit_log: LimitLog::default(),
             cost_exposures: HashMap::new(),
+            queue_updates: QueueUpdates::default(),
             is_registering: false,
         }
     }
@@ -257,6 +260,7 @@
         self.registry.set_peer_loads(&self.peers.loads(now));
         self.divide_limits(now);
         self.update_load_reports();
+        self.update_queues(now);
         self.update_spreads(now);
         let members = &self.members;
         let registered = members.iter().count();
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -54,9 +54,13 @@
     LoadReportsRead,
     /// Load reports of upstreams or peers that were malformed or impossible.
     LoadReportsDropped,
+    /// Requests refused on arrival because their turn in the fair queue was not expected in time.
+    RefusedAtOnce,
+    /// Requests refused after a wait in the fair queue.
+    RefusedAfterWait,
 }
 
-const COUNTERS: [(CounterName, &str); 19] = [
+const COUNTERS: [(CounterName, &str); 21] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -82,6 +86,8 @@
         CounterName::LoadReportsDropped,
         "load_reports_dropped_total",
     ),
+    (CounterName::RefusedAtOnce, "refused_at_once_total"),
+    (CounterName::RefusedAfterWait, "refused_after_wait_total"),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use arc_swap::ArcSwap;
 use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    AverageTime, CacheEstimator, QuotaBudget, RegionSpread, RequestQueue, RetryBudget,
-    ServiceTimes, SpillBudget, SteeringPlan, UpstreamState,
+    AverageTime, CacheEstimator, CompletionRate, FairQueue, PoolDemand, QuotaBudget, RegionSpread,
+    RequestQueue, RetryBudget, ReturnSchedule, ServiceTimes, SpillBudget, SteeringPlan,
+    UpstreamState,
 };
 use coltsfootkeel_transport::UpstreamClient;
 use tokio::sync::oneshot;
@@ -15,6 +17,18 @@
 /// Wakes a request that waits in the queue of a pool.
 pub type WakeSender = oneshot::Sender<()>;
 
+/// What a request in the fair queue of a pool is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueSignal {
+    /// It may look for a slot.
+    Turn,
+    /// Its turn is no longer expected in time.
+    GiveUp,
+}
+
+/// Signals a request that waits in the fair queue of a pool.
+pub type SignalSender = oneshot::Sender<QueueSignal>;
+
 /// An upstream in the store's list, with the state and connections that request threads share.
 #[derive(Debug, Clone)]
 pub struct ListedUpstream {
@@ -42,6 +56,14 @@
     /// Whether an upstream of the pool has stated the present cost of work on its machine, so that the room of the pool
     /// changes many times a second.
     pub states_cost: Arc<AtomicBool>,
+    /// The requests that wait for a free slot while the upstreams state the cost of work.
+    pub fair_queue: Arc<FairQueue<SignalSender>>,
+    /// The rate at which this instance completes requests.
+    pub completions: Arc<CompletionRate>,
+    /// What waits at the other instances.
+    pub others: Arc<ArcSwap<PoolDemand>>,
+    /// When refused callers return.
+    pub returns: Arc<ReturnSchedule>,
 }
 
 /// A pool of the plan with its upstreams and its state.
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -266,6 +266,7 @@
             failing_kinds: shared.reader_role.failing_kinds(),
             loads: self.upstream_loads(),
             limits: self.stated_limits(now),
+            queues: self.pool_queues(now),
             accounts,
             ..fields
         }
--- a/crates/entry/src/load_exchange.rs
+++ b/crates/entry/src/load_exchange.rs
@@ -135,8 +135,10 @@
         };
         for (key, pool) in snapshot.pools.iter() {
             let states = || pool_states(&snapshot, key);
-            if states().any(|state| state.reported_load.states_cost()) {
-                pool.state.states_cost.store(true, Ordering::Relaxed);
+            let states_cost = states().any(|state| state.reported_load.states_cost());
+            let name = &snapshot.plan.pools[key].name;
+            if states_cost && !pool.state.states_cost.swap(true, Ordering::Relaxed) {
+                log::info!(pool = name.as_str(); "upstreams: A pool states the cost of work.");
             }
             if !pool.state.states_cost.load(Ordering::Relaxed) {
                 continue;
@@ -147,7 +149,6 @@
                 newer.raised_s += taken.raised_s;
                 newer.ends += taken.ends;
             }
-            let name = &snapshot.plan.pools[key].name;
             let exposure = self.cost_exposures.entry(name.clone()).or_default();
             let lifetime = exposure.add(newer);
             for state in states() {
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -212,6 +212,7 @@
         }
         let slot_time = &self.context.listed_pool().state.slot_time;
         slot_time.record(response_time.saturating_sub(round_trip));
+        self.context.listed_pool().state.completions.count();
         let times = self.context.time_estimate(region);
         let cost_factor = cost_factor(reservation, &listed.state, now);
         let usual_time = response_time.div_f64(cost_factor);
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -235,9 +235,15 @@
     /// Returns the `Retry-After` for a request that is rejected now.
     #[must_use]
     pub fn retry_after(&self) -> Duration {
+        retry_after(self.caller_time_left(), fastrand::f64())
+    }
+
+    /// Returns the time for which the caller still waits for this or another attempt.
+    #[must_use]
+    pub fn caller_time_left(&self) -> Duration {
         let waited = self.shared.clock.now().since(self.arrived);
         let timeout = self.head.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        retry_after(timeout.saturating_sub(waited), fastrand::f64())
+        timeout.saturating_sub(waited)
     }
 
     /// Returns a hash of method, target, account and body, which is equal for every attempt of the same request.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -18,13 +18,14 @@
 use crate::answer_delivery::{deliver_answer, deliver_failure};
 use crate::caller_body::CallerBody;
 use crate::entry_metrics::CounterName;
+use crate::fair_wait::return_delay;
 use crate::limit_delays::retry_delay;
 use crate::rejection::{RejectKind, Rejection};
 use crate::request_attempt::outcome_code;
 use crate::request_context::{RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
+use crate::upstream_choice::{SlotReservation, is_avoidance_suspended, states_cost};
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
@@ -291,7 +292,12 @@
         let retry_after = if kind == RejectKind::Stopping {
             STOPPING_RETRY_AFTER
         } else {
-            self.context.retry_after().max(retry_delay(&self.context))
+            let after = if states_cost(&self.context) {
+                return_delay(&self.context)
+            } else {
+                self.context.retry_after()
+            };
+            after.max(retry_delay(&self.context))
         };
         Err(Rejection {
             kind,
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -14,7 +14,7 @@
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
+use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot, states_cost};
 
 /// The lowest number of slots for which a wait is estimated.
 const MIN_EFFECTIVE_SLOTS: f64 = 0.1;
@@ -36,6 +36,9 @@
             return Ok(reservation);
         }
         self.check_grace_left()?;
+        if states_cost(&self.context) {
+            return self.acquire_fairly(request_log).await;
+        }
         if let Some(reservation) = reserve_slot(&self.context, &self.tried) {
             return Ok(reservation);
         }
@@ -88,7 +91,7 @@
     }
 
     /// Rejects a request that may not complete before a stopping process is killed.
-    fn check_grace_left(&self) -> Result<(), RejectKind> {
+    pub(crate) fn check_grace_left(&self) -> Result<(), RejectKind> {
         let Some(grace_left) = self.context.shared.grace_left() else {
             return Ok(());
         };
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -65,6 +65,7 @@
         "version": plan.version,
         "unreadable": findings,
         "pools_stating_cost": pools_stating_cost(snapshot),
+        "queues": dump_queues(shared, snapshot),
         "routes": routes,
         "upstreams": upstreams,
     })
@@ -79,6 +80,24 @@
         .collect()
 }
 
+/// Returns what waits in the fair queue of each pool, here and at the other instances.
+fn dump_queues(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
+    let now = shared.clock.now();
+    let pools = snapshot.pools.iter().map(|(key, pool)| {
+        let summary = pool.state.fair_queue.summary(now);
+        let others = pool.state.others.load();
+        let queue = json!({
+            "waiting_by_rank": summary.waiting,
+            "oldest_wait_ms": summary.oldest_wait.as_millis(),
+            "completed_per_s": pool.state.completions.per_s(),
+            "waiting_elsewhere": others.waiting,
+            "completed_elsewhere_per_s": others.completed_per_s,
+        });
+        (snapshot.plan.pools[key].name.clone(), queue)
+    });
+    Value::Object(pools.collect())
+}
+
 /// Returns the shares of a route's requests by pool and region.
 fn dump_spreads(shared: &SharedState, snapshot: &EntrySnapshot, route: RouteKey) -> Value {
     let pool_spreads = snapshot.spreads[route].iter();
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -15,7 +15,7 @@
     UpstreamCandidate, UpstreamState, cold_send_interval, combine_hashes, short_hash,
 };
 
-use crate::entry_snapshot::{ListedUpstream, PoolState};
+use crate::entry_snapshot::{ListedUpstream, PoolState, QueueSignal};
 use crate::limit_delays::count_limited_demand;
 use crate::request_context::RequestContext;
 use crate::shared_state::PlacementReport;
@@ -119,6 +119,11 @@
         // Sending fails if the request has ended in the meantime and dropped the receiver.
         let _ = sender.send(());
     }
+    if !pool.fair_queue.is_empty() {
+        for sender in pool.fair_queue.pop(count) {
+            let _ = sender.send(QueueSignal::Turn);
+        }
+    }
 }
 
 /// Upstreams are no longer avoided after failures when more than one in this many of the pool's upstreams is avoided.
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -3,6 +3,7 @@
 use prost::Message;
 
 use crate::load_messages::StatedLoad;
+use crate::queue_messages::PoolQueue;
 
 /// The state of one entry instance on which decisions of the other instances depend.
 #[derive(Clone, PartialEq, Message)]
@@ -90,6 +91,9 @@
     /// The load reports that the sender has received since its last heartbeat, the newest of each upstream.
     #[prost(message, repeated, tag = "28")]
     pub load_reports: Vec<StatedLoad>,
+    /// The queues of the sender for the pools whose upstreams state the cost of work; idle pools are left out.
+    #[prost(message, repeated, tag = "29")]
+    pub queues: Vec<PoolQueue>,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -21,6 +21,7 @@
 mod frame_codec;
 mod load_messages;
 mod messages;
+mod queue_messages;
 
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
@@ -33,3 +34,4 @@
     LimitKind, LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
     ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
 };
+pub use queue_messages::{PoolQueue, RankQueue};
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -79,6 +79,9 @@
 pub use plan::{
     AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
+pub use queue::expected_room::{CompletionRate, PoolDemand, ReturnSchedule, turn_time, wait_until};
+pub use queue::fair_queue::{FairQueue, QueueSummary, QueueTicket, QueuedRequest, RequestClass};
+pub use queue::rank_shares::RankShares;
 pub use queue::request_queue::{
     QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after,
 };
--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -102,8 +102,8 @@
     /// Requests in flight per slot.
     load: f64,
     is_cache_full: bool,
-    /// Whether work takes much longer than usual on the machine of the upstream for the moment.
-    is_busy: bool,
+    /// Factor by which responses take longer because of the stated cost of work.
+    cost_factor: f64,
 }
 
 impl PlacementRequest {
@@ -240,7 +240,7 @@
             is_assigned_region: candidate.is_assigned_region,
             load: f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1)),
             is_cache_full: candidate.is_cache_full,
-            is_busy: candidate.cost_factor > SLOWNESS_THRESHOLD,
+            cost_factor: candidate.cost_factor,
         }
     }
 
@@ -293,6 +293,13 @@
     }
 }
 
+impl<K> RankedCandidate<K> {
+    /// Returns whether work takes much longer than usual on the machine of the upstream for the moment.
+    fn is_busy(&self) -> bool {
+        self.cost_factor > SLOWNESS_THRESHOLD
+    }
+}
+
 /// The best candidate of each class in the assigned region or in all others.
 struct RegionCandidates<K> {
     /// The first in the preference order among the warm candidates that meet the objective; those that are not busy go
@@ -348,7 +355,7 @@
             let order = |candidate: &RankedCandidate<K>| {
                 (
                     candidate.rank.is_nearby,
-                    !candidate.is_busy,
+                    !candidate.is_busy(),
                     !candidate.is_cache_full,
                     candidate.rank.score,
                 )
@@ -364,7 +371,7 @@
         self.has_warm = true;
         self.has_nearby_warm |= candidate.rank.is_nearby;
         if candidate.expected <= objective_left && candidate.load < 1.0 + MAX_WARM_QUEUE_FRACTION {
-            let order = |warm: &RankedCandidate<K>| (!warm.is_busy, warm.rank);
+            let order = |warm: &RankedCandidate<K>| (!warm.is_busy(), warm.rank);
             let is_better = |warm: &RankedCandidate<K>| order(&candidate) > order(warm);
             if self.warm_in_time.as_ref().is_none_or(is_better) {
                 self.warm_in_time = Some(candidate);
