steering: which requests start before their turn on a connection

Cause: callers that send further requests without waiting for the answers wait for the sum of the times before them, although upstreams have room.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -76,6 +76,7 @@
 pub use plan::{
     AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
+pub use queue::early_start::{EarlyRequest, MAX_EARLY_BYTES, MAX_EARLY_REQUESTS};
 pub use queue::request_queue::{
     QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after,
 };
