transport: requests of a connection are read and started before their turn

Cause: the HTTP library reads one request of a connection at a time, so those behind it are neither seen nor started.

Ruled out: an HTTP/1 front of the project's own (parsing, framing, keep-alive and the order of answers would be written anew), and a copy of the stream beside the library (where the library stands in it is not visible).

Change: while the library waits for an answer to a request without a body, the stream keeps what arrives and parses complete heads with httparse, the parser that the library uses. The service decides which of them start; each runs in a task that ends when its handle is dropped. The library then gets one head at a time and its service call takes the running answer, if method, target and headers are equal. Bodies, closing requests, other versions and malformed heads are left to the library. A stop waits until what was started is answered. A service without `read_ahead_limits` is served as before.

--- a/crates/transport/src/caller_connection.rs
+++ b/crates/transport/src/caller_connection.rs
@@ -34,10 +34,12 @@
     Abandoned,
 }
 
-/// Polls `connection` until it ends or its caller has left.
+/// Polls `connection` until it ends or its caller has left. `start_early` is called after each poll and starts requests
+/// that were received before their turn.
 pub(crate) async fn drive_connection<E>(
     mut connection: Pin<&mut impl Future<Output = Result<(), E>>>,
     stream: &SharedStream,
+    start_early: impl Fn(),
 ) -> ConnectionEnd<E> {
     let mut next_check: Option<Pin<Box<Sleep>>> = None;
     std::future::poll_fn(|context| {
@@ -45,6 +47,7 @@
         if let Poll::Ready(result) = connection.as_mut().poll(context) {
             return Poll::Ready(ConnectionEnd::Finished(result));
         }
+        start_early();
         if stream.is_awaiting_bytes() {
             next_check = None;
             return Poll::Pending;
@@ -61,8 +64,8 @@
     .await
 }
 
-/// Waits until no request is partly received. The HTTP library closes a connection that waits for a request, also if a
-/// part of it has arrived.
+/// Waits until no request is partly received, and none was started before its turn. The HTTP library closes a connection
+/// that waits for a request, also if a part of it has arrived.
 pub(crate) async fn wait_between_requests(stream: &SharedStream) {
     let first_bytes = async {
         while !stream.has_received() {
@@ -71,7 +74,7 @@
     };
     // A connection without a byte after the timeout is idle.
     let _ = timeout(FIRST_BYTES_TIMEOUT, first_bytes).await;
-    while stream.is_within_head() {
+    while stream.is_within_head() || stream.has_started_early() {
         sleep(INPUT_CHECK_PERIOD).await;
     }
 }
--- a/crates/transport/src/http_listener.rs
+++ b/crates/transport/src/http_listener.rs
@@ -11,12 +11,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use http::header::CONNECTION;
+use http::request::Parts;
+use http::{HeaderValue, Version};
+use hyper::body::{Body as _, Incoming};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio_util::task::{AbortOnDropHandle, TaskTracker};
 use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::context::ServerContext;
@@ -26,6 +29,8 @@
 use crate::caller_connection::{
     ConnectionEnd, close_connection, drive_connection, wait_between_requests,
 };
+use crate::read_ahead::{EarlyAnswer, ReadAheadLimits};
+use crate::request_head::keeps_connection;
 use crate::shared_stream::SharedStream;
 
 /// Delay after a failed accept, so that running out of file descriptors does not keep a core busy.
@@ -68,10 +73,42 @@
     }
 }
 
+/// What happened to requests that were started before their turn on their connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EarlyEvent {
+    /// Requests were started.
+    Started,
+    /// An answer was ready before its turn.
+    Held,
+    /// Requests were ended because their connection has ended.
+    TakenBack,
+}
+
 /// Answers the HTTP requests that a listener receives.
 pub trait HttpService: Send + Sync + 'static {
     /// Answers a request that arrived from the address `peer`.
     fn call(&self, peer: SocketAddr, request: Request) -> impl Future<Output = Response> + Send;
+
+    /// Returns how much of a connection is read while an answer is outstanding; `None` if each request starts only after
+    /// the previous one is answered.
+    fn read_ahead_limits(&self) -> Option<ReadAheadLimits> {
+        None
+    }
+
+    /// Returns whether a request may start although `started` others before it on its connection, besides the running
+    /// one, have been started and not answered. An answer before it may close the connection: it is then ended, and its
+    /// caller sends it again.
+    fn may_start_early(&self, _head: &Parts, _started: usize) -> bool {
+        false
+    }
+
+    /// Returns whether connections are closed after their last started request is answered.
+    fn closes_connections(&self) -> bool {
+        false
+    }
+
+    /// Records what happened to `_count` requests that were started before their turn.
+    fn record_early(&self, _event: EarlyEvent, _count: usize) {}
 }
 
 /// Answers requests by a `volo-http` router.
@@ -165,9 +202,9 @@
     limits: ListenerLimits,
     token: CancellationToken,
 ) {
-    let stream = SharedStream::new(stream);
-    let service = ConnectionService {
-        service,
+    let stream = SharedStream::new(stream, service.read_ahead_limits());
+    let connection_service = ConnectionService {
+        service: Arc::clone(&service),
         peer,
         stream: stream.clone(),
     };
@@ -175,17 +212,19 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(TokioIo::new(stream.clone()), service);
+        .serve_connection(TokioIo::new(stream.clone()), connection_service);
     let mut connection = Box::pin(connection);
+    let start_early = || start_early_requests(&stream, &service, peer);
     let end = tokio::select! {
-        end = drive_connection(connection.as_mut(), &stream) => end,
+        end = drive_connection(connection.as_mut(), &stream, start_early) => end,
         () = wait_until_stoppable(&token, &stream) => {
             connection.as_mut().graceful_shutdown();
-            drive_connection(connection.as_mut(), &stream).await
+            drive_connection(connection.as_mut(), &stream, start_early).await
         }
     };
     // Ends a request that is still running, and releases the stream.
     drop(connection);
+    end_early_requests(&stream, &*service);
     match end {
         ConnectionEnd::Finished(Ok(())) => {}
         ConnectionEnd::Finished(Err(error)) => {
@@ -204,26 +243,92 @@
     wait_between_requests(stream).await;
 }
 
+fn start_early_requests<S: HttpService>(stream: &SharedStream, service: &Arc<S>, peer: SocketAddr) {
+    let Some(mut read_ahead) = stream.read_ahead() else {
+        return;
+    };
+    let start = |parts| {
+        let service = Arc::clone(service);
+        let request = Request::from_parts(parts, Body::empty());
+        let answering = async move { service.call(peer, request).await };
+        AbortOnDropHandle::new(tokio::spawn(answering))
+    };
+    let may_start = |head: &Parts, started| service.may_start_early(head, started);
+    let count = read_ahead.start_due(may_start, start);
+    if count > 0 {
+        service.record_early(EarlyEvent::Started, count);
+    }
+}
+
+fn end_early_requests<S: HttpService>(stream: &SharedStream, service: &S) {
+    let count = stream
+        .read_ahead()
+        .map_or(0, |mut read_ahead| read_ahead.end_all());
+    if count > 0 {
+        service.record_early(EarlyEvent::TakenBack, count);
+    }
+}
+
+/// Waits for the answer of a request that was started before its turn.
+async fn finish_early<S: HttpService>(answer: EarlyAnswer, service: &S) -> Response {
+    if answer.is_finished() {
+        service.record_early(EarlyEvent::Held, 1);
+    }
+    match answer.await {
+        Ok(response) => response,
+        Err(error) if error.is_panic() => std::panic::resume_unwind(error.into_panic()),
+        // The runtime is shutting down.
+        Err(_) => std::future::pending().await,
+    }
+}
+
 struct ConnectionService<S> {
     service: Arc<S>,
     peer: SocketAddr,
     stream: SharedStream,
 }
 
+impl<S: HttpService> ConnectionService<S> {
+    /// Tells the stream that the head of `request` was read. Returns the answer that was started for it.
+    fn begin_request(&self, request: &hyper::Request<Incoming>) -> Option<EarlyAnswer> {
+        self.stream.end_head();
+        let mut read_ahead = self.stream.read_ahead()?;
+        let is_plain = request.body().is_end_stream()
+            && request.version() == Version::HTTP_11
+            && keeps_connection(request.headers());
+        read_ahead.begin_request(request, is_plain)
+    }
+}
+
+/// Records that the answer to a request is known, and adds `Connection: close` if it is the last one.
+fn end_request<S: HttpService>(service: &S, stream: &SharedStream, response: &mut Response) {
+    // The body of the request was received after its head.
+    stream.end_head();
+    if service.closes_connections() && !stream.has_started_early() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    if let Some(mut read_ahead) = stream.read_ahead() {
+        read_ahead.end_request();
+    }
+}
+
 impl<S: HttpService> hyper::service::Service<hyper::Request<Incoming>> for ConnectionService<S> {
     type Response = Response;
     type Error = Infallible;
     type Future = Pin<Box<dyn Future<Output = Result<Response, Infallible>> + Send>>;
 
     fn call(&self, request: hyper::Request<Incoming>) -> Self::Future {
+        let early_answer = self.begin_request(&request);
         let service = Arc::clone(&self.service);
         let peer = self.peer;
         let stream = self.stream.clone();
-        stream.end_head();
         Box::pin(async move {
-            let response = service.call(peer, request.map(Body::from_incoming)).await;
-            // The body of the request was received after its head.
-            stream.end_head();
+            let mut response = match early_answer {
+                Some(answer) => finish_early(answer, &*service).await,
+                None => service.call(peer, request.map(Body::from_incoming)).await,
+            };
+            end_request(&*service, &stream, &mut response);
             Ok(response)
         })
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,17 +11,22 @@
 mod kept_bytes;
 mod prefixed_body;
 mod process_clock;
+mod read_ahead;
+mod request_head;
 mod shared_stream;
 mod upstream_client;
 
 pub use call_error::{AnswerFailure, CallError, UnsentReason};
 pub use connection_pool::{CallAnswer, ConnectionPool};
 pub use hop_headers::remove_hop_by_hop_headers;
-pub use http_listener::{HttpService, ListenerLimits, ListenerStop, RouterService, serve};
+pub use http_listener::{
+    EarlyEvent, HttpService, ListenerLimits, ListenerStop, RouterService, serve,
+};
 pub use in_flight::InFlightGuard;
 pub use kept_bytes::BodyStart;
 pub use prefixed_body::PrefixedBody;
 pub use process_clock::ProcessClock;
+pub use read_ahead::ReadAheadLimits;
 pub use upstream_client::{
     ReusePolicy, SendFailure, UpstreamBody, UpstreamClient, UpstreamConnection,
 };
--- a/crates/transport/src/shared_stream.rs
+++ b/crates/transport/src/shared_stream.rs
@@ -5,18 +5,22 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::read_ahead::{ReadAhead, ReadAheadLimits, ReadStep};
+
 /// A stream and the state of its input. Clones share both.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedStream {
     stream: Arc<TcpStream>,
     input: Arc<InputState>,
+    /// The requests that were received before their turn; `None` if the service starts none early.
+    read_ahead: Option<Arc<Mutex<ReadAhead>>>,
 }
 
 /// What the reader of a stream has received.
@@ -28,13 +32,26 @@
 }
 
 impl SharedStream {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream, limits: Option<ReadAheadLimits>) -> Self {
         Self {
             stream: Arc::new(stream),
             input: Arc::default(),
+            read_ahead: limits.map(|limits| Arc::new(Mutex::new(ReadAhead::new(limits)))),
         }
     }
 
+    /// Returns the requests that were received before their turn. Only the task of the connection uses them.
+    pub(crate) fn read_ahead(&self) -> Option<MutexGuard<'_, ReadAhead>> {
+        let read_ahead = self.read_ahead.as_ref()?;
+        Some(read_ahead.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns whether a request was started whose turn has not come.
+    pub(crate) fn has_started_early(&self) -> bool {
+        self.read_ahead()
+            .is_some_and(|read_ahead| read_ahead.started() > 0)
+    }
+
     /// Forgets that the reader waits for bytes, before it is polled again.
     pub(crate) fn clear_awaiting_bytes(&self) {
         self.input.is_awaiting_bytes.store(false, Ordering::Relaxed);
@@ -76,9 +93,9 @@
     }
 }
 
-impl AsyncRead for SharedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
+impl SharedStream {
+    fn poll_socket(
+        &self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
@@ -89,18 +106,72 @@
             };
             readable?;
             match self.stream.try_read_buf(buffer) {
-                Ok(count) => {
-                    if count > 0 {
-                        self.input.has_received.store(true, Ordering::Relaxed);
-                        self.input.is_within_head.store(true, Ordering::Relaxed);
-                    }
-                    return Poll::Ready(Ok(()));
-                }
+                Ok(_) => return Poll::Ready(Ok(())),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
     }
+
+    /// Keeps what arrives while the HTTP library waits for an answer. Returns as soon as the peer has ended its
+    /// direction.
+    fn poll_ahead(
+        &self,
+        read_ahead: &mut ReadAhead,
+        max_bytes: usize,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut room = max_bytes;
+        while room > 0 {
+            let mut scratch = buffer.take(room);
+            if self.poll_socket(context, &mut scratch)?.is_pending() {
+                break;
+            }
+            let received = scratch.filled();
+            if received.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            room -= received.len();
+            read_ahead.keep(received);
+        }
+        read_ahead.set_reader(context.waker());
+        Poll::Pending
+    }
+
+    fn record_received(&self) {
+        self.input.has_received.store(true, Ordering::Relaxed);
+        self.input.is_within_head.store(true, Ordering::Relaxed);
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let previous_length = buffer.filled().len();
+        let mut read_ahead = self.read_ahead();
+        let step = match read_ahead.as_mut() {
+            Some(read_ahead) => read_ahead.deliver(buffer),
+            None => ReadStep::Direct,
+        };
+        match (step, read_ahead.as_mut()) {
+            (ReadStep::KeepUpTo(max_bytes), Some(read_ahead)) => {
+                return self.poll_ahead(read_ahead, max_bytes, context, buffer);
+            }
+            (ReadStep::Delivered, _) => {}
+            _ => ready!(self.poll_socket(context, buffer))?,
+        }
+        if buffer.filled().len() > previous_length {
+            self.record_received();
+        }
+        if let Some(read_ahead) = read_ahead.as_mut() {
+            read_ahead.record_direct_read(buffer, previous_length);
+        }
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncWrite for SharedStream {
