entry: idempotent requests of a connection run side by side

The charge to the account is a guard that refunds itself unless a part of the request may have been sent, so that a request taken back from the queue, or whose caller left it there, costs nothing.

--- a/crates/counters/src/byte_budget.rs
+++ b/crates/counters/src/byte_budget.rs
@@ -33,6 +33,16 @@
         self.free.fetch_add(bytes, Ordering::AcqRel);
     }
 
+    /// Returns the fraction of the total that is taken.
+    #[must_use]
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "a fraction needs no exact bytes"
+    )]
+    pub fn taken_fraction(&self) -> f64 {
+        self.taken() as f64 / self.total.max(1) as f64
+    }
+
     /// Returns the number of bytes that are taken.
     #[must_use]
     pub fn taken(&self) -> u64 {
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -50,9 +50,15 @@
     StoreFailures,
     /// Health checks of upstreams that were started.
     HealthChecks,
+    /// Requests that were started before the previous one on their connection was answered.
+    EarlyStarts,
+    /// Answers that were ready before those before them on their connection.
+    EarlyAnswers,
+    /// Early requests that ended with their connection before their turn.
+    EarlyTakenBack,
 }
 
-const COUNTERS: [(CounterName, &str); 17] = [
+const COUNTERS: [(CounterName, &str); 20] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -73,6 +79,9 @@
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
     (CounterName::HealthChecks, "health_checks_total"),
+    (CounterName::EarlyStarts, "early_starts_total"),
+    (CounterName::EarlyAnswers, "early_answers_held_total"),
+    (CounterName::EarlyTakenBack, "early_taken_back_total"),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
@@ -165,7 +174,12 @@
 
     /// Increments a counter.
     pub fn count(&self, name: CounterName) {
-        self.counters[name as usize].fetch_add(1, Ordering::Relaxed);
+        self.count_many(name, 1);
+    }
+
+    /// Adds `count` to a counter.
+    pub fn count_many(&self, name: CounterName, count: u64) {
+        self.counters[name as usize].fetch_add(count, Ordering::Relaxed);
     }
 
     /// Returns whether any request has been received.
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -9,13 +9,15 @@
     LocalCall, LookupCall, MAX_LOOKUP_ADDRESSES, encode_lookup_reply, parse_local_call,
 };
 use coltsfootkeel_steering::{LookupQuery, RegionSet, UpstreamState, select_instances};
-use coltsfootkeel_transport::HttpService;
-use http::header::{CONNECTION, CONTENT_TYPE};
+use coltsfootkeel_transport::{EarlyEvent, HttpService, ReadAheadLimits};
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
 use http::{HeaderValue, Method, StatusCode};
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use crate::early_requests::{READ_AHEAD_LIMITS, count_early, may_start_early};
 use crate::entry_metrics::{CounterName, GaugeValues};
 use crate::request_flow::handle_request;
 use crate::shared_state::SharedState;
@@ -43,12 +45,23 @@
 
 impl HttpService for CallerService {
     async fn call(&self, _peer: SocketAddr, request: Request) -> Response {
-        let mut response = handle_request(&self.shared, request).await;
-        if self.shared.is_stopping() {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
-        }
-        response
+        handle_request(&self.shared, request).await
+    }
+
+    fn read_ahead_limits(&self) -> Option<ReadAheadLimits> {
+        Some(READ_AHEAD_LIMITS)
+    }
+
+    fn may_start_early(&self, head: &Parts, started: usize) -> bool {
+        may_start_early(&self.shared, head, started)
+    }
+
+    fn closes_connections(&self) -> bool {
+        self.shared.is_stopping()
+    }
+
+    fn record_early(&self, event: EarlyEvent, count: usize) {
+        count_early(&self.shared, event, count);
     }
 }
 
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -54,6 +54,7 @@
         let is_repeated = self.sent_to.contains(&reservation.key);
         self.sent_to.push(reservation.key);
         self.sent_attempts += 1;
+        self.charge.is_spent = true;
         let message = |attempt_body| ExchangeRequest {
             method: &self.parts.method,
             uri: &self.parts.uri,
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -58,6 +58,23 @@
     pub deadline: MonotonicTime,
 }
 
+/// The charge of a request to its client account. It is refunded when it is dropped, unless the request was sent to an
+/// upstream.
+#[derive(Debug, Default)]
+pub struct AccountCharge {
+    budget: Option<Arc<QuotaBudget>>,
+    /// Whether the request, or a part of it, may have been sent.
+    pub is_spent: bool,
+}
+
+impl Drop for AccountCharge {
+    fn drop(&mut self) {
+        if let Some(budget) = self.budget.take().filter(|_| !self.is_spent) {
+            budget.refund();
+        }
+    }
+}
+
 impl RequestContext {
     /// Admits a request: finds its route and pool and checks its access key.
     ///
@@ -139,23 +156,26 @@
         })
     }
 
-    /// Charges the request to its client account. If this instance's share of the rate is used up but the account is
+    /// Charges the request to its client account, until the charge is dropped without being spent. If this instance's share of the rate is used up but the account is
     /// well within its limit, the request waits for the next refill: such an account sends few requests, and two of
     /// them may have arrived at the same instance.
     ///
     /// # Errors
     ///
     /// Returns a rejection if the account is over its rate.
-    pub async fn charge(&self) -> Result<(), Rejection> {
+    pub async fn charge(&self) -> Result<AccountCharge, Rejection> {
         let Some(budget) = self.quota_budget() else {
-            return Ok(());
+            return Ok(AccountCharge::default());
         };
         budget.count_demand();
         let until = Instant::now() + MAX_QUOTA_WAIT;
         loop {
             let refilled = self.shared.quota_refilled.notified();
             if budget.try_admit() {
-                return Ok(());
+                return Ok(AccountCharge {
+                    budget: Some(Arc::clone(budget)),
+                    is_spent: false,
+                });
             }
             if !budget.has_headroom() || timeout_at(until, refilled).await.is_err() {
                 let after = QUOTA_RETRY_AFTER.mul_f64(1.0 + fastrand::f64());
@@ -164,15 +184,8 @@
         }
     }
 
-    /// Refunds the charge of a request that was not sent to any upstream.
-    pub fn refund(&self) {
-        if let Some(budget) = self.quota_budget() {
-            budget.refund();
-        }
-    }
-
-    fn quota_budget(&self) -> Option<&QuotaBudget> {
-        self.snapshot.quotas[self.account?].as_deref()
+    fn quota_budget(&self) -> Option<&Arc<QuotaBudget>> {
+        self.snapshot.quotas[self.account?].as_ref()
     }
 
     /// Returns the plan of the request's route.
@@ -257,7 +270,8 @@
     }
 }
 
-fn find_route(snapshot: &EntrySnapshot, parts: &Parts) -> PlanMatch<RouteKey> {
+/// Returns the route that the host and path of a request select.
+pub(crate) fn find_route(snapshot: &EntrySnapshot, parts: &Parts) -> PlanMatch<RouteKey> {
     let named = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     match named.or(parts.uri.host()) {
         Some(host) => snapshot.plan.route(host, parts.uri.path()),
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -21,7 +21,7 @@
 use crate::limit_delays::retry_delay;
 use crate::rejection::{RejectKind, Rejection};
 use crate::request_attempt::outcome_code;
-use crate::request_context::{RequestContext, body_length};
+use crate::request_context::{AccountCharge, RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
 use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
@@ -89,6 +89,8 @@
     pub(crate) sent_attempts: u32,
     /// The slot for the next attempt, if it was reserved before the previous attempt ended.
     pub(crate) next_reservation: Option<SlotReservation>,
+    /// The charge to the client account.
+    pub(crate) charge: AccountCharge,
     failed_connects: u32,
     may_have_run: bool,
     /// An upstream's error response, which is delivered if no other attempt succeeds.
@@ -116,6 +118,7 @@
             sent_to: Vec::new(),
             sent_attempts: 0,
             next_reservation: None,
+            charge: AccountCharge::default(),
             failed_connects: 0,
             may_have_run: false,
             failure: None,
@@ -139,7 +142,7 @@
         {
             return Err(Rejection::not_run(RejectKind::Crashing, None));
         }
-        self.context.charge().await?;
+        self.charge = self.context.charge().await?;
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
         retry_budget.count_request(limit, self.context.shared.instance_count());
@@ -192,6 +195,7 @@
             ExchangeOutcome::NotSent(unsent) => {
                 body.put_back(unsent);
                 self.sent_attempts -= 1;
+                self.charge.is_spent = self.sent_attempts > 0;
                 self.failed_connects += 1;
                 if self.failed_connects < MAX_FAILED_CONNECTS {
                     NextStep::Retry
@@ -285,9 +289,6 @@
             drop(in_flight_guard);
             return Ok(deliver_failure(*failure));
         }
-        if self.sent_attempts == 0 {
-            self.context.refund();
-        }
         let retry_after = if kind == RejectKind::Stopping {
             STOPPING_RETRY_AFTER
         } else {
