--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -80,6 +80,7 @@
 pub use plan::{
     AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
+pub use queue::early_start::{EarlyRequest, MAX_EARLY_BYTES, MAX_EARLY_REQUESTS};
 pub use queue::expected_room::{CompletionRate, PoolDemand, ReturnSchedule, turn_time, wait_until};
 pub use queue::fair_queue::{FairQueue, QueueSummary, QueueTicket, QueuedRequest, RequestClass};
 pub use queue::rank_shares::RankShares;
