steering: demand divided over the regions

Cause: the spread takes the callers of a region to be as many as its failure domains, and corrects by relief once a region is overloaded. A region with a tenth of the upstreams and a third of the callers refuses before it spills, and waves in other phases leave room unused.

Change: offered work is counted by pool and by the regions where it may run, summed by the callers' region, and divided by filling all regions to a common level. Work that may run in one region only is placed first. The spread follows the division by at most 4 in 100 requests a second; lost slots count at once.

--- /dev/null
+++ b/crates/steering/src/regions/demand_division.rs
@@ -0,0 +1,150 @@
+//! Divides the demand of all regions over the room of all regions.
+//!
+//! Load pattern: callers of several regions send in waves with other phases, and upstreams stand elsewhere than callers. A
+//! region that fills up has to spill before its callers are refused, and one with few callers has to take work.
+//! The division fills the regions to a common level, as water fills connected vessels. It depends on the offered work
+//! and not on what was sent, so its result does not change its input.
+
+use coltsfootkeel_model::{Arena, RegionKey};
+
+use crate::regions::demand_table::PoolDemand;
+use crate::regions::topology::RegionSet;
+
+/// Part of a region's room that its callers fill before their requests are sent to other regions. Demand varies within the
+/// averaging time, and above this level requests wait.
+const SPILL_LEVEL: f64 = 0.8;
+/// Demand of all regions, in slots, below which nothing is known about it yet.
+const MIN_KNOWN_DEMAND: f64 = 1.0;
+/// Number of steps in which the level is found. Each halves the interval in which it lies.
+const LEVEL_STEPS: u32 = 40;
+/// Demand in slots that stands for that of a region without callers.
+const MIN_DEMAND: f64 = 1e-6;
+
+/// How the requests of one region's callers are divided over the regions.
+#[derive(Debug, Clone)]
+pub struct DemandDivision {
+    /// Fraction of the requests by region where they run; the sum is one.
+    pub shares: Arena<RegionKey, f64>,
+    /// Demand per room to which the regions are filled.
+    pub level: f64,
+}
+
+/// The demand of all regions for a pool, divided into what one region has to run and the rest.
+#[derive(Debug)]
+struct SplitDemand {
+    /// Demand by the only region with room where it may run.
+    bound: Arena<RegionKey, f64>,
+    /// Other demand, by the region of its callers.
+    free: Arena<RegionKey, f64>,
+}
+
+/// Returns the division for the callers of `local`. Returns `None` if there is no room or no demand is known yet.
+#[must_use]
+pub fn divide_demand(
+    local: RegionKey,
+    demands: &Arena<RegionKey, Vec<PoolDemand>>,
+    rooms: &Arena<RegionKey, f64>,
+) -> Option<DemandDivision> {
+    let mut split = split_demands(demands, rooms);
+    let total = |values: &Arena<RegionKey, f64>| values.iter().map(|(_, value)| value).sum::<f64>();
+    let free = total(&split.free);
+    if total(rooms) <= 0.0 || free + total(&split.bound) < MIN_KNOWN_DEMAND {
+        return None;
+    }
+    let level = fill_level(&split, rooms, free);
+    split.free[local] = split.free[local].max(MIN_DEMAND);
+    let kept = |region: RegionKey| split.free[region].min(open_room(&split, rooms, region, level));
+    let spare = |region: RegionKey| open_room(&split, rooms, region, level) - kept(region);
+    let local_share = kept(local) / split.free[local];
+    let others = rooms.keys().filter(|region| *region != local);
+    let total_spare: f64 = others.map(spare).sum();
+    let share = |region: RegionKey| {
+        if region == local {
+            local_share
+        } else if total_spare > 0.0 {
+            (1.0 - local_share) * spare(region) / total_spare
+        } else {
+            0.0
+        }
+    };
+    let shares: Arena<RegionKey, f64> = rooms.keys().map(share).collect();
+    let sum = total(&shares);
+    (sum > 0.0).then(|| DemandDivision {
+        shares: shares.iter().map(|(_, share)| share / sum).collect(),
+        level,
+    })
+}
+
+/// Divides the demand into what only one region with room may run and the rest. Demand of a region without room is left
+/// out if it may run nowhere else; the callers of such a region count where they are received.
+fn split_demands(
+    demands: &Arena<RegionKey, Vec<PoolDemand>>,
+    rooms: &Arena<RegionKey, f64>,
+) -> SplitDemand {
+    let zero = || rooms.keys().map(|_| 0.0).collect();
+    let mut split = SplitDemand {
+        bound: zero(),
+        free: zero(),
+    };
+    for (caller_region, classes) in demands.iter() {
+        for demand in classes {
+            let mut open = open_regions(demand.regions, rooms);
+            match (open.next(), open.next()) {
+                (None, _) => {}
+                (Some(only), None) => split.bound[only] += demand.slots,
+                _ if demand.regions.contains(caller_region) => {
+                    split.free[caller_region] += demand.slots;
+                }
+                // Its callers are elsewhere, so no region is its own.
+                (Some(first), Some(_)) => split.free[first] += demand.slots,
+            }
+        }
+    }
+    split
+}
+
+fn open_regions(
+    regions: RegionSet,
+    rooms: &Arena<RegionKey, f64>,
+) -> impl Iterator<Item = RegionKey> {
+    rooms
+        .iter()
+        .filter(move |(region, room)| **room > 0.0 && regions.contains(*region))
+        .map(|(region, _)| region)
+}
+
+/// Returns the room of a region below `level` that bound demand leaves.
+fn open_room(
+    split: &SplitDemand,
+    rooms: &Arena<RegionKey, f64>,
+    region: RegionKey,
+    level: f64,
+) -> f64 {
+    (rooms[region] * level - split.bound[region]).max(0.0)
+}
+
+/// Returns the lowest level, but at least [`SPILL_LEVEL`], up to which the regions have room for the free demand.
+fn fill_level(split: &SplitDemand, rooms: &Arena<RegionKey, f64>, free: f64) -> f64 {
+    let has_room = |level: f64| {
+        let open = rooms
+            .keys()
+            .map(|region| open_room(split, rooms, region, level));
+        open.sum::<f64>() >= free
+    };
+    if has_room(SPILL_LEVEL) {
+        return SPILL_LEVEL;
+    }
+    let (mut low, mut high) = (SPILL_LEVEL, 2.0 * SPILL_LEVEL);
+    while !has_room(high) {
+        (low, high) = (high, 2.0 * high);
+    }
+    for _ in 0..LEVEL_STEPS {
+        let middle = f64::midpoint(low, high);
+        if has_room(middle) {
+            high = middle;
+        } else {
+            low = middle;
+        }
+    }
+    high
+}
--- a/crates/steering/src/regions/region_spread.rs
+++ b/crates/steering/src/regions/region_spread.rs
@@ -14,6 +14,7 @@
 use coltsfootkeel_model::{Arena, RegionKey};
 
 use crate::hashing::{combine_hashes, unit_interval};
+use crate::regions::demand_division::DemandDivision;
 
 /// Largest share of the callers' region. The rest keeps the times of the other regions measured.
 const MAX_LOCAL_SHARE: f64 = 0.95;
@@ -30,6 +31,9 @@
 /// Largest fraction of the requests that changes the region within one second. Each moved object is loaded once more,
 /// and the retry budget covers the hedged requests for about as many.
 const MAX_SHARE_CHANGE_PER_S: f64 = 0.02;
+/// The same for a spread that follows a division by demand. A wave of demand moves the division by up to this rate, and
+/// upstreams there have to load the objects that follow.
+const MAX_DIVIDED_SHARE_CHANGE_PER_S: f64 = 0.04;
 /// Longest time since the last update that counts, so that a suspended process makes up for nothing.
 const MAX_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Load of a region, in requests per slot, above which some of its requests are moved to other regions.
@@ -76,6 +80,8 @@
     pub loads: &'a Arena<RegionKey, RegionLoad>,
     /// Expected time of a warm answer by region.
     pub warm_times: &'a Arena<RegionKey, Duration>,
+    /// The division of the demand for the pool; `None` if it is not divided by demand.
+    pub division: Option<&'a DemandDivision>,
 }
 
 /// The state of one region in a spread.
@@ -168,10 +174,22 @@
         let relief: Arena<RegionKey, f64> = self
             .regions
             .iter()
-            .map(|(region, state)| next_relief(state.relief, region, input.loads, elapsed))
+            .map(|(region, state)| match input.division {
+                Some(_) => 1.0,
+                None => next_relief(state.relief, region, input.loads, elapsed),
+            })
             .collect();
-        let target = normalized(&weights(input, &relief))?;
-        let limit = MAX_SHARE_CHANGE_PER_S * elapsed.as_secs_f64();
+        let weights = match input.division {
+            Some(division) => divided_weights(input, division),
+            None => weights(input, &relief),
+        };
+        let target = normalized(&weights)?;
+        let max_change_per_s = if input.division.is_some() {
+            MAX_DIVIDED_SHARE_CHANGE_PER_S
+        } else {
+            MAX_SHARE_CHANGE_PER_S
+        };
+        let limit = max_change_per_s * elapsed.as_secs_f64();
         let shares = if is_used {
             let current = self.regions.iter().map(|(_, state)| state.share).collect();
             approach(&current, &target, limit + self.lost_share(input.loads))
@@ -210,7 +228,6 @@
     let total_spare: f64 = others
         .map(|(_, load)| spare_slots(load, slots_per_domain))
         .sum();
-    let max_warm_time = input.objective.mul_f64(NEARBY_OBJECTIVE_FRACTION);
     let weight = |region: RegionKey| {
         let share = if !is_local(region) {
             let spare = spare_slots(&input.loads[region], slots_per_domain);
@@ -220,16 +237,41 @@
         } else {
             local_share
         };
-        let reach_factor = if input.warm_times[region] <= max_warm_time {
-            1.0
-        } else {
-            FAR_REGION_FACTOR
-        };
-        share * reach_factor * relief[region]
+        share * reach_factor(input, region) * relief[region]
+    };
+    input.loads.keys().map(weight).collect()
+}
+
+/// Returns the weight of each region in a target that follows a division by demand.
+fn divided_weights(input: &SpreadInput, division: &DemandDivision) -> Arena<RegionKey, f64> {
+    let kept_share = division.shares[input.local_region].min(MAX_LOCAL_SHARE);
+    let measuring_share = division.shares[input.local_region] - kept_share;
+    let others = input.loads.iter();
+    let other_slots: u32 = others
+        .filter(|(region, _)| *region != input.local_region)
+        .map(|(_, load)| load.slots)
+        .sum();
+    let weight = |region: RegionKey| {
+        if region == input.local_region {
+            return kept_share;
+        }
+        let slots_part = f64::from(input.loads[region].slots) / f64::from(other_slots.max(1));
+        let share = division.shares[region] + measuring_share * slots_part;
+        share * reach_factor(input, region)
     };
     input.loads.keys().map(weight).collect()
 }
 
+/// Returns the factor on the weight of a region by the time of its warm answers.
+fn reach_factor(input: &SpreadInput, region: RegionKey) -> f64 {
+    let max_warm_time = input.objective.mul_f64(NEARBY_OBJECTIVE_FRACTION);
+    if input.warm_times[region] <= max_warm_time {
+        1.0
+    } else {
+        FAR_REGION_FACTOR
+    }
+}
+
 /// Returns the slots of the pool per failure domain. The callers of each domain are assumed to need as many.
 fn slots_per_domain(loads: &Arena<RegionKey, RegionLoad>) -> f64 {
     let slots: u32 = loads.iter().map(|(_, load)| load.slots).sum();
--- a/crates/steering/src/regions/topology.rs
+++ b/crates/steering/src/regions/topology.rs
@@ -18,6 +18,18 @@
     /// The empty set.
     pub const NONE: Self = Self(0);
 
+    /// Returns the set with this bit mask, in which each region has the bit of its key.
+    #[must_use]
+    pub fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    /// Returns the bit mask of the set.
+    #[must_use]
+    pub fn bits(self) -> u64 {
+        self.0
+    }
+
     /// Returns the set with the region added.
     #[must_use]
     pub fn with(self, region: RegionKey) -> Self {
--- a/crates/steering/tests/region_shares.rs
+++ b/crates/steering/tests/region_shares.rs
@@ -273,6 +273,7 @@
             objective: OBJECTIVE,
             loads: &Arena::from_iter(regions.map(load)),
             warm_times: &Arena::from_iter(regions.map(warm_time)),
+            division: None,
         };
         self.spread.update(&input, MonotonicTime::default() + now);
     }
--- a/crates/steering/tests/region_spread.rs
+++ b/crates/steering/tests/region_spread.rs
@@ -51,6 +51,7 @@
         objective: 500 * MS,
         loads: &loads,
         warm_times: &warm_times,
+        division: None,
     };
     spread.update(&input, now);
 }
