entry, protocol: instances report the demand of their callers and divide it

Cause: no instance knew what the callers of another one ask for.

Change: request threads count the work of each admitted request before an upstream is selected; heartbeats report it (tag 30); the control thread divides it for each pool whose upstreams state the present cost of work. Other pools keep their spread. /state shows demand, room, level and target of each divided pool.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
+    CrashTable, DemandTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
     is_store_reader, pacing_instances,
 };
 use tokio::net::UdpSocket;
@@ -81,6 +81,7 @@
     pub(crate) plan_lag: PlanLag,
     pub(crate) limit_table: LimitTable,
     pub(crate) limit_log: LimitLog,
+    pub(crate) demand_table: DemandTable,
     is_registering: bool,
 }
 
@@ -96,6 +97,7 @@
         };
         let home = shared.home;
         let snapshot_builder = SnapshotBuilder::new(home.region, &shared.topology.regions);
+        let demand_table = DemandTable::new(shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
@@ -126,6 +128,7 @@
             plan_lag: PlanLag::default(),
             limit_table: LimitTable::default(),
             limit_log: LimitLog::default(),
+            demand_table,
             is_registering: false,
         }
     }
@@ -253,6 +256,7 @@
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
         self.divide_limits(now);
+        self.update_demands(now);
         self.update_spreads(now);
         let members = &self.members;
         let registered = members.iter().count();
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
+use arc_swap::ArcSwapOption;
+use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RegionKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    AverageTime, CacheEstimator, QuotaBudget, RegionSpread, RequestQueue, RetryBudget,
-    ServiceTimes, SpillBudget, SteeringPlan, UpstreamState,
+    AverageTime, CacheEstimator, DemandDivision, OfferedWork, QuotaBudget, RegionSpread,
+    RequestQueue, RetryBudget, ServiceTimes, SpillBudget, SteeringPlan, UpstreamState,
 };
 use coltsfootkeel_transport::UpstreamClient;
 use tokio::sync::oneshot;
@@ -42,6 +43,29 @@
     /// Whether an upstream of the pool has stated the present cost of work on its machine, so that the room of the pool
     /// changes many times a second.
     pub states_cost: Arc<AtomicBool>,
+    /// The work that callers offer, counted if the pool is divided by demand.
+    pub offered_work: Arc<OfferedWork>,
+    /// The latest division of the demand; `None` if the pool is not divided by demand.
+    pub division: Arc<ArcSwapOption<PoolDivision>>,
+}
+
+impl PoolState {
+    /// Returns whether the requests of the pool are divided over the regions by demand.
+    #[must_use]
+    pub fn is_divided(&self) -> bool {
+        self.states_cost.load(Ordering::Relaxed)
+    }
+}
+
+/// The division of the demand for a pool with its inputs.
+#[derive(Debug)]
+pub struct PoolDivision {
+    /// The division for the callers of this instance's region.
+    pub division: DemandDivision,
+    /// The demand of each region's callers in slots.
+    pub demands: Arena<RegionKey, f64>,
+    /// The room of each region in slots.
+    pub rooms: Arena<RegionKey, f64>,
 }
 
 /// A pool of the plan with its upstreams and its state.
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -259,6 +259,7 @@
             failing_kinds: shared.reader_role.failing_kinds(),
             loads: self.upstream_loads(),
             limits: self.stated_limits(now),
+            demands: self.demand_reports(),
             accounts,
             ..fields
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod control_event;
 mod control_heartbeats;
 mod control_loop;
+mod demand_updates;
 mod entry_metrics;
 mod entry_program;
 mod entry_snapshot;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -140,6 +140,7 @@
             return Err(Rejection::not_run(RejectKind::Crashing, None));
         }
         self.context.charge().await?;
+        self.context.count_offered();
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
         retry_budget.count_request(limit, self.context.shared.instance_count());
--- a/crates/entry/src/spread_updates.rs
+++ b/crates/entry/src/spread_updates.rs
@@ -28,12 +28,14 @@
             let warm_times = warm_times(&self.shared, &snapshot, route);
             let route_plan = &snapshot.plan.routes[route];
             for pool_spread in pool_spreads {
+                let division = snapshot.pools[pool_spread.pool].state.division.load_full();
                 let input = SpreadInput {
                     local_region: self.shared.home.region,
                     has_large_bodies: route_plan.has_large_bodies(),
                     objective: route_plan.objective,
                     loads: &loads[pool_spread.pool],
                     warm_times: &warm_times,
+                    division: division.as_ref().map(|latest| &latest.division),
                 };
                 pool_spread.spread.update(&input, now);
                 self.log_share(&snapshot, route, pool_spread, &input);
@@ -65,6 +67,7 @@
             route, pool, share, previous,
             in_flight = load.in_flight,
             slots = load.slots,
+            level = input.division.map_or(0.0, |division| division.level),
             warm_ms:? = input.warm_times.iter().map(|(_, time)| time.as_millis()).collect::<Vec<_>>();
             "spread: The own region's share of a route changed."
         );
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use coltsfootkeel_model::RouteKey;
+use coltsfootkeel_model::{Arena, RegionKey, RouteKey};
 use coltsfootkeel_steering::RateLimit;
 use serde_json::{Value, json};
 
@@ -64,6 +64,7 @@
         "version": plan.version,
         "unreadable": findings,
         "pools_stating_cost": pools_stating_cost(snapshot),
+        "divisions": dump_divisions(shared, snapshot),
         "routes": routes,
         "upstreams": upstreams,
     })
@@ -78,6 +79,29 @@
         .collect()
 }
 
+/// Returns the demand and room in slots by region of the pools that are divided by demand.
+fn dump_divisions(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
+    let mut dump = serde_json::Map::new();
+    for (key, pool) in snapshot.pools.iter() {
+        let Some(latest) = pool.state.division.load_full() else {
+            continue;
+        };
+        let by_region = |values: &Arena<RegionKey, f64>| {
+            let regions = shared.topology.regions.iter();
+            let values = regions.map(|(region, name)| (name.clone(), json!(values[region])));
+            Value::Object(values.collect())
+        };
+        let division = json!({
+            "level": latest.division.level,
+            "target": by_region(&latest.division.shares),
+            "demand_slots": by_region(&latest.demands),
+            "room_slots": by_region(&latest.rooms),
+        });
+        dump.insert(snapshot.plan.pools[key].name.clone(), division);
+    }
+    Value::Object(dump)
+}
+
 /// Returns the shares of a route's requests by pool and region.
 fn dump_spreads(shared: &SharedState, snapshot: &EntrySnapshot, route: RouteKey) -> Value {
     let pool_spreads = snapshot.spreads[route].iter();
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -2,6 +2,8 @@
 
 use prost::Message;
 
+use crate::demand_messages::DemandReport;
+
 /// The state of one entry instance on which decisions of the other instances depend.
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetHeartbeat {
@@ -85,6 +87,9 @@
     /// Changes of the lists in the store that the sender has watched, in the order in which it received them.
     #[prost(message, repeated, tag = "26")]
     pub changes: Vec<ListChanges>,
+    /// The demand of the sender's callers for pools that are divided by demand.
+    #[prost(message, repeated, tag = "30")]
+    pub demands: Vec<DemandReport>,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,10 +17,12 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
+mod demand_messages;
 mod fleet_heartbeat;
 mod frame_codec;
 mod messages;
 
+pub use demand_messages::DemandReport;
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
     ListChanges, ListKind, ObjectPlacement, StatedLimit, UpstreamLoad,
