steering: the division starts when demand is known, and spills at 0.55 of the room

Above 0.55 of the room, requests waited longer than a round trip to another region. A warm time that crosses a threshold moved the share back to the full region (0.40 to 0.80 within 10 s).

Change: the even division holds until demand was reported for 4 s; the level is 0.55; the time of warm answers decides only among the other regions.

--- a/crates/entry/src/demand_updates.rs
+++ b/crates/entry/src/demand_updates.rs
@@ -40,10 +40,8 @@
         });
         self.demand_table.sum(&reports, now);
         for (key, pool) in snapshot.pools.iter() {
-            let division = pool
-                .state
-                .is_divided()
-                .then(|| self.divide_pool(&snapshot, key, now));
+            let is_divided = pool.state.is_divided() && self.demand_table.is_settled(now);
+            let division = is_divided.then(|| self.divide_pool(&snapshot, key, now));
             pool.state.division.store(division.flatten().map(Arc::new));
         }
     }
--- a/crates/steering/src/regions/demand_division.rs
+++ b/crates/steering/src/regions/demand_division.rs
@@ -10,9 +10,9 @@
 use crate::regions::demand_table::PoolDemand;
 use crate::regions::topology::RegionSet;
 
-/// Part of a region's room that its callers fill before their requests are sent to other regions. Demand varies within the
-/// averaging time, and above this level requests wait.
-const SPILL_LEVEL: f64 = 0.8;
+/// Part of a region's room that its callers fill before their requests are sent to other regions. Above it, the wait for
+/// one of the few slots of an upstream exceeds a round trip between regions.
+const SPILL_LEVEL: f64 = 0.55;
 /// Demand of all regions, in slots, below which nothing is known about it yet.
 const MIN_KNOWN_DEMAND: f64 = 1.0;
 /// Number of steps in which the level is found. Each halves the interval in which it lies.
--- a/crates/steering/src/regions/demand_table.rs
+++ b/crates/steering/src/regions/demand_table.rs
@@ -19,6 +19,8 @@
 /// Time over which the ratio of a region's room to its slots is averaged. A busy neighbour slows an upstream for a part of
 /// it.
 const ROOM_AVERAGING_TIME: Duration = Duration::from_secs(2);
+/// Time from the first reported demand until the averages tell how large it is.
+const LEARNING_TIME: Duration = Duration::from_secs(4);
 /// Demand in slots below which it is not reported.
 const MIN_REPORTED_SLOTS: f64 = 0.001;
 
@@ -65,6 +67,8 @@
     rooms: Vec<RoomRatio>,
     counted_at: MonotonicTime,
     summed_at: MonotonicTime,
+    /// When demand was first reported; `None` before.
+    known_since: Option<MonotonicTime>,
 }
 
 impl DemandTable {
@@ -77,6 +81,7 @@
             rooms: Vec::new(),
             counted_at: MonotonicTime::default(),
             summed_at: MonotonicTime::default(),
+            known_since: None,
         }
     }
 
@@ -126,6 +131,9 @@
     /// Sums the demand of all live instances, this one included. A region without a live instance keeps its last demand:
     /// it may be cut off, and its callers still use its upstreams.
     pub fn sum(&mut self, reports: &[InstanceReport], now: MonotonicTime) {
+        if self.known_since.is_none() && reports.iter().any(|report| !report.demands.is_empty()) {
+            self.known_since = Some(now);
+        }
         let elapsed = now.since(std::mem::replace(&mut self.summed_at, now));
         let rise_weight = averaging_weight(elapsed, DEMAND_AVERAGING_TIME);
         let fall_weight = averaging_weight(elapsed, DEMAND_FALL_TIME);
@@ -166,6 +174,13 @@
         }
     }
 
+    /// Returns whether the averages tell how large the demand is. After a start of all instances they are too low.
+    #[must_use]
+    pub fn is_settled(&self, now: MonotonicTime) -> bool {
+        self.known_since
+            .is_some_and(|since| now.since(since) >= LEARNING_TIME)
+    }
+
     /// Returns the demand of each region's callers for a pool.
     #[must_use]
     pub fn demands(&self, pool: u32) -> Arena<RegionKey, Vec<PoolDemand>> {
--- a/crates/steering/src/regions/region_spread.rs
+++ b/crates/steering/src/regions/region_spread.rs
@@ -242,22 +242,30 @@
     input.loads.keys().map(weight).collect()
 }
 
-/// Returns the weight of each region in a target that follows a division by demand.
+/// Returns the weight of each region in a target that follows a division by demand. The time of warm answers decides only
+/// among the other regions: the own one has no room for what the division sends to them.
 fn divided_weights(input: &SpreadInput, division: &DemandDivision) -> Arena<RegionKey, f64> {
-    let kept_share = division.shares[input.local_region].min(MAX_LOCAL_SHARE);
-    let measuring_share = division.shares[input.local_region] - kept_share;
-    let others = input.loads.iter();
-    let other_slots: u32 = others
-        .filter(|(region, _)| *region != input.local_region)
-        .map(|(_, load)| load.slots)
-        .sum();
+    let divided_share = division.shares[input.local_region];
+    let kept_share = divided_share.min(MAX_LOCAL_SHARE);
+    let others = || {
+        let regions = input.loads.keys();
+        regions.filter(|region| *region != input.local_region)
+    };
+    let other_slots: u32 = others().map(|region| input.loads[region].slots).sum();
+    let other_weight = |region: RegionKey| {
+        let slots_part = f64::from(input.loads[region].slots) / f64::from(other_slots.max(1));
+        let share = division.shares[region] + (divided_share - kept_share) * slots_part;
+        share * reach_factor(input, region)
+    };
+    let other_weights: f64 = others().map(other_weight).sum();
     let weight = |region: RegionKey| {
         if region == input.local_region {
-            return kept_share;
+            kept_share
+        } else if other_weights > 0.0 {
+            (1.0 - kept_share) * other_weight(region) / other_weights
+        } else {
+            0.0
         }
-        let slots_part = f64::from(input.loads[region].slots) / f64::from(other_slots.max(1));
-        let share = division.shares[region] + measuring_share * slots_part;
-        share * reach_factor(input, region)
     };
     input.loads.keys().map(weight).collect()
 }
