--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CostExposure, CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
-    is_store_reader, sharing_instances,
+    CostExposure, CrashTable, DemandTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess,
+    SteeringPlan, is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -85,6 +85,7 @@
     /// How long raised costs of work last, by the name of the pool.
     pub(crate) cost_exposures: HashMap<String, CostExposure>,
     pub(crate) queue_updates: QueueUpdates,
+    pub(crate) demand_table: DemandTable,
     is_registering: bool,
 }
 
@@ -106,6 +107,7 @@
         };
         let snapshot_builder =
             SnapshotBuilder::new(home.region, &shared.topology.regions, retries_full_from);
+        let demand_table = DemandTable::new(shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
@@ -138,6 +140,7 @@
             limit_log: LimitLog::default(),
             cost_exposures: HashMap::new(),
             queue_updates: QueueUpdates::default(),
+            demand_table,
             is_registering: false,
         }
     }
@@ -267,6 +270,7 @@
         self.divide_limits(now);
         self.update_load_reports();
         self.update_queues(now);
+        self.update_demands(now);
         self.update_spreads(now);
         let registered: Vec<u64> = self.members.hashes().collect();
         let sharers = sharing_instances(&self.live_hashes(now), &registered);
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use arc_swap::ArcSwap;
-use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RouteKey, UpstreamKey};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RegionKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    AverageTime, CacheEstimator, CompletionRate, FairQueue, PoolDemand, QuotaBudget, RegionSpread,
-    RequestQueue, RetryBudget, ReturnSchedule, ServiceTimes, SpillBudget, SteeringPlan,
-    UpstreamState,
+    AverageTime, CacheEstimator, CompletionRate, DemandDivision, FairQueue, OfferedWork, QueueLoad,
+    QuotaBudget, RegionSpread, RequestQueue, RetryBudget, ReturnSchedule, ServiceTimes,
+    SpillBudget, SteeringPlan, UpstreamState,
 };
 use coltsfootkeel_transport::UpstreamClient;
 use tokio::sync::oneshot;
@@ -61,9 +61,32 @@
     /// The rate at which this instance completes requests.
     pub completions: Arc<CompletionRate>,
     /// What waits at the other instances.
-    pub others: Arc<ArcSwap<PoolDemand>>,
+    pub others: Arc<ArcSwap<QueueLoad>>,
     /// When refused callers return.
     pub returns: Arc<ReturnSchedule>,
+    /// The work that callers offer, counted if the pool is divided by demand.
+    pub offered_work: Arc<OfferedWork>,
+    /// The latest division of the demand; `None` if the pool is not divided by demand.
+    pub division: Arc<ArcSwapOption<PoolDivision>>,
+}
+
+impl PoolState {
+    /// Returns whether the requests of the pool are divided over the regions by demand.
+    #[must_use]
+    pub fn is_divided(&self) -> bool {
+        self.states_cost.load(Ordering::Relaxed)
+    }
+}
+
+/// The division of the demand for a pool with its inputs.
+#[derive(Debug)]
+pub struct PoolDivision {
+    /// The division for the callers of this instance's region.
+    pub division: DemandDivision,
+    /// The demand of each region's callers in slots.
+    pub demands: Arena<RegionKey, f64>,
+    /// The room of each region in slots.
+    pub rooms: Arena<RegionKey, f64>,
 }
 
 /// A pool of the plan with its upstreams and its state.
--- a/crates/entry/src/fair_wait.rs
+++ b/crates/entry/src/fair_wait.rs
@@ -5,7 +5,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    FairQueue, PoolDemand, QueueTicket, QueuedRequest, RequestClass, max_queue_wait, stable_hash,
+    FairQueue, QueueLoad, QueueTicket, QueuedRequest, RequestClass, max_queue_wait, stable_hash,
     turn_time, wait_until,
 };
 use tokio::sync::oneshot;
@@ -177,8 +177,8 @@
 }
 
 /// Returns what waits at this instance.
-pub(crate) fn own_demand(pool: &PoolState, now: MonotonicTime) -> PoolDemand {
-    PoolDemand {
+pub(crate) fn own_demand(pool: &PoolState, now: MonotonicTime) -> QueueLoad {
+    QueueLoad {
         waiting: u32::try_from(pool.fair_queue.len()).unwrap_or(u32::MAX),
         oldest_wait: pool.fair_queue.summary(now).oldest_wait,
         completed_per_s: pool.completions.per_s(),
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -267,6 +267,7 @@
             loads: self.upstream_loads(),
             limits: self.stated_limits(now),
             queues: self.pool_queues(now),
+            demands: self.demand_reports(),
             accounts,
             ..fields
         }
--- a/crates/entry/src/queue_exchange.rs
+++ b/crates/entry/src/queue_exchange.rs
@@ -9,7 +9,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::PoolKey;
 use coltsfootkeel_protocol::{PoolQueue, RankQueue};
-use coltsfootkeel_steering::{PoolDemand, short_hash, stable_hash, turn_time};
+use coltsfootkeel_steering::{QueueLoad, short_hash, stable_hash, turn_time};
 
 use crate::control_loop::ControlLoop;
 use crate::entry_snapshot::{EntrySnapshot, ListedPool, QueueSignal};
@@ -53,8 +53,8 @@
     }
 
     /// Returns what waits at the live other instances, by the short hash of the pool.
-    fn other_demands(&self, now: MonotonicTime) -> HashMap<u32, PoolDemand> {
-        let mut demands: HashMap<u32, PoolDemand> = HashMap::new();
+    fn other_demands(&self, now: MonotonicTime) -> HashMap<u32, QueueLoad> {
+        let mut demands: HashMap<u32, QueueLoad> = HashMap::new();
         for (_, peer) in self.peers.live(now) {
             for queue in &peer.heartbeat.queues {
                 let demand = demands.entry(queue.pool).or_default();
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -188,6 +188,16 @@
         self.snapshot.quotas[self.account?].as_ref()
     }
 
+    /// Counts the work that the request offers to its pool, whether it will be served or not.
+    pub fn count_offered(&self) {
+        let state = &self.listed_pool().state;
+        if state.is_divided() {
+            let slot_time = state.slot_time.get();
+            let slot_time = slot_time.unwrap_or(self.route_plan().objective);
+            state.offered_work.count(self.regions, slot_time);
+        }
+    }
+
     /// Returns the plan of the request's route.
     #[must_use]
     pub fn route_plan(&self) -> &RoutePlan {
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -144,6 +144,7 @@
             return Err(Rejection::not_run(RejectKind::Crashing, None));
         }
         self.charge = self.context.charge().await?;
+        self.context.count_offered();
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
         let sharers = self.context.shared.sharer_count();
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use crate::demand_messages::DemandReport;
 use crate::load_messages::StatedLoad;
 use crate::queue_messages::PoolQueue;
 
@@ -94,6 +95,9 @@
     /// The queues of the sender for the pools whose upstreams state the cost of work; idle pools are left out.
     #[prost(message, repeated, tag = "29")]
     pub queues: Vec<PoolQueue>,
+    /// The demand of the sender's callers for pools that are divided by demand.
+    #[prost(message, repeated, tag = "30")]
+    pub demands: Vec<DemandReport>,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,12 +17,14 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
+mod demand_messages;
 mod fleet_heartbeat;
 mod frame_codec;
 mod load_messages;
 mod messages;
 mod queue_messages;
 
+pub use demand_messages::DemandReport;
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
     ListChanges, ListKind, ObjectPlacement, StatedLimit, UpstreamLoad,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -81,7 +81,7 @@
     AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
 pub use queue::early_start::{EarlyRequest, MAX_EARLY_BYTES, MAX_EARLY_REQUESTS};
-pub use queue::expected_room::{CompletionRate, PoolDemand, ReturnSchedule, turn_time, wait_until};
+pub use queue::expected_room::{CompletionRate, QueueLoad, ReturnSchedule, turn_time, wait_until};
 pub use queue::fair_queue::{FairQueue, QueueSummary, QueueTicket, QueuedRequest, RequestClass};
 pub use queue::rank_shares::RankShares;
 pub use queue::request_queue::{
@@ -96,6 +96,9 @@
 pub use recovery::plan_freshness::PlanFreshness;
 pub use recovery::planned_stop::{GraceTimes, StoppingRequest};
 pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
+pub use regions::demand_division::{DemandDivision, divide_demand};
+pub use regions::demand_table::{DemandTable, InstanceReport, PoolDemand, RegionRoom};
+pub use regions::offered_work::{OfferedTotal, OfferedWork};
 pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
--- a/crates/steering/src/queue/expected_room.rs
+++ b/crates/steering/src/queue/expected_room.rs
@@ -24,7 +24,7 @@
 
 /// What waits for a pool and how fast it completes requests, at this instance or at all others together.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct PoolDemand {
+pub struct QueueLoad {
     /// Requests that wait.
     pub waiting: u32,
     /// The longest time for which one of them has waited.
@@ -38,7 +38,7 @@
 ///
 /// `capacity_per_s` is the rate that the slots allow.
 #[must_use]
-pub fn turn_time(own: PoolDemand, others: PoolDemand, capacity_per_s: f64) -> Duration {
+pub fn turn_time(own: QueueLoad, others: QueueLoad, capacity_per_s: f64) -> Duration {
     let completed_per_s = own.completed_per_s + others.completed_per_s;
     let is_standing = own.oldest_wait.max(others.oldest_wait) >= STANDING_WAIT;
     let per_s = if is_standing && completed_per_s > 0.0 {
--- a/crates/steering/tests/fair_queue.rs
+++ b/crates/steering/tests/fair_queue.rs
@@ -7,7 +7,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    FairQueue, PoolDemand, QueueTicket, QueuedRequest, RequestClass, ReturnSchedule, turn_time,
+    FairQueue, QueueLoad, QueueTicket, QueuedRequest, RequestClass, ReturnSchedule, turn_time,
     wait_until,
 };
 
@@ -137,8 +137,8 @@
         }
     }
 
-    fn demand(&self, now: u64) -> PoolDemand {
-        PoolDemand {
+    fn demand(&self, now: u64) -> QueueLoad {
+        QueueLoad {
             waiting: u32::try_from(self.queue.len()).unwrap(),
             oldest_wait: self.queue.summary(at(now)).oldest_wait,
             completed_per_s: self.completed.len() as f64 * 2.0,
@@ -147,7 +147,7 @@
 
     fn turn_time(&self, now: u64) -> Duration {
         let capacity = SLOTS as f64 * 1_000.0 / RUN_MS as f64;
-        turn_time(self.demand(now), PoolDemand::default(), capacity)
+        turn_time(self.demand(now), QueueLoad::default(), capacity)
     }
 
     fn arrive(&mut self, arrival: Arrival, now: u64) {
@@ -341,8 +341,8 @@
 
 struct TurnCase {
     name: &'static str,
-    own: PoolDemand,
-    others: PoolDemand,
+    own: QueueLoad,
+    others: QueueLoad,
     capacity_per_s: f64,
     turn_ms: f64,
 }
@@ -351,7 +351,7 @@
 /// are idle because nothing was completed yet, as after a restart of all instances.
 #[test]
 fn turns_follow_from_the_room_of_all_instances() {
-    let demand = |waiting, oldest_ms: u32, completed_per_s| PoolDemand {
+    let demand = |waiting, oldest_ms: u32, completed_per_s| QueueLoad {
         waiting,
         oldest_wait: MS * oldest_ms,
         completed_per_s,
