steering: the order of the store's answers across returns from an older copy

A store that comes back from a copy gives revisions out again, and lacks for a moment what operators and upstreams wrote since. The functions decide which list or change is newer, when a plan counts as confirmed, which reports of upstreams are outdated, and which evacuations are in force meanwhile.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -84,9 +84,14 @@
     UnreadableRoute,
 };
 pub use recovery::crash_table::CrashTable;
+pub use recovery::evacuation_list::EvacuationList;
 pub use recovery::outage_evidence::OutageEvidence;
 pub use recovery::plan_freshness::PlanFreshness;
 pub use recovery::planned_stop::{GraceTimes, StoppingRequest};
+pub use recovery::store_eras::{
+    ERA_SETTLING_PERIOD, EraChange, EraProgress, KnownPlans, PlacedReport, ReportOrder, StoredPlan,
+};
+pub use recovery::store_position::{PositionRange, StorePosition, replaces_list};
 pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
 pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
--- a/crates/steering/src/recovery/plan_freshness.rs
+++ b/crates/steering/src/recovery/plan_freshness.rs
@@ -6,7 +6,7 @@
 //! either, but one that it accepted just before may be known to nobody. The settings decide whether such an outage also
 //! counts as a confirmation.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
@@ -21,6 +21,8 @@
 const CONFIRMATION_PERIOD: Duration = Duration::from_millis(2_600);
 /// Time after the last evidence of an outage of the store for which the outage is assumed to last.
 const OUTAGE_END_DELAY: Duration = Duration::from_millis(2_600);
+/// The age of a plan that was never confirmed and comes from a store that may lack a newer one.
+const UNCONFIRMED_AGE: Duration = Duration::from_hours(24);
 /// Network delay between caller, instance and store, including delays on a busy processor.
 const NETWORK_DELAY_ALLOWANCE: Duration = Duration::from_millis(500);
 
@@ -30,6 +32,9 @@
     confirmed_at: AtomicTime,
     newest_version: AtomicU64,
     outage_at: AtomicTime,
+    is_unsettled: AtomicBool,
+    /// Whether the store was unsettled before the first confirmation.
+    needs_confirmation: AtomicBool,
 }
 
 impl PlanFreshness {
@@ -52,6 +57,20 @@
         outage_at != MonotonicTime::default() && now.since(outage_at) < OUTAGE_END_DELAY
     }
 
+    /// Records whether the store has returned from an older copy and may still lack a plan that it had accepted.
+    pub fn set_unsettled(&self, is_unsettled: bool) {
+        if is_unsettled {
+            self.needs_confirmation.store(true, Ordering::Relaxed);
+        }
+        self.is_unsettled.store(is_unsettled, Ordering::Relaxed);
+    }
+
+    /// Returns whether the store may lack a plan that it had accepted. No instance has a more recent confirmation then.
+    #[must_use]
+    pub fn is_unsettled(&self) -> bool {
+        self.is_unsettled.load(Ordering::Relaxed)
+    }
+
     /// Records that a plan of this version is in force here or at another instance.
     pub fn record_version(&self, version: u64) {
         self.newest_version.fetch_max(version, Ordering::Relaxed);
@@ -63,10 +82,17 @@
         self.newest_version.load(Ordering::Relaxed)
     }
 
-    /// Returns the time since the latest confirmation.
+    /// Returns the time since the latest confirmation. Before the first one it is the time since the start of the process,
+    /// or a day if the plan comes from a store that may lack a newer one.
     #[must_use]
     pub fn age(&self, now: MonotonicTime) -> Duration {
-        now.since(self.confirmed_at.get())
+        let confirmed_at = self.confirmed_at.get();
+        let is_unconfirmed = confirmed_at == MonotonicTime::default();
+        if is_unconfirmed && self.needs_confirmation.load(Ordering::Relaxed) {
+            UNCONFIRMED_AGE
+        } else {
+            now.since(confirmed_at)
+        }
     }
 
     /// Returns whether requests with an access key may be served. `withdrawal_bound` is the time within which a
@@ -77,7 +103,7 @@
     }
 
     /// Returns whether the store may hold a newer plan than the active one: another instance has a newer version, the store
-    /// is down for all, or the active plan was not confirmed within `change_bound`, the time within which a change must be
+    /// is down for all or has returned from an older copy, or the active plan was not confirmed within `change_bound`, the time within which a change must be
     /// in force. A route or an access key that the active plan lacks may then exist.
     #[must_use]
     pub fn may_be_outdated(
@@ -88,6 +114,7 @@
     ) -> bool {
         self.newest_version() > active_version
             || self.is_outage(now)
+            || self.is_unsettled()
             || self.age(now) > change_bound.max(CONFIRMATION_PERIOD)
     }
 }
--- a/crates/steering/src/upstream_record.rs
+++ b/crates/steering/src/upstream_record.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::recovery::store_eras::ReportOrder;
+
 /// Whether an upstream accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamPhase {
@@ -32,4 +34,17 @@
     /// Start time in milliseconds of Unix time. An upstream with the same id and another start time has lost its
     /// earlier state.
     pub started_ms: Option<u64>,
+    /// Number of the report since that start. It also increases with reports that change nothing else.
+    pub report_sequence: Option<u64>,
+}
+
+impl UpstreamRecord {
+    /// Returns the place of the report among those of the upstream.
+    #[must_use]
+    pub fn report_order(&self) -> ReportOrder {
+        ReportOrder {
+            started_ms: self.started_ms,
+            sequence: self.report_sequence,
+        }
+    }
 }
