--- a/crates/entry/src/affinity_persistence.rs
+++ b/crates/entry/src/affinity_persistence.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use coltsfootkeel_adapter::{
-    ObjectKind, StoreClient, decode_affinity_entries, encode_affinity_entries,
+    ObjectKind, StoreClient, StoreObject, decode_affinity_entries, decode_settled_era,
+    encode_affinity_entries,
 };
 use coltsfootkeel_steering::{AffinityEntry, AffinityPartition};
 
+use crate::control_event::ControlEvent;
 use crate::entry_metrics::CounterName;
 use crate::shared_state::SharedState;
 
@@ -26,10 +28,19 @@
 /// requests.
 const MAX_READ_ATTEMPTS: u32 = 8;
 
+/// What the store holds of a partition after a write of this instance.
+#[derive(Debug, PartialEq)]
+struct WrittenPartition {
+    entries: Vec<AffinityEntry>,
+    /// The era of the store before the write. In a later one, the write may be lost.
+    era: u64,
+    settled_era: Option<u64>,
+}
+
 /// Reads the table once, then writes the partitions that this instance owns until the process stops.
 pub async fn persist_affinity(shared: Arc<SharedState>, client: Arc<StoreClient>) {
     read_entries(&shared, &client).await;
-    let mut written: HashMap<u64, Vec<AffinityEntry>> = HashMap::new();
+    let mut written: HashMap<u64, WrittenPartition> = HashMap::new();
     while !shared.is_stopping() {
         tokio::time::sleep(WRITE_PERIOD.mul_f64(0.75 + fastrand::f64() / 2.0)).await;
         for index in 0..PARTITION_COUNT {
@@ -44,6 +55,11 @@
         match client.list(ObjectKind::WarmPlaces).await {
             Ok(list) => {
                 let now = shared.clock.now();
+                let era = list.position.era;
+                let settled = |object: &StoreObject| decode_settled_era(&object.spec) == Some(era);
+                if list.objects.iter().any(settled) {
+                    shared.send_event(ControlEvent::EraSettled { era });
+                }
                 let entries: Vec<AffinityEntry> = list
                     .objects
                     .iter()
@@ -63,12 +79,12 @@
     }
 }
 
-/// Writes a partition if this instance owns it and it has changed since the last write.
+/// Writes a partition if this instance owns it, and it has changed since the last write or the store may have lost it.
 async fn write_partition(
     shared: &SharedState,
     client: &StoreClient,
     index: u64,
-    written: &mut HashMap<u64, Vec<AffinityEntry>>,
+    written: &mut HashMap<u64, WrittenPartition>,
 ) {
     let partition = AffinityPartition {
         index,
@@ -81,17 +97,24 @@
     let entries = shared
         .affinity_table
         .entries_in(partition, shared.clock.now());
-    if entries.is_empty() || written.get(&index) == Some(&entries) {
+    let era = shared.reader_role.era();
+    let is_settled = era > 0 && !shared.freshness.is_unsettled();
+    let partition = WrittenPartition {
+        entries,
+        era,
+        settled_era: is_settled.then_some(era),
+    };
+    if partition.entries.is_empty() || written.get(&index) == Some(&partition) {
         return;
     }
     shared.metrics.count(CounterName::StoreCalls);
-    let spec = encode_affinity_entries(&entries);
+    let spec = encode_affinity_entries(&partition.entries, partition.settled_era);
     match client
         .put(ObjectKind::WarmPlaces, &index.to_string(), &spec)
         .await
     {
         Ok(()) => {
-            written.insert(index, entries);
+            written.insert(index, partition);
         }
         Err(error) => log::warn!("warm: Partition {index} cannot be written: {error}."),
     }
--- a/crates/entry/src/control_event.rs
+++ b/crates/entry/src/control_event.rs
@@ -6,6 +6,7 @@
 use coltsfootkeel_adapter::{ObjectEvent, ObjectKind, ObjectList};
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::FleetHeartbeat;
+use coltsfootkeel_steering::PositionRange;
 
 /// An event for the control thread.
 #[derive(Debug)]
@@ -14,7 +15,7 @@
     Listed {
         /// The kind that was listed.
         kind: ObjectKind,
-        /// The objects and the revision of the list.
+        /// The objects and the position of the list.
         list: ObjectList,
         /// When the list was requested, on the clock that includes suspension.
         requested_at: MonotonicTime,
@@ -31,10 +32,8 @@
         events: Vec<ObjectEvent>,
         /// The names of the objects whose changes cannot be decoded.
         unreadable: Vec<String>,
-        /// The revision after which the changes begin.
-        since: u64,
-        /// The store's revision up to which the changes are complete.
-        revision: u64,
+        /// The positions between which the changes are complete.
+        range: PositionRange,
         /// A time up to which there are no other changes, on the clock that includes suspension.
         current_as_of: MonotonicTime,
     },
@@ -57,6 +56,11 @@
         /// The fingerprint of the request.
         fingerprint: u64,
     },
+    /// An object in the store states that an instance has seen an era when everything was written again.
+    EraSettled {
+        /// The era.
+        era: u64,
+    },
     /// The process received a stop signal.
     Shutdown,
 }
--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -9,7 +9,6 @@
 use prost::Message;
 
 use crate::control_loop::ControlLoop;
-use crate::reader_role::KindRevisions;
 
 /// The most bytes of heartbeats that wait to be passed on. With the state of this instance and the changes that it has
 /// watched, they still fit a datagram. What is dropped comes again with the next heartbeat of its sender.
@@ -93,14 +92,10 @@
         earliest_sent_at: Option<MonotonicTime>,
     ) {
         let now = self.shared.clock.now();
+        self.observe_peer_era(&message);
         for changes in std::mem::take(&mut message.changes) {
             self.apply_peer_changes(changes);
         }
-        self.shared.reader_role.advance(KindRevisions {
-            upstreams: message.upstreams_revision,
-            evacuations: message.evacuations_revision,
-            instances: message.instances_revision,
-        });
         self.record_plan_version(message.plan_version);
         self.record_placements(&message, now);
         self.record_crashes(&message, now);
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
-    is_store_reader, pacing_instances,
+    CrashTable, EvacuationList, InstanceView, LimitTable, OutageEvidence, QuotaExcess,
+    SteeringPlan, is_store_reader, pacing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -23,9 +23,10 @@
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
 use crate::plan_lag::PlanLag;
-use crate::reader_role::KindRevisions;
+use crate::reader_role::ListPositions;
 use crate::shared_state::{FleetView, SharedState};
 use crate::snapshot_builder::SnapshotBuilder;
+use crate::store_return::StoreEra;
 use crate::upstream_choice::wake_queued;
 use crate::upstream_registry::{STORE_RECOVERY_PERIOD, UpstreamRegistry};
 
@@ -62,14 +63,15 @@
     pub(crate) outages: OutageEvidence,
     /// Whether the last log line about an outage for all instances states its begin.
     pub(crate) is_outage_logged: bool,
-    /// The revisions up to which the lists of the store are applied.
-    pub(crate) applied: KindRevisions,
+    /// The positions up to which the lists of the store are applied.
+    pub(crate) applied: ListPositions,
+    pub(crate) store_era: StoreEra,
     /// When the changes of another instance were last applied, on the clock that includes suspension.
     pub(crate) peer_changes_applied_at: MonotonicTime,
     /// When the store last answered a call about the plan, on the clock that includes suspension.
     pub(crate) store_answered_at: Option<MonotonicTime>,
     pub(crate) registry: UpstreamRegistry,
-    pub(crate) evacuations: HashSet<String>,
+    pub(crate) evacuations: EvacuationList,
     snapshot_builder: SnapshotBuilder,
     checked_at: HashMap<String, MonotonicTime>,
     pub(crate) requested_checks: HashSet<String>,
@@ -81,7 +83,7 @@
     pub(crate) plan_lag: PlanLag,
     pub(crate) limit_table: LimitTable,
     pub(crate) limit_log: LimitLog,
-    is_registering: bool,
+    pub(crate) is_registering: bool,
 }
 
 impl ControlLoop {
@@ -111,11 +113,12 @@
             pending: PendingReports::default(),
             outages: OutageEvidence::default(),
             is_outage_logged: false,
-            applied: KindRevisions::default(),
+            applied: ListPositions::default(),
+            store_era: StoreEra::default(),
             peer_changes_applied_at: MonotonicTime::default(),
             store_answered_at: None,
             registry: UpstreamRegistry::default(),
-            evacuations: HashSet::new(),
+            evacuations: EvacuationList::default(),
             snapshot_builder,
             checked_at: HashMap::new(),
             requested_checks: HashSet::new(),
@@ -157,10 +160,11 @@
                 outage,
                 is_repeated,
             } => {
+                self.observe_answer(list.position);
                 if is_repeated && self.shared.reader_role.is_reader() {
-                    self.shared.reader_role.advance_kind(kind, list.revision);
+                    self.shared.reader_role.advance_kind(kind, list.position);
                 }
-                if self.reset_applied(kind, list.revision, requested_at) {
+                if self.reset_applied(kind, list.position, requested_at) {
                     self.apply_list(kind, list, requested_at, outage);
                 }
             }
@@ -168,16 +172,16 @@
                 kind,
                 events,
                 unreadable,
-                since,
-                revision,
+                range,
                 current_as_of,
             } => {
+                self.observe_answer(range.until);
                 let is_changed = !events.is_empty() || !unreadable.is_empty();
                 if is_changed && self.shared.reader_role.is_reader() {
-                    self.shared.reader_role.advance_kind(kind, revision);
-                    self.report_changes(kind, &events, &unreadable, since..revision);
+                    self.shared.reader_role.advance_kind(kind, range.until);
+                    self.report_changes(kind, &events, &unreadable, range);
                 }
-                if self.advance_applied(kind, revision) {
+                if self.advance_applied(kind, range.until) {
                     self.apply_changes(kind, &events, &unreadable, current_as_of);
                 }
             }
@@ -191,6 +195,7 @@
                     self.publish_crashes();
                 }
             }
+            ControlEvent::EraSettled { era } => self.prove_settled_era(era),
             ControlEvent::Shutdown => self.leave_fleet(),
         }
     }
@@ -237,11 +242,15 @@
         let now = self.shared.clock.now();
         let periods = self.heartbeat_periods();
         self.peers.set_periods(periods);
-        if self.peers.has_steady_reader(STORE_RECOVERY_PERIOD, now) {
+        let era = self.shared.reader_role.era();
+        if self
+            .peers
+            .has_steady_reader(STORE_RECOVERY_PERIOD, era, now)
+        {
             self.registry.end_recovery(now);
         }
         let reader_role = &self.shared.reader_role;
-        let has_other_reader = self.peers.has_steady_reader(MIN_READING_TIME, now);
+        let has_other_reader = self.peers.has_steady_reader(MIN_READING_TIME, era, now);
         reader_role.set_reader(self.is_selected_reader(now));
         reader_role.set_other_reader(has_other_reader);
         if !reader_role.is_reader() && !has_other_reader {
@@ -249,6 +258,7 @@
             // be detected.
             self.registry.start_recovery(now);
         }
+        self.settle_era(now);
         let is_expired = self.registry.expire(now);
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
@@ -371,8 +381,8 @@
     /// Registers this instance again if its registration was removed or replaced by that of an earlier process.
     pub(crate) fn check_registration(&mut self) {
         let own = self.members.get(&self.shared.settings.instance);
-        let is_registered =
-            own.is_some_and(|own| own.record.incarnation == self.shared.incarnation);
+        let is_registered = own
+            .is_some_and(|own| !own.is_kept && own.record.incarnation == self.shared.incarnation);
         if is_registered {
             self.is_registering = false;
         } else if !self.is_registering && !self.shared.is_stopping() {
@@ -386,7 +396,7 @@
         self.send_heartbeats();
         if let Some(own) = self.members.get(&self.shared.settings.instance) {
             let name = self.shared.settings.instance.clone();
-            self.start_removal(name, own.revision);
+            self.start_removal(name, own.position.revision);
         }
     }
 
@@ -405,9 +415,11 @@
             let last_seen = received.map_or(member.updated_at, |received| {
                 received.max(member.updated_at)
             });
-            if hash != own_hash && now.since(last_seen) > REMOVAL_TIMEOUT {
+            // A revision of an earlier era may have been given out again.
+            let is_present_era = member.position.era == self.shared.reader_role.era();
+            if hash != own_hash && is_present_era && now.since(last_seen) > REMOVAL_TIMEOUT {
                 log::info!(instance = name.as_str(); "members: Removing an instance that sends no heartbeats.");
-                self.start_removal(name.clone(), member.revision);
+                self.start_removal(name.clone(), member.position.revision);
             }
         }
     }
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -48,11 +48,13 @@
     StoreCalls,
     /// Calls to the store that failed.
     StoreFailures,
+    /// Returns of the store from an older copy.
+    StoreReturns,
     /// Health checks of upstreams that were started.
     HealthChecks,
 }
 
-const COUNTERS: [(CounterName, &str); 17] = [
+const COUNTERS: [(CounterName, &str); 18] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -72,6 +74,7 @@
     (CounterName::LookUps, "look_ups_total"),
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
+    (CounterName::StoreReturns, "store_returns_total"),
     (CounterName::HealthChecks, "health_checks_total"),
 ];
 
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -246,16 +246,19 @@
         let accounts = self.quotas.usages(turn);
         let fields = self.exchange_fields(now);
         let shared = &self.shared;
-        let revisions = shared.reader_role.revisions();
+        let newest = shared.reader_role.newest();
+        let era_age_ms = self.store_era.age_ms(shared.clock.now_with_suspension());
         let steady_ms = self.store_reading_time().as_millis();
         FleetHeartbeat {
             entry_address: shared.settings.entry.to_string(),
             is_open: shared.is_accepting(),
             is_leaving: shared.is_stopping(),
             store_steady_ms: u32::try_from(steady_ms).unwrap_or(u32::MAX),
-            upstreams_revision: revisions.upstreams,
-            evacuations_revision: revisions.evacuations,
-            instances_revision: revisions.instances,
+            store_era: shared.reader_role.era(),
+            store_era_age_ms: era_age_ms,
+            upstreams_revision: newest.upstreams.revision,
+            evacuations_revision: newest.evacuations.revision,
+            instances_revision: newest.instances.revision,
             failing_kinds: shared.reader_role.failing_kinds(),
             loads: self.upstream_loads(),
             limits: self.stated_limits(now),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -40,6 +40,7 @@
 mod spread_updates;
 mod state_dump;
 mod store_outage;
+mod store_return;
 mod store_updates;
 mod store_watch;
 mod upstream_choice;
--- a/crates/entry/src/list_changes.rs
+++ b/crates/entry/src/list_changes.rs
@@ -3,11 +3,10 @@
 //! Load pattern: upstreams of a large pool are replaced one after the other, and each change would make every instance of
 //! the fleet call the store.
 
-use std::ops::Range;
-
 use coltsfootkeel_adapter::{ObjectEvent, ObjectKind, StoreObject};
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{ChangedObject, ListChanges, ListKind};
+use coltsfootkeel_steering::{PositionRange, StorePosition, replaces_list};
 use prost::Message;
 use serde_json::Value;
 
@@ -17,37 +16,37 @@
 const MAX_CHANGE_BYTES: usize = 16 * 1024;
 
 impl ControlLoop {
-    fn set_applied(&mut self, kind: ObjectKind, revision: u64) {
-        self.applied.set(kind, revision);
+    fn set_applied(&mut self, kind: ObjectKind, position: StorePosition) {
+        self.applied.set(kind, position);
         self.shared.reader_role.set_applied(self.applied);
     }
 
-    /// Records the revision of a complete list that is about to be applied. Returns false for a list that was requested
-    /// before later changes of another instance were applied. One that was requested afterwards and is older comes from a
-    /// store that was restored to an earlier state.
+    /// Records the position of a complete list that is about to be applied. Returns false for a list that must not be
+    /// applied, see [`replaces_list`].
     pub(crate) fn reset_applied(
         &mut self,
         kind: ObjectKind,
-        revision: u64,
+        position: StorePosition,
         requested_at: MonotonicTime,
     ) -> bool {
-        if revision < self.applied.of(kind) && requested_at < self.peer_changes_applied_at {
+        let is_requested_before_changes = requested_at < self.peer_changes_applied_at;
+        if !replaces_list(position, self.applied.of(kind), is_requested_before_changes) {
             return false;
         }
-        self.set_applied(kind, revision);
+        self.set_applied(kind, position);
         true
     }
 
-    /// Records the revision of changes that are about to be applied. Returns false for changes of a list that are known
+    /// Records the position of changes that are about to be applied. Returns false for changes of a list that are known
     /// already: applied again, they would undo later ones.
-    pub(crate) fn advance_applied(&mut self, kind: ObjectKind, revision: u64) -> bool {
+    pub(crate) fn advance_applied(&mut self, kind: ObjectKind, position: StorePosition) -> bool {
         if list_kind(kind).is_none() {
             return true;
         }
-        if revision < self.applied.of(kind) {
+        if position < self.applied.of(kind) {
             return false;
         }
-        self.set_applied(kind, revision);
+        self.set_applied(kind, position);
         true
     }
 
@@ -57,15 +56,16 @@
         kind: ObjectKind,
         events: &[ObjectEvent],
         unreadable: &[String],
-        revisions: Range<u64>,
+        range: PositionRange,
     ) {
         let Some(list) = list_kind(kind) else {
             return;
         };
         let changes = ListChanges {
             list: list.into(),
-            since: revisions.start,
-            revision: revisions.end,
+            era: range.until.era,
+            since: range.since.revision,
+            revision: range.until.revision,
             objects: events.iter().map(encode_event).collect(),
             unreadable: unreadable.to_vec(),
         };
@@ -82,13 +82,18 @@
     /// Applies changes that another instance has watched, if they continue those that this instance has applied.
     pub(crate) fn apply_peer_changes(&mut self, changes: ListChanges) {
         let kind = object_kind(changes.list());
-        let applied = self.applied.of(kind);
-        if applied == 0 || changes.since > applied || changes.revision <= applied {
+        let era = changes.era;
+        let in_era = |revision| StorePosition { era, revision };
+        let range = PositionRange {
+            since: in_era(changes.since),
+            until: in_era(changes.revision),
+        };
+        if !range.continues(self.applied.of(kind)) {
             return;
         }
         let mut events = Vec::new();
         for object in changes.objects {
-            match decode_event(object) {
+            match decode_event(object, era) {
                 Ok(event) => events.push(event),
                 Err(error) => {
                     log::warn!("peers: A change of {kind:?} cannot be read: {error}.");
@@ -96,8 +101,8 @@
                 }
             }
         }
-        self.set_applied(kind, changes.revision);
-        self.shared.reader_role.advance_kind(kind, changes.revision);
+        self.set_applied(kind, range.until);
+        self.shared.reader_role.advance_kind(kind, range.until);
         let now = self.shared.clock.now_with_suspension();
         self.peer_changes_applied_at = now;
         // The time up to which the list is current counts for the configuration only.
@@ -126,7 +131,7 @@
     let object = &event.object;
     ChangedObject {
         name: object.name.clone(),
-        revision: object.revision,
+        revision: object.position.revision,
         is_removed: event.is_removed,
         is_deletion_pending: object.is_deletion_pending,
         spec: object.spec.to_string().into_bytes(),
@@ -134,7 +139,7 @@
     }
 }
 
-fn decode_event(changed: ChangedObject) -> Result<ObjectEvent, serde_json::Error> {
+fn decode_event(changed: ChangedObject, era: u64) -> Result<ObjectEvent, serde_json::Error> {
     let decode = |bytes: &[u8]| serde_json::from_slice::<Value>(bytes);
     Ok(ObjectEvent {
         is_removed: changed.is_removed,
@@ -142,7 +147,10 @@
             spec: decode(&changed.spec)?,
             status: decode(&changed.status)?,
             name: changed.name,
-            revision: changed.revision,
+            position: StorePosition {
+                era,
+                revision: changed.revision,
+            },
             is_deletion_pending: changed.is_deletion_pending,
         },
     })
--- a/crates/entry/src/member_list.rs
+++ b/crates/entry/src/member_list.rs
@@ -6,7 +6,7 @@
 
 use coltsfootkeel_adapter::{InstanceRecord, ObjectKind, StoreClient, StoreObject};
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_steering::stable_hash;
+use coltsfootkeel_steering::{StorePosition, stable_hash};
 
 use crate::entry_metrics::CounterName;
 use crate::shared_state::SharedState;
@@ -21,10 +21,12 @@
     pub hash: u64,
     /// The decoded record of the registration.
     pub record: InstanceRecord,
-    /// The store's revision of the registration, which a removal must match.
-    pub revision: u64,
+    /// The store's position of the registration, whose revision a removal must match.
+    pub position: StorePosition,
     /// When this instance received the registration.
     pub updated_at: MonotonicTime,
+    /// Whether the registration is kept although the list of a store that has returned from an older copy lacks it.
+    pub is_kept: bool,
 }
 
 /// The registered instances, by name.
@@ -44,8 +46,9 @@
                 let member = RegisteredInstance {
                     hash,
                     record,
-                    revision: object.revision,
+                    position: object.position,
                     updated_at: now,
+                    is_kept: false,
                 };
                 self.members.insert(object.name.clone(), member);
             }
@@ -60,10 +63,28 @@
         }
     }
 
-    /// Removes all registrations.
-    pub fn clear(&mut self) {
-        self.members.clear();
-        self.hashes.clear();
+    /// Replaces the registrations by those of a complete list. `keeps_missing` states that the list may be from an older
+    /// copy of the store, so that those that it lacks are kept for now.
+    pub fn replace(&mut self, objects: &[StoreObject], keeps_missing: bool, now: MonotonicTime) {
+        for member in self.members.values_mut() {
+            member.is_kept = true;
+        }
+        for object in objects {
+            self.set(object, now);
+        }
+        if !keeps_missing {
+            self.drop_kept(|_| false);
+        }
+    }
+
+    /// Removes the kept registrations of instances for which `is_live` is false.
+    pub fn drop_kept(&mut self, is_live: impl Fn(u64) -> bool) {
+        if !self.members.values().any(|member| member.is_kept) {
+            return;
+        }
+        self.members
+            .retain(|_, member| !member.is_kept || is_live(member.hash));
+        self.hashes = self.members.values().map(|member| member.hash).collect();
     }
 
     /// Returns the registration with this name.
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -154,12 +154,14 @@
             .count()
     }
 
-    /// Returns whether a live instance has read the list of upstreams without a failure for at least `period`.
+    /// Returns whether a live instance has read the list of upstreams without a failure for at least `period`, in the era
+    /// `era` of the store or a later one.
     #[must_use]
-    pub fn has_steady_reader(&self, period: Duration, now: MonotonicTime) -> bool {
+    pub fn has_steady_reader(&self, period: Duration, era: u64, now: MonotonicTime) -> bool {
         let steady =
             |peer: &PeerState| Duration::from_millis(peer.heartbeat.store_steady_ms.into());
-        self.live(now).any(|(_, peer)| steady(peer) >= period)
+        self.live(now)
+            .any(|(_, peer)| peer.heartbeat.store_era >= era && steady(peer) >= period)
     }
 
     /// Returns the requests that all live instances together have in flight, by the short hash of the upstream.
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -2,42 +2,54 @@
 //! reports a change.
 
 use coltsfootkeel_adapter::ObjectKind;
+use coltsfootkeel_steering::StorePosition;
 use tokio::sync::watch;
 
-/// The newest known revision of each shared list.
+/// A position of the store for each shared list.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct KindRevisions {
-    /// The revision of the newest change of an upstream.
-    pub upstreams: u64,
-    /// The revision of the newest change of an evacuation.
-    pub evacuations: u64,
-    /// The revision of the newest change of an entry instance.
-    pub instances: u64,
+pub struct ListPositions {
+    /// The position of the list of upstreams.
+    pub upstreams: StorePosition,
+    /// The position of the list of evacuations.
+    pub evacuations: StorePosition,
+    /// The position of the list of entry instances.
+    pub instances: StorePosition,
 }
 
-impl KindRevisions {
-    /// Returns the revision of one list; zero for other kinds.
+impl ListPositions {
+    /// Returns the start of an era for all lists.
     #[must_use]
-    pub fn of(&self, kind: ObjectKind) -> u64 {
+    pub fn start_of(era: u64) -> Self {
+        let start = StorePosition::start_of(era);
+        Self {
+            upstreams: start,
+            evacuations: start,
+            instances: start,
+        }
+    }
+
+    /// Returns the position of one list; that of an unknown state for other kinds.
+    #[must_use]
+    pub fn of(&self, kind: ObjectKind) -> StorePosition {
         match kind {
             ObjectKind::Upstreams => self.upstreams,
             ObjectKind::Evacuations => self.evacuations,
             ObjectKind::Instances => self.instances,
-            ObjectKind::Config | ObjectKind::WarmPlaces => 0,
+            ObjectKind::Config | ObjectKind::WarmPlaces => StorePosition::default(),
         }
     }
 
-    /// Sets the revision of one list.
-    pub fn set(&mut self, kind: ObjectKind, revision: u64) {
+    /// Sets the position of one list.
+    pub fn set(&mut self, kind: ObjectKind, position: StorePosition) {
         match kind {
-            ObjectKind::Upstreams => self.upstreams = revision,
-            ObjectKind::Evacuations => self.evacuations = revision,
-            ObjectKind::Instances => self.instances = revision,
+            ObjectKind::Upstreams => self.upstreams = position,
+            ObjectKind::Evacuations => self.evacuations = position,
+            ObjectKind::Instances => self.instances = position,
             ObjectKind::Config | ObjectKind::WarmPlaces => {}
         }
     }
 
-    fn advance(&mut self, other: KindRevisions) {
+    fn advance(&mut self, other: ListPositions) {
         self.upstreams = self.upstreams.max(other.upstreams);
         self.evacuations = self.evacuations.max(other.evacuations);
         self.instances = self.instances.max(other.instances);
@@ -78,23 +90,31 @@
     has_other_reader: bool,
     failing: FailingKinds,
     plan_versions: PlanVersions,
-    revisions: KindRevisions,
-    /// The revisions up to which the control thread has applied the changes.
-    applied: KindRevisions,
+    /// The newest known era of the store.
+    era: u64,
+    /// The newest known position of each list.
+    newest: ListPositions,
+    /// The positions up to which the control thread has applied the changes.
+    applied: ListPositions,
 }
 
 impl ReaderState {
     /// Returns whether another instance has received a change of a kind that this one, which read the kind up to
-    /// `revision`, has not.
-    fn is_behind(&self, kind: ObjectKind, revision: u64) -> bool {
+    /// `position`, has not.
+    fn is_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
         match kind {
             ObjectKind::Config => self.plan_versions.active < self.plan_versions.newest,
-            _ => self.revisions.of(kind) > revision.max(self.applied.of(kind)),
+            _ => self.newest.of(kind) > position.max(self.applied.of(kind)),
         }
     }
+
+    /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new era.
+    fn is_watch_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
+        self.is_behind(kind, position) || position.era < self.era
+    }
 }
 
-/// The reader role of this instance and the known revisions, shared by the control loop and the tasks that read the
+/// The reader role of this instance and the known positions, shared by the control loop and the tasks that read the
 /// store.
 #[derive(Debug)]
 pub struct ReaderRole {
@@ -109,8 +129,9 @@
                 has_other_reader: false,
                 failing: FailingKinds::default(),
                 plan_versions: PlanVersions::default(),
-                revisions: KindRevisions::default(),
-                applied: KindRevisions::default(),
+                era: 0,
+                newest: ListPositions::default(),
+                applied: ListPositions::default(),
             }),
         }
     }
@@ -157,13 +178,12 @@
         self.change(|state| state.plan_versions = versions);
     }
 
-    /// Waits until another instance has received a change of a kind that this one, which read the kind up to
-    /// `revision`, has not.
-    pub async fn wait_until_behind(&self, kind: ObjectKind, revision: u64) {
+    /// Waits until a watch that continues `position` misses a change that another instance has received, or a new era.
+    pub async fn wait_until_watch_behind(&self, kind: ObjectKind, position: StorePosition) {
         let mut state = self.state.subscribe();
         // The wait cannot fail, because the sender lives as long as `self`.
         let _ = state
-            .wait_for(|state| state.is_behind(kind, revision))
+            .wait_for(|state| state.is_watch_behind(kind, position))
             .await;
     }
 
@@ -174,47 +194,68 @@
         u32::from(state.failing.config) + u32::from(state.failing.lists)
     }
 
-    /// Raises the known revisions to those of changes that this instance or another one received.
-    pub fn advance(&self, revisions: KindRevisions) {
-        self.change(|state| state.revisions.advance(revisions));
+    /// Raises the known positions to those of changes that this instance or another one received.
+    pub fn advance(&self, positions: ListPositions) {
+        self.change(|state| state.newest.advance(positions));
+    }
+
+    /// Raises the known position of one kind.
+    pub fn advance_kind(&self, kind: ObjectKind, position: StorePosition) {
+        let mut positions = ListPositions::default();
+        positions.set(kind, position);
+        self.advance(positions);
+    }
+
+    /// Raises the known era of the store. All lists have to be read again in a new one.
+    pub fn advance_era(&self, era: u64) {
+        self.change(|state| {
+            state.era = state.era.max(era);
+            state.newest.advance(ListPositions::start_of(era));
+        });
     }
 
-    /// Raises the known revision of one kind.
-    pub fn advance_kind(&self, kind: ObjectKind, revision: u64) {
-        let mut revisions = KindRevisions::default();
-        revisions.set(kind, revision);
-        self.advance(revisions);
+    /// Returns the newest known era of the store.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.state.borrow().era
     }
 
-    /// Sets the revisions up to which the control thread has applied the changes.
-    pub fn set_applied(&self, applied: KindRevisions) {
+    /// Sets the positions up to which the control thread has applied the changes.
+    pub fn set_applied(&self, applied: ListPositions) {
         self.change(|state| state.applied = applied);
     }
 
-    /// Returns the revision up to which the control thread has applied the changes of a list; zero for other kinds.
+    /// Returns the position up to which the control thread has applied the changes of a list; the default one for other
+    /// kinds.
     #[must_use]
-    pub fn applied(&self, kind: ObjectKind) -> u64 {
+    pub fn applied(&self, kind: ObjectKind) -> StorePosition {
         self.state.borrow().applied.of(kind)
     }
 
     /// Returns whether another instance has received a change of a kind that this one, which read the kind up to
-    /// `revision`, has not.
+    /// `position`, has not.
+    #[must_use]
+    pub fn is_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
+        self.state.borrow().is_behind(kind, position)
+    }
+
+    /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new era.
     #[must_use]
-    pub fn is_behind(&self, kind: ObjectKind, revision: u64) -> bool {
-        self.state.borrow().is_behind(kind, revision)
+    pub fn is_watch_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
+        self.state.borrow().is_watch_behind(kind, position)
     }
 
-    /// Returns the newest known revisions.
+    /// Returns the newest known positions.
     #[must_use]
-    pub fn revisions(&self) -> KindRevisions {
-        self.state.borrow().revisions
+    pub fn newest(&self) -> ListPositions {
+        self.state.borrow().newest
     }
 
-    /// Waits until a kind that was read up to `revision` has to be read again, and returns the reason.
-    pub async fn wait_until_due(&self, kind: ObjectKind, revision: u64) -> ReadCause {
+    /// Waits until a kind that was read up to `position` has to be read again, and returns the reason.
+    pub async fn wait_until_due(&self, kind: ObjectKind, position: StorePosition) -> ReadCause {
         let mut state = self.state.subscribe();
         let is_due = |state: &ReaderState| {
-            state.is_reader || state.failing.config || state.is_behind(kind, revision)
+            state.is_reader || state.failing.config || state.is_behind(kind, position)
         };
         // The wait cannot fail, because the sender lives as long as `self`.
         match state.wait_for(is_due).await {
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -232,7 +232,7 @@
     }
 
     /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan and is not
-    /// stopping. While the store is down for all, no other instance has a more recent plan, and routes without keys are
+    /// stopping. While the store is down for all, or has returned from an older copy, no other instance has a more recent plan, and routes without keys are
     /// served.
     #[must_use]
     pub fn is_accepting(&self) -> bool {
@@ -241,7 +241,8 @@
             .as_ref()
             .is_some_and(|snapshot| !snapshot.upstreams.is_empty());
         let now = self.clock.now_with_suspension();
-        let is_best_plan = self.allows_keys() || self.freshness.is_outage(now);
+        let is_best_plan =
+            self.allows_keys() || self.freshness.is_outage(now) || self.freshness.is_unsettled();
         has_upstreams && !self.is_stopping() && is_best_plan
     }
 
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -26,6 +26,10 @@
         "incarnation": shared.incarnation,
         "leaving": shared.is_stopping(),
         "serves_keys": shared.allows_keys(),
+        "store": {
+            "era": shared.reader_role.era(),
+            "settled": !shared.freshness.is_unsettled(),
+        },
         "plan_age_ms": plan_age.as_millis(),
         "in_flight": shared.in_flight.load(Ordering::Acquire),
         "instances": instances,
--- a/crates/entry/src/store_updates.rs
+++ b/crates/entry/src/store_updates.rs
@@ -9,7 +9,7 @@
 };
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
-use coltsfootkeel_steering::SteeringPlan;
+use coltsfootkeel_steering::{SteeringPlan, StorePosition};
 
 use crate::control_loop::ControlLoop;
 
@@ -33,12 +33,18 @@
                     .iter()
                     .find(|object| object.name == CONFIG_NAME);
                 let is_unreadable = list.unreadable.iter().any(|name| name == CONFIG_NAME);
-                if !is_unreadable && config.is_none_or(|object| self.apply_config(object)) {
+                let version = match config {
+                    Some(object) => self.apply_config(object),
+                    None => (!is_unreadable).then_some(0),
+                };
+                let position = config.map_or(list.position, |object| object.position);
+                self.record_stored_plan(position, version, requested_at);
+                if version.is_some() {
                     self.confirm_by_store(requested_at);
                 }
             }
             ObjectKind::Upstreams => {
-                if !outage.is_zero() {
+                if !outage.is_zero() || self.keeps_known() {
                     self.registry.start_recovery(now);
                 }
                 let names = list.objects.iter().map(|object| object.name.clone());
@@ -49,14 +55,14 @@
                 self.publish_if(is_changed);
             }
             ObjectKind::Evacuations => {
-                self.evacuations = list.objects.into_iter().map(|object| object.name).collect();
+                let listed = list.objects.into_iter().map(|object| object.name);
+                let keeps_known = self.keeps_known();
+                self.evacuations.replace(listed.collect(), keeps_known);
                 self.apply_evacuations();
             }
             ObjectKind::Instances => {
-                self.members.clear();
-                for object in &list.objects {
-                    self.members.set(object, now);
-                }
+                let keeps_known = self.keeps_known();
+                self.members.replace(&list.objects, keeps_known, now);
                 self.check_registration();
             }
             // The affinity table is read once, by the task that also writes it.
@@ -76,6 +82,9 @@
         let now = self.shared.clock.now();
         let mut is_changed = false;
         let mut is_current = !unreadable.iter().any(|name| name == CONFIG_NAME);
+        if kind == ObjectKind::Config && !is_current {
+            self.record_stored_plan(StorePosition::default(), None, current_as_of);
+        }
         if kind == ObjectKind::Upstreams {
             for name in unreadable {
                 is_changed |= self.registry.remove(name, now);
@@ -85,19 +94,25 @@
             let object = &event.object;
             match kind {
                 ObjectKind::Config if object.name == CONFIG_NAME && !event.is_removed => {
-                    is_current &= self.apply_config(object);
+                    let version = self.apply_config(object);
+                    self.record_stored_plan(object.position, version, current_as_of);
+                    is_current &= version.is_some();
                 }
                 ObjectKind::Config | ObjectKind::WarmPlaces => {}
                 ObjectKind::Upstreams if event.is_removed => {
                     log::info!(upstream = object.name.as_str(); "upstreams: An entry is gone.");
+                    if let Ok(record) = decode_upstream(object) {
+                        self.registry
+                            .record_last_report(&record, object.position.era);
+                    }
                     is_changed |= self.registry.remove(&object.name, now);
                 }
                 ObjectKind::Upstreams => is_changed |= self.set_upstream(object, now),
                 ObjectKind::Evacuations if event.is_removed || object.is_deletion_pending => {
-                    self.evacuations.remove(&object.name);
+                    self.evacuations.change(&object.name, false);
                 }
                 ObjectKind::Evacuations => {
-                    self.evacuations.insert(object.name.clone());
+                    self.evacuations.change(&object.name, true);
                 }
                 ObjectKind::Instances if event.is_removed => self.members.remove(&object.name),
                 ObjectKind::Instances => self.members.set(object, now),
@@ -111,24 +126,24 @@
         }
     }
 
-    /// Activates a configuration if it is newer than the active plan. Returns whether the newest configuration is
-    /// active afterwards.
-    fn apply_config(&mut self, object: &StoreObject) -> bool {
+    /// Activates a configuration if it is newer than the active plan. Returns its version; `None` if it cannot be read.
+    fn apply_config(&mut self, object: &StoreObject) -> Option<u64> {
         let raw = match decode_plan(&object.spec) {
             Ok(raw) => raw,
             Err(error) => {
                 log::error!(
                     "plan: The configuration cannot be read: {error}; the previous one stays in force."
                 );
-                return false;
+                return None;
             }
         };
+        let version = raw.version;
         let active_version = self.plan.as_ref().map(|plan| plan.version);
-        if active_version.is_some_and(|version| version >= raw.version) {
-            return true;
+        if active_version.is_some_and(|active| active >= version) {
+            return Some(version);
         }
         let plan = SteeringPlan::build(raw, &self.shared.topology);
-        log::info!(version = plan.version, revision = object.revision; "plan: In force.");
+        log::info!(version, revision = object.position.revision; "plan: In force.");
         for finding in &plan.findings {
             log::error!(
                 place = finding.field.as_str(), fault = finding.expected.as_str();
@@ -143,7 +158,6 @@
                 "plan: The limit of an account."
             );
         }
-        let version = plan.version;
         self.plan = Some(Arc::new(plan));
         self.record_plan_version(version);
         self.publish();
@@ -152,7 +166,7 @@
             self.pending.hurry();
             self.send_heartbeats();
         }
-        true
+        Some(version)
     }
 
     fn set_upstream(&mut self, object: &StoreObject, now: MonotonicTime) -> bool {
@@ -165,18 +179,24 @@
                     "upstreams: An entry changed."
                 );
                 self.registry.is_serving = self.shared.metrics.has_requests();
-                self.registry.set(record, &self.shared.topology, now)
+                self.registry
+                    .set(record, object.position.era, &self.shared.topology, now)
             }
             Err(error) => self.registry.remove_unreadable(object, &error, now),
         }
     }
 
-    fn apply_evacuations(&mut self) {
+    pub(crate) fn apply_evacuations(&mut self) {
         let domain = |name: &String| self.shared.topology.domain(name);
-        let evacuated: HashSet<DomainKey> = self.evacuations.iter().filter_map(domain).collect();
+        let evacuated: HashSet<DomainKey> = self
+            .evacuations
+            .in_force()
+            .iter()
+            .filter_map(domain)
+            .collect();
         let now = self.shared.clock.now();
         if self.registry.set_evacuated(evacuated, now) {
-            log::info!(domains:? = self.evacuations; "upstreams: The evacuated failure domains changed.");
+            log::info!(domains:? = self.evacuations.in_force(); "upstreams: The evacuated failure domains changed.");
             // A health check reports immediately whether an upstream of a domain that is no longer evacuated is cold.
             for upstream in self.registry.iter() {
                 if upstream.listed.state.is_usable() && upstream.listed.state.is_in_cold_start(now)
@@ -188,11 +208,6 @@
         }
     }
 
-    fn confirm_by_store(&mut self, time: MonotonicTime) {
-        self.store_answered_at = Some(self.shared.clock.now_with_suspension());
-        self.shared.freshness.confirm(time);
-    }
-
     /// Returns how long the list of upstreams has been read without a failure; zero while this instance does not read
     /// it.
     pub(crate) fn store_reading_time(&self) -> Duration {
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -1,11 +1,13 @@
 //! Keeps one kind of store objects up to date: lists it, then watches it, and lists it again when the history has
 //! expired or a call has failed.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootkeel_adapter::{ObjectKind, StoreClient, WatchAnswer};
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_steering::{PositionRange, StorePosition};
 use coltsfootkeel_transport::{AnswerFailure, CallError};
 
 use crate::control_event::ControlEvent;
@@ -38,6 +40,10 @@
 /// heartbeats.
 const MAX_INSTANCES_DELAY: Duration = Duration::from_secs(2);
 
+/// The average time between the lists of two instances in a new era of the store. Each instance lists three kinds, and the
+/// store takes about two thousand reads per second of all instances together.
+const NEW_ERA_LIST_SPACING: Duration = Duration::from_millis(3);
+
 /// How long a watch may miss a change that another instance has received, before it counts as dead. A live watch
 /// returns a change about as soon as that of another instance.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(300);
@@ -72,13 +78,13 @@
         failing_since: None,
         has_listed: false,
     };
-    let mut revision = watcher.list().await;
+    let mut position = watcher.list().await;
     if config.kind != ObjectKind::Instances {
         tokio::time::sleep(FIRST_WATCH_DELAY).await;
     }
     loop {
-        watcher.watch(revision).await;
-        revision = watcher.list().await;
+        watcher.watch(position).await;
+        position = watcher.list().await;
     }
 }
 
@@ -92,16 +98,20 @@
 }
 
 impl KindWatcher {
-    /// Lists the kind until it succeeds, and returns the revision of the list.
-    async fn list(&mut self) -> u64 {
+    /// Lists the kind until it succeeds, and returns the position of the list.
+    async fn list(&mut self) -> StorePosition {
         loop {
             let requested_at = self.shared.clock.now_with_suspension();
             self.shared.metrics.count(CounterName::StoreCalls);
             match self.client.list(self.config.kind).await {
+                Ok(list) if list.position.era < self.shared.reader_role.era() => {
+                    self.back_off(&"the answer is from an earlier era of the store")
+                        .await;
+                }
                 Ok(list) => {
                     self.record_reading(requested_at);
                     let outage = self.end_outage();
-                    let revision = list.revision;
+                    let position = list.position;
                     self.shared.send_event(ControlEvent::Listed {
                         kind: self.config.kind,
                         list,
@@ -110,22 +120,26 @@
                         is_repeated: self.has_listed,
                     });
                     self.has_listed = true;
-                    return revision;
+                    return position;
                 }
                 Err(error) => self.back_off(&error).await,
             }
         }
     }
 
-    /// Watches the kind from a revision until it has to be listed again.
-    async fn watch(&mut self, mut revision: u64) {
+    /// Watches the kind from a position until it has to be listed again.
+    async fn watch(&mut self, mut position: StorePosition) {
         let mut is_after_change = false;
         let mut is_abandoned = false;
         let mut was_reader = false;
         loop {
-            let due = self.wait_until_due(revision).await;
-            // Other instances may have sent the changes up to a later revision.
-            revision = revision.max(self.shared.reader_role.applied(self.config.kind));
+            let due = self.wait_until_due(position).await;
+            // Other instances may have sent the changes up to a later position.
+            position = position.max(self.shared.reader_role.applied(self.config.kind));
+            if position.era < self.shared.reader_role.era() {
+                // The store has returned from an older copy: no watch continues what was read before.
+                return;
+            }
             let cause = match due {
                 ReadCause::OwnWatch if is_abandoned => ReadCause::PeerReport,
                 cause => cause,
@@ -143,24 +157,26 @@
             // A new reader does not know yet whether it reaches the store.
             let is_first_watch = !was_reader;
             was_reader = cause == ReadCause::OwnWatch;
-            let wait = if is_after_change || is_first_watch {
+            // What is written again after a return of the store is complete only some time later.
+            let is_settled = !self.shared.freshness.is_unsettled();
+            let wait = if is_after_change || is_first_watch || !is_settled {
                 WAIT_AFTER_CHANGE.min(self.config.wait)
             } else {
                 self.config.wait
             };
             let mut reason = None;
-            let renewal = async { reason = Some(self.wait_for_renewal(cause, revision).await) };
-            let watching = self.client.watch(self.config.kind, revision, wait, renewal);
+            let renewal = async { reason = Some(self.wait_for_renewal(cause, position).await) };
+            let watching = self.client.watch(self.config.kind, position, wait, renewal);
             match watching.await {
                 Ok(WatchAnswer::Changes {
                     events,
                     unreadable,
-                    revision: next,
+                    position: next,
                 }) => {
                     self.backoff = INITIAL_BACKOFF;
                     self.record_reading(requested_at);
-                    let since = revision;
-                    revision = next;
+                    let since = position;
+                    position = next;
                     // A watch without changes confirms the state up to the end of its wait.
                     let is_unchanged = events.is_empty() && unreadable.is_empty();
                     is_after_change = self.config.batch_delay.is_zero() && !is_unchanged;
@@ -173,8 +189,10 @@
                         kind: self.config.kind,
                         events,
                         unreadable,
-                        since,
-                        revision,
+                        range: PositionRange {
+                            since,
+                            until: position,
+                        },
                         current_as_of: current_as_of.min(self.shared.clock.now_with_suspension()),
                     });
                     if !batch_delay.is_zero() {
@@ -183,7 +201,7 @@
                 }
                 Ok(WatchAnswer::HistoryGone) => {
                     log::info!(
-                        "store: The watch history of {:?} has expired, listing again.",
+                        "store: The watch history of {:?} is gone, listing again.",
                         self.config.kind
                     );
                     return;
@@ -212,7 +230,7 @@
 
     /// Returns immediately if this instance watches the kind itself; otherwise waits until there is a reason to read
     /// it.
-    async fn wait_until_due(&self, revision: u64) -> ReadCause {
+    async fn wait_until_due(&self, position: StorePosition) -> ReadCause {
         let reader_role = &self.shared.reader_role;
         if reader_role.is_reader() {
             return ReadCause::OwnWatch;
@@ -223,46 +241,50 @@
                 .set(MonotonicTime::default());
         }
         loop {
-            let cause = reader_role.wait_until_due(self.config.kind, revision).await;
+            let cause = reader_role.wait_until_due(self.config.kind, position).await;
             if cause != ReadCause::PeerReport {
                 return cause;
             }
             // The random delay spreads the calls of instances that received the report together, and batches several
             // changes. In the meantime another instance may send the changes themselves.
-            let delay = if self.config.kind == ObjectKind::Instances {
+            let delay = if position.era < reader_role.era() {
+                // In a new era, all instances list at the same time.
+                let instances = u32::try_from(self.shared.instance_count()).unwrap_or(u32::MAX);
+                MAX_PEER_REPORT_DELAY.max(NEW_ERA_LIST_SPACING.saturating_mul(instances))
+            } else if self.config.kind == ObjectKind::Instances {
                 MAX_INSTANCES_DELAY
             } else {
                 MAX_PEER_REPORT_DELAY
             };
             tokio::time::sleep(delay.mul_f64(fastrand::f64())).await;
-            if reader_role.is_behind(self.config.kind, revision) {
+            if reader_role.is_behind(self.config.kind, position) {
                 return cause;
             }
         }
     }
 
     /// Waits until an open watch has to be renewed, and returns the reason.
-    async fn wait_for_renewal(&self, cause: ReadCause, revision: u64) -> RenewalReason {
+    async fn wait_for_renewal(&self, cause: ReadCause, position: StorePosition) -> RenewalReason {
         tokio::select! {
-            () = self.wait_until_lagging(cause, revision) => RenewalReason::MissedChange,
+            () = self.wait_until_lagging(cause, position) => RenewalReason::MissedChange,
             () = self.shared.store_silence.notified() => RenewalReason::SilentConnection,
         }
     }
 
     /// Waits until a watch misses a change that another instance has received. Never completes for a call that is made
     /// because of such a report: a store that answers slowly would otherwise never complete a call.
-    async fn wait_until_lagging(&self, cause: ReadCause, revision: u64) {
+    async fn wait_until_lagging(&self, cause: ReadCause, position: StorePosition) {
         if cause == ReadCause::PeerReport {
             return std::future::pending().await;
         }
         let kind = self.config.kind;
         let reader_role = &self.shared.reader_role;
         loop {
-            reader_role.wait_until_behind(kind, revision).await;
+            reader_role.wait_until_watch_behind(kind, position).await;
             // The random part spreads the calls of instances whose connections went silent at the same time. A change that
             // the previous watch has returned may not be applied yet.
             tokio::time::sleep(MAX_WATCH_LAG.mul_f64(1.0 + fastrand::f64())).await;
-            if reader_role.is_behind(kind, revision) {
+            if reader_role.is_watch_behind(kind, position) {
                 return;
             }
         }
@@ -287,7 +309,7 @@
         }
     }
 
-    async fn back_off(&mut self, error: &coltsfootkeel_transport::CallError) {
+    async fn back_off(&mut self, error: &(dyn Display + Sync)) {
         if self.config.kind == ObjectKind::Upstreams {
             self.shared
                 .upstreams_read_since
--- a/crates/entry/src/upstream_registry.rs
+++ b/crates/entry/src/upstream_registry.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
 use coltsfootkeel_steering::{
-    FleetTopology, RecentObjects, UpstreamInfo, UpstreamPhase, UpstreamRecord, UpstreamState,
-    short_hash,
+    FleetTopology, PlacedReport, RecentObjects, StorePosition, UpstreamInfo, UpstreamPhase,
+    UpstreamRecord, UpstreamState, short_hash,
 };
 use coltsfootkeel_transport::UpstreamClient;
 
@@ -18,6 +18,8 @@
 /// How long upstreams whose entries expired in an outage of the store are kept after its end. A live upstream registers
 /// again within two seconds.
 pub const STORE_RECOVERY_PERIOD: Duration = Duration::from_millis(2_200);
+/// How long removed upstreams are remembered. A store that returns from a copy is some seconds old.
+const REMOVED_RETENTION: Duration = Duration::from_secs(30);
 /// When the evacuation of a failure domain ends, its upstreams are assumed to be cold for this long, or until a health
 /// check or a changed entry reports their state.
 const ASSUMED_COLD_PERIOD: Duration = Duration::from_millis(2_500);
@@ -29,10 +31,19 @@
     pub record: UpstreamRecord,
     /// The state and the connections that are shared with request threads.
     pub listed: ListedUpstream,
+    /// The place of its latest report.
+    report: PlacedReport,
     /// When the upstream is removed unless its entry returns; `None` while the entry exists.
     remove_at: Option<MonotonicTime>,
 }
 
+/// An upstream that was removed.
+#[derive(Debug)]
+struct RemovedUpstream {
+    report: PlacedReport,
+    removed_at: MonotonicTime,
+}
+
 /// The upstreams of all pools, by id.
 #[derive(Debug, Default)]
 pub struct UpstreamRegistry {
@@ -41,16 +52,20 @@
     /// Until when entries that expired in an outage of the store may still return.
     recovery_until: MonotonicTime,
     /// The revisions at which entries could not be decoded, by name, so that each is logged once.
-    unreadable: HashMap<String, u64>,
+    unreadable: HashMap<String, StorePosition>,
+    /// The upstreams that were removed, by id, so that an older copy of the store does not bring them back.
+    removed: HashMap<String, RemovedUpstream>,
     /// Whether this instance has received requests, so that a new upstream joins a pool in use.
     pub is_serving: bool,
 }
 
 impl UpstreamRegistry {
-    /// Adds or updates an upstream. Returns whether a new snapshot must be published.
+    /// Adds or updates an upstream, as read in an era of the store. A report from an older copy changes nothing. Returns
+    /// whether a new snapshot must be published.
     pub fn set(
         &mut self,
         record: UpstreamRecord,
+        era: u64,
         topology: &FleetTopology,
         now: MonotonicTime,
     ) -> bool {
@@ -62,9 +77,22 @@
             );
             return self.drop_upstream(&record.id);
         };
+        let report = PlacedReport {
+            era,
+            order: record.report_order(),
+        };
+        let removed = self.removed.get(&record.id);
+        if removed.is_some_and(|removed| report.is_outdated_by(removed.report)) {
+            return false;
+        }
+        self.removed.remove(&record.id);
         let cold_until = now + record.cold_start_remaining;
         if let Some(upstream) = self.upstreams.get_mut(&record.id) {
             upstream.remove_at = None;
+            if report.is_outdated_by(upstream.report) {
+                return false;
+            }
+            upstream.report = report;
             if is_same_incarnation(&upstream.record, &record) {
                 upstream.listed.state.cold_until.set(cold_until);
                 let is_changed = upstream.record.phase != record.phase;
@@ -97,6 +125,7 @@
             RegisteredUpstream {
                 record,
                 listed,
+                report,
                 remove_at: None,
             },
         );
@@ -110,8 +139,8 @@
         error: &serde_json::Error,
         now: MonotonicTime,
     ) -> bool {
-        let previous = self.unreadable.insert(object.name.clone(), object.revision);
-        if previous != Some(object.revision) {
+        let previous = self.unreadable.insert(object.name.clone(), object.position);
+        if previous != Some(object.position) {
             log::warn!(
                 "upstreams: The entry {} cannot be read: {error}.",
                 object.name
@@ -138,6 +167,25 @@
             }
             return false;
         }
+        self.remove_now(id, now)
+    }
+
+    /// Records the last report of an upstream whose entry is about to be removed.
+    pub fn record_last_report(&mut self, record: &UpstreamRecord, era: u64) {
+        if let Some(upstream) = self.upstreams.get_mut(&record.id) {
+            let order = record.report_order();
+            upstream.report = PlacedReport { era, order };
+        }
+    }
+
+    fn remove_now(&mut self, id: &str, now: MonotonicTime) -> bool {
+        if let Some(upstream) = self.upstreams.get(id) {
+            let removed = RemovedUpstream {
+                report: upstream.report,
+                removed_at: now,
+            };
+            self.removed.insert(id.to_string(), removed);
+        }
         self.drop_upstream(id)
     }
 
@@ -154,6 +202,15 @@
         self.recovery_until = now + STORE_RECOVERY_PERIOD;
     }
 
+    /// Starts the recovery period again, also for the upstreams that are missing from an earlier one: the store has
+    /// returned from an older copy.
+    pub fn restart_recovery(&mut self, now: MonotonicTime) {
+        self.start_recovery(now);
+        for upstream in self.upstreams.values_mut() {
+            upstream.remove_at = upstream.remove_at.map(|_| self.recovery_until);
+        }
+    }
+
     /// Ends the recovery period: the store was available, and only this instance could not reach it.
     pub fn end_recovery(&mut self, now: MonotonicTime) {
         self.recovery_until = now;
@@ -185,8 +242,10 @@
             .filter(|(_, upstream)| is_expired(upstream));
         let expired: Vec<String> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
-            self.drop_upstream(id);
+            self.remove_now(id, now);
         }
+        self.removed
+            .retain(|_, removed| now.since(removed.removed_at) < REMOVED_RETENTION);
         !expired.is_empty()
     }
 
--- a/crates/entry/tests/platform_fleet/mod.rs
+++ b/crates/entry/tests/platform_fleet/mod.rs
@@ -36,6 +36,8 @@
     pub upstreams: usize,
     /// How long an upstream takes for a request whose object it has cached.
     pub work: Duration,
+    /// Whether the store states its era.
+    pub states_eras: bool,
 }
 
 impl Default for FleetSetup {
@@ -45,6 +47,7 @@
             instances: 1,
             upstreams: 1,
             work: Duration::from_millis(10),
+            states_eras: false,
         }
     }
 }
@@ -59,6 +62,9 @@
         ));
         std::fs::create_dir_all(&folder).unwrap();
         let store = StoreStandin::start().await.unwrap();
+        if setup.states_eras {
+            store.state_eras();
+        }
         store.put("config", "main", shop_config(1, &[SHOP_KEY]), Value::Null);
         let mut upstreams = Vec::new();
         for index in 0..setup.upstreams {
@@ -96,6 +102,17 @@
         self.instances.push(instance);
     }
 
+    /// Kills an instance and starts it again, without waiting for it.
+    pub fn restart_instance(&mut self, instance: usize) {
+        self.signal(instance, Signal::SIGKILL);
+        let options = EntryOptions {
+            is_first_start: false,
+            ..self.instances[instance].options.clone()
+        };
+        let program = Path::new(env!("CARGO_BIN_EXE_coltsfootkeel-entry"));
+        self.instances[instance] = EntryInstance::start(program, &self.folder, options).unwrap();
+    }
+
     /// Writes a plan with this version and these access keys to the store.
     pub fn write_plan(&self, version: u64, keys: &[&str]) {
         self.store
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -85,6 +85,13 @@
     /// Changes of the lists in the store that the sender has watched, in the order in which it received them.
     #[prost(message, repeated, tag = "26")]
     pub changes: Vec<ListChanges>,
+    /// The newest era of the store that the sender knows; zero if the store states none. The revisions of the lists are
+    /// of this era.
+    #[prost(uint64, tag = "32")]
+    pub store_era: u64,
+    /// The milliseconds since the era is known to have begun.
+    #[prost(uint32, tag = "35")]
+    pub store_era_age_ms: u32,
 }
 
 /// The changes of one list in the store between two of its revisions.
@@ -105,6 +112,9 @@
     /// The names of the objects that have changed and cannot be read.
     #[prost(string, repeated, tag = "5")]
     pub unreadable: Vec<String>,
+    /// The era of the revisions.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// A list that few instances watch for all.
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitStatus;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -22,6 +23,8 @@
 pub const SHOP_KEY: &str = "hotel-key";
 /// Memory limit of an instance in its settings, in megabytes.
 pub const INSTANCE_MEMORY_MB: u64 = 260;
+/// Number of the next registration of an upstream.
+static NEXT_REPORT: AtomicU64 = AtomicU64::new(1);
 /// Time between two readiness checks.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -53,6 +56,8 @@
     pub store: SocketAddr,
     /// Whether withdrawn keys must stop working in time also while the store is down for all.
     pub is_revocation_strict: bool,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
 }
 
 impl EntryOptions {
@@ -71,6 +76,7 @@
             },
             store,
             is_revocation_strict: false,
+            is_first_start: true,
         }
     }
 }
@@ -180,7 +186,7 @@
             "front": addresses.entry, "ready": addresses.ready, "directory": addresses.lookup,
         },
         "internal_port_range": [addresses.peer.port(), addresses.metrics.port()],
-        "bootstrap": true,
+        "bootstrap": options.is_first_start,
         "limits": {"max_fds": 2_000, "memory_mb": INSTANCE_MEMORY_MB},
         "platform": {"address": options.store},
         "bounds": bounds,
@@ -188,14 +194,15 @@
 }
 
 /// Writes the registration of an upstream of the pool `orders` to the store, as the upstream itself does on the
-/// platform. `address` may be that of a relay, and `state` is a state of the platform such as `ready`.
+/// platform, with a higher number than all before. `address` may be that of a relay, and `state` is a state of the platform such as `ready`.
 pub fn register_upstream(store: &StoreStandin, id: &str, address: SocketAddr, state: &str) {
     let spec = json!({
         "address": address,
         "info": {"service": "orders", "version": "v1", "zone": "a-1", "slots": 9},
         "born": 1_700_000_000_000_u64,
     });
-    let status = json!({"state": state, "seq": 1, "cold_remaining": "0ms"});
+    let sequence = NEXT_REPORT.fetch_add(1, Ordering::Relaxed);
+    let status = json!({"state": state, "seq": sequence, "cold_remaining": "0ms"});
     store.put("servers", id, spec, status);
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -80,7 +80,7 @@
     StartedRun,
 };
 pub use signed_upstream::{SignedUpstream, UpstreamFault, UpstreamRun};
-pub use store_standin::{StoreMode, StoreStandin};
+pub use store_standin::{StoreCopy, StoreMode, StoreStandin};
 pub use upstream_crash::{CRASH_EXIT_CODE, CrashMode};
 pub use upstream_server::{UpstreamError, UpstreamHandle, UpstreamOptions};
 pub use upstream_service::{HealthAnswer, LoadAnswer, RecordAnswer, WorkAnswer};
--- a/crates/standins/src/store_standin.rs
+++ b/crates/standins/src/store_standin.rs
@@ -1,5 +1,5 @@
 //! Stand-in for the platform's store after its published protocol: objects by kind, conditional writes, and watches on
-//! a history of changes that can be compacted.
+//! a history of changes that can be compacted. It can return from an older copy of its content.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_transport::{HttpService, ListenerLimits, ListenerStop, serve};
-use http::{Method, StatusCode};
+use http::{HeaderName, HeaderValue, Method, StatusCode};
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -16,6 +16,8 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+/// Header in which the store states its era.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 const OBJECT_PATH: &str = "/-/objects/";
 /// Maximum number of objects in one page of a list.
 const PAGE_SIZE_OBJECTS: usize = 50;
@@ -54,8 +56,10 @@
     is_removed: bool,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct StoreContent {
+    /// The era that all answers state; `None` if they state none.
+    era: Option<u64>,
     revision: u64,
     objects: BTreeMap<ObjectPath, StoredObject>,
     history: Vec<HistoryEntry>,
@@ -64,6 +68,12 @@
     calls: u64,
 }
 
+/// The content of a store at some time.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    content: StoreContent,
+}
+
 /// A running store. Its objects are written by HTTP requests or through this handle. Clones share the content.
 #[derive(Debug, Clone)]
 pub struct StoreStandin {
@@ -155,6 +165,30 @@
         content.compacted_revision = content.revision;
     }
 
+    /// Makes all answers state an era from now on, the first one.
+    pub fn state_eras(&self) {
+        self.lock().era.get_or_insert(1);
+    }
+
+    /// Returns a copy of the present content.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let content = self.lock().clone();
+        StoreCopy { content }
+    }
+
+    /// Replaces the content by that of an earlier copy, as after a loss of the newer one. Revisions continue from the copy,
+    /// and a stated era rises by one. Waiting watches stay open if the copy has their revision.
+    pub fn return_from(&self, copy: &StoreCopy) {
+        let mut content = self.lock();
+        *content = StoreContent {
+            era: content.era.map(|era| era + 1),
+            calls: content.calls,
+            ..copy.content.clone()
+        };
+        self.changed.send_replace(content.revision);
+    }
+
     /// Returns the number of received requests, including those that failed.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -165,11 +199,16 @@
         self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn unavailable(&self) -> Response {
+        self.lock()
+            .reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null)
+    }
+
     async fn answer(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path().strip_prefix(OBJECT_PATH);
         let Some(path) = path else {
-            return reply(StatusCode::NOT_FOUND, &Value::Null);
+            return self.lock().reply(StatusCode::NOT_FOUND, &Value::Null);
         };
         let (kind, name) = match path.split_once('/') {
             Some((kind, name)) => (kind.to_string(), Some(name.to_string())),
@@ -194,14 +233,17 @@
             }
             (Method::PUT, Some(name)) => self.replace(&(kind, name), &written),
             (Method::DELETE, Some(name)) => self.delete(&(kind, name), query.revision),
-            _ => reply(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
+            _ => self
+                .lock()
+                .reply(StatusCode::METHOD_NOT_ALLOWED, &Value::Null),
         }
     }
 
     fn get(&self, path: &ObjectPath) -> Response {
-        match self.lock().objects.get(path) {
-            Some(stored) => reply(StatusCode::OK, &encode(path, stored)),
-            None => reply(StatusCode::NOT_FOUND, &Value::Null),
+        let content = self.lock();
+        match content.objects.get(path) {
+            Some(stored) => content.reply(StatusCode::OK, &encode(path, stored)),
+            None => content.reply(StatusCode::NOT_FOUND, &Value::Null),
         }
     }
 
@@ -221,7 +263,7 @@
         let body = json!({
             "items": items, "has_more": has_more, "store_revision": content.revision,
         });
-        reply(StatusCode::OK, &body)
+        content.reply(StatusCode::OK, &body)
     }
 
     async fn watch(&self, kind: &str, query: QueryParameters) -> Response {
@@ -238,16 +280,17 @@
                 .await
                 .is_err()
             {
-                let body = json!({"events": [], "store_revision": self.lock().revision});
-                return reply(StatusCode::OK, &body);
+                let content = self.lock();
+                let body = json!({"events": [], "store_revision": content.revision});
+                return content.reply(StatusCode::OK, &body);
             }
         }
     }
 
     fn changes(&self, kind: &str, after: u64) -> Option<Response> {
         let content = self.lock();
-        if after < content.compacted_revision {
-            return Some(reply(StatusCode::GONE, &Value::Null));
+        if after < content.compacted_revision || after > content.revision {
+            return Some(content.reply(StatusCode::GONE, &Value::Null));
         }
         let events: Vec<Value> = content
             .history
@@ -259,46 +302,46 @@
             })
             .collect();
         let body = json!({"events": events, "store_revision": content.revision});
-        (!events.is_empty()).then(|| reply(StatusCode::OK, &body))
+        (!events.is_empty()).then(|| content.reply(StatusCode::OK, &body))
     }
 
     fn create(&self, path: &ObjectPath, written: &Value) -> Response {
         let mut content = self.lock();
         if let Some(stored) = content.objects.get(path) {
-            return reply(StatusCode::CONFLICT, &encode(path, stored));
+            return content.reply(StatusCode::CONFLICT, &encode(path, stored));
         }
         content.put(path.clone(), written["spec"].clone(), Value::Null);
         self.changed.send_replace(content.revision);
-        reply(StatusCode::OK, &encode(path, &content.objects[path]))
+        content.reply(StatusCode::OK, &encode(path, &content.objects[path]))
     }
 
     fn replace(&self, path: &ObjectPath, written: &Value) -> Response {
         let mut content = self.lock();
         let Some(stored) = content.objects.get(path).cloned() else {
-            return reply(StatusCode::NOT_FOUND, &Value::Null);
+            return content.reply(StatusCode::NOT_FOUND, &Value::Null);
         };
         let expected_revision = written["metadata"]["revision"].as_u64();
         if expected_revision.is_some_and(|revision| revision != stored.revision) {
-            return reply(StatusCode::CONFLICT, &encode(path, &stored));
+            return content.reply(StatusCode::CONFLICT, &encode(path, &stored));
         }
         if stored.spec != written["spec"] {
             content.put(path.clone(), written["spec"].clone(), stored.status);
             self.changed.send_replace(content.revision);
         }
-        reply(StatusCode::OK, &encode(path, &content.objects[path]))
+        content.reply(StatusCode::OK, &encode(path, &content.objects[path]))
     }
 
     fn delete(&self, path: &ObjectPath, revision: Option<u64>) -> Response {
         let mut content = self.lock();
         let Some(stored) = content.objects.get(path) else {
-            return reply(StatusCode::NOT_FOUND, &Value::Null);
+            return content.reply(StatusCode::NOT_FOUND, &Value::Null);
         };
         if revision.is_some_and(|revision| revision != stored.revision) {
-            return reply(StatusCode::CONFLICT, &encode(path, stored));
+            return content.reply(StatusCode::CONFLICT, &encode(path, stored));
         }
         content.remove(path);
         self.changed.send_replace(content.revision);
-        reply(StatusCode::OK, &Value::Null)
+        content.reply(StatusCode::OK, &Value::Null)
     }
 }
 
@@ -309,7 +352,7 @@
         let is_write = request.method() != Method::GET;
         let mode_at_start = *mode.borrow_and_update();
         match mode_at_start {
-            StoreMode::Unavailable => return reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
+            StoreMode::Unavailable => return self.unavailable(),
             StoreMode::Unresponsive => return std::future::pending().await,
             StoreMode::Up | StoreMode::LoseWriteAnswers => {}
         }
@@ -317,7 +360,7 @@
             response = self.answer(request) => response,
             // Requests in progress, such as watches, fail when the store becomes unavailable.
             _ = mode.wait_for(|now| matches!(now, StoreMode::Unavailable | StoreMode::Unresponsive)) => {
-                return reply(StatusCode::SERVICE_UNAVAILABLE, &Value::Null);
+                return self.unavailable();
             }
         };
         if mode_at_start == StoreMode::LoseWriteAnswers && is_write {
@@ -328,6 +371,18 @@
 }
 
 impl StoreContent {
+    /// Returns an answer that states the era of this content.
+    fn reply(&self, status: StatusCode, body: &Value) -> Response {
+        let mut response = Response::new(Body::from(body.to_string()));
+        *response.status_mut() = status;
+        if let Some(era) = self.era {
+            response
+                .headers_mut()
+                .insert(ERA_HEADER, HeaderValue::from(era));
+        }
+        response
+    }
+
     fn put(&mut self, path: ObjectPath, spec: Value, status: Value) {
         self.revision += 1;
         let object = StoredObject {
@@ -398,9 +453,3 @@
         "status": stored.status,
     })
 }
-
-fn reply(status: StatusCode, body: &Value) -> Response {
-    let mut response = Response::new(Body::from(body.to_string()));
-    *response.status_mut() = status;
-    response
-}
