--- a/crates/entry/tests/store_eras.rs
+++ b/crates/entry/tests/store_eras.rs
@@ -117,37 +117,45 @@
 }
 
 /// Guards against instances that are missing from the store, or have the addresses of an earlier process there, because
-/// their registrations were written after the copy.
+/// their registrations were written after the copy. Their revisions are given out again before anything is read.
 #[tokio::test(flavor = "multi_thread")]
 async fn registrations_are_written_again() {
-    let mut fleet = start("era-registrations", 2, 1).await;
+    let mut fleet = start("era-registrations", INSTANCES, 1).await;
     let copy = fleet.store.copy();
-    fleet.restart_instance(0);
-    let added = EntryOptions::on_loopback(2, fleet.store.address());
+    let added = EntryOptions::on_loopback(INSTANCES, fleet.store.address());
     fleet.start_instance(added);
-    for instance in [0, 2] {
-        fleet.instances[instance].wait_until_ready().await.unwrap();
+    for instance in 0..2 {
+        fleet.restart_instance(instance);
+    }
+    for instance in &fleet.instances {
+        instance.wait_until_ready().await.unwrap();
     }
     sleep(SETTLING_TIME).await;
     fleet.store.return_from(&copy);
+    for change in 0..10 {
+        let change = json!(change);
+        fleet.store.put("other", "object", change, Value::Null);
+    }
     let returned_at = Instant::now();
-    loop {
-        let mut registered = 0;
-        for instance in 0..3 {
-            let name = format!("entry-{instance}");
-            let spec = fleet.store.spec("entry-instances", &name);
-            let incarnation = spec.map(|spec| spec["incarnation"].clone());
-            let own = fleet.state(instance).await["incarnation"].clone();
-            registered += usize::from(incarnation == Some(own));
-        }
-        if registered == 3 {
-            return;
-        }
-        assert!(returned_at.elapsed() < CHANGE_BOUND, "{registered} of 3");
+    while count_registered(&fleet).await < fleet.instances.len() {
+        assert!(returned_at.elapsed() < CHANGE_BOUND);
         sleep(POLL_PERIOD).await;
     }
 }
 
+/// Returns how many instances have a registration of their present process.
+async fn count_registered(fleet: &PlatformFleet) -> usize {
+    let mut count = 0;
+    for instance in 0..fleet.instances.len() {
+        let name = format!("entry-{instance}");
+        let spec = fleet.store.spec("entry-instances", &name);
+        let incarnation = spec.map(|spec| spec["incarnation"].clone());
+        let own = fleet.state(instance).await["incarnation"].clone();
+        count += usize::from(incarnation == Some(own));
+    }
+    count
+}
+
 /// How the instances go on after the return.
 #[derive(Debug, Clone, Copy)]
 struct KeyCase {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod soak_faults;
 mod soak_fleet;
 mod soak_run;
+mod store_returns;
 
 pub use soak_checks::GuaranteeViolation;
 pub use soak_run::{SoakError, SoakPlan, SoakProfile, SoakReport, run_soak};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -44,6 +44,9 @@
     /// Whether there is only planned work, and no fault.
     #[options(no_short, help = "only planned work, no faults")]
     planned: bool,
+    /// Whether the store also returns from older copies.
+    #[options(no_short, help = "also returns of the store from older copies")]
+    returns: bool,
     /// Whether to print the faults of each run.
     #[options(no_short, help = "print the faults of each run")]
     faults: bool,
@@ -87,6 +90,8 @@
             let plan = SoakPlan {
                 profile: if options.planned {
                     SoakProfile::PlannedWork
+                } else if options.returns {
+                    SoakProfile::StoreReturns
                 } else {
                     SoakProfile::AllFaults
                 },
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -30,6 +30,8 @@
     pub upstream: SignedUpstream,
     /// Relay whose address is registered for the daemons.
     pub relay: FaultRelay,
+    /// State in its latest registration.
+    state: &'static str,
 }
 
 /// Daemon that reaches the store through a relay of its own.
@@ -99,7 +101,11 @@
         for index in 0..upstreams {
             let upstream = SignedUpstream::start(&format!("u-{index}"), WORK_TIME).await?;
             let relay = FaultRelay::start(upstream.address()).await?;
-            fleet.upstreams.push(RelayedUpstream { upstream, relay });
+            fleet.upstreams.push(RelayedUpstream {
+                upstream,
+                relay,
+                state: "ready",
+            });
             fleet.register(index, "ready");
         }
         for index in 0..instances {
@@ -128,13 +134,7 @@
     /// Writes the next version of the configuration to the store, with or without [`CHANGING_KEY`].
     pub fn write_config(&mut self, is_granted: bool) {
         self.version += 1;
-        let keys: &[&str] = if is_granted {
-            &[SHOP_KEY, CHANGING_KEY]
-        } else {
-            &[SHOP_KEY]
-        };
-        let config = shop_config(self.version, keys);
-        self.store.put("config", "main", config, Value::Null);
+        self.put_config(is_granted);
         if self.key_periods.is_empty() || self.is_key_granted() != is_granted {
             let from = Instant::now();
             if let Some(previous) = self.key_periods.last_mut() {
@@ -148,6 +148,16 @@
         }
     }
 
+    fn put_config(&self, is_granted: bool) {
+        let keys: &[&str] = if is_granted {
+            &[SHOP_KEY, CHANGING_KEY]
+        } else {
+            &[SHOP_KEY]
+        };
+        let config = shop_config(self.version, keys);
+        self.store.put("config", "main", config, Value::Null);
+    }
+
     /// Returns whether [`CHANGING_KEY`] is granted.
     #[must_use]
     pub fn is_key_granted(&self) -> bool {
@@ -163,10 +173,23 @@
     }
 
     /// Registers an upstream in the store with the address of its relay and the state `state`.
-    pub fn register(&self, index: usize, state: &str) {
+    pub fn register(&mut self, index: usize, state: &'static str) {
+        self.upstreams[index].state = state;
+        self.write_registration(index);
+    }
+
+    fn write_registration(&self, index: usize) {
         let relayed = &self.upstreams[index];
         let id = relayed.upstream.id();
-        register_upstream(&self.store, id, relayed.relay.address(), state);
+        register_upstream(&self.store, id, relayed.relay.address(), relayed.state);
+    }
+
+    /// Writes the latest version of the configuration and all registrations of upstreams again.
+    pub fn write_again(&self) {
+        self.put_config(self.is_key_granted());
+        for index in 0..self.upstreams.len() {
+            self.write_registration(index);
+        }
     }
 
     /// Starts the daemon at `index`, which must not be running.
@@ -175,6 +198,7 @@
         let options = instance.options.clone();
         let process = EntryInstance::start(&self.program, &self.folder, options)?;
         instance.process = Some(process);
+        instance.options.is_first_start = false;
         instance.is_paused = false;
         instance.end_signal = None;
         Ok(())
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -15,11 +15,14 @@
 };
 use crate::soak_faults::{draw_fault_pause, inject_fault, silence_connections};
 use crate::soak_fleet::SoakFleet;
+use crate::store_returns::ReturnDraw;
 
 /// Time for the fleet to recover after all faults have ended: store entries, health checks and restarts.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
 /// Pause between two checks for daemons that have ended.
 const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two checks for what the store or its writers have to do.
+const RETURN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after the recovery in which the served fraction is measured.
 const FINAL_WINDOW: Duration = Duration::from_secs(2);
 /// Smallest fraction of the requests in the final window that must be served.
@@ -30,6 +33,8 @@
 pub enum SoakProfile {
     /// Overlapping faults of all kinds.
     AllFaults,
+    /// The same, and returns of the store from an older copy.
+    StoreReturns,
     /// Stops, reloads, departures and changes of the configuration, without a fault.
     PlannedWork,
 }
@@ -112,12 +117,19 @@
     let mut faults = Vec::new();
     // A sequence of its own keeps the other faults of each seed as they are.
     let mut silence_rng = Rng::with_seed(!plan.seed);
+    let mut return_draw = ReturnDraw::new(plan.seed);
+    if plan.profile == SoakProfile::StoreReturns {
+        fleet.store.state_eras();
+    }
     let started = Instant::now();
     while started.elapsed() < plan.duration {
         let (descriptions, pause) = match plan.profile {
-            SoakProfile::AllFaults => {
+            SoakProfile::AllFaults | SoakProfile::StoreReturns => {
                 let mut descriptions = vec![inject_fault(&mut fleet, &mut rng).await?];
                 descriptions.extend(silence_connections(&fleet, &mut silence_rng));
+                if plan.profile == SoakProfile::StoreReturns {
+                    descriptions.extend(return_draw.step(&mut fleet).await?);
+                }
                 (descriptions, draw_fault_pause(&mut rng))
             }
             SoakProfile::PlannedWork => {
@@ -131,8 +143,13 @@
                 .iter()
                 .map(|fault| format!("{elapsed} ms: {fault}")),
         );
-        tokio::time::sleep(pause).await;
+        let pause_end = Instant::now() + pause;
+        while Instant::now() < pause_end {
+            tokio::time::sleep(RETURN_POLL_INTERVAL.min(pause)).await;
+            return_draw.perform_due(&fleet);
+        }
     }
+    return_draw.finish(&fleet);
     fleet.write_config(true);
     fleet.clear_faults().await?;
     let faults_cleared_at = Instant::now();
--- a/crates/standins/src/store_standin.rs
+++ b/crates/standins/src/store_standin.rs
@@ -119,6 +119,12 @@
         self.mode.send_replace(mode);
     }
 
+    /// Returns the availability.
+    #[must_use]
+    pub fn mode(&self) -> StoreMode {
+        *self.mode.borrow()
+    }
+
     /// Returns whether writes take effect in the current mode.
     #[must_use]
     pub fn accepts_writes(&self) -> bool {
