--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -48,6 +48,8 @@
     StoreCalls,
     /// Calls to the store that failed.
     StoreFailures,
+    /// Returns of the store from an older copy.
+    StoreReturns,
     /// Health checks of upstreams that were started.
     HealthChecks,
     /// Load reports of upstreams that were read.
@@ -66,7 +68,7 @@
     EarlyTakenBack,
 }
 
-const COUNTERS: [(CounterName, &str); 24] = [
+const COUNTERS: [(CounterName, &str); 25] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -86,6 +88,7 @@
     (CounterName::LookUps, "look_ups_total"),
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
+    (CounterName::StoreReturns, "store_returns_total"),
     (CounterName::HealthChecks, "health_checks_total"),
     (CounterName::LoadReportsRead, "load_reports_read_total"),
     (
