--- a/crates/steering/src/regions/demand_division.rs
+++ b/crates/steering/src/regions/demand_division.rs
@@ -58,7 +58,7 @@
     let local_share = kept(local) / split.free[local];
     let others = rooms.keys().filter(|region| *region != local);
     let total_spare: f64 = others.map(spare).sum();
-    let share = |region: RegionKey| {
+    let fraction = |region: RegionKey| {
         if region == local {
             local_share
         } else if total_spare > 0.0 {
@@ -67,7 +67,7 @@
             0.0
         }
     };
-    let shares: Arena<RegionKey, f64> = rooms.keys().map(share).collect();
+    let shares: Arena<RegionKey, f64> = rooms.keys().map(fraction).collect();
     let sum = total(&shares);
     (sum > 0.0).then(|| DemandDivision {
         shares: shares.iter().map(|(_, share)| share / sum).collect(),
