entry, platform: contended pools by settings; an instance that is behind reads the store sooner

Cause: the upstreams of one of the two customers state no cost of work, so the fair queue and the division never acted there. Change: the settings' contract for load beyond the room also marks pools as contended. A pause after a failed call ends after 0.7 s on average once another instance has a change that this one lacks.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -107,8 +107,12 @@
         } else {
             shared.clock.now() + bounds.retry_window
         };
-        let snapshot_builder =
-            SnapshotBuilder::new(home.region, &shared.topology.regions, retries_full_from);
+        let snapshot_builder = SnapshotBuilder::new(
+            home.region,
+            &shared.topology.regions,
+            retries_full_from,
+            shared.settings.is_contended,
+        );
         let demand_table = DemandTable::new(shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
--- a/crates/entry/src/demand_updates.rs
+++ b/crates/entry/src/demand_updates.rs
@@ -40,7 +40,7 @@
         });
         self.demand_table.sum(&reports, now);
         for (key, pool) in snapshot.pools.iter() {
-            let is_divided = pool.state.is_divided() && self.demand_table.is_settled(now);
+            let is_divided = pool.state.is_contended() && self.demand_table.is_settled(now);
             let division = is_divided.then(|| self.divide_pool(&snapshot, key, now));
             pool.state.division.store(division.flatten().map(Arc::new));
         }
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -56,6 +56,8 @@
     /// Whether an upstream of the pool has stated the present cost of work on its machine, so that the room of the pool
     /// changes many times a second.
     pub states_cost: Arc<AtomicBool>,
+    /// Whether the settings state that callers compete for the room of the upstreams.
+    pub is_contended_by_settings: bool,
     /// The requests that wait for a free slot while the upstreams state the cost of work.
     pub fair_queue: Arc<FairQueue<SignalSender>>,
     /// The rate at which this instance completes requests.
@@ -71,10 +73,11 @@
 }
 
 impl PoolState {
-    /// Returns whether the requests of the pool are divided over the regions by demand.
+    /// Returns whether callers compete for the room of the pool, so that its requests wait in the fair queue and are divided
+    /// over the regions by demand.
     #[must_use]
-    pub fn is_divided(&self) -> bool {
-        self.states_cost.load(Ordering::Relaxed)
+    pub fn is_contended(&self) -> bool {
+        self.is_contended_by_settings || self.states_cost.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/entry/src/queue_exchange.rs
+++ b/crates/entry/src/queue_exchange.rs
@@ -3,7 +3,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
@@ -101,7 +100,7 @@
 /// Returns the pools whose upstreams state the cost of work.
 fn cost_pools(snapshot: &EntrySnapshot) -> impl Iterator<Item = (PoolKey, &ListedPool)> {
     let pools = snapshot.pools.iter();
-    pools.filter(|(_, pool)| pool.state.states_cost.load(Ordering::Relaxed))
+    pools.filter(|(_, pool)| pool.state.is_contended())
 }
 
 fn pool_hash(snapshot: &EntrySnapshot, pool: PoolKey) -> u32 {
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -25,7 +25,7 @@
 use crate::request_context::{AccountCharge, RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended, states_cost};
+use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
@@ -295,7 +295,7 @@
         let retry_after = if kind == RejectKind::Stopping {
             STOPPING_RETRY_AFTER
         } else {
-            let after = if states_cost(&self.context) {
+            let after = if self.context.listed_pool().state.is_contended() {
                 return_delay(&self.context)
             } else {
                 self.context.retry_after()
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -14,7 +14,7 @@
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot, states_cost};
+use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
 
 /// The lowest number of slots for which a wait is estimated.
 const MIN_EFFECTIVE_SLOTS: f64 = 0.1;
@@ -36,7 +36,7 @@
             return Ok(reservation);
         }
         self.check_grace_left()?;
-        if states_cost(&self.context) {
+        if self.context.listed_pool().state.is_contended() {
             return self.acquire_fairly(request_log).await;
         }
         if let Some(reservation) = reserve_slot(&self.context, &self.tried) {
--- a/crates/entry/src/snapshot_builder.rs
+++ b/crates/entry/src/snapshot_builder.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub struct SnapshotBuilder {
     home_region: RegionKey,
+    /// Whether the settings state that callers compete for the room of the upstreams.
+    is_contended: bool,
     /// When the retry budgets of this process receive their shares of the slack.
     retries_full_from: MonotonicTime,
     /// Hashes of the names of the regions, the same at all instances.
@@ -28,15 +30,18 @@
 
 impl SnapshotBuilder {
     /// Creates a builder without state for an instance in the region `home_region`; `region_names` holds the names of all
-    /// regions. Retry budgets receive their shares of the slack at `retries_full_from`.
+    /// regions. Retry budgets receive their shares of the slack at `retries_full_from`, and `is_contended` states
+    /// whether callers compete for the room of the upstreams.
     #[must_use]
     pub fn new(
         home_region: RegionKey,
         region_names: &Arena<RegionKey, String>,
         retries_full_from: MonotonicTime,
+        is_contended: bool,
     ) -> Self {
         Self {
             home_region,
+            is_contended,
             retries_full_from,
             region_hashes: region_names
                 .iter()
@@ -78,6 +83,7 @@
             let existing = self.pools.remove(&pool.name);
             let state = existing.unwrap_or_else(|| PoolState {
                 retry_budget: Arc::new(RetryBudget::new(self.retries_full_from)),
+                is_contended_by_settings: self.is_contended,
                 ..PoolState::default()
             });
             pool_states.insert(pool.name.clone(), state.clone());
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -25,6 +25,10 @@
 /// its own way to the store.
 const MAX_LONE_BACKOFF: Duration = Duration::from_secs(2);
 
+/// The longest pause of an instance that lacks a change which another one has received. A change of the upstreams must be in
+/// force soon after its way to the store is back.
+const MAX_BEHIND_BACKOFF: Duration = Duration::from_millis(700);
+
 /// The pause between the first list and the first watch. Instances that start together learn of each other in this time,
 /// and only a few of them watch. Their own list is watched at once.
 const FIRST_WATCH_DELAY: Duration = Duration::from_millis(500);
@@ -322,7 +326,11 @@
             log::warn!("store: {:?} cannot be read: {error}.", self.config.kind);
         }
         // The random pause spreads the calls of instances that lost the store at the same time.
-        tokio::time::sleep(self.backoff.mul_f64(0.5 + fastrand::f64())).await;
+        let pause = self.backoff.mul_f64(0.5 + fastrand::f64());
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = self.pause_while_behind() => {}
+        }
         let max_backoff = if self.shared.reader_role.has_other_reader() {
             MAX_LONE_BACKOFF
         } else {
@@ -330,4 +338,14 @@
         };
         self.backoff = (self.backoff * 2).min(max_backoff);
     }
+
+    /// Waits until another instance has received a change that this one lacks, then for the longest pause of an instance
+    /// that is behind.
+    async fn pause_while_behind(&self) {
+        let kind = self.config.kind;
+        let reader_role = &self.shared.reader_role;
+        let applied = reader_role.applied(kind);
+        reader_role.wait_until_watch_behind(kind, applied).await;
+        tokio::time::sleep(MAX_BEHIND_BACKOFF.mul_f64(0.5 + fastrand::f64())).await;
+    }
 }
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -269,7 +269,7 @@
 }
 
 /// Returns whether upstreams of the request's pool state the present cost of work.
-pub fn states_cost(context: &RequestContext) -> bool {
+fn states_cost(context: &RequestContext) -> bool {
     let pool = &context.listed_pool().state;
     pool.states_cost.load(Ordering::Relaxed)
 }
