transport: a body in small chunks does not hold its thread

Cause: a task took frames of a body as long as one was ready, and one read of a connection holds some 12,000 frames of one byte. Two such answers held both request threads, and their own deadlines were checked only between polls.

Change: after 64 frames in a row a task is woken behind the others. The same holds for bodies of callers.

--- a/crates/entry/tests/endless_answers.rs
+++ b/crates/entry/tests/endless_answers.rs
@@ -249,3 +249,38 @@
     let peak_kb = fleet.peak_memory_kb(0);
     assert!(peak_kb < MAX_MEMORY_KB, "{peak_kb} kB");
 }
+
+/// Guards against answers in small chunks that hold the request threads, so that other requests wait for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_answers_in_small_chunks_leave_time_for_other_requests() {
+    let (fleet, upstream) = start_fleet("endless-chunks").await;
+    upstream.set_script(AnswerScript {
+        start: "HTTP/1.1 200 OK\r\ncoltsfootkeel-attempt-id: {id}\r\n\
+            coltsfootkeel-response-signature: s.1\r\ntransfer-encoding: chunked\r\n\r\n",
+        repeated: "1\r\na\r\n",
+        ..FAST
+    });
+    let address = fleet.instances[0].options.addresses.entry;
+    let callers = (0..CONCURRENT_REQUESTS).map(|number| {
+        let path = format!("/orders/chunks-{number}");
+        let call = shop_request(Method::POST, &path, &path, SHOP_KEY).body("two towels");
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let _ = call_once(address, &call).await;
+            started.elapsed()
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut longest = Duration::ZERO;
+    for _ in 0..15 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let started = Instant::now();
+        fleet.look_up(0).await;
+        longest = longest.max(started.elapsed());
+    }
+    assert!(longest < REJECTED_WITHIN, "a look-up took {longest:?}");
+    for caller in callers {
+        let elapsed = caller.await.unwrap();
+        assert!(elapsed < ANSWERED_WITHIN, "ended after {elapsed:?}");
+    }
+}
--- a/crates/transport/src/kept_bytes.rs
+++ b/crates/transport/src/kept_bytes.rs
@@ -4,12 +4,15 @@
 //! whole, so that the request can be sent again, but all of them together must fit the memory of the process. What does
 //! not fit is forwarded while it arrives.
 
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use coltsfootkeel_counters::ByteBudget;
 use http_body::Body as HttpBody;
-use http_body_util::BodyExt;
+
+use crate::frame_turns::FrameTurn;
 
 /// Bytes that stay counted in a budget until the last reference to them is dropped.
 #[derive(Debug)]
@@ -92,8 +95,12 @@
         let mut kept = KeptBytes::new(Arc::clone(budget));
         let mut next = Bytes::new();
         let mut is_complete = false;
+        let mut turn = FrameTurn::default();
         while next.is_empty() && kept.bytes.len() < max_bytes {
-            let Some(frame) = body.frame().await else {
+            let frame = poll_fn(|context| {
+                turn.poll(context, |context| Pin::new(&mut *body).poll_frame(context))
+            });
+            let Some(frame) = frame.await else {
                 is_complete = true;
                 break;
             };
--- a/crates/transport/src/prefixed_body.rs
+++ b/crates/transport/src/prefixed_body.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use volo_http::body::Body;
 
+use crate::frame_turns::FrameTurn;
 use crate::kept_bytes::BodyStart;
 
 type BodyError = <Body as HttpBody>::Error;
@@ -20,6 +21,7 @@
     next: Option<Bytes>,
     rest: Body,
     is_read_to_end: bool,
+    turn: FrameTurn,
 }
 
 impl PrefixedBody {
@@ -46,6 +48,7 @@
             next: None,
             is_read_to_end: is_read_to_end || body.is_end_stream(),
             rest: body,
+            turn: FrameTurn::default(),
         })
     }
 
@@ -57,6 +60,7 @@
             next: Some(start.next),
             is_read_to_end: start.is_complete,
             rest,
+            turn: FrameTurn::default(),
         }
     }
 
@@ -98,7 +102,10 @@
             .flatten()
             .filter(|piece| !piece.is_empty());
         let Some(piece) = pieces.next() else {
-            return Pin::new(&mut self.rest).poll_frame(context);
+            let this = &mut *self;
+            return this.turn.poll(context, |context| {
+                Pin::new(&mut this.rest).poll_frame(context)
+            });
         };
         self.next = pieces.next();
         Poll::Ready(Some(Ok(Frame::data(piece))))
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -20,6 +20,7 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
+use crate::frame_turns::FrameTurn;
 use crate::head_limit::{LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
 
 /// The longest time for setting up a connection. It normally takes about 1 ms and a round trip; the timeout covers lost
@@ -137,6 +138,7 @@
 pub struct UpstreamBody {
     body: Incoming,
     connection: Box<UpstreamConnection>,
+    turn: FrameTurn,
 }
 
 impl UpstreamBody {
@@ -161,8 +163,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        self.connection.drive(context);
-        Pin::new(&mut self.body).poll_frame(context)
+        let this = &mut *self;
+        this.turn.poll(context, |context| {
+            this.connection.drive(context);
+            Pin::new(&mut this.body).poll_frame(context)
+        })
     }
 
     fn is_end_stream(&self) -> bool {
@@ -211,7 +216,11 @@
             },
         };
         let response = connection.exchange(request).await?;
-        Ok(response.map(|body| UpstreamBody { body, connection }))
+        Ok(response.map(|body| UpstreamBody {
+            body,
+            connection,
+            turn: FrameTurn::default(),
+        }))
     }
 
     /// Keeps a connection for reuse after a complete exchange; it is idle since `now`.
