steering, entry, protocol: a started instance asks for the requests that crash upstreams

Cause: the table of crash suspects lives in the memory of each process, and a crash is told once. After each planned restart a request that crashes its upstreams crashed four more there, although the other instances still refused it.

Change: the heartbeats of an instance that has started ask for the suspects. Each receiver answers with the requests, the upstreams that they crashed and the age of the last crash, and with whether it has been told itself. Until an aware instance has answered, all others have said that they know nothing, or a second has passed, requests wait and the instance is not ready. A new counter, crash_refusals_total, counts the refusals.

Measured: in the new process test an instance that does not ask lets the request through again; one that asks refuses the first attempt, with no run.

--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -24,6 +24,7 @@
         let step = message.step();
         let relayed = std::mem::take(&mut message.relayed);
         let earliest_sent_at = self.apply_echo(&message);
+        self.exchange_suspects(&message, from);
         match step {
             HeartbeatStep::Reply => {
                 self.send_step(HeartbeatStep::Acknowledgement, message.number, from);
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -9,7 +9,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
     CrashTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
-    is_store_reader, sharing_instances,
+    SuspectInquiry, is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -55,6 +55,7 @@
     pub(crate) members: MemberList,
     pub(crate) quotas: AccountQuotas,
     pub(crate) crash_table: CrashTable,
+    pub(crate) suspect_inquiry: SuspectInquiry,
     pub(crate) plan: Option<Arc<SteeringPlan>>,
     pub(crate) heartbeat_number: u64,
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
@@ -95,7 +96,9 @@
             slack: bounds.quota_slack,
         };
         let home = shared.home;
-        let retries_full_from = if shared.settings.is_first_start {
+        let is_first_start = shared.settings.is_first_start;
+        let suspect_inquiry = SuspectInquiry::new(is_first_start, shared.clock.now());
+        let retries_full_from = if is_first_start {
             MonotonicTime::default()
         } else {
             shared.clock.now() + bounds.retry_window
@@ -103,13 +106,14 @@
         let snapshot_builder =
             SnapshotBuilder::new(home.region, &shared.topology.regions, retries_full_from);
         Self {
-            quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
+            quotas: AccountQuotas::new(is_first_start, excess),
             shared,
             client,
             socket,
             peers: PeerTable::new(home.domain),
             members: MemberList::default(),
             crash_table: CrashTable::default(),
+            suspect_inquiry,
             plan: None,
             // A random start, so that the numbers of an earlier process are not mistaken for those of this one.
             heartbeat_number: fastrand::u64(..1 << 48),
@@ -266,6 +270,7 @@
         self.shared.quota_refilled.notify_waiters();
         self.observe_store_outage();
         self.observe_plan_lag(now);
+        self.update_inquiry(now);
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -50,9 +50,11 @@
     StoreFailures,
     /// Health checks of upstreams that were started.
     HealthChecks,
+    /// Requests rejected because they have crashed several upstreams.
+    CrashRefusals,
 }
 
-const COUNTERS: [(CounterName, &str); 17] = [
+const COUNTERS: [(CounterName, &str); 18] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -73,6 +75,7 @@
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
     (CounterName::HealthChecks, "health_checks_total"),
+    (CounterName::CrashRefusals, "crash_refusals_total"),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -7,7 +7,8 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{
-    CrashSuspect, FleetHeartbeat, HeartbeatStep, ListChanges, ObjectPlacement, UpstreamLoad,
+    CrashSuspect, FleetHeartbeat, HeartbeatStep, KnownSuspect, ListChanges, ObjectPlacement,
+    SuspectStep, UpstreamLoad,
 };
 use coltsfootkeel_steering::{HeartbeatPeer, HeartbeatPeriods, select_relays, short_hash};
 
@@ -214,6 +215,20 @@
         send_heartbeat(&self.socket, &message, to);
     }
 
+    /// Sends the requests that crash upstreams to an instance that has asked for them.
+    pub(crate) fn send_told_suspects(
+        &mut self,
+        suspects: Vec<KnownSuspect>,
+        step: SuspectStep,
+        to: SocketAddr,
+    ) {
+        let mut message = self.exchange_fields(self.shared.clock.now());
+        message.step = HeartbeatStep::Acknowledgement.into();
+        message.suspects = suspects;
+        message.suspect_step = step.into();
+        send_heartbeat(&self.socket, &message, to);
+    }
+
     /// Returns a message with a new number and the fields that are part of every message.
     fn exchange_fields(&mut self, now: MonotonicTime) -> FleetHeartbeat {
         self.heartbeat_number += 1;
@@ -252,6 +267,7 @@
             entry_address: shared.settings.entry.to_string(),
             is_open: shared.is_accepting(),
             is_leaving: shared.is_stopping(),
+            suspect_step: self.suspect_question().into(),
             store_steady_ms: u32::try_from(steady_ms).unwrap_or(u32::MAX),
             upstreams_revision: revisions.upstreams,
             evacuations_revision: revisions.evacuations,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -42,6 +42,7 @@
 mod store_outage;
 mod store_updates;
 mod store_watch;
+mod suspect_exchange;
 mod upstream_choice;
 mod upstream_exchange;
 mod upstream_registry;
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -130,15 +130,7 @@
     ) -> Result<Response, Rejection> {
         let mut body = self.read_body(body).await?;
         let fingerprint = self.context.fingerprint(&self.parts, body.bytes());
-        if self
-            .context
-            .shared
-            .crash_table
-            .load()
-            .is_blocked(fingerprint)
-        {
-            return Err(Rejection::not_run(RejectKind::Crashing, None));
-        }
+        self.check_crashes(fingerprint).await?;
         self.context.charge().await?;
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
@@ -167,6 +159,23 @@
         }
     }
 
+    /// Rejects a request that has crashed several upstreams, once it is known which requests have done so.
+    async fn check_crashes(&self, fingerprint: u64) -> Result<(), Rejection> {
+        let shared = &self.context.shared;
+        let deadline = self.instant_of(self.context.deadline);
+        if timeout_at(deadline, shared.wait_for_suspects())
+            .await
+            .is_err()
+        {
+            return Err(Rejection::not_run(RejectKind::TimedOut, None));
+        }
+        if shared.crash_table.load().is_blocked(fingerprint) {
+            shared.metrics.count(CounterName::CrashRefusals);
+            return Err(Rejection::not_run(RejectKind::Crashing, None));
+        }
+        Ok(())
+    }
+
     async fn read_body(&self, body: Body) -> Result<CallerBody, Rejection> {
         let length = body_length(&self.parts);
         let max_bytes = self.context.snapshot.plan.limits.max_body_bytes;
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -109,6 +109,10 @@
     pub crash_reports: ArrayQueue<CrashReport>,
     /// Requests that are suspected to crash upstreams.
     pub crash_table: ArcSwap<CrashTable>,
+    /// Whether the requests that crash upstreams are known as well as they can be, so that requests may be sent.
+    pub is_inquiry_over: AtomicBool,
+    /// Notifies the requests that wait for that.
+    pub inquiry_ended: Notify,
     /// Notifies requests that wait for their account's budget of each refill.
     pub quota_refilled: Notify,
     /// The bytes of requests and answers that may be kept.
@@ -164,6 +168,8 @@
             placement_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
             crash_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
             crash_table: ArcSwap::default(),
+            is_inquiry_over: AtomicBool::new(false),
+            inquiry_ended: Notify::new(),
             quota_refilled: Notify::new(),
             kept_bytes: Arc::new(ByteBudget::new(kept_bytes)),
             in_flight: Arc::default(),
@@ -231,8 +237,26 @@
         self.freshness.may_be_outdated(active, now, change_bound)
     }
 
-    /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan and is not
-    /// stopping. While the store is down for all, no other instance has a more recent plan, and routes without keys are
+    /// Returns whether the requests that crash upstreams are known as well as they can be.
+    #[must_use]
+    pub fn knows_suspects(&self) -> bool {
+        self.is_inquiry_over.load(Ordering::Acquire)
+    }
+
+    /// Waits until [`Self::knows_suspects`] is true.
+    pub async fn wait_for_suspects(&self) {
+        loop {
+            // Created before the check, so that it receives a notification after it.
+            let ended = self.inquiry_ended.notified();
+            if self.knows_suspects() {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan, knows which requests
+    /// crash upstreams and is not stopping. While the store is down for all, no other instance has a more recent plan, and routes without keys are
     /// served.
     #[must_use]
     pub fn is_accepting(&self) -> bool {
@@ -242,7 +266,7 @@
             .is_some_and(|snapshot| !snapshot.upstreams.is_empty());
         let now = self.clock.now_with_suspension();
         let is_best_plan = self.allows_keys() || self.freshness.is_outage(now);
-        has_upstreams && !self.is_stopping() && is_best_plan
+        has_upstreams && self.knows_suspects() && !self.is_stopping() && is_best_plan
     }
 
     /// Returns the retry limit of all instances together.
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -2,6 +2,8 @@
 
 use prost::Message;
 
+use crate::spent_messages::{KnownSuspect, SuspectStep};
+
 /// The state of one entry instance on which decisions of the other instances depend.
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetHeartbeat {
@@ -85,6 +87,12 @@
     /// Changes of the lists in the store that the sender has watched, in the order in which it received them.
     #[prost(message, repeated, tag = "26")]
     pub changes: Vec<ListChanges>,
+    /// The requests that crash upstreams, in an answer to [`SuspectStep::Question`].
+    #[prost(message, repeated, tag = "27")]
+    pub suspects: Vec<KnownSuspect>,
+    /// Whether the sender asks for these requests or answers such a question.
+    #[prost(enumeration = "SuspectStep", tag = "33")]
+    pub suspect_step: i32,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -20,6 +20,7 @@
 mod fleet_heartbeat;
 mod frame_codec;
 mod messages;
+mod spent_messages;
 
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
@@ -31,3 +32,4 @@
     LimitKind, LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
     ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
 };
+pub use spent_messages::{KnownSuspect, SuspectStep};
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -53,6 +53,8 @@
     pub store: SocketAddr,
     /// Whether withdrawn keys must stop working in time also while the store is down for all.
     pub is_revocation_strict: bool,
+    /// Whether all instances of the fleet start for the first time.
+    pub is_first_start: bool,
 }
 
 impl EntryOptions {
@@ -71,6 +73,7 @@
             },
             store,
             is_revocation_strict: false,
+            is_first_start: true,
         }
     }
 }
@@ -180,7 +183,7 @@
             "front": addresses.entry, "ready": addresses.ready, "directory": addresses.lookup,
         },
         "internal_port_range": [addresses.peer.port(), addresses.metrics.port()],
-        "bootstrap": true,
+        "bootstrap": options.is_first_start,
         "limits": {"max_fds": 2_000, "memory_mb": INSTANCE_MEMORY_MB},
         "platform": {"address": options.store},
         "bounds": bounds,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -84,11 +84,12 @@
     CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind, UnreadableParts,
     UnreadableRoute,
 };
-pub use recovery::crash_table::CrashTable;
+pub use recovery::crash_table::{CrashTable, CrashedRequest};
 pub use recovery::outage_evidence::OutageEvidence;
 pub use recovery::plan_freshness::PlanFreshness;
 pub use recovery::planned_stop::{GraceTimes, StoppingRequest};
 pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
+pub use recovery::suspect_inquiry::{InquiryEnd, SuspectInquiry};
 pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
--- a/crates/steering/src/recovery/crash_table.rs
+++ b/crates/steering/src/recovery/crash_table.rs
@@ -4,6 +4,7 @@
 //! each crashed run to each other. A request with several crashed runs in a row, without an answer in between, is
 //! refused.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -23,6 +24,17 @@
     last_crash_at: MonotonicTime,
 }
 
+/// The crashed runs of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashedRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Short hashes of the upstreams that crashed.
+    pub upstreams: Vec<u32>,
+    /// Time since the last crash.
+    pub age: Duration,
+}
+
 /// Crashed runs by the fingerprint of the request.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTable {
@@ -38,12 +50,30 @@
             return;
         }
         let record = self.crashes.entry(fingerprint).or_default();
-        record.last_crash_at = now;
+        record.last_crash_at = record.last_crash_at.max(now);
         if !record.upstreams.contains(&upstream) {
             record.upstreams.push(upstream);
         }
     }
 
+    /// Returns the tracked requests, those that crashed most upstreams first, and of those the latest ones.
+    #[must_use]
+    pub fn suspects(&self, now: MonotonicTime) -> Vec<CrashedRequest> {
+        let suspects = self.crashes.iter().map(|(fingerprint, record)| {
+            let age = now.since(record.last_crash_at);
+            CrashedRequest {
+                fingerprint: *fingerprint,
+                upstreams: record.upstreams.clone(),
+                age,
+            }
+        });
+        let mut suspects: Vec<CrashedRequest> = suspects
+            .filter(|suspect| suspect.age < CRASH_RETENTION)
+            .collect();
+        suspects.sort_unstable_by_key(|suspect| (Reverse(suspect.upstreams.len()), suspect.age));
+        suspects
+    }
+
     /// Removes a request that was answered. Returns whether it was tracked.
     pub fn remove(&mut self, fingerprint: u64) -> bool {
         self.crashes.remove(&fingerprint).is_some()
--- a/crates/steering/src/recovery/mod.rs
+++ b/crates/steering/src/recovery/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod plan_freshness;
 pub(crate) mod planned_stop;
 pub(crate) mod store_readers;
+pub(crate) mod suspect_inquiry;
