--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -66,9 +66,11 @@
     EarlyAnswers,
     /// Early requests that ended with their connection before their turn.
     EarlyTakenBack,
+    /// Requests rejected because they have crashed several upstreams.
+    CrashRefusals,
 }
 
-const COUNTERS: [(CounterName, &str); 25] = [
+const COUNTERS: [(CounterName, &str); 26] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -100,6 +102,7 @@
     (CounterName::EarlyStarts, "early_starts_total"),
     (CounterName::EarlyAnswers, "early_answers_held_total"),
     (CounterName::EarlyTakenBack, "early_taken_back_total"),
+    (CounterName::CrashRefusals, "crash_refusals_total"),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,6 +48,7 @@
 mod store_return;
 mod store_updates;
 mod store_watch;
+mod suspect_exchange;
 mod upstream_choice;
 mod upstream_exchange;
 mod upstream_registry;
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -5,6 +5,7 @@
 use crate::demand_messages::DemandReport;
 use crate::load_messages::StatedLoad;
 use crate::queue_messages::PoolQueue;
+use crate::spent_messages::{KnownSuspect, SuspectStep};
 
 /// The state of one entry instance on which decisions of the other instances depend.
 #[derive(Clone, PartialEq, Message)]
@@ -105,6 +106,12 @@
     /// The milliseconds since the era is known to have begun.
     #[prost(uint32, tag = "35")]
     pub store_era_age_ms: u32,
+    /// The requests that crash upstreams, in an answer to [`SuspectStep::Question`].
+    #[prost(message, repeated, tag = "27")]
+    pub suspects: Vec<KnownSuspect>,
+    /// Whether the sender asks for these requests or answers such a question.
+    #[prost(enumeration = "SuspectStep", tag = "33")]
+    pub suspect_step: i32,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -23,6 +23,7 @@
 mod load_messages;
 mod messages;
 mod queue_messages;
+mod spent_messages;
 
 pub use demand_messages::DemandReport;
 pub use fleet_heartbeat::{
@@ -37,3 +38,4 @@
     ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
 };
 pub use queue_messages::{PoolQueue, RankQueue};
+pub use spent_messages::{KnownSuspect, SuspectStep};
--- a/crates/standins/src/entry_fleet.rs
+++ b/crates/standins/src/entry_fleet.rs
@@ -56,7 +56,7 @@
     pub store: SocketAddr,
     /// Whether withdrawn keys must stop working in time also while the store is down for all.
     pub is_revocation_strict: bool,
-    /// Whether the whole system starts for the first time.
+    /// Whether all instances of the fleet start for the first time.
     pub is_first_start: bool,
 }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -91,7 +91,7 @@
     CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind, UnreadableParts,
     UnreadableRoute,
 };
-pub use recovery::crash_table::CrashTable;
+pub use recovery::crash_table::{CrashTable, CrashedRequest};
 pub use recovery::evacuation_list::EvacuationList;
 pub use recovery::outage_evidence::OutageEvidence;
 pub use recovery::plan_freshness::PlanFreshness;
@@ -101,6 +101,7 @@
 };
 pub use recovery::store_position::{PositionRange, StorePosition, replaces_list};
 pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
+pub use recovery::suspect_inquiry::{InquiryEnd, SuspectInquiry};
 pub use regions::demand_division::{DemandDivision, divide_demand};
 pub use regions::demand_table::{DemandTable, InstanceReport, PoolDemand, RegionRoom};
 pub use regions::offered_work::{OfferedTotal, OfferedWork};
--- a/crates/steering/src/recovery/mod.rs
+++ b/crates/steering/src/recovery/mod.rs
@@ -8,3 +8,4 @@
 pub(crate) mod store_eras;
 pub(crate) mod store_position;
 pub(crate) mod store_readers;
+pub(crate) mod suspect_inquiry;
