--- a/crates/entry/src/fair_wait.rs
+++ b/crates/entry/src/fair_wait.rs
@@ -32,7 +32,11 @@
         request_log: &mut RequestLog,
     ) -> Result<SlotReservation, RejectKind> {
         let pool = self.context.listed_pool().state.clone();
-        let request = queued_request(&self.context);
+        let mut request = queued_request(&self.context);
+        if !self.tried.is_empty() {
+            // An upstream has had the request, so a refusal is not what holds it longest.
+            request.until = request.since + max_wait(&self.context);
+        }
         if self.tried.is_empty() {
             pool.fair_queue.shares.count_arrival(request.class.rank);
         }
@@ -110,12 +114,9 @@
 /// Returns the request as the queue sees it, if it begins to wait now.
 fn queued_request(context: &RequestContext) -> QueuedRequest {
     let now = context.shared.clock.now();
-    let warm = context.home_time_estimate().warm;
-    let objective_left = context.objective_left();
-    let max_wait = max_queue_wait(objective_left, context.remaining(), warm);
     QueuedRequest {
         class: RequestClass {
-            is_late: objective_left < warm,
+            is_late: context.objective_left() < context.home_time_estimate().warm,
             rank: context.priority,
         },
         account: context
@@ -127,12 +128,18 @@
         until: wait_until(
             context.arrived,
             context.route_plan().objective,
-            max_wait,
+            max_wait(context),
             now,
         ),
     }
 }
 
+/// Returns how long a request may wait for its answer to be of use.
+fn max_wait(context: &RequestContext) -> Duration {
+    let warm = context.home_time_estimate().warm;
+    max_queue_wait(context.objective_left(), context.remaining(), warm)
+}
+
 /// Returns the rate that is agreed with the account; the mean of all accounts where none is agreed.
 fn account_weight(context: &RequestContext) -> f64 {
     let plan = &context.snapshot.plan;
@@ -191,7 +198,9 @@
     let pool = &context.listed_pool().state;
     let turn_time = pool_turn_time(context, now);
     let waiting = u32::try_from(pool.fair_queue.len()).unwrap_or(u32::MAX);
-    let queue_wait = turn_time.saturating_mul(waiting);
+    // Within the time of a run, each slot that suits the request becomes free once.
+    let slot_time = pool.slot_time.get().unwrap_or_default();
+    let queue_wait = turn_time.saturating_mul(waiting) + slot_time;
     pool.returns
         .delay(queue_wait, turn_time, context.caller_time_left(), now)
 }
--- a/crates/steering/src/queue/expected_room.rs
+++ b/crates/steering/src/queue/expected_room.rs
@@ -13,8 +13,9 @@
 /// Age of the oldest waiting request from which the measured rate of completions is the rate at which slots become free.
 /// Before that, slots may have been idle.
 const STANDING_WAIT: Duration = Duration::from_millis(200);
-/// Fraction of the objective after which a request that has no slot is refused.
-const HELD_FRACTION: f64 = 0.5;
+/// Fraction of the objective after which a request that has no slot is refused. The rest of its half covers the way
+/// between caller and instance.
+const HELD_FRACTION: f64 = 0.45;
 /// Fraction of the remaining time up to which callers follow a delay.
 const FOLLOWED_FRACTION: f64 = 1.0 / 3.0;
 /// Shortest delay, which separates callers that return from those that repeat at once.
@@ -51,7 +52,7 @@
 }
 
 /// Returns until when a request may wait that arrived at `arrived`: as long as `max_wait` from `now` on, but no longer than
-/// half of its objective in all, so that a caller that cannot be served learns it in time.
+/// half of its objective in all, less the way to the caller, so that a caller that cannot be served learns it in time.
 #[must_use]
 pub fn wait_until(
     arrived: MonotonicTime,
--- a/crates/steering/src/queue/fair_queue.rs
+++ b/crates/steering/src/queue/fair_queue.rs
@@ -201,10 +201,13 @@
     pub fn remove_hopeless(&self, turn_time: Duration, now: MonotonicTime) -> Vec<W> {
         let mut state = self.lock();
         let mut removed = Vec::new();
-        // The requests behind a removed one move up, so they are judged anew one by one.
-        while let Some((request, turn)) = state.first_hopeless(turn_time, now, &self.shares) {
-            let requests = &mut state.account(&request).requests;
-            removed.extend(requests.remove(&turn).map(|waiting| waiting.waker));
+        // From the last one on, because the others move up when it is removed.
+        for (request, turn) in state.from_last() {
+            let ahead = state.count_ahead(&request, turn, &self.shares);
+            if turn_time.mul_f64(ahead) > request.until.since(now) {
+                let requests = &mut state.account(&request).requests;
+                removed.extend(requests.remove(&turn).map(|waiting| waiting.waker));
+            }
         }
         removed
     }
@@ -347,22 +350,18 @@
         as_f64(urgent) + as_f64(own_ahead) + others.sum::<f64>()
     }
 
-    fn first_hopeless(
-        &self,
-        turn_time: Duration,
-        now: MonotonicTime,
-        shares: &RankShares,
-    ) -> Option<(QueuedRequest, Turn)> {
+    /// Returns the waiting requests from the last class and turn to the first.
+    fn from_last(&self) -> Vec<(QueuedRequest, Turn)> {
         let accounts = self
             .classes
             .values()
             .flat_map(|class| class.accounts.values());
         let waiting = accounts.flat_map(|account| account.requests.iter());
-        let mut waiting = waiting.map(|(turn, waiting)| (waiting.request, *turn));
-        waiting.find(|(request, turn)| {
-            let ahead = self.count_ahead(request, *turn, shares);
-            turn_time.mul_f64(ahead) > request.until.since(now)
-        })
+        let mut waiting: Vec<(QueuedRequest, Turn)> = waiting
+            .map(|(turn, waiting)| (waiting.request, *turn))
+            .collect();
+        waiting.sort_unstable_by_key(|(request, turn)| std::cmp::Reverse((request.class, *turn)));
+        waiting
     }
 }
 
