--- a/crates/steering/src/queue/fair_queue.rs
+++ b/crates/steering/src/queue/fair_queue.rs
@@ -202,7 +202,7 @@
         let mut state = self.lock();
         let mut removed = Vec::new();
         // From the last one on, because the others move up when it is removed.
-        for (request, turn) in state.from_last() {
+        for (request, turn) in state.last_to_first() {
             let ahead = state.count_ahead(&request, turn, &self.shares);
             if turn_time.mul_f64(ahead) > request.until.since(now) {
                 let requests = &mut state.account(&request).requests;
@@ -283,14 +283,13 @@
                     .frequency(a.rank)
                     .total_cmp(&shares.frequency(b.rank))
             });
-        let is_less = |owed: &RequestClass| {
-            let urgent = waiting().filter(|class| class.rank < owed.rank);
+        let is_served_least = |owed: &RequestClass| {
             let frequency = shares.frequency(owed.rank);
-            urgent
-                .into_iter()
+            waiting()
+                .filter(|class| class.rank < owed.rank)
                 .all(|class| shares.frequency(class.rank) >= frequency)
         };
-        Some(owed.filter(is_less).unwrap_or(first))
+        Some(owed.filter(is_served_least).unwrap_or(first))
     }
 
     /// Removes the next request. `given` holds the virtual time that accounts get by the requests popped at once.
@@ -351,7 +350,7 @@
     }
 
     /// Returns the waiting requests from the last class and turn to the first.
-    fn from_last(&self) -> Vec<(QueuedRequest, Turn)> {
+    fn last_to_first(&self) -> Vec<(QueuedRequest, Turn)> {
         let accounts = self
             .classes
             .values()
