entry: waits end early only where the room of the slots is too little

Cause: the control thread judged waiting requests by the measured completions alone. After a quiet time or a start there are none, so all requests that waited were refused at the next tick.

Change: the rate that the slots allow counts here too, as on arrival, and a request is given up when its turn is expected after twice the time that it may still wait, because runs that begin together end together.

--- a/crates/entry/src/fair_wait.rs
+++ b/crates/entry/src/fair_wait.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout_at;
 
 use crate::entry_metrics::CounterName;
-use crate::entry_snapshot::{PoolState, QueueSignal, SignalSender};
+use crate::entry_snapshot::{ListedUpstream, PoolState, QueueSignal, SignalSender};
 use crate::limit_delays::time_until_send;
 use crate::rejection::RejectKind;
 use crate::request_context::RequestContext;
@@ -171,11 +171,7 @@
         .filter(|listed| is_allowed(context, listed));
     let slot_time = pool.slot_time.get();
     let slot_time = slot_time.unwrap_or_else(|| context.home_time_estimate().cold);
-    let slots = allowed.map(|listed| {
-        let cost_factor = listed.state.load(now).cost_factor;
-        listed.state.effective_slots(slot_time, now) / cost_factor
-    });
-    let capacity_per_s = slots.sum::<f64>() / slot_time.as_secs_f64().max(0.001);
+    let capacity_per_s = capacity_per_s(allowed, slot_time, now);
     turn_time(
         own_demand(pool, now),
         *pool.others.load().as_ref(),
@@ -183,6 +179,21 @@
     )
 }
 
+/// Returns the requests per second that the slots of upstreams allow if each request occupies one for `slot_time`.
+pub(crate) fn capacity_per_s<'a>(
+    upstreams: impl Iterator<Item = &'a ListedUpstream>,
+    slot_time: Duration,
+    now: MonotonicTime,
+) -> f64 {
+    /// Shortest time of a run that is assumed, in seconds.
+    const MIN_SLOT_TIME_S: f64 = 0.001;
+    let slots = upstreams.map(|listed| {
+        let cost_factor = listed.state.load(now).cost_factor;
+        listed.state.effective_slots(slot_time, now) / cost_factor
+    });
+    slots.sum::<f64>() / slot_time.as_secs_f64().max(MIN_SLOT_TIME_S)
+}
+
 /// Returns what waits at this instance.
 pub(crate) fn own_demand(pool: &PoolState, now: MonotonicTime) -> PoolDemand {
     PoolDemand {
--- a/crates/entry/src/queue_exchange.rs
+++ b/crates/entry/src/queue_exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::control_loop::ControlLoop;
 use crate::entry_snapshot::{EntrySnapshot, ListedPool, QueueSignal};
-use crate::fair_wait::own_demand;
+use crate::fair_wait::{capacity_per_s, own_demand};
 
 /// The time between two halvings of the counts by rank.
 const SHARE_DECAY_PERIOD: Duration = Duration::from_secs(1);
@@ -48,7 +48,7 @@
             pool.state
                 .others
                 .store(Arc::new(demand.unwrap_or_default()));
-            give_up_hopeless(pool, now);
+            give_up_hopeless(&snapshot, pool, now);
         }
     }
 
@@ -110,14 +110,23 @@
 }
 
 /// Ends the wait of the requests whose turn is not expected before they stop to wait.
-fn give_up_hopeless(pool: &ListedPool, now: MonotonicTime) {
+fn give_up_hopeless(snapshot: &EntrySnapshot, pool: &ListedPool, now: MonotonicTime) {
     let queue = &pool.state.fair_queue;
+    let Some(slot_time) = pool.state.slot_time.get() else {
+        return;
+    };
     if queue.is_empty() {
         return;
     }
     let others = *pool.state.others.load().as_ref();
     let own = own_demand(&pool.state, now);
-    let turn_time = turn_time(own, others, own.completed_per_s + others.completed_per_s);
+    let usable = pool
+        .upstreams
+        .iter()
+        .map(|key| &snapshot.upstreams[*key])
+        .filter(|listed| listed.state.is_usable());
+    let capacity_per_s = capacity_per_s(usable, slot_time, now);
+    let turn_time = turn_time(own, others, capacity_per_s);
     for sender in queue.remove_hopeless(turn_time, now) {
         // Sending fails if the request has ended in the meantime and dropped the receiver.
         let _ = sender.send(QueueSignal::GiveUp);
--- a/crates/steering/src/queue/fair_queue.rs
+++ b/crates/steering/src/queue/fair_queue.rs
@@ -15,6 +15,10 @@
 
 use crate::queue::rank_shares::RankShares;
 
+/// Expected waits of waiting requests count as hopeless from this multiple of the time that they may still wait. Turns come
+/// in bunches, because runs that begin together end together.
+const HOPELESS_WAIT_FACTOR: u32 = 2;
+
 /// Requests that are served together: those in time before late ones, then by rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestClass {
@@ -196,15 +200,16 @@
         }
     }
 
-    /// Removes the requests that cannot have their turn before they stop to wait, if one turn comes in every
-    /// `turn_time`, and returns their wakers.
+    /// Removes the requests whose turn is expected long after they stop to wait, if one turn comes in every `turn_time`,
+    /// and returns their wakers.
     pub fn remove_hopeless(&self, turn_time: Duration, now: MonotonicTime) -> Vec<W> {
         let mut state = self.lock();
         let mut removed = Vec::new();
         // From the last one on, because the others move up when it is removed.
         for (request, turn) in state.last_to_first() {
             let ahead = state.count_ahead(&request, turn, &self.shares);
-            if turn_time.mul_f64(ahead) > request.until.since(now) {
+            let time_left = request.until.since(now);
+            if turn_time.mul_f64(ahead) > time_left * HOPELESS_WAIT_FACTOR {
                 let requests = &mut state.account(&request).requests;
                 removed.extend(requests.remove(&turn).map(|waiting| waiting.waker));
             }
