--- a/crates/steering/src/queue/fair_queue.rs
+++ b/crates/steering/src/queue/fair_queue.rs
@@ -15,6 +15,10 @@
 
 use crate::queue::rank_shares::RankShares;
 
+/// Expected waits of waiting requests count as hopeless from this multiple of the time that they may still wait. Turns come
+/// in bunches, because runs that begin together end together.
+const HOPELESS_WAIT_FACTOR: u32 = 2;
+
 /// Requests that are served together: those in time before late ones, then by rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestClass {
@@ -196,15 +200,19 @@
         }
     }
 
-    /// Removes the requests that cannot have their turn before they stop to wait, if one turn comes in every
-    /// `turn_time`, and returns their wakers.
+    /// Removes the requests whose turn is expected long after they stop to wait, if one turn comes in every `turn_time`,
+    /// and returns their wakers.
     pub fn remove_hopeless(&self, turn_time: Duration, now: MonotonicTime) -> Vec<W> {
         let mut state = self.lock();
         let mut removed = Vec::new();
-        // The requests behind a removed one move up, so they are judged anew one by one.
-        while let Some((request, turn)) = state.first_hopeless(turn_time, now, &self.shares) {
-            let requests = &mut state.account(&request).requests;
-            removed.extend(requests.remove(&turn).map(|waiting| waiting.waker));
+        // From the last one on, because the others move up when it is removed.
+        for (request, turn) in state.last_to_first() {
+            let ahead = state.count_ahead(&request, turn, &self.shares);
+            let time_left = request.until.since(now);
+            if turn_time.mul_f64(ahead) > time_left * HOPELESS_WAIT_FACTOR {
+                let requests = &mut state.account(&request).requests;
+                removed.extend(requests.remove(&turn).map(|waiting| waiting.waker));
+            }
         }
         removed
     }
@@ -280,14 +288,13 @@
                     .frequency(a.rank)
                     .total_cmp(&shares.frequency(b.rank))
             });
-        let is_less = |owed: &RequestClass| {
-            let urgent = waiting().filter(|class| class.rank < owed.rank);
+        let is_served_least = |owed: &RequestClass| {
             let frequency = shares.frequency(owed.rank);
-            urgent
-                .into_iter()
+            waiting()
+                .filter(|class| class.rank < owed.rank)
                 .all(|class| shares.frequency(class.rank) >= frequency)
         };
-        Some(owed.filter(is_less).unwrap_or(first))
+        Some(owed.filter(is_served_least).unwrap_or(first))
     }
 
     /// Removes the next request. `given` holds the virtual time that accounts get by the requests popped at once.
@@ -347,22 +354,18 @@
         as_f64(urgent) + as_f64(own_ahead) + others.sum::<f64>()
     }
 
-    fn first_hopeless(
-        &self,
-        turn_time: Duration,
-        now: MonotonicTime,
-        shares: &RankShares,
-    ) -> Option<(QueuedRequest, Turn)> {
+    /// Returns the waiting requests from the last class and turn to the first.
+    fn last_to_first(&self) -> Vec<(QueuedRequest, Turn)> {
         let accounts = self
             .classes
             .values()
             .flat_map(|class| class.accounts.values());
         let waiting = accounts.flat_map(|account| account.requests.iter());
-        let mut waiting = waiting.map(|(turn, waiting)| (waiting.request, *turn));
-        waiting.find(|(request, turn)| {
-            let ahead = self.count_ahead(request, *turn, shares);
-            turn_time.mul_f64(ahead) > request.until.since(now)
-        })
+        let mut waiting: Vec<(QueuedRequest, Turn)> = waiting
+            .map(|(turn, waiting)| (waiting.request, *turn))
+            .collect();
+        waiting.sort_unstable_by_key(|(request, turn)| std::cmp::Reverse((request.class, *turn)));
+        waiting
     }
 }
 
