--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::process::ExitCode;
+use std::str::FromStr;
 use std::time::Duration;
 
 use coltsfootkeel_soak::{SoakPlan, SoakProfile, run_soak};
@@ -10,6 +11,23 @@
 /// Exit code for an invalid command line.
 const EXIT_USAGE: u8 = 2;
 
+/// Profile as named on the command line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ProfileName(SoakProfile);
+
+impl FromStr for ProfileName {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, Self::Err> {
+        match name {
+            "faults" => Ok(Self(SoakProfile::AllFaults)),
+            "returns" => Ok(Self(SoakProfile::StoreReturns)),
+            "planned" => Ok(Self(SoakProfile::PlannedWork)),
+            _ => Err(format!("{name:?} is not faults, returns or planned")),
+        }
+    }
+}
+
 /// Runs the soak test for a range of seeds and prints the violated guarantees.
 #[derive(Debug, Options)]
 struct SoakOptions {
@@ -41,12 +59,14 @@
         default = "1"
     )]
     at_once: u64,
-    /// Whether there is only planned work, and no fault.
-    #[options(no_short, help = "only planned work, no faults")]
-    planned: bool,
-    /// Whether the store also returns from older copies.
-    #[options(no_short, help = "also returns of the store from older copies")]
-    returns: bool,
+    /// What happens to the fleets.
+    #[options(
+        no_short,
+        help = "faults; returns: also returns of the store from older copies; planned: only planned work",
+        meta = "NAME",
+        default = "faults"
+    )]
+    profile: ProfileName,
     /// Whether to print the faults of each run.
     #[options(no_short, help = "print the faults of each run")]
     faults: bool,
@@ -88,13 +108,7 @@
                 break;
             };
             let plan = SoakPlan {
-                profile: if options.planned {
-                    SoakProfile::PlannedWork
-                } else if options.returns {
-                    SoakProfile::StoreReturns
-                } else {
-                    SoakProfile::AllFaults
-                },
+                profile: options.profile.0,
                 seed,
                 duration: Duration::from_secs(options.seconds),
                 instances: options.instances,
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -113,43 +113,7 @@
             ))
         }));
     }
-    let mut rng = Rng::with_seed(plan.seed);
-    let mut faults = Vec::new();
-    // A sequence of its own keeps the other faults of each seed as they are.
-    let mut silence_rng = Rng::with_seed(!plan.seed);
-    let mut return_draw = ReturnDraw::new(plan.seed);
-    if plan.profile == SoakProfile::StoreReturns {
-        fleet.store.state_eras();
-    }
-    let started = Instant::now();
-    while started.elapsed() < plan.duration {
-        let (descriptions, pause) = match plan.profile {
-            SoakProfile::AllFaults | SoakProfile::StoreReturns => {
-                let mut descriptions = vec![inject_fault(&mut fleet, &mut rng).await?];
-                descriptions.extend(silence_connections(&fleet, &mut silence_rng));
-                if plan.profile == SoakProfile::StoreReturns {
-                    descriptions.extend(return_draw.step(&mut fleet).await?);
-                }
-                (descriptions, draw_fault_pause(&mut rng))
-            }
-            SoakProfile::PlannedWork => {
-                let description = take_planned_step(&mut fleet, &mut rng).await?;
-                (vec![description], draw_step_pause(&mut rng))
-            }
-        };
-        let elapsed = started.elapsed().as_millis();
-        faults.extend(
-            descriptions
-                .iter()
-                .map(|fault| format!("{elapsed} ms: {fault}")),
-        );
-        let pause_end = Instant::now() + pause;
-        while Instant::now() < pause_end {
-            tokio::time::sleep(RETURN_POLL_INTERVAL.min(pause)).await;
-            return_draw.perform_due(&fleet);
-        }
-    }
-    return_draw.finish(&fleet);
+    let faults = inject_faults(&mut fleet, plan).await?;
     fleet.write_config(true);
     fleet.clear_faults().await?;
     let faults_cleared_at = Instant::now();
@@ -199,3 +163,45 @@
         violations,
     })
 }
+
+/// Injects faults, or takes planned steps, for the duration of the plan. Returns their descriptions for the report.
+async fn inject_faults(fleet: &mut SoakFleet, plan: SoakPlan) -> Result<Vec<String>, SoakError> {
+    let mut rng = Rng::with_seed(plan.seed);
+    let mut faults = Vec::new();
+    // A sequence of its own keeps the other faults of each seed as they are.
+    let mut silence_rng = Rng::with_seed(!plan.seed);
+    let mut return_draw = ReturnDraw::new(plan.seed);
+    if plan.profile == SoakProfile::StoreReturns {
+        fleet.store.state_eras();
+    }
+    let started = Instant::now();
+    while started.elapsed() < plan.duration {
+        let (descriptions, pause) = match plan.profile {
+            SoakProfile::AllFaults | SoakProfile::StoreReturns => {
+                let mut descriptions = vec![inject_fault(fleet, &mut rng).await?];
+                descriptions.extend(silence_connections(fleet, &mut silence_rng));
+                if plan.profile == SoakProfile::StoreReturns {
+                    descriptions.extend(return_draw.step(fleet).await?);
+                }
+                (descriptions, draw_fault_pause(&mut rng))
+            }
+            SoakProfile::PlannedWork => {
+                let description = take_planned_step(fleet, &mut rng).await?;
+                (vec![description], draw_step_pause(&mut rng))
+            }
+        };
+        let elapsed = started.elapsed().as_millis();
+        faults.extend(
+            descriptions
+                .iter()
+                .map(|fault| format!("{elapsed} ms: {fault}")),
+        );
+        let pause_end = Instant::now() + pause;
+        while Instant::now() < pause_end {
+            tokio::time::sleep(RETURN_POLL_INTERVAL.min(pause)).await;
+            return_draw.perform_due(fleet);
+        }
+    }
+    return_draw.finish(fleet);
+    Ok(faults)
+}
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -74,6 +74,13 @@
             seconds: 20,
             instances: 3,
         },
+        SoakCase {
+            name: "returns of the store from older copies",
+            profile: SoakProfile::StoreReturns,
+            seed: 20_007,
+            seconds: 12,
+            instances: 3,
+        },
         SoakCase {
             name: "stops, reloads and departures without a fault",
             profile: SoakProfile::PlannedWork,
