--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, EvacuationList, InstanceView, LimitTable, OutageEvidence, QuotaExcess,
-    SteeringPlan, is_store_reader, pacing_instances,
+    CostExposure, CrashTable, DemandTable, EvacuationList, InstanceView, LimitTable,
+    OutageEvidence, QuotaExcess, SteeringPlan, is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -23,6 +23,7 @@
 use crate::member_list::{MemberList, register, unregister};
 use crate::peer_table::PeerTable;
 use crate::plan_lag::PlanLag;
+use crate::queue_exchange::QueueUpdates;
 use crate::reader_role::ListPositions;
 use crate::shared_state::{FleetView, SharedState};
 use crate::snapshot_builder::SnapshotBuilder;
@@ -83,6 +84,10 @@
     pub(crate) plan_lag: PlanLag,
     pub(crate) limit_table: LimitTable,
     pub(crate) limit_log: LimitLog,
+    /// How long raised costs of work last, by the name of the pool.
+    pub(crate) cost_exposures: HashMap<String, CostExposure>,
+    pub(crate) queue_updates: QueueUpdates,
+    pub(crate) demand_table: DemandTable,
     pub(crate) is_registering: bool,
 }
 
@@ -97,7 +102,14 @@
             slack: bounds.quota_slack,
         };
         let home = shared.home;
-        let snapshot_builder = SnapshotBuilder::new(home.region, &shared.topology.regions);
+        let retries_full_from = if shared.settings.is_first_start {
+            MonotonicTime::default()
+        } else {
+            shared.clock.now() + bounds.retry_window
+        };
+        let snapshot_builder =
+            SnapshotBuilder::new(home.region, &shared.topology.regions, retries_full_from);
+        let demand_table = DemandTable::new(shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
@@ -129,6 +141,9 @@
             plan_lag: PlanLag::default(),
             limit_table: LimitTable::default(),
             limit_log: LimitLog::default(),
+            cost_exposures: HashMap::new(),
+            queue_updates: QueueUpdates::default(),
+            demand_table,
             is_registering: false,
         }
     }
@@ -263,12 +278,13 @@
         self.publish_if(is_expired);
         self.registry.set_peer_loads(&self.peers.loads(now));
         self.divide_limits(now);
+        self.update_load_reports();
+        self.update_queues(now);
+        self.update_demands(now);
         self.update_spreads(now);
-        let members = &self.members;
-        let registered = members.iter().count();
-        self.quotas.tick(now, periods.far, registered, |hash| {
-            members.contains_hash(hash)
-        });
+        let registered: Vec<u64> = self.members.hashes().collect();
+        let sharers = sharing_instances(&self.live_hashes(now), &registered);
+        self.quotas.tick(now, periods.far, &sharers);
         self.shared.quota_refilled.notify_waiters();
         self.observe_store_outage();
         self.observe_plan_lag(now);
@@ -322,6 +338,12 @@
         }
     }
 
+    /// Returns the hashes of the names of the live instances, this one included.
+    fn live_hashes(&self, now: MonotonicTime) -> Vec<u64> {
+        let live = self.peers.live(now).map(|(hash, _)| hash);
+        live.chain([self.shared.own_hash]).collect()
+    }
+
     fn publish_fleet(&self, now: MonotonicTime) {
         let own_view = InstanceView {
             address: self.shared.settings.entry,
@@ -330,14 +352,13 @@
         };
         let mut instances = self.peers.views(now);
         instances.push(own_view);
-        let mut hashes: Vec<u64> = self.peers.live(now).map(|(hash, _)| hash).collect();
-        hashes.push(self.shared.own_hash);
+        let hashes = self.live_hashes(now);
         let registered: Vec<u64> = self.members.hashes().collect();
-        let pacing = pacing_instances(&hashes, &registered);
+        let sharing = sharing_instances(&hashes, &registered);
         self.shared.fleet.store(Arc::new(FleetView {
             instances,
             hashes,
-            pacing_instances: pacing,
+            sharing_instances: sharing,
         }));
     }
 
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -52,9 +52,23 @@
     StoreReturns,
     /// Health checks of upstreams that were started.
     HealthChecks,
+    /// Load reports of upstreams that were read.
+    LoadReportsRead,
+    /// Load reports of upstreams or peers that were malformed or impossible.
+    LoadReportsDropped,
+    /// Requests refused on arrival because their turn in the fair queue was not expected in time.
+    RefusedAtOnce,
+    /// Requests refused after a wait in the fair queue.
+    RefusedAfterWait,
+    /// Requests that were started before the previous one on their connection was answered.
+    EarlyStarts,
+    /// Answers that were ready before those before them on their connection.
+    EarlyAnswers,
+    /// Early requests that ended with their connection before their turn.
+    EarlyTakenBack,
 }
 
-const COUNTERS: [(CounterName, &str); 18] = [
+const COUNTERS: [(CounterName, &str); 25] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -76,6 +90,16 @@
     (CounterName::StoreFailures, "store_failures_total"),
     (CounterName::StoreReturns, "store_returns_total"),
     (CounterName::HealthChecks, "health_checks_total"),
+    (CounterName::LoadReportsRead, "load_reports_read_total"),
+    (
+        CounterName::LoadReportsDropped,
+        "load_reports_dropped_total",
+    ),
+    (CounterName::RefusedAtOnce, "refused_at_once_total"),
+    (CounterName::RefusedAfterWait, "refused_after_wait_total"),
+    (CounterName::EarlyStarts, "early_starts_total"),
+    (CounterName::EarlyAnswers, "early_answers_held_total"),
+    (CounterName::EarlyTakenBack, "early_taken_back_total"),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
@@ -168,7 +192,12 @@
 
     /// Increments a counter.
     pub fn count(&self, name: CounterName) {
-        self.counters[name as usize].fetch_add(1, Ordering::Relaxed);
+        self.count_many(name, 1);
+    }
+
+    /// Adds `count` to a counter.
+    pub fn count_many(&self, name: CounterName, count: u64) {
+        self.counters[name as usize].fetch_add(count, Ordering::Relaxed);
     }
 
     /// Returns whether any request has been received.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -18,13 +18,14 @@
 use crate::answer_delivery::{deliver_answer, deliver_failure};
 use crate::caller_body::CallerBody;
 use crate::entry_metrics::CounterName;
+use crate::fair_wait::return_delay;
 use crate::limit_delays::retry_delay;
 use crate::rejection::{RejectKind, Rejection};
 use crate::request_attempt::outcome_code;
-use crate::request_context::{RequestContext, body_length};
+use crate::request_context::{AccountCharge, RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
+use crate::upstream_choice::{SlotReservation, is_avoidance_suspended, states_cost};
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
@@ -89,6 +90,8 @@
     pub(crate) sent_attempts: u32,
     /// The slot for the next attempt, if it was reserved before the previous attempt ended.
     pub(crate) next_reservation: Option<SlotReservation>,
+    /// The charge to the client account.
+    pub(crate) charge: AccountCharge,
     failed_connects: u32,
     may_have_run: bool,
     /// An upstream's error response, which is delivered if no other attempt succeeds.
@@ -116,6 +119,7 @@
             sent_to: Vec::new(),
             sent_attempts: 0,
             next_reservation: None,
+            charge: AccountCharge::default(),
             failed_connects: 0,
             may_have_run: false,
             failure: None,
@@ -139,10 +143,12 @@
         {
             return Err(Rejection::not_run(RejectKind::Crashing, None));
         }
-        self.context.charge().await?;
+        self.charge = self.context.charge().await?;
+        self.context.count_offered();
         let retry_budget = &self.context.listed_pool().state.retry_budget;
         let limit = self.context.shared.retry_limit();
-        retry_budget.count_request(limit, self.context.shared.instance_count());
+        let sharers = self.context.shared.sharer_count();
+        retry_budget.count_request(limit, sharers, self.context.shared.clock.now());
         self.context
             .listed_pool()
             .state
@@ -192,6 +198,7 @@
             ExchangeOutcome::NotSent(unsent) => {
                 body.put_back(unsent);
                 self.sent_attempts -= 1;
+                self.charge.is_spent = self.sent_attempts > 0;
                 self.failed_connects += 1;
                 if self.failed_connects < MAX_FAILED_CONNECTS {
                     NextStep::Retry
@@ -285,13 +292,15 @@
             drop(in_flight_guard);
             return Ok(deliver_failure(*failure));
         }
-        if self.sent_attempts == 0 {
-            self.context.refund();
-        }
         let retry_after = if kind == RejectKind::Stopping {
             STOPPING_RETRY_AFTER
         } else {
-            self.context.retry_after().max(retry_delay(&self.context))
+            let after = if states_cost(&self.context) {
+                return_delay(&self.context)
+            } else {
+                self.context.retry_after()
+            };
+            after.max(retry_delay(&self.context))
         };
         Err(Rejection {
             kind,
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use coltsfootkeel_model::RouteKey;
-use coltsfootkeel_steering::RateLimit;
+use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{Arena, RegionKey, RouteKey};
+use coltsfootkeel_steering::{RateLimit, UpstreamState};
 use serde_json::{Value, json};
 
 use crate::entry_snapshot::{EntrySnapshot, ListedUpstream};
@@ -68,6 +69,8 @@
         "version": plan.version,
         "unreadable": findings,
         "pools_stating_cost": pools_stating_cost(snapshot),
+        "queues": dump_queues(shared, snapshot),
+        "divisions": dump_divisions(shared, snapshot),
         "routes": routes,
         "upstreams": upstreams,
     })
@@ -82,6 +85,47 @@
         .collect()
 }
 
+/// Returns what waits in the fair queue of each pool, here and at the other instances.
+fn dump_queues(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
+    let now = shared.clock.now();
+    let pools = snapshot.pools.iter().map(|(key, pool)| {
+        let summary = pool.state.fair_queue.summary(now);
+        let others = pool.state.others.load();
+        let queue = json!({
+            "waiting_by_rank": summary.waiting,
+            "oldest_wait_ms": summary.oldest_wait.as_millis(),
+            "completed_per_s": pool.state.completions.per_s(),
+            "waiting_elsewhere": others.waiting,
+            "completed_elsewhere_per_s": others.completed_per_s,
+        });
+        (snapshot.plan.pools[key].name.clone(), queue)
+    });
+    Value::Object(pools.collect())
+}
+
+/// Returns the demand and room in slots by region of the pools that are divided by demand.
+fn dump_divisions(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
+    let mut dump = serde_json::Map::new();
+    for (key, pool) in snapshot.pools.iter() {
+        let Some(latest) = pool.state.division.load_full() else {
+            continue;
+        };
+        let by_region = |values: &Arena<RegionKey, f64>| {
+            let regions = shared.topology.regions.iter();
+            let values = regions.map(|(region, name)| (name.clone(), json!(values[region])));
+            Value::Object(values.collect())
+        };
+        let division = json!({
+            "level": latest.division.level,
+            "target": by_region(&latest.division.shares),
+            "demand_slots": by_region(&latest.demands),
+            "room_slots": by_region(&latest.rooms),
+        });
+        dump.insert(snapshot.plan.pools[key].name.clone(), division);
+    }
+    Value::Object(dump)
+}
+
 /// Returns the shares of a route's requests by pool and region.
 fn dump_spreads(shared: &SharedState, snapshot: &EntrySnapshot, route: RouteKey) -> Value {
     let pool_spreads = snapshot.spreads[route].iter();
@@ -95,6 +139,23 @@
     Value::Object(pools.collect())
 }
 
+/// Returns the newest load report of an upstream, and what it counts for.
+fn dump_stated_load(state: &UpstreamState, now: MonotonicTime) -> Value {
+    let Some(timed) = state.reported_load.newest() else {
+        return Value::Null;
+    };
+    let stated = state.stated_load(now);
+    json!({
+        "running": timed.report.running,
+        "waiting": timed.report.waiting,
+        "cost_percent": timed.report.cost_percent,
+        "age_ms": now.since(timed.stated_at).as_millis(),
+        "distrusted": state.reported_load.is_distrusted(),
+        "in_flight": stated.map(|load| load.in_flight),
+        "cost_factor": stated.map(|load| load.cost_factor),
+    })
+}
+
 /// Returns the state of an upstream, which shows why it is used or avoided.
 fn dump_upstream(shared: &SharedState, listed: &ListedUpstream) -> Value {
     let now = shared.clock.now();
@@ -112,5 +173,6 @@
         "cold": state.is_in_cold_start(now),
         "limit_per_s": state.rate_limit.limit(now).map(RateLimit::per_second),
         "slowness": state.slowness(now),
+        "stated_load": dump_stated_load(state, now),
     })
 }
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -2,6 +2,10 @@
 
 use prost::Message;
 
+use crate::demand_messages::DemandReport;
+use crate::load_messages::StatedLoad;
+use crate::queue_messages::PoolQueue;
+
 /// The state of one entry instance on which decisions of the other instances depend.
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetHeartbeat {
@@ -85,6 +89,15 @@
     /// Changes of the lists in the store that the sender has watched, in the order in which it received them.
     #[prost(message, repeated, tag = "26")]
     pub changes: Vec<ListChanges>,
+    /// The load reports that the sender has received since its last heartbeat, the newest of each upstream.
+    #[prost(message, repeated, tag = "28")]
+    pub load_reports: Vec<StatedLoad>,
+    /// The queues of the sender for the pools whose upstreams state the cost of work; idle pools are left out.
+    #[prost(message, repeated, tag = "29")]
+    pub queues: Vec<PoolQueue>,
+    /// The demand of the sender's callers for pools that are divided by demand.
+    #[prost(message, repeated, tag = "30")]
+    pub demands: Vec<DemandReport>,
     /// The newest era of the store that the sender knows; zero if the store states none. The revisions of the lists are
     /// of this era.
     #[prost(uint64, tag = "32")]
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,17 +17,23 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
+mod demand_messages;
 mod fleet_heartbeat;
 mod frame_codec;
+mod load_messages;
 mod messages;
+mod queue_messages;
 
+pub use demand_messages::DemandReport;
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
     ListChanges, ListKind, ObjectPlacement, StatedLimit, UpstreamLoad,
 };
 pub use frame_codec::{FrameCodec, FrameError, MAX_FRAME_BYTES};
+pub use load_messages::StatedLoad;
 pub use messages::{
     AnswerHeader, ConfigPull, ConfigPush, CrashNumber, DrainNotice, HeartbeatMessage, HelloMessage,
     LimitKind, LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
     ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
 };
+pub use queue_messages::{PoolQueue, RankQueue};
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -32,6 +32,7 @@
 //!     in_flight: 9,
 //!     slots: 9,
 //!     slowness: 1.0,
+//!     cost_factor: 1.0,
 //! };
 //! let decision = request.choose([candidate("warm", true), candidate("other", false)].into_iter());
 //! assert_eq!(decision.map(|decision| decision.key), Some("warm"));
@@ -55,6 +56,7 @@
 pub use fleet::heartbeat_routes::{HeartbeatPeer, HeartbeatPeriods, select_relays};
 pub use fleet::peer_contacts::PeerContacts;
 pub use hashing::{combine_hashes, stable_hash};
+pub use limits::limit_sharers::sharing_instances;
 pub use limits::limit_table::{LimitReport, LimitTable, SendingInstance};
 pub use limits::quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
 pub use limits::rate_limit::{
@@ -62,9 +64,11 @@
 };
 pub use limits::rate_share::{InstanceDemand, limited_send_interval};
 pub use limits::retry_budget::{RetryBudget, RetryLimit};
-pub use load::cold_pacing::{cold_send_interval, pacing_instances};
+pub use load::cold_pacing::cold_send_interval;
+pub use load::load_report::{InvalidReport, LoadReport, RawLoadReport};
+pub use load::reported_load::{CostExposure, PredictedTimes, ReportedLoad, TimedReport};
 pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
-pub use load::upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
+pub use load::upstream_state::{AttemptOutcome, LoadView, UpstreamInfo, UpstreamState};
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances};
 pub use placement::affinity_table::{
     AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
@@ -76,6 +80,10 @@
 pub use plan::{
     AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
+pub use queue::early_start::{EarlyRequest, MAX_EARLY_BYTES, MAX_EARLY_REQUESTS};
+pub use queue::expected_room::{CompletionRate, QueueLoad, ReturnSchedule, turn_time, wait_until};
+pub use queue::fair_queue::{FairQueue, QueueSummary, QueueTicket, QueuedRequest, RequestClass};
+pub use queue::rank_shares::RankShares;
 pub use queue::request_queue::{
     QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after,
 };
@@ -93,6 +101,9 @@
 };
 pub use recovery::store_position::{PositionRange, StorePosition, replaces_list};
 pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
+pub use regions::demand_division::{DemandDivision, divide_demand};
+pub use regions::demand_table::{DemandTable, InstanceReport, PoolDemand, RegionRoom};
+pub use regions::offered_work::{OfferedTotal, OfferedWork};
 pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
--- a/crates/steering/tests/region_shares.rs
+++ b/crates/steering/tests/region_shares.rs
@@ -273,6 +273,7 @@
             objective: OBJECTIVE,
             loads: &Arena::from_iter(regions.map(load)),
             warm_times: &Arena::from_iter(regions.map(warm_time)),
+            division: None,
         };
         self.spread.update(&input, MonotonicTime::default() + now);
     }
@@ -308,6 +309,7 @@
             is_warm: recent.last_used_ms(upstream.hash).is_some(),
             is_cache_full: false,
             slowness: 1.0,
+            cost_factor: 1.0,
         });
         let decision = request.choose(candidates)?;
         if decision.changes_region {
