transport: a head that ends before the granted one starts nothing early

Cause, found by reading: bytes may be granted to the library as one head while it still reads the body before. If it then finds a request in a part of them, the kept bytes do not begin with the next request, and the heads parsed from them are at wrong places. The comparison of the heads kept their answers apart; now they are discarded and the library reads the connection itself.

--- a/crates/transport/src/read_ahead.rs
+++ b/crates/transport/src/read_ahead.rs
@@ -235,9 +235,11 @@
         is_plain: bool,
     ) -> Option<EarlyAnswer> {
         let granted = self.granted.take();
+        // A head that ends before the granted one is not the one that was parsed here.
+        let is_aligned = !matches!(self.phase, ReadPhase::HeadGranted(1..));
         // Without a body the library reads nothing until it has used all bytes that it got, so that what it reads while
         // it waits for the answer begins with the head of the next request.
-        if is_plain {
+        if is_plain && is_aligned {
             self.phase = ReadPhase::Answering;
         } else {
             self.read_directly();
