--- a/crates/steering/src/regions/demand_division.rs
+++ b/crates/steering/src/regions/demand_division.rs
@@ -54,15 +54,15 @@
     let level = fill_level(&split, rooms, free);
     split.free[local] = split.free[local].max(MIN_DEMAND);
     let kept = |region: RegionKey| split.free[region].min(open_room(&split, rooms, region, level));
-    let spare = |region: RegionKey| open_room(&split, rooms, region, level) - kept(region);
+    let unused = |region: RegionKey| open_room(&split, rooms, region, level) - kept(region);
     let local_share = kept(local) / split.free[local];
     let others = rooms.keys().filter(|region| *region != local);
-    let total_spare: f64 = others.map(spare).sum();
+    let total_unused: f64 = others.map(unused).sum();
     let share = |region: RegionKey| {
         if region == local {
             local_share
-        } else if total_spare > 0.0 {
-            (1.0 - local_share) * spare(region) / total_spare
+        } else if total_unused > 0.0 {
+            (1.0 - local_share) * unused(region) / total_unused
         } else {
             0.0
         }
