--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -97,7 +97,7 @@
         };
         let home = shared.home;
         let snapshot_builder = SnapshotBuilder::new(home.region, &shared.topology.regions);
-        let demand_table = DemandTable::new(shared.topology.regions.len());
+        let demand_table = DemandTable::new(home.region, shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(shared.settings.is_first_start, excess),
             shared,
--- a/crates/steering/tests/demand_division.rs
+++ b/crates/steering/tests/demand_division.rs
@@ -152,7 +152,7 @@
 /// Guards against demand of a region that is forgotten while it is cut off, and against lost slots that count on.
 #[test]
 fn a_silent_region_keeps_its_demand_and_lost_slots_count_at_once() {
-    let mut table = DemandTable::new(3);
+    let mut table = DemandTable::new(region(0), 3);
     let report = |index| InstanceReport {
         region: region(index),
         demands: vec![demand(RegionSet::ANY, 12.0)],
@@ -334,7 +334,7 @@
     fn new() -> Self {
         let hashes = || (0..3_u8).map(|index| stable_hash(&[index])).collect();
         Self {
-            tables: (0..3).map(|_| DemandTable::new(3)).collect(),
+            tables: (0..3).map(|own| DemandTable::new(region(own), 3)).collect(),
             spreads: (0..3).map(|_| RegionSpread::new(hashes())).collect(),
         }
     }
