steering, entry, platform: look-ups weigh what instances have and what is free there

Cause: a look-up named every accepting instance of the region, and callers pick evenly among the named. An instance with a tenth of a core and a link of 10 Mbit/s got as many callers as one with half a core and 200 Mbit/s.

Change: settings state processors and link (checked); heartbeats report capacity, requests in progress and used memory (tag 31). Where links or processors differ by more than a factor of two, an answer names instances with a probability in proportion to their scarcest resource and what is free, the caller's failure domain first while it has room, corrected by what the last answers named. The draw depends on the caller's address, so callers keep their connections. Fleets of equal instances are answered as before.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CrashTable, DemandTable, InstanceView, LimitTable, OutageEvidence, QuotaExcess, SteeringPlan,
-    is_store_reader, pacing_instances,
+    CrashTable, DemandTable, InstanceRoom, InstanceView, LimitTable, OutageEvidence, QuotaExcess,
+    SteeringPlan, is_store_reader, pacing_instances, weigh_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -319,8 +319,10 @@
     fn publish_fleet(&self, now: MonotonicTime) {
         let own_view = InstanceView {
             address: self.shared.settings.entry,
+            domain: self.shared.home.domain,
             region: self.shared.home.region,
             is_accepting: self.shared.is_accepting(),
+            room: self.shared.own_room(),
         };
         let mut instances = self.peers.views(now);
         instances.push(own_view);
@@ -328,8 +330,10 @@
         hashes.push(self.shared.own_hash);
         let registered: Vec<u64> = self.members.hashes().collect();
         let pacing = pacing_instances(&hashes, &registered);
+        let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
         self.shared.fleet.store(Arc::new(FleetView {
             instances,
+            weights: weigh_instances(&rooms),
             hashes,
             pacing_instances: pacing,
         }));
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -44,6 +44,8 @@
     ForeignAnswers,
     /// Look-ups of entry instances.
     LookUps,
+    /// Look-ups that weighed the instances.
+    WeightedLookUps,
     /// Calls to the store, failed ones included.
     StoreCalls,
     /// Calls to the store that failed.
@@ -52,7 +54,7 @@
     HealthChecks,
 }
 
-const COUNTERS: [(CounterName, &str); 17] = [
+const COUNTERS: [(CounterName, &str); 18] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -70,6 +72,7 @@
     (CounterName::ColdSends, "cold_sends_total"),
     (CounterName::ForeignAnswers, "foreign_answers_total"),
     (CounterName::LookUps, "look_ups_total"),
+    (CounterName::WeightedLookUps, "weighted_look_ups_total"),
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
     (CounterName::HealthChecks, "health_checks_total"),
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -12,6 +12,7 @@
 use coltsfootkeel_steering::{HeartbeatPeer, HeartbeatPeriods, select_relays, short_hash};
 
 use crate::account_quotas::{ReportScope, ReportTurn};
+use crate::capacity_reports::capacity_report;
 use crate::control_loop::ControlLoop;
 use crate::heartbeat_socket::send_heartbeat;
 
@@ -260,6 +261,7 @@
             loads: self.upstream_loads(),
             limits: self.stated_limits(now),
             demands: self.demand_reports(),
+            capacity: capacity_report(&shared.own_room()),
             accounts,
             ..fields
         }
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -1,14 +1,17 @@
 //! The HTTP services of the listeners: requests of callers, readiness and look-ups, and diagnostics.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use coltsfootkeel_adapter::{
     LocalCall, LookupCall, MAX_LOOKUP_ADDRESSES, encode_lookup_reply, parse_local_call,
 };
-use coltsfootkeel_steering::{LookupQuery, RegionSet, UpstreamState, select_instances};
+use coltsfootkeel_steering::{
+    HandedOut, LookupQuery, RegionSet, UpstreamState, select_instances, select_weighted,
+    stable_hash,
+};
 use coltsfootkeel_transport::HttpService;
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{HeaderValue, Method, StatusCode};
@@ -56,16 +59,41 @@
 #[derive(Debug)]
 pub struct LookupService {
     shared: Arc<SharedState>,
+    handed_out: Mutex<HandedOut>,
 }
 
 impl LookupService {
     /// Creates the service.
     #[must_use]
     pub fn new(shared: Arc<SharedState>) -> Self {
-        Self { shared }
+        Self {
+            shared,
+            handed_out: Mutex::default(),
+        }
     }
 
-    fn look_up(&self, call: &LookupCall) -> Response {
+    fn select_addresses(&self, query: LookupQuery) -> Vec<SocketAddr> {
+        let fleet = self.shared.fleet.load();
+        let Some(weights) = &fleet.weights else {
+            return select_instances(query, &fleet.instances, MAX_LOOKUP_ADDRESSES);
+        };
+        self.shared.metrics.count(CounterName::WeightedLookUps);
+        // A panic elsewhere leaves counts that are at most off by one answer.
+        let mut handed_out = self
+            .handed_out
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        select_weighted(
+            query,
+            &fleet.instances,
+            weights,
+            &mut handed_out,
+            MAX_LOOKUP_ADDRESSES,
+            self.shared.clock.now(),
+        )
+    }
+
+    fn look_up(&self, call: &LookupCall, caller: IpAddr) -> Response {
         self.shared.metrics.count(CounterName::LookUps);
         let snapshot = self.shared.snapshot.load();
         let allowed_regions = snapshot.as_ref().map_or(RegionSet::ANY, |snapshot| {
@@ -73,10 +101,11 @@
         });
         let query = LookupQuery {
             region: self.shared.topology.region(&call.region),
+            domain: self.shared.topology.domain(&call.domain),
             allowed_regions,
+            caller: stable_hash(caller.to_string().as_bytes()),
         };
-        let fleet = self.shared.fleet.load();
-        let addresses = select_instances(query, &fleet.instances, MAX_LOOKUP_ADDRESSES);
+        let addresses = self.select_addresses(query);
         if addresses.is_empty() {
             return status_response(StatusCode::SERVICE_UNAVAILABLE);
         }
@@ -92,14 +121,14 @@
 }
 
 impl HttpService for LookupService {
-    async fn call(&self, _peer: SocketAddr, request: Request) -> Response {
+    async fn call(&self, peer: SocketAddr, request: Request) -> Response {
         if request.method() != Method::GET {
             return status_response(StatusCode::METHOD_NOT_ALLOWED);
         }
         match parse_local_call(request.uri()) {
             Some(LocalCall::Ready) if self.shared.is_accepting() => status_response(StatusCode::OK),
             Some(LocalCall::Ready) => status_response(StatusCode::SERVICE_UNAVAILABLE),
-            Some(LocalCall::LookUp(call)) => self.look_up(&call),
+            Some(LocalCall::LookUp(call)) => self.look_up(&call, peer.ip()),
             None => status_response(StatusCode::NOT_FOUND),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer_delivery;
 mod answer_stream;
 mod caller_body;
+mod capacity_reports;
 mod control_event;
 mod control_heartbeats;
 mod control_loop;
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -11,6 +11,8 @@
     FleetTopology, HeartbeatPeriods, InstanceView, ReaderCandidate, stable_hash,
 };
 
+use crate::capacity_reports::reported_room;
+
 /// An instance without a heartbeat for this long is removed from the table unless it is still registered in the store.
 const EXPIRY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -128,7 +130,9 @@
         self.live(now)
             .map(|(_, peer)| InstanceView {
                 address: peer.entry,
+                domain: peer.domain,
                 region: peer.region,
+                room: reported_room(&peer.heartbeat),
                 is_accepting: peer.heartbeat.is_open && !peer.heartbeat.is_leaving,
             })
             .collect()
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -9,8 +9,8 @@
 use coltsfootkeel_counters::{ByteBudget, MonotonicTime};
 use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
-    AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceView, PlanFreshness,
-    RetryLimit, stable_hash,
+    AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceRoom, InstanceUsage,
+    InstanceView, InstanceWeight, PlanFreshness, RetryLimit, stable_hash,
 };
 use coltsfootkeel_transport::ProcessClock;
 use crossbeam_queue::ArrayQueue;
@@ -64,6 +64,8 @@
 pub struct FleetView {
     /// The candidates for look-ups, this instance included.
     pub instances: Vec<InstanceView>,
+    /// The weights of `instances` in look-ups; `None` if they are about equal.
+    pub weights: Option<Vec<InstanceWeight>>,
     /// The hashes of their names, this instance's included.
     pub hashes: Vec<u64>,
     /// The hashes of the instances that share the request rate of cold upstreams; empty until the registered instances
@@ -245,6 +247,22 @@
         has_upstreams && !self.is_stopping() && is_best_plan
     }
 
+    /// Returns what this instance has and uses.
+    #[must_use]
+    pub fn own_room(&self) -> InstanceRoom {
+        let in_flight = self.in_flight.load(Ordering::Acquire);
+        #[expect(clippy::cast_precision_loss)]
+        let used_part = self.kept_bytes.taken() as f64
+            / (self.settings.memory_bytes / KEPT_MEMORY_DIVISOR).max(1) as f64;
+        InstanceRoom {
+            capacity: self.settings.capacity,
+            usage: InstanceUsage {
+                in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
+                used_part,
+            },
+        }
+    }
+
     /// Returns the retry limit of all instances together.
     #[must_use]
     pub fn retry_limit(&self) -> RetryLimit {
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -19,7 +19,17 @@
     let instances: Vec<Value> = fleet
         .instances
         .iter()
-        .map(|instance| json!({"address": instance.address, "open": instance.is_accepting}))
+        .enumerate()
+        .map(|(index, instance)| {
+            let weights = fleet.weights.as_ref();
+            json!({
+                "address": instance.address,
+                "open": instance.is_accepting,
+                "in_flight": instance.room.usage.in_flight,
+                "size": weights.map(|weights| weights[index].size),
+                "weight": weights.map(|weights| weights[index].weight),
+            })
+        })
         .collect();
     json!({
         "instance": shared.settings.instance,
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use crate::capacity_messages::CapacityReport;
 use crate::demand_messages::DemandReport;
 
 /// The state of one entry instance on which decisions of the other instances depend.
@@ -90,6 +91,9 @@
     /// The demand of the sender's callers for pools that are divided by demand.
     #[prost(message, repeated, tag = "30")]
     pub demands: Vec<DemandReport>,
+    /// What the sender has and uses; `None` if its settings do not state it.
+    #[prost(message, optional, tag = "31")]
+    pub capacity: Option<CapacityReport>,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,11 +17,13 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
+mod capacity_messages;
 mod demand_messages;
 mod fleet_heartbeat;
 mod frame_codec;
 mod messages;
 
+pub use capacity_messages::CapacityReport;
 pub use demand_messages::DemandReport;
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -65,7 +65,11 @@
 pub use load::cold_pacing::{cold_send_interval, pacing_instances};
 pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
 pub use load::upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
-pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances};
+pub use lookup::handed_out::HandedOut;
+pub use lookup::instance_capacity::{
+    InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
+};
+pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances, select_weighted};
 pub use placement::affinity_table::{
     AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
 };
--- a/crates/steering/src/lookup/mod.rs
+++ b/crates/steering/src/lookup/mod.rs
@@ -1,3 +1,5 @@
 //! Which entry instances a look-up names.
 
+pub(crate) mod handed_out;
+pub(crate) mod instance_capacity;
 pub(crate) mod lookup_selection;
--- a/crates/steering/tests/instance_state.rs
+++ b/crates/steering/tests/instance_state.rs
@@ -6,9 +6,9 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{ArenaKey, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
-    AffinityTable, AttemptOutcome, CrashTable, InstanceView, LookupQuery, PlanFreshness, RegionSet,
-    RequestQueue, ServiceTimes, UpstreamInfo, UpstreamState, max_queue_wait, queue_priority,
-    retry_after, select_instances, short_hash,
+    AffinityTable, AttemptOutcome, CrashTable, InstanceRoom, InstanceView, LookupQuery,
+    PlanFreshness, RegionSet, RequestQueue, ServiceTimes, UpstreamInfo, UpstreamState,
+    max_queue_wait, queue_priority, retry_after, select_instances, short_hash,
 };
 
 const MS: Duration = Duration::from_millis(1);
@@ -188,13 +188,17 @@
             .zip(case.instances)
             .map(|(port, (index, is_accepting))| InstanceView {
                 address: SocketAddr::from(([127, 0, 0, 1], port)),
+                domain: DomainKey::from_index(*index),
                 region: region(*index),
                 is_accepting: *is_accepting,
+                room: InstanceRoom::default(),
             })
             .collect();
         let query = LookupQuery {
             region: case.region.map(region),
+            domain: None,
             allowed_regions: case.allowed_regions,
+            caller: 1,
         };
         let ports: Vec<u16> = select_instances(query, &views, 64)
             .iter()
