--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,9 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CostExposure, CrashTable, DemandTable, EvacuationList, InstanceView, LimitTable,
+    CostExposure, CrashTable, DemandTable, EvacuationList, InstanceRoom, InstanceView, LimitTable,
     OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
+    weigh_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -116,7 +117,7 @@
             retries_full_from,
             shared.settings.is_contended,
         );
-        let demand_table = DemandTable::new(shared.topology.regions.len());
+        let demand_table = DemandTable::new(home.region, shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(is_first_start, excess),
             shared,
@@ -356,16 +357,20 @@
     fn publish_fleet(&self, now: MonotonicTime) {
         let own_view = InstanceView {
             address: self.shared.settings.entry,
+            domain: self.shared.home.domain,
             region: self.shared.home.region,
             is_accepting: self.shared.is_accepting(),
+            room: self.shared.own_room(),
         };
         let mut instances = self.peers.views(now);
         instances.push(own_view);
         let hashes = self.live_hashes(now);
         let registered: Vec<u64> = self.members.hashes().collect();
         let sharing = sharing_instances(&hashes, &registered);
+        let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
         self.shared.fleet.store(Arc::new(FleetView {
             instances,
+            weights: weigh_instances(&rooms),
             hashes,
             sharing_instances: sharing,
         }));
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -13,6 +13,7 @@
 use coltsfootkeel_steering::{HeartbeatPeer, HeartbeatPeriods, select_relays, short_hash};
 
 use crate::account_quotas::{ReportScope, ReportTurn};
+use crate::capacity_reports::capacity_report;
 use crate::control_loop::ControlLoop;
 use crate::heartbeat_socket::send_heartbeat;
 use crate::load_exchange::PendingLoads;
@@ -287,6 +288,7 @@
             limits: self.stated_limits(now),
             queues: self.pool_queues(now),
             demands: self.demand_reports(),
+            capacity: capacity_report(&shared.own_room()),
             accounts,
             ..fields
         }
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use crate::capacity_messages::CapacityReport;
 use crate::demand_messages::DemandReport;
 use crate::load_messages::StatedLoad;
 use crate::queue_messages::PoolQueue;
@@ -112,6 +113,9 @@
     /// Whether the sender asks for these requests or answers such a question.
     #[prost(enumeration = "SuspectStep", tag = "33")]
     pub suspect_step: i32,
+    /// What the sender has and uses; `None` if its settings do not state it.
+    #[prost(message, optional, tag = "31")]
+    pub capacity: Option<CapacityReport>,
 }
 
 /// The changes of one list in the store between two of its revisions.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
 //! ```
 
+mod capacity_messages;
 mod demand_messages;
 mod fleet_heartbeat;
 mod frame_codec;
@@ -25,6 +26,7 @@
 mod queue_messages;
 mod spent_messages;
 
+pub use capacity_messages::CapacityReport;
 pub use demand_messages::DemandReport;
 pub use fleet_heartbeat::{
     AccountUsage, ChangedObject, CrashSuspect, DomainOutage, FleetHeartbeat, HeartbeatStep,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -69,7 +69,11 @@
 pub use load::reported_load::{CostExposure, PredictedTimes, ReportedLoad, TimedReport};
 pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
 pub use load::upstream_state::{AttemptOutcome, LoadView, UpstreamInfo, UpstreamState};
-pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances};
+pub use lookup::handed_out::HandedOut;
+pub use lookup::instance_capacity::{
+    InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
+};
+pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances, select_weighted};
 pub use placement::affinity_table::{
     AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
 };
