entry, platform: the division by demand only where the settings ask for it; load reports count in its room

Its room counts load reports, and requests of a connection start early by the length of the fair queue where that is in use.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -17,7 +17,7 @@
 
 use crate::account_quotas::AccountQuotas;
 use crate::control_event::ControlEvent;
-use crate::entry_snapshot::ListedUpstream;
+use crate::entry_snapshot::{ListedUpstream, PoolSwitches};
 use crate::health_check::check_upstream;
 use crate::heartbeat_sending::{PendingReports, SentHeartbeat};
 use crate::limit_log::LimitLog;
@@ -115,7 +115,10 @@
             home.region,
             &shared.topology.regions,
             retries_full_from,
-            shared.settings.is_contended,
+            PoolSwitches {
+                is_contended: shared.settings.is_contended,
+                is_divided: shared.settings.is_divided_by_demand,
+            },
         );
         let demand_table = DemandTable::new(home.region, shared.topology.regions.len());
         Self {
--- a/crates/entry/src/demand_updates.rs
+++ b/crates/entry/src/demand_updates.rs
@@ -40,7 +40,7 @@
         });
         self.demand_table.sum(&reports, now);
         for (key, pool) in snapshot.pools.iter() {
-            let is_divided = pool.state.is_contended() && self.demand_table.is_settled(now);
+            let is_divided = pool.state.is_divided() && self.demand_table.is_settled(now);
             let division = is_divided.then(|| self.divide_pool(&snapshot, key, now));
             pool.state.division.store(division.flatten().map(Arc::new));
         }
@@ -123,7 +123,8 @@
         Some(slot_time) => state.effective_slots(slot_time, now),
         None => f64::from(state.info.slots),
     };
-    slots / state.slowness(now)
+    let load = state.load(now);
+    slots / (load.slowness * load.cost_factor)
 }
 
 /// Returns the slots of a cold upstream that its start rate keeps busy.
--- a/crates/entry/src/early_requests.rs
+++ b/crates/entry/src/early_requests.rs
@@ -39,10 +39,15 @@
 
 /// Returns the length of the longest queue among the pools of a route.
 fn queued_requests(snapshot: &EntrySnapshot, route_plan: &RoutePlan) -> usize {
-    let queues = route_plan
-        .usable_pools()
-        .map(|pool| &snapshot.pools[pool].state.request_queue);
-    let lengths = queues.map(|queue| queue.count_ahead(u32::MAX));
+    let pools = route_plan.usable_pools();
+    let lengths = pools.map(|pool| {
+        let state = &snapshot.pools[pool].state;
+        if state.is_contended() {
+            state.fair_queue.len()
+        } else {
+            state.request_queue.count_ahead(u32::MAX)
+        }
+    });
     lengths.max().unwrap_or_default()
 }
 
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -40,6 +40,15 @@
     pub address: SocketAddr,
 }
 
+/// What the settings of the instance ask for in all pools.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PoolSwitches {
+    /// Callers compete for the room of the upstreams.
+    pub is_contended: bool,
+    /// The work of contended pools is divided over the regions by demand.
+    pub is_divided: bool,
+}
+
 /// The state of a pool that is kept across plans.
 #[derive(Debug, Clone, Default)]
 pub struct PoolState {
@@ -56,8 +65,8 @@
     /// Whether an upstream of the pool has stated the present cost of work on its machine, so that the room of the pool
     /// changes many times a second.
     pub states_cost: Arc<AtomicBool>,
-    /// Whether the settings state that callers compete for the room of the upstreams.
-    pub is_contended_by_settings: bool,
+    /// What the settings ask for.
+    pub switches: PoolSwitches,
     /// The requests that wait for a free slot while the upstreams state the cost of work.
     pub fair_queue: Arc<FairQueue<SignalSender>>,
     /// The rate at which this instance completes requests.
@@ -73,11 +82,16 @@
 }
 
 impl PoolState {
-    /// Returns whether callers compete for the room of the pool, so that its requests wait in the fair queue and are divided
-    /// over the regions by demand.
+    /// Returns whether the requests of the pool are divided over the regions by demand.
+    #[must_use]
+    pub fn is_divided(&self) -> bool {
+        self.switches.is_divided && self.is_contended()
+    }
+
+    /// Returns whether callers compete for the room of the pool, so that its requests wait in the fair queue.
     #[must_use]
     pub fn is_contended(&self) -> bool {
-        self.is_contended_by_settings || self.states_cost.load(Ordering::Relaxed)
+        self.switches.is_contended || self.states_cost.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/entry/src/request_context.rs
+++ b/crates/entry/src/request_context.rs
@@ -191,7 +191,7 @@
     /// Counts the work that the request offers to its pool, whether it will be served or not.
     pub fn count_offered(&self) {
         let state = &self.listed_pool().state;
-        if state.is_contended() {
+        if state.is_divided() {
             let slot_time = state.slot_time.get();
             let slot_time = slot_time.unwrap_or(self.route_plan().objective);
             state.offered_work.count(self.regions, slot_time);
--- a/crates/entry/src/snapshot_builder.rs
+++ b/crates/entry/src/snapshot_builder.rs
@@ -8,15 +8,14 @@
 use coltsfootkeel_steering::{RegionSpread, RetryBudget, ServiceTimes, SteeringPlan, stable_hash};
 
 use crate::account_quotas::AccountQuotas;
-use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolSpread, PoolState};
+use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolSpread, PoolState, PoolSwitches};
 use crate::upstream_registry::UpstreamRegistry;
 
 /// The state of pools and routes that is kept from one snapshot to the next.
 #[derive(Debug)]
 pub struct SnapshotBuilder {
     home_region: RegionKey,
-    /// Whether the settings state that callers compete for the room of the upstreams.
-    is_contended: bool,
+    switches: PoolSwitches,
     /// When the retry budgets of this process receive their shares of the slack.
     retries_full_from: MonotonicTime,
     /// Hashes of the names of the regions, the same at all instances.
@@ -30,18 +29,18 @@
 
 impl SnapshotBuilder {
     /// Creates a builder without state for an instance in the region `home_region`; `region_names` holds the names of all
-    /// regions. Retry budgets receive their shares of the slack at `retries_full_from`, and `is_contended` states
-    /// whether callers compete for the room of the upstreams.
+    /// regions. Retry budgets receive their shares of the slack at `retries_full_from`, and `switches` are what
+    /// the settings ask for in all pools.
     #[must_use]
     pub fn new(
         home_region: RegionKey,
         region_names: &Arena<RegionKey, String>,
         retries_full_from: MonotonicTime,
-        is_contended: bool,
+        switches: PoolSwitches,
     ) -> Self {
         Self {
             home_region,
-            is_contended,
+            switches,
             retries_full_from,
             region_hashes: region_names
                 .iter()
@@ -83,7 +82,7 @@
             let existing = self.pools.remove(&pool.name);
             let state = existing.unwrap_or_else(|| PoolState {
                 retry_budget: Arc::new(RetryBudget::new(self.retries_full_from)),
-                is_contended_by_settings: self.is_contended,
+                switches: self.switches,
                 ..PoolState::default()
             });
             pool_states.insert(pool.name.clone(), state.clone());
