transport: the test of split packets opens 50 connections at a time

Cause: the test opened one connection for each byte of its requests, up to 260, and the listener accepts 100 at a time. Where the system queues only 128 connections that are not accepted, some of the rest are reset.

Change: at most 50 of the connections are open at the same time. All splits are tested as before.

--- a/crates/transport/tests/read_ahead.rs
+++ b/crates/transport/tests/read_ahead.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -22,6 +23,9 @@
     max_bytes: 200,
 };
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// The most connections that are open at the same time. Where the system queues only 128 connections that are not
+/// accepted, it resets some of those beyond them.
+const MAX_OPEN_CONNECTIONS: usize = 50;
 /// The time within which the requests of a caller that has left end.
 const RELEASED_WITHIN: Duration = Duration::from_millis(500);
 
@@ -238,11 +242,14 @@
     let fixture = Fixture::start().await;
     for case in cases {
         let bytes = case.requests.concat().into_bytes();
+        let open_connections = Arc::new(Semaphore::new(MAX_OPEN_CONNECTIONS));
         let connections = (0..bytes.len()).map(|end| {
             let bytes = bytes.clone();
             let address = fixture.address;
             let name = format!("{}, first {end} bytes", case.name);
+            let open_connections = Arc::clone(&open_connections);
             tokio::spawn(async move {
+                let _permit = open_connections.acquire().await.unwrap();
                 let mut stream = TcpStream::connect(address).await.unwrap();
                 stream.set_nodelay(true).unwrap();
                 stream.write_all(&bytes[..end]).await.unwrap();
