entry: one task probes the store while calls fail

Cause: an instance that cannot reach the store repeated its calls for each of four kinds of objects.

Change: the first task to fail probes, the others wait for the next answer to any task. The decision is StoreProbe in steering/recovery.

--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Returns whether another instance has received a change of any kind that this one has not applied.
+    fn is_any_behind(&self) -> bool {
+        self.plan_versions.active < self.plan_versions.newest
+            || self.newest.upstreams > self.applied.upstreams
+            || self.newest.evacuations > self.applied.evacuations
+            || self.newest.instances > self.applied.instances
+    }
+
     /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new era.
     fn is_watch_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
         self.is_behind(kind, position) || position.era < self.era
@@ -187,6 +195,13 @@
             .await;
     }
 
+    /// Waits until another instance has received a change of any kind that this one has not applied.
+    pub async fn wait_until_any_behind(&self) {
+        let mut state = self.state.subscribe();
+        // The wait cannot fail, because the sender lives as long as `self`.
+        let _ = state.wait_for(ReaderState::is_any_behind).await;
+    }
+
     /// Returns how many kinds failed in their last call. All lists count as one kind.
     #[must_use]
     pub fn failing_kinds(&self) -> u32 {
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -5,16 +5,16 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use coltsfootkeel_adapter::{LocalSettings, SettingsBounds};
+use coltsfootkeel_adapter::{LocalSettings, ObjectKind, SettingsBounds};
 use coltsfootkeel_counters::{ByteBudget, MonotonicTime};
 use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
     AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceRoom, InstanceUsage,
-    InstanceView, InstanceWeight, PlanFreshness, RetryLimit, stable_hash,
+    InstanceView, InstanceWeight, PlanFreshness, RetryLimit, StoreProbe, stable_hash,
 };
 use coltsfootkeel_transport::ProcessClock;
 use crossbeam_queue::ArrayQueue;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::EntryMetrics;
@@ -102,6 +102,8 @@
     pub upstreams_read_since: AtomicTime,
     /// Notifies the open watches on the store that the connection of one of them has gone silent.
     pub store_silence: Notify,
+    /// The kind of objects whose task probes the store while calls to it fail.
+    pub store_probe: watch::Sender<StoreProbe<ObjectKind>>,
     /// Whether this instance watches the lists of the store for the others.
     pub reader_role: ReaderRole,
     /// The upstreams that handled each object within the retention time of the table.
@@ -168,6 +170,7 @@
             freshness: PlanFreshness::default(),
             upstreams_read_since: AtomicTime::default(),
             store_silence: Notify::new(),
+            store_probe: watch::Sender::default(),
             reader_role: ReaderRole::default(),
             affinity_table: AffinityTable::default(),
             placement_reports: ArrayQueue::new(MAX_QUEUED_REPORTS),
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -7,7 +7,7 @@
 
 use coltsfootkeel_adapter::{ObjectKind, StoreClient, WatchAnswer};
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_steering::{PositionRange, StorePosition};
+use coltsfootkeel_steering::{PositionRange, ProbeTurn, StorePosition, StoreProbe};
 use coltsfootkeel_transport::{AnswerFailure, CallError};
 
 use crate::control_event::ControlEvent;
@@ -305,8 +305,10 @@
         outage
     }
 
-    /// Records the start of the period in which the list of upstreams is read without a failure.
+    /// Records that the store answers, and the start of the period in which the list of upstreams is read without a failure.
     fn record_reading(&self, requested_at: MonotonicTime) {
+        let probe = &self.shared.store_probe;
+        probe.send_if_modified(StoreProbe::record_answer);
         let since = &self.shared.upstreams_read_since;
         if self.config.kind == ObjectKind::Upstreams && since.get() == MonotonicTime::default() {
             since.set(requested_at);
@@ -325,6 +327,21 @@
             self.failing_since = Some(self.shared.clock.now_with_suspension());
             log::warn!("store: {:?} cannot be read: {error}.", self.config.kind);
         }
+        let mut turn = ProbeTurn::Probes;
+        let probe = &self.shared.store_probe;
+        probe.send_if_modified(|probe| {
+            turn = probe.record_failure(self.config.kind);
+            false
+        });
+        if let ProbeTurn::Waits { answers } = turn {
+            // The wait cannot fail, because the sender lives as long as `self.shared`.
+            let _ = probe
+                .subscribe()
+                .wait_for(|probe| probe.answers() != answers)
+                .await;
+            self.backoff = INITIAL_BACKOFF;
+            return;
+        }
         // The random pause spreads the calls of instances that lost the store at the same time.
         let pause = self.backoff.mul_f64(0.5 + fastrand::f64());
         tokio::select! {
@@ -340,12 +357,9 @@
     }
 
     /// Waits until another instance has received a change that this one lacks, then for the longest pause of an instance
-    /// that is behind.
+    /// that is behind. The change may be of any kind: the tasks of the others wait for this one.
     async fn pause_while_behind(&self) {
-        let kind = self.config.kind;
-        let reader_role = &self.shared.reader_role;
-        let applied = reader_role.applied(kind);
-        reader_role.wait_until_watch_behind(kind, applied).await;
+        self.shared.reader_role.wait_until_any_behind().await;
         tokio::time::sleep(MAX_BEHIND_BACKOFF.mul_f64(0.5 + fastrand::f64())).await;
     }
 }
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -139,6 +139,36 @@
     assert!(delay < Duration::from_millis(2_500), "{delay:?}");
 }
 
+fn store_calls(metrics: &str) -> u64 {
+    let mut lines = metrics.lines();
+    let value = lines.find_map(|line| line.strip_prefix("coltsfootkeel_store_calls_total "));
+    value.unwrap().parse().unwrap()
+}
+
+/// Guards against calls for every kind of objects while the store cannot be reached: they cost callers, and a call tells
+/// no more than another.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_is_cut_off_calls_for_one_kind_only() {
+    let (fleet, mut relay) = start_behind_relay("one-probe").await;
+    relay.set(RelayMode::Closed).await;
+    // In this time the pauses reach their longest value.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = store_calls(&fleet.metrics(2).await);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    // The pauses of one kind are two seconds on average and at least one.
+    let calls = store_calls(&fleet.metrics(2).await) - before;
+    assert!((1..=8).contains(&calls), "{calls} calls in six seconds");
+    // All kinds are read again as soon as one is.
+    relay.set(RelayMode::PASS).await;
+    fleet.write_plan(2, &[SHOP_KEY]);
+    register_upstream(&fleet.store, "late", fleet.upstreams[0].address(), "ready");
+    wait_for_plan(&fleet, 2, 2).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let state = fleet.state(2).await;
+    let mut upstreams = state["plan"]["upstreams"].as_array().unwrap().iter();
+    assert!(upstreams.any(|upstream| upstream["id"] == "late"));
+}
+
 /// Guards against 401 for a key that the newest plan contains, from an instance that knows that its plan is older.
 /// Callers do not retry after 401.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/steering/src/recovery/mod.rs
+++ b/crates/steering/src/recovery/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod planned_stop;
 pub(crate) mod store_eras;
 pub(crate) mod store_position;
+pub(crate) mod store_probe;
 pub(crate) mod store_readers;
 pub(crate) mod suspect_inquiry;
