transport: small frames that are ready together are joined

Change: FrameJoiner takes the frames that are ready within one turn (64) and joins those below 4 KiB, up to 16 KiB, for answers and for bodies of callers. A frame that nothing follows is forwarded at once; longer frames, trailers and errors keep their place.

--- a/crates/transport/src/frame_turns.rs
+++ b/crates/transport/src/frame_turns.rs
@@ -31,4 +31,22 @@
         self.frames = if frame.is_ready() { self.frames + 1 } else { 0 };
         frame
     }
+
+    /// Polls for one more frame of this turn. Returns `None` if the turn is over or no frame is ready.
+    pub(crate) fn poll_further<F>(
+        &mut self,
+        context: &mut Context<'_>,
+        poll_frame: impl FnOnce(&mut Context<'_>) -> Poll<F>,
+    ) -> Option<F> {
+        if self.frames >= MAX_FRAMES_PER_TURN {
+            return None;
+        }
+        match poll_frame(context) {
+            Poll::Ready(frame) => {
+                self.frames += 1;
+                Some(frame)
+            }
+            Poll::Pending => None,
+        }
+    }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_error;
 mod caller_connection;
 mod connection_pool;
+mod frame_joining;
 mod frame_turns;
 mod head_limit;
 mod hop_headers;
--- a/crates/transport/src/prefixed_body.rs
+++ b/crates/transport/src/prefixed_body.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use volo_http::body::Body;
 
-use crate::frame_turns::FrameTurn;
+use crate::frame_joining::{FrameJoiner, lengthened};
 use crate::kept_bytes::BodyStart;
 
 type BodyError = <Body as HttpBody>::Error;
@@ -21,7 +21,7 @@
     next: Option<Bytes>,
     rest: Body,
     is_read_to_end: bool,
-    turn: FrameTurn,
+    joiner: FrameJoiner<BodyError>,
 }
 
 impl PrefixedBody {
@@ -48,7 +48,7 @@
             next: None,
             is_read_to_end: is_read_to_end || body.is_end_stream(),
             rest: body,
-            turn: FrameTurn::default(),
+            joiner: FrameJoiner::default(),
         })
     }
 
@@ -60,7 +60,7 @@
             next: Some(start.next),
             is_read_to_end: start.is_complete,
             rest,
-            turn: FrameTurn::default(),
+            joiner: FrameJoiner::default(),
         }
     }
 
@@ -103,7 +103,7 @@
             .filter(|piece| !piece.is_empty());
         let Some(piece) = pieces.next() else {
             let this = &mut *self;
-            return this.turn.poll(context, |context| {
+            return this.joiner.poll(context, |context| {
                 Pin::new(&mut this.rest).poll_frame(context)
             });
         };
@@ -112,17 +112,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.prefix().is_empty() && self.next_length() == 0 && self.rest.is_end_stream()
+        let is_start_taken = self.prefix().is_empty() && self.next_length() == 0;
+        is_start_taken && !self.joiner.holds_frame() && self.rest.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let prefix_length = (self.prefix().len() + self.next_length()) as u64;
-        let rest = self.rest.size_hint();
-        let mut hint = SizeHint::new();
-        hint.set_lower(rest.lower() + prefix_length);
-        if let Some(upper) = rest.upper() {
-            hint.set_upper(upper + prefix_length);
-        }
-        hint
+        let start_length = self.prefix().len() + self.next_length();
+        let length = start_length + self.joiner.held_length();
+        lengthened(self.rest.size_hint(), length)
     }
 }
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use volo_http::body::Body;
 
-use crate::frame_turns::FrameTurn;
+use crate::frame_joining::{FrameJoiner, lengthened};
 use crate::head_limit::{LimitedStream, MAX_HEAD_BYTES, ReadAllowance};
 
 /// The longest time for setting up a connection. It normally takes about 1 ms and a round trip; the timeout covers lost
@@ -138,7 +138,7 @@
 pub struct UpstreamBody {
     body: Incoming,
     connection: Box<UpstreamConnection>,
-    turn: FrameTurn,
+    joiner: FrameJoiner<hyper::Error>,
 }
 
 impl UpstreamBody {
@@ -164,18 +164,18 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let this = &mut *self;
-        this.turn.poll(context, |context| {
+        this.joiner.poll(context, |context| {
             this.connection.drive(context);
             Pin::new(&mut this.body).poll_frame(context)
         })
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        !self.joiner.holds_frame() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        lengthened(self.body.size_hint(), self.joiner.held_length())
     }
 }
 
@@ -219,7 +219,7 @@
         Ok(response.map(|body| UpstreamBody {
             body,
             connection,
-            turn: FrameTurn::default(),
+            joiner: FrameJoiner::default(),
         }))
     }
 
