transport: a body that holds a frame stays small

Cause: clippy (result_large_err) on PrefixedBody::try_into_bytes, since a body may hold a frame with trailers. Change: the held frame is in a box; try_into_bytes, which nothing called, is removed with its flag.

--- a/crates/transport/src/frame_joining.rs
+++ b/crates/transport/src/frame_joining.rs
@@ -26,7 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct FrameJoiner<E> {
     turn: FrameTurn,
-    held: Option<HeldFrame<E>>,
+    /// In a box, because a frame may hold trailers and is seldom held.
+    held: Option<Box<HeldFrame<E>>>,
 }
 
 impl<E> Default for FrameJoiner<E> {
@@ -76,12 +77,16 @@
         }
         match small_data(self.turn.poll_further(context, poll_frame)?) {
             Ok(data) if joined_length + data.len() <= MAX_JOINED_BYTES => return Some(data),
-            Ok(data) => self.held = Some(HeldFrame(Some(Ok(Frame::data(data))))),
-            Err(other) => self.held = Some(HeldFrame(other)),
+            Ok(data) => self.hold(Some(Ok(Frame::data(data)))),
+            Err(other) => self.hold(other),
         }
         None
     }
 
+    fn hold(&mut self, next: NextFrame<E>) {
+        self.held = Some(Box::new(HeldFrame(next)));
+    }
+
     /// Returns whether a frame other than the end of the body is held.
     pub(crate) fn holds_frame(&self) -> bool {
         self.held.as_ref().is_some_and(|held| held.0.is_some())
--- a/crates/transport/src/prefixed_body.rs
+++ b/crates/transport/src/prefixed_body.rs
@@ -20,7 +20,6 @@
     /// The bytes between the prefix and the rest.
     next: Option<Bytes>,
     rest: Body,
-    is_read_to_end: bool,
     joiner: FrameJoiner<BodyError>,
 }
 
@@ -32,10 +31,8 @@
     /// Returns the error of the body if it cannot be read.
     pub async fn read_ahead(mut body: Body, length: usize) -> Result<Self, BodyError> {
         let mut prefix = BytesMut::new();
-        let mut is_read_to_end = false;
         while prefix.len() < length {
             let Some(frame) = body.frame().await else {
-                is_read_to_end = true;
                 break;
             };
             // Trailers are dropped: they may not be forwarded unless both sides have agreed on them.
@@ -46,7 +43,6 @@
         Ok(Self {
             prefix: Some(prefix.freeze()),
             next: None,
-            is_read_to_end: is_read_to_end || body.is_end_stream(),
             rest: body,
             joiner: FrameJoiner::default(),
         })
@@ -58,25 +54,11 @@
         Self {
             prefix: Some(start.kept),
             next: Some(start.next),
-            is_read_to_end: start.is_complete,
             rest,
             joiner: FrameJoiner::default(),
         }
     }
 
-    /// Returns the complete body if it was read to its end.
-    ///
-    /// # Errors
-    ///
-    /// Returns the body itself if more data may follow.
-    pub fn try_into_bytes(mut self) -> Result<Bytes, Self> {
-        if self.is_read_to_end {
-            Ok(self.prefix.take().unwrap_or_default())
-        } else {
-            Err(self)
-        }
-    }
-
     /// Returns the bytes that were read ahead and have not been yielded yet.
     #[must_use]
     pub fn prefix(&self) -> &[u8] {
