--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -79,6 +79,7 @@
         "version": plan.version,
         "unreadable": findings,
         "pools_stating_cost": pools_stating_cost(snapshot),
+        "accounts": dump_accounts(snapshot),
         "queues": dump_queues(shared, snapshot),
         "divisions": dump_divisions(shared, snapshot),
         "routes": routes,
@@ -95,6 +96,17 @@
         .collect()
 }
 
+/// Returns the requests that were charged to each account with a rate limit, without those that were refunded.
+fn dump_accounts(snapshot: &EntrySnapshot) -> Value {
+    let accounts = snapshot.plan.accounts.iter();
+    let charged = accounts.filter_map(|(key, account)| {
+        let budget = snapshot.quotas[key].as_ref()?;
+        let charges = budget.admitted();
+        (charges > 0).then(|| (account.name.clone(), json!({"charged": charges})))
+    });
+    Value::Object(charged.collect())
+}
+
 /// Returns what waits in the fair queue of each pool, here and at the other instances.
 fn dump_queues(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
     let now = shared.clock.now();
--- a/crates/transport/src/http_listener.rs
+++ b/crates/transport/src/http_listener.rs
@@ -222,9 +222,10 @@
             drive_connection(connection.as_mut(), &stream, start_early).await
         }
     };
+    // The requests behind the running one end first, so that none of them takes the slot that it releases.
+    end_early_requests(&stream, &*service);
     // Ends a request that is still running, and releases the stream.
     drop(connection);
-    end_early_requests(&stream, &*service);
     match end {
         ConnectionEnd::Finished(Ok(())) => {}
         ConnectionEnd::Finished(Err(error)) => {
