steering: the budget of an account in a file of its own

What request threads spend is apart from the bucket that the control thread maintains. No behaviour is changed.

--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -58,7 +58,8 @@
 pub use hashing::{combine_hashes, stable_hash};
 pub use limits::limit_sharers::sharing_instances;
 pub use limits::limit_table::{LimitReport, LimitTable, SendingInstance};
-pub use limits::quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
+pub use limits::quota_bucket::{QuotaBucket, QuotaExcess, QuotaLimit, QuotaReport};
+pub use limits::quota_budget::QuotaBudget;
 pub use limits::rate_limit::{
     InvalidRate, LimitStatement, RateLimit, UpstreamLimit, UpstreamSignals,
 };
--- a/crates/steering/src/limits/quota_bucket.rs
+++ b/crates/steering/src/limits/quota_bucket.rs
@@ -9,13 +9,12 @@
 //! tokens once, however the demand changes after the cut.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
 
-/// Balance units per request.
-const UNITS_PER_REQUEST: i64 = 1_000;
+use crate::limits::quota_budget::{BudgetRefill, QuotaBudget};
+
 /// Fraction of the tokens in the bucket that all instances together spend between two reports. Reports arrive one
 /// period and one network delay late, and the same tokens are spent again in that time.
 const SPEND_FRACTION: f64 = 0.35;
@@ -32,58 +31,6 @@
 /// Weight of the latest period in the moving average of the demand.
 const DEMAND_SMOOTHING_FACTOR: f64 = 0.25;
 
-/// This instance's current share of an account's quota, spent by the request threads.
-#[derive(Debug, Default)]
-pub struct QuotaBudget {
-    balance: AtomicI64,
-    overdraft_limit: AtomicI64,
-    admitted: AtomicU64,
-    requested: AtomicU64,
-    has_headroom: AtomicBool,
-}
-
-impl QuotaBudget {
-    /// Counts a request that arrives, whether it is admitted or not.
-    pub fn count_demand(&self) {
-        self.requested.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Returns whether the account is well within its limit, so that a request that is refused now may be admitted
-    /// after the next refill.
-    #[must_use]
-    pub fn has_headroom(&self) -> bool {
-        self.has_headroom.load(Ordering::Relaxed)
-    }
-
-    /// Admits one request unless the balance is used up.
-    pub fn try_admit(&self) -> bool {
-        let min_balance = -self.overdraft_limit.load(Ordering::Relaxed);
-        let taken = self
-            .balance
-            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |balance| {
-                // The last request may leave a debt; otherwise a share below one request would never admit any.
-                (balance > min_balance).then_some(balance - UNITS_PER_REQUEST)
-            });
-        let is_admitted = taken.is_ok();
-        if is_admitted {
-            self.admitted.fetch_add(1, Ordering::Relaxed);
-        }
-        is_admitted
-    }
-
-    /// Reverts the admission of a request that was not sent to any upstream.
-    pub fn refund(&self) {
-        self.balance.fetch_add(UNITS_PER_REQUEST, Ordering::AcqRel);
-        self.admitted.fetch_sub(1, Ordering::Relaxed);
-    }
-
-    /// Returns the number of requests admitted since the process started, without refunded ones.
-    #[must_use]
-    pub fn admitted(&self) -> u64 {
-        self.admitted.load(Ordering::Relaxed)
-    }
-}
-
 /// Rate limit of an account over all instances.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaLimit {
@@ -362,26 +309,17 @@
         let reserve_fraction = SPEND_FRACTION * (period / report_period.max(f64::MIN_POSITIVE));
         let reserve_spend = self.tokens.max(0.0) * reserve_fraction;
         let spend = (steady_spend + reserve_spend) * self.local_fraction;
-        let allowance = to_units(spend);
-        let overdraft_limit = self.tokens.max(0.0) * OVERDRAFT_FRACTION / heard_instances;
-        budget
-            .overdraft_limit
-            .store(to_units(overdraft_limit), Ordering::Relaxed);
-        let has_headroom = unreported <= 0.0 && self.tokens >= burst * HEADROOM_FRACTION;
-        budget.has_headroom.store(has_headroom, Ordering::Relaxed);
-        // Only a debt is carried over, because unspent tokens are still in the bucket. With headroom the debt is
-        // dropped as well: it comes from a single request, which the bucket has already paid for.
-        let _ = budget
-            .balance
-            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |balance| {
-                let carried_over = if has_headroom { 0 } else { balance.min(0) };
-                Some(carried_over + allowance)
-            });
+        let overdraft = self.tokens.max(0.0) * OVERDRAFT_FRACTION / heard_instances;
+        budget.refill(BudgetRefill {
+            allowance: spend,
+            overdraft,
+            has_headroom: unreported <= 0.0 && self.tokens >= burst * HEADROOM_FRACTION,
+        });
     }
 
     fn charge_local(&mut self, budget: &QuotaBudget, period: f64) {
         let admitted = budget.admitted();
-        let requested = budget.requested.load(Ordering::Relaxed);
+        let requested = budget.requested();
         #[expect(clippy::cast_precision_loss)]
         let spent = admitted as f64 - self.charged_admitted as f64;
         self.tokens -= spent;
@@ -406,9 +344,3 @@
         }
     }
 }
-
-fn to_units(requests: f64) -> i64 {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss)]
-    let units = (requests * UNITS_PER_REQUEST as f64) as i64;
-    units
-}
