--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -67,9 +67,10 @@
 pub use limits::retry_budget::{RetryBudget, RetryLimit};
 pub use load::cold_pacing::cold_send_interval;
 pub use load::load_report::{InvalidReport, LoadReport, RawLoadReport};
+pub use load::load_view::LoadView;
 pub use load::reported_load::{CostExposure, PredictedTimes, ReportedLoad, TimedReport};
 pub use load::service_times::{AverageTime, ServiceTimes, TimeEstimate};
-pub use load::upstream_state::{AttemptOutcome, LoadView, UpstreamInfo, UpstreamState};
+pub use load::upstream_state::{AttemptOutcome, UpstreamInfo, UpstreamState};
 pub use lookup::handed_out::HandedOut;
 pub use lookup::instance_capacity::{
     InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
--- a/crates/steering/src/load/upstream_state.rs
+++ b/crates/steering/src/load/upstream_state.rs
@@ -13,7 +13,9 @@
 use crate::hashing::stable_hash;
 use crate::limits::rate_limit::UpstreamLimit;
 use crate::load::load_report::LoadReport;
+use crate::load::load_view::LoadView;
 use crate::load::reported_load::{ReportedLoad, TimedReport};
+use crate::load::slowness_meter::SlownessMeter;
 use crate::placement::cache_estimator::RecentObjects;
 
 /// Failure level, in thousandths, from which an upstream is avoided. Two interrupted requests in a row reach it; one
@@ -29,12 +31,6 @@
 const AVOIDANCE_RESET_AFTER: Duration = Duration::from_secs(10);
 /// Time for which an upstream counts as full after it refused a request.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
-/// Slowness, in percent, of an upstream that answers within the expected time.
-const NORMAL_SLOWNESS_PERCENT: u32 = 100;
-/// Upper bound of the slowness, in percent.
-const MAX_SLOWNESS_PERCENT: u32 = 2_000;
-/// Time within which the slowness returns to normal if no answers arrive, so that the upstream receives requests again.
-const SLOWNESS_DECAY_TIME: Duration = Duration::from_secs(4);
 
 /// Result of one attempt to send a request to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,34 +60,6 @@
     pub slots: u32,
 }
 
-/// Load of an upstream as of one point in time.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadView {
-    /// Requests from all instances.
-    pub in_flight: u32,
-    /// Factor by which responses take longer than usual, apart from the stated cost; at least 1.
-    pub slowness: f64,
-    /// Factor by which responses take longer because of the stated cost of work.
-    pub cost_factor: f64,
-}
-
-impl LoadView {
-    /// Returns the time in the queue of an upstream with `slots` slots, each of which is usually occupied for
-    /// `slot_time`.
-    #[must_use]
-    pub fn queue_delay(&self, slots: u32, slot_time: Duration) -> Duration {
-        let excess = (self.in_flight + 1).saturating_sub(slots);
-        let rounds = f64::from(excess) / f64::from(slots.max(1));
-        slot_time.mul_f64(rounds * self.slowness * self.cost_factor)
-    }
-
-    /// Returns the time of a run that usually takes `service_time`.
-    #[must_use]
-    pub fn run_time(&self, service_time: Duration) -> Duration {
-        service_time.mul_f64(self.slowness * self.cost_factor)
-    }
-}
-
 /// State of one upstream, shared by all threads.
 #[derive(Debug)]
 pub struct UpstreamState {
@@ -116,8 +84,7 @@
     avoidance_doublings: AtomicU32,
     avoided_until: AtomicTime,
     full_until: AtomicTime,
-    slowness_percent: AtomicU32,
-    slowness_updated_at: AtomicTime,
+    slowness: SlownessMeter,
     is_usable: AtomicBool,
     is_untried: AtomicBool,
     is_unreachable: AtomicBool,
@@ -146,8 +113,7 @@
             avoidance_doublings: AtomicU32::new(0),
             avoided_until: AtomicTime::default(),
             full_until: AtomicTime::default(),
-            slowness_percent: AtomicU32::new(NORMAL_SLOWNESS_PERCENT),
-            slowness_updated_at: AtomicTime::default(),
+            slowness: SlownessMeter::default(),
             is_usable: AtomicBool::new(true),
             is_untried: AtomicBool::new(is_joining),
             is_unreachable: AtomicBool::new(false),
@@ -413,26 +379,13 @@
 
     /// Updates the slowness with the ratio of the measured to the expected response time.
     pub fn record_latency(&self, elapsed: Duration, expected: Duration, now: MonotonicTime) {
-        let ratio = elapsed.as_secs_f64() / expected.as_secs_f64().max(0.001);
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let measured = ((ratio * f64::from(NORMAL_SLOWNESS_PERCENT)) as u32)
-            .clamp(NORMAL_SLOWNESS_PERCENT / 2, MAX_SLOWNESS_PERCENT);
-        let previous = self.slowness_percent.load(Ordering::Relaxed);
-        self.slowness_percent
-            .store((previous * 3 + measured) / 4, Ordering::Relaxed);
-        self.slowness_updated_at.set(now);
+        self.slowness.record(elapsed, expected, now);
     }
 
     /// Returns the factor by which responses take longer than usual; at least 1.
     #[must_use]
     pub fn slowness(&self, now: MonotonicTime) -> f64 {
-        let excess = self
-            .slowness_percent
-            .load(Ordering::Relaxed)
-            .saturating_sub(NORMAL_SLOWNESS_PERCENT);
-        let age = now.since(self.slowness_updated_at.get()).as_secs_f64();
-        let remaining = (1.0 - age / SLOWNESS_DECAY_TIME.as_secs_f64()).max(0.0);
-        1.0 + f64::from(excess) / f64::from(NORMAL_SLOWNESS_PERCENT) * remaining
+        self.slowness.factor(now)
     }
 
     /// Returns whether the upstream is still in its cold start.
--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::hashing::unit_interval;
+use crate::load::load_view::LoadView;
 use crate::load::service_times::TimeEstimate;
-use crate::load::upstream_state::LoadView;
 use crate::placement::placement_decision::{PlacementDecision, PlacementReason};
 
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
