--- a/crates/entry/src/answer_delivery.rs
+++ b/crates/entry/src/answer_delivery.rs
@@ -7,7 +7,7 @@
 use volo_http::response::Response;
 
 use crate::answer_stream::AnswerStream;
-use crate::upstream_choice::SlotReservation;
+use crate::slot_reservation::SlotReservation;
 use crate::upstream_exchange::{AnswerContent, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
--- a/crates/entry/src/answer_stream.rs
+++ b/crates/entry/src/answer_stream.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::upstream_choice::SlotReservation;
+use crate::slot_reservation::SlotReservation;
 use coltsfootkeel_transport::InFlightGuard;
 
 /// Why a streamed answer ended early. The caller's connection is then closed without the end of the body, so that the
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -27,9 +27,9 @@
 use crate::queue_exchange::QueueUpdates;
 use crate::reader_role::ListPositions;
 use crate::shared_state::{FleetView, SharedState};
+use crate::slot_reservation::wake_queued;
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::store_return::StoreEra;
-use crate::upstream_choice::wake_queued;
 use crate::upstream_registry::{STORE_RECOVERY_PERIOD, UpstreamRegistry};
 
 /// An instance counts as reading the list of upstreams after reading it without a failure for this long.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -42,6 +42,7 @@
 mod request_wait;
 mod settings_reload;
 mod shared_state;
+mod slot_reservation;
 mod snapshot_builder;
 mod spread_updates;
 mod state_dump;
--- a/crates/entry/src/request_attempt.rs
+++ b/crates/entry/src/request_attempt.rs
@@ -14,7 +14,8 @@
 use crate::entry_metrics::CounterName;
 use crate::request_flow::RequestFlow;
 use crate::shared_state::CrashReport;
-use crate::upstream_choice::{SlotReservation, has_unreserved_retry, reserve_slot};
+use crate::slot_reservation::SlotReservation;
+use crate::upstream_choice::{has_unreserved_retry, reserve_slot};
 use crate::upstream_exchange::{ExchangeOutcome, ExchangeRequest, exchange};
 
 /// An idempotent request is sent to another upstream after this multiple of the expected response time.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -25,7 +25,8 @@
 use crate::request_context::{AccountCharge, RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
+use crate::slot_reservation::SlotReservation;
+use crate::upstream_choice::is_avoidance_suspended;
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
--- a/crates/entry/src/request_log.rs
+++ b/crates/entry/src/request_log.rs
@@ -12,7 +12,7 @@
 use crate::rejection::{RejectKind, Rejection};
 use crate::request_context::RequestContext;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::SlotReservation;
+use crate::slot_reservation::SlotReservation;
 
 /// Collects the values of a request's log line, which is written when the request ends. A log that is dropped before
 /// that records that the caller closed its connection.
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -21,7 +21,7 @@
 use crate::entry_snapshot::ListedUpstream;
 use crate::load_exchange::record_load;
 use crate::request_context::RequestContext;
-use crate::upstream_choice::SlotReservation;
+use crate::slot_reservation::SlotReservation;
 
 /// An answer up to this many bytes is buffered before any of it is forwarded, so that the request can still be sent
 /// again if the connection breaks. It is forwarded earlier if the process keeps as many bytes as it may.
