--- a/crates/entry/tests/answers_during_uploads.rs
+++ b/crates/entry/tests/answers_during_uploads.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_standins::{SHOP_HOST, SHOP_KEY, register_upstream, shop_config};
-use platform_fleet::raw_requests::{attempt_id, read_head};
+use platform_fleet::raw_requests::{attempt_id, read_request};
 use platform_fleet::{FleetSetup, PlatformFleet};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -32,15 +32,9 @@
 /// Answers each request at once with a success without a length, and resets the connection after a delay that the
 /// attempt id names in milliseconds.
 async fn answer_and_reset(mut stream: TcpStream, is_read: bool) {
-    let Some(head) = read_head(&mut stream).await else {
+    let Some(head) = read_request(&mut stream).await else {
         return;
     };
-    if head.starts_with("GET /healthz") {
-        let healthy = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-        // Best effort: a failed health check only delays the test.
-        let _ = stream.write_all(healthy).await;
-        return;
-    }
     let id = attempt_id(&head);
     let delay_ms: u64 = id.rsplit('-').next().unwrap().parse().unwrap();
     let answer = format!(
--- a/crates/entry/tests/faulty_answers.rs
+++ b/crates/entry/tests/faulty_answers.rs
@@ -10,7 +10,7 @@
 
 use coltsfootkeel_standins::{SHOP_KEY, register_upstream, shop_request};
 use http::Method;
-use platform_fleet::raw_requests::{attempt_id, read_head};
+use platform_fleet::raw_requests::{attempt_id, read_request};
 use platform_fleet::{FleetSetup, PlatformFleet};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -65,15 +65,9 @@
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         let mut previous = Vec::new();
         for number in 0.. {
-            let Some(head) = read_head(&mut stream).await else {
+            let Some(head) = read_request(&mut stream).await else {
                 return;
             };
-            if head.starts_with("GET /healthz") {
-                let healthy = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-                // Best effort: a failed health check only delays the test.
-                let _ = stream.write_all(healthy).await;
-                return;
-            }
             let id = attempt_id(&head);
             let answer = (self.script)(id, number, &previous);
             if answer.has_run {
--- a/crates/entry/tests/platform_fleet/endless_upstream.rs
+++ b/crates/entry/tests/platform_fleet/endless_upstream.rs
@@ -8,7 +8,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::raw_requests::{attempt_id, read_head};
+use super::raw_requests::{attempt_id, read_request};
 
 /// Time within which the connection to the upstream is closed after the answer.
 const CLOSED_WITHIN: Duration = Duration::from_millis(500);
@@ -56,15 +56,9 @@
     }
 
     async fn answer(self, mut stream: TcpStream) {
-        let Some(head) = read_head(&mut stream).await else {
+        let Some(head) = read_request(&mut stream).await else {
             return;
         };
-        if head.starts_with("GET /healthz") {
-            let healthy = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-            // Best effort: a failed health check only delays the test.
-            let _ = stream.write_all(healthy).await;
-            return;
-        }
         let script = *self.script.lock().unwrap();
         let start = script.start.replace("{id}", attempt_id(&head));
         let repeated = script.repeated.repeat(script.joined);
