entry: registration and health checks leave the control loop

Change: the registration of this instance, the removal of silent ones and the published fleet are in fleet_membership.rs; the start of health checks is beside the check in health_check.rs. The functions are unchanged.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,25 +8,23 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CostExposure, CrashTable, DemandTable, EvacuationList, InstanceRoom, InstanceView, LimitTable,
-    OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
-    weigh_instances,
+    CostExposure, CrashTable, DemandTable, EvacuationList, LimitTable, OutageEvidence, QuotaExcess,
+    SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::account_quotas::AccountQuotas;
 use crate::control_event::ControlEvent;
-use crate::entry_snapshot::{ListedUpstream, PoolSwitches};
-use crate::health_check::check_upstream;
+use crate::entry_snapshot::PoolSwitches;
 use crate::heartbeat_sending::{PendingReports, SentHeartbeat};
 use crate::limit_log::LimitLog;
-use crate::member_list::{MemberList, register, unregister};
+use crate::member_list::MemberList;
 use crate::peer_table::PeerTable;
 use crate::plan_lag::PlanLag;
 use crate::queue_exchange::QueueUpdates;
 use crate::reader_role::ListPositions;
-use crate::shared_state::{FleetView, SharedState};
+use crate::shared_state::SharedState;
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::store_return::StoreEra;
 use crate::upstream_choice::wake_queued;
@@ -34,10 +32,6 @@
 
 /// An instance counts as reading the list of upstreams after reading it without a failure for this long.
 const MIN_READING_TIME: Duration = Duration::from_millis(1);
-/// The shortest time between two health checks of one upstream.
-const MIN_CHECK_PERIOD: Duration = Duration::from_millis(600);
-/// A registered instance that sends no heartbeat for this long is removed from the store by another one.
-const REMOVAL_TIMEOUT: Duration = Duration::from_secs(15);
 /// The number of queued requests of each pool that are woken on each tick, because other instances may have released
 /// slots.
 const WOKEN_PER_TICK: usize = 64;
@@ -76,7 +70,7 @@
     pub(crate) registry: UpstreamRegistry,
     pub(crate) evacuations: EvacuationList,
     snapshot_builder: SnapshotBuilder,
-    checked_at: HashMap<String, MonotonicTime>,
+    pub(crate) checked_at: HashMap<String, MonotonicTime>,
     pub(crate) requested_checks: HashSet<String>,
     /// The own region's share in the last log line about it, by the names of route and pool.
     pub(crate) logged_shares: HashMap<(String, String), f64>,
@@ -350,120 +344,4 @@
             }
         }
     }
-
-    /// Returns the hashes of the names of the live instances, this one included.
-    fn live_hashes(&self, now: MonotonicTime) -> Vec<u64> {
-        let live = self.peers.live(now).map(|(hash, _)| hash);
-        live.chain([self.shared.own_hash]).collect()
-    }
-
-    fn publish_fleet(&self, now: MonotonicTime) {
-        let own_view = InstanceView {
-            address: self.shared.settings.entry,
-            domain: self.shared.home.domain,
-            region: self.shared.home.region,
-            is_accepting: self.shared.is_accepting(),
-            room: self.shared.own_room(),
-        };
-        let mut instances = self.peers.views(now);
-        instances.push(own_view);
-        let hashes = self.live_hashes(now);
-        let registered: Vec<u64> = self.members.hashes().collect();
-        let sharing = sharing_instances(&hashes, &registered);
-        let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
-        self.shared.fleet.store(Arc::new(FleetView {
-            instances,
-            weights: weigh_instances(&rooms),
-            hashes,
-            sharing_instances: sharing,
-        }));
-    }
-
-    /// Starts health checks of upstreams that are unreachable or suspected to be, and of those in `requested_checks`.
-    fn start_checks(&mut self, now: MonotonicTime) {
-        let mut due: Vec<(ListedUpstream, String)> = Vec::new();
-        for upstream in self.registry.iter() {
-            let id = &upstream.record.id;
-            let is_requested =
-                upstream.listed.state.needs_health_check() || self.requested_checks.contains(id);
-            let last = self.checked_at.get(id);
-            let is_due = last.is_none_or(|last| now.since(*last) > MIN_CHECK_PERIOD);
-            if is_requested
-                && is_due
-                && upstream.listed.state.is_usable()
-                && !upstream.listed.state.is_address_reused()
-            {
-                due.push((upstream.listed.clone(), upstream.record.pool.clone()));
-            }
-        }
-        for (listed, pool_name) in due {
-            self.checked_at.insert(listed.state.info.id.clone(), now);
-            let plan = self.plan.as_ref();
-            let health_path = plan.and_then(|plan| {
-                let pool = plan.pools.find(|pool| pool.name == pool_name)?;
-                Some(plan.pools[pool].health_path.clone())
-            });
-            if let Some(health_path) = health_path {
-                let shared = Arc::clone(&self.shared);
-                tokio::spawn(check_upstream(shared, listed, health_path));
-            }
-        }
-    }
-
-    fn start_registration(&mut self) {
-        self.is_registering = true;
-        let shared = Arc::clone(&self.shared);
-        tokio::spawn(register(shared, Arc::clone(&self.client)));
-    }
-
-    /// Registers this instance again if its registration was removed or replaced by that of an earlier process.
-    pub(crate) fn check_registration(&mut self) {
-        let own = self.members.get(&self.shared.settings.instance);
-        let is_registered = own
-            .is_some_and(|own| !own.is_kept && own.record.incarnation == self.shared.incarnation);
-        if is_registered {
-            self.is_registering = false;
-        } else if !self.is_registering && !self.shared.is_stopping() {
-            self.start_registration();
-        }
-    }
-
-    fn leave_fleet(&mut self) {
-        self.publish_fleet(self.shared.clock.now());
-        self.pending.hurry();
-        self.send_heartbeats();
-        if let Some(own) = self.members.get(&self.shared.settings.instance) {
-            let name = self.shared.settings.instance.clone();
-            self.start_removal(name, own.position.revision);
-        }
-    }
-
-    /// Removes the registrations of instances that send no heartbeats. Only the live instance with the lowest hash does
-    /// so.
-    fn remove_silent_members(&self, now: MonotonicTime) {
-        let own_hash = self.shared.own_hash;
-        let mut live = self.peers.live(now).peekable();
-        let is_alone = live.peek().is_none();
-        if is_alone || live.any(|(hash, _)| hash < own_hash) {
-            return;
-        }
-        for (name, member) in self.members.iter() {
-            let hash = member.hash;
-            let received = self.peers.get(hash).map(|peer| peer.received_at);
-            let last_seen = received.map_or(member.updated_at, |received| {
-                received.max(member.updated_at)
-            });
-            // A revision of an earlier era may have been given out again.
-            let is_present_era = member.position.era == self.shared.reader_role.era();
-            if hash != own_hash && is_present_era && now.since(last_seen) > REMOVAL_TIMEOUT {
-                log::info!(instance = name.as_str(); "members: Removing an instance that sends no heartbeats.");
-                self.start_removal(name.clone(), member.position.revision);
-            }
-        }
-    }
-
-    fn start_removal(&self, name: String, revision: u64) {
-        let shared = Arc::clone(&self.shared);
-        tokio::spawn(unregister(shared, Arc::clone(&self.client), name, revision));
-    }
 }
