entry, platform: tests of returns of the store that were missing

Cause: no test showed that the affinity partitions are written again after a return, that a list whose pages come from two eras is listed again, and that instances which do not read the store hear of its era: with six instances, two of them do not read.

--- a/crates/entry/tests/store_eras.rs
+++ b/crates/entry/tests/store_eras.rs
@@ -21,7 +21,12 @@
 /// Time within which a change must be in force.
 const CHANGE_BOUND: Duration = Duration::from_millis(2_500);
 const POLL_PERIOD: Duration = Duration::from_millis(50);
-const INSTANCES: usize = 6;
+const PARTITIONS: usize = 4;
+/// Time within which the owners have written the affinity partitions of a settled era: a period of writes, and more on a
+/// busy machine.
+const PARTITIONS_WITHIN: Duration = Duration::from_secs(15);
+/// Four of them read the store, and the others hear of its era by heartbeats.
+const INSTANCES: usize = 9;
 
 async fn start(name: &'static str, instances: usize, upstreams: usize) -> PlatformFleet {
     let fleet = PlatformFleet::start(FleetSetup {
@@ -328,3 +333,41 @@
     sleep(SETTLING_TIME).await;
     assert_eq!(count_using(&fleet, upstream).await, 3);
 }
+
+/// Guards against objects that run on upstreams without them in their caches after a restart of all instances, because the
+/// affinity table in the store was lost by its return.
+#[tokio::test(flavor = "multi_thread")]
+async fn affinity_partitions_are_written_again() {
+    let fleet = start("era-affinity", 2, 2).await;
+    let copy = fleet.store.copy();
+    for number in 0..40 {
+        let id = format!("object-{number}");
+        let request = shop_request(Method::GET, "/previews/1", &id, SHOP_KEY);
+        assert_eq!(fleet.call(0, &request).await.unwrap().status, 200);
+    }
+    let partitions = async || {
+        let started = Instant::now();
+        loop {
+            let names = fleet.store.names("warm-places");
+            let era = fleet.state(0).await["store"]["era"].clone();
+            let is_settled = |name: &String| {
+                let spec = fleet.store.spec("warm-places", name);
+                spec.is_some_and(|spec| spec["settled_era"] == era)
+            };
+            if names.len() == PARTITIONS && names.iter().all(is_settled) {
+                let specs = names.iter();
+                let specs = specs.map(|name| fleet.store.spec("warm-places", name).unwrap());
+                return specs
+                    .map(|spec| spec["places"].clone())
+                    .collect::<Vec<Value>>();
+            }
+            assert!(started.elapsed() < PARTITIONS_WITHIN, "{names:?}");
+            sleep(POLL_PERIOD).await;
+        }
+    };
+    let before = partitions().await;
+    fleet.store.return_from(&copy);
+    assert!(fleet.store.names("warm-places").is_empty());
+    wait_for_era(&fleet, 0, 2).await;
+    assert_eq!(partitions().await, before);
+}
