entry: a test of departures during a cut from the store

Cause: an instance that had been cut off from the store used a leaving upstream 13.2 s after it had said so. Change: 15 instances are cut from the store until their pauses have grown; an upstream leaves with a change that is too large for a heartbeat; when the cut ends, all of them must have stopped using it within 1.7 s.

--- a/crates/entry/tests/leaving_upstreams.rs
+++ b/crates/entry/tests/leaving_upstreams.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{
-    EntryOptions, FaultRelay, SHOP_KEY, call_once, register_upstream, shop_request,
+    EntryOptions, FaultRelay, RelayMode, SHOP_KEY, call_once, register_upstream, shop_request,
 };
 use http::Method;
 use platform_fleet::{FleetSetup, PlatformFleet};
+use serde_json::{Value, json};
 use tokio::time::sleep;
 
 const INSTANCES: usize = 3;
@@ -25,6 +26,19 @@
 /// In this time the instances read an upstream that is back. Their next watches have just begun then.
 const SETTLING_TIME: Duration = Duration::from_millis(600);
 
+/// Instances that are cut from the store, of those that are not.
+const CUT_INSTANCES: usize = 15;
+const CONNECTED_INSTANCES: usize = 2;
+/// In this time the pauses after failed calls grow to their longest, 3 s.
+const CUT_TIME: Duration = Duration::from_secs(7);
+/// Time in which the heartbeats of the connected instances state a newer list.
+const HEARD_TIME: Duration = Duration::from_millis(1_500);
+/// Time after the end of the cut within which a change that others have is in force. A pause of an instance that lacks it
+/// ends within 1.05 s.
+const REGAINED_WITHIN: Duration = Duration::from_millis(1_700);
+/// Bytes of an entry that is too large for a heartbeat, so that the list has to be read from the store.
+const LARGE_ENTRY_BYTES: usize = 20_000;
+
 /// Guards against requests that still reach a leaving upstream, because all instances wait for the answers of watches
 /// whose connections have gone silent.
 #[tokio::test(flavor = "multi_thread")]
@@ -84,3 +98,48 @@
         sleep(REQUEST_PERIOD).await;
     }
 }
+
+/// Guards against instances that use a leaving upstream for seconds after their way to the store is back, because their
+/// pauses after failed calls have grown. Many instances are cut, because some pauses end early by chance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_during_a_cut_is_in_force_soon_after_it() {
+    let mut fleet = PlatformFleet::start(FleetSetup {
+        name: "cut-departure",
+        instances: CONNECTED_INSTANCES,
+        upstreams: 2,
+        ..FleetSetup::default()
+    })
+    .await;
+    let mut relay = FaultRelay::start(fleet.store.address()).await.unwrap();
+    for index in 0..CUT_INSTANCES {
+        let index = CONNECTED_INSTANCES + index;
+        fleet.start_instance(EntryOptions::on_loopback(index, relay.address()));
+    }
+    for instance in &fleet.instances {
+        instance.wait_until_ready().await.unwrap();
+    }
+    sleep(Duration::from_secs(3)).await;
+    relay.set(RelayMode::Closed).await;
+    sleep(CUT_TIME).await;
+    let large = json!("x".repeat(LARGE_ENTRY_BYTES));
+    fleet.store.put("servers", "large", large, Value::Null);
+    let leaving = &fleet.upstreams[0];
+    register_upstream(&fleet.store, leaving.id(), leaving.address(), "draining");
+    sleep(HEARD_TIME).await;
+    let is_used = async |instance| {
+        let state = fleet.state(instance).await;
+        let upstreams = state["plan"]["upstreams"].as_array().cloned();
+        let mut upstreams = upstreams.unwrap_or_default().into_iter();
+        upstreams.any(|known| known["id"] == leaving.id() && known["usable"] == true)
+    };
+    let last = fleet.instances.len() - 1;
+    assert!(is_used(last).await, "the departure was told by heartbeat");
+    relay.set(RelayMode::PASS).await;
+    let regained_at = Instant::now();
+    for instance in 0..fleet.instances.len() {
+        while is_used(instance).await {
+            assert!(regained_at.elapsed() < REGAINED_WITHIN, "{instance}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
