entry, steering, platform: crash suspects outlive a restart of all instances and reach instances that were cut off

Cause: requests that crash upstreams were known only in the memory of the instances. After a restart of all of them each had to crash three more upstreams, and an instance that was cut off, or lost the one datagram with a report, was never told. The refused requests, at most 64, are a field of affinity partition 0, which its owner writes and every instance reads anyway, so the store gets no new call but the write after a change. The question of a start ends as known to none only when the store was read too. Each message states how many crashes its sender has reported (tag 34); a receiver that has fewer asks that sender. New: the counter suspect_questions_total and a log line. Not played on the platform.

--- a/crates/entry/src/affinity_persistence.rs
+++ b/crates/entry/src/affinity_persistence.rs
@@ -1,4 +1,4 @@
-//! Writes the affinity table to the store, and reads it at the start of the process.
+//! Writes the affinity table and the requests that crash upstreams to the store, and reads them at the start of the process.
 //!
 //! Instances have no disks, and after a restart of all of them no peer could send the table. Without it every object
 //! would be sent to an upstream that is not warm for it, which takes several times as long.
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use coltsfootkeel_adapter::{
-    ObjectKind, StoreClient, StoreObject, decode_affinity_entries, decode_settled_era,
-    encode_affinity_entries,
+    AffinityRecord, ObjectKind, StoreClient, decode_affinity_record, encode_affinity_record,
 };
-use coltsfootkeel_steering::{AffinityEntry, AffinityPartition};
+use coltsfootkeel_steering::AffinityPartition;
 
 use crate::control_event::ControlEvent;
 use crate::entry_metrics::CounterName;
@@ -19,6 +18,8 @@
 
 /// The number of partitions of the table, each an object of the store with one writer, so that the objects stay small.
 const PARTITION_COUNT: u64 = 4;
+/// The partition that also keeps the refused requests.
+const REFUSED_PARTITION: u64 = 0;
 /// The average time between two writes of a partition. Changes since the last write are lost in a restart of all
 /// instances.
 const WRITE_PERIOD: Duration = Duration::from_secs(4);
@@ -31,10 +32,9 @@
 /// What the store holds of a partition after a write of this instance.
 #[derive(Debug, PartialEq)]
 struct WrittenPartition {
-    entries: Vec<AffinityEntry>,
+    record: AffinityRecord,
     /// The era of the store before the write. In a later one, the write may be lost.
     era: u64,
-    settled_era: Option<u64>,
 }
 
 /// Reads the table once, then writes the partitions that this instance owns until the process stops.
@@ -56,21 +56,26 @@
             Ok(list) => {
                 let now = shared.clock.now();
                 let era = list.position.era;
-                let settled = |object: &StoreObject| decode_settled_era(&object.spec) == Some(era);
-                if list.objects.iter().any(settled) {
+                let objects = list.objects.iter();
+                let records: Vec<AffinityRecord> = objects
+                    .map(|object| decode_affinity_record(&object.spec))
+                    .collect();
+                if records.iter().any(|record| record.settled_era == Some(era)) {
                     shared.send_event(ControlEvent::EraSettled { era });
                 }
-                let entries: Vec<AffinityEntry> = list
-                    .objects
-                    .iter()
-                    .flat_map(|object| decode_affinity_entries(&object.spec))
-                    .collect();
-                for entry in &entries {
-                    shared
-                        .affinity_table
-                        .record(entry.object, entry.upstream, now);
+                let mut places = 0;
+                let mut requests = Vec::new();
+                for record in records {
+                    places += record.entries.len();
+                    for entry in record.entries {
+                        shared
+                            .affinity_table
+                            .record(entry.object, entry.upstream, now);
+                    }
+                    requests.extend(record.refused);
                 }
-                log::info!(places = entries.len(); "warm: The affinity table was read.");
+                log::info!(places, refused = requests.len(); "warm: The affinity table was read.");
+                shared.send_event(ControlEvent::RefusedRead { requests });
                 return;
             }
             Err(error) => log::warn!("warm: The affinity table cannot be read: {error}."),
@@ -94,21 +99,31 @@
         written.remove(&index);
         return;
     }
-    let entries = shared
-        .affinity_table
-        .entries_in(partition, shared.clock.now());
+    let now = shared.clock.now();
+    let entries = shared.affinity_table.entries_in(partition, now);
+    let refused = if index == REFUSED_PARTITION {
+        shared.crash_table.load().stored_requests(now)
+    } else {
+        Vec::new()
+    };
     let era = shared.reader_role.era();
     let is_settled = era > 0 && !shared.freshness.is_unsettled();
     let partition = WrittenPartition {
-        entries,
+        record: AffinityRecord {
+            entries,
+            settled_era: is_settled.then_some(era),
+            refused,
+        },
         era,
-        settled_era: is_settled.then_some(era),
     };
-    if partition.entries.is_empty() || written.get(&index) == Some(&partition) {
+    let record = &partition.record;
+    let is_empty = record.entries.is_empty() && record.refused.is_empty();
+    let last_written = written.get(&index);
+    if last_written == Some(&partition) || (is_empty && last_written.is_none()) {
         return;
     }
     shared.metrics.count(CounterName::StoreCalls);
-    let spec = encode_affinity_entries(&partition.entries, partition.settled_era);
+    let spec = encode_affinity_record(&partition.record);
     match client
         .put(ObjectKind::WarmPlaces, &index.to_string(), &spec)
         .await
--- a/crates/entry/src/control_event.rs
+++ b/crates/entry/src/control_event.rs
@@ -6,7 +6,7 @@
 use coltsfootkeel_adapter::{ObjectEvent, ObjectKind, ObjectList};
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::FleetHeartbeat;
-use coltsfootkeel_steering::PositionRange;
+use coltsfootkeel_steering::{PositionRange, StoredRequest};
 
 /// An event for the control thread.
 #[derive(Debug)]
@@ -61,6 +61,11 @@
         /// The era.
         era: u64,
     },
+    /// The requests were read that the store keeps because they crashed several upstreams.
+    RefusedRead {
+        /// The requests.
+        requests: Vec<StoredRequest>,
+    },
     /// The process received a stop signal.
     Shutdown,
 }
--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -5,7 +5,7 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{FleetHeartbeat, HeartbeatStep};
-use coltsfootkeel_steering::stable_hash;
+use coltsfootkeel_steering::{ReportCount, stable_hash};
 use prost::Message;
 
 use crate::control_loop::ControlLoop;
@@ -129,6 +129,13 @@
         if !message.crashes.is_empty() {
             self.publish_crashes();
         }
+        let reports = ReportCount {
+            incarnation: message.incarnation,
+            stated: message.reported_crashes,
+            carried: u32::try_from(message.crashes.len()).unwrap_or(u32::MAX),
+        };
+        let peer = stable_hash(message.instance.as_bytes());
+        self.crash_reports.record(peer, reports, now);
     }
 
     /// Confirms the plan if another instance has the same one, as of the time at which that instance sent the message.
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CostExposure, CrashTable, DemandTable, EvacuationList, LimitTable, OutageEvidence, QuotaExcess,
-    SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
+    CostExposure, CrashReports, CrashTable, DemandTable, EvacuationList, LimitTable,
+    OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -53,6 +53,9 @@
     pub(crate) quotas: AccountQuotas,
     pub(crate) crash_table: CrashTable,
     pub(crate) suspect_inquiry: SuspectInquiry,
+    pub(crate) crash_reports: CrashReports,
+    /// The number of crashes that this instance has reported.
+    pub(crate) reported_crashes: u32,
     pub(crate) plan: Option<Arc<SteeringPlan>>,
     pub(crate) heartbeat_number: u64,
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
@@ -100,6 +103,7 @@
         let home = shared.home;
         let is_first_start = shared.settings.is_first_start;
         let suspect_inquiry = SuspectInquiry::new(is_first_start, shared.clock.now());
+        let crash_reports = CrashReports::new(is_first_start, shared.clock.now());
         let retries_full_from = if is_first_start {
             MonotonicTime::default()
         } else {
@@ -124,6 +128,8 @@
             members: MemberList::default(),
             crash_table: CrashTable::default(),
             suspect_inquiry,
+            crash_reports,
+            reported_crashes: 0,
             plan: None,
             // A random start, so that the numbers of an earlier process are not mistaken for those of this one.
             heartbeat_number: fastrand::u64(..1 << 48),
@@ -217,6 +223,7 @@
                 }
             }
             ControlEvent::EraSettled { era } => self.prove_settled_era(era),
+            ControlEvent::RefusedRead { requests } => self.apply_refused(&requests),
             ControlEvent::Shutdown => self.leave_fleet(),
         }
     }
@@ -295,6 +302,7 @@
         self.observe_store_outage();
         self.observe_plan_lag(now);
         self.update_inquiry(now);
+        self.ask_for_missed_crashes();
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
@@ -316,6 +324,9 @@
             self.shared.affinity_table.expire(now);
             let members = &self.members;
             self.peers.expire(now, |hash| members.contains_hash(hash));
+            let peers = &self.peers;
+            self.crash_reports
+                .retain(|hash| peers.get(hash).is_some() || members.contains_hash(hash));
             self.remove_silent_members(now);
         }
     }
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -70,9 +70,11 @@
     EarlyTakenBack,
     /// Requests rejected because they have crashed several upstreams.
     CrashRefusals,
+    /// Questions to other instances for crashes that they had reported and this one had missed.
+    SuspectQuestions,
 }
 
-const COUNTERS: [(CounterName, &str); 27] = [
+const COUNTERS: [(CounterName, &str); 28] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -106,6 +108,7 @@
     (CounterName::EarlyAnswers, "early_answers_held_total"),
     (CounterName::EarlyTakenBack, "early_taken_back_total"),
     (CounterName::CrashRefusals, "crash_refusals_total"),
+    (CounterName::SuspectQuestions, "suspect_questions_total"),
 ];
 
 /// A histogram of durations with the bounds [`LATENCY_BOUNDS_MS`].
--- a/crates/entry/src/heartbeat_sending.rs
+++ b/crates/entry/src/heartbeat_sending.rs
@@ -149,6 +149,7 @@
         let mut message = self.heartbeat(turn, now);
         message.objects = self.drain_placements();
         message.crashes = self.drain_crashes(now);
+        message.reported_crashes = self.reported_crashes;
         if periods.is_full_mesh {
             self.pending.far_changes.clear();
         } else {
@@ -223,8 +224,8 @@
         send_heartbeat(&self.socket, &message, to);
     }
 
-    /// Sends the requests that crash upstreams to an instance that has asked for them.
-    pub(crate) fn send_told_suspects(
+    /// Sends a question for the requests that crash upstreams, or the answer to one.
+    pub(crate) fn send_suspect_step(
         &mut self,
         suspects: Vec<KnownSuspect>,
         step: SuspectStep,
@@ -261,6 +262,7 @@
             plan_age_ms: plan_version.map(|_| age_ms),
             reaches_store: self.may_reach_store(),
             outages: self.recent_outages(),
+            reported_crashes: self.reported_crashes,
             ..FleetHeartbeat::default()
         }
     }
@@ -319,6 +321,8 @@
         if !crashes.is_empty() {
             self.publish_crashes();
         }
+        let count = u32::try_from(crashes.len()).unwrap_or(u32::MAX);
+        self.reported_crashes = self.reported_crashes.saturating_add(count);
         crashes
     }
 
--- a/crates/entry/src/suspect_exchange.rs
+++ b/crates/entry/src/suspect_exchange.rs
@@ -1,4 +1,5 @@
-//! Asks the other instances for the requests that crash upstreams when this one starts, and answers their questions.
+//! Asks the other instances for the requests that crash upstreams when this one starts or has missed reports, and answers
+//! their questions.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -6,9 +7,10 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_protocol::{FleetHeartbeat, KnownSuspect, SuspectStep};
-use coltsfootkeel_steering::{CrashedRequest, stable_hash};
+use coltsfootkeel_steering::{CrashedRequest, StoredRequest, stable_hash};
 
 use crate::control_loop::ControlLoop;
+use crate::entry_metrics::CounterName;
 
 /// The most suspects in an answer, so that it fits a datagram.
 const MAX_TOLD_SUSPECTS: usize = 512;
@@ -35,11 +37,10 @@
     }
 
     fn apply_answer(&mut self, message: &FleetHeartbeat, is_aware: bool, now: MonotonicTime) {
-        if self.suspect_inquiry.is_over() {
-            return;
-        }
         self.record_suspects(&message.suspects, now);
         let peer = stable_hash(message.instance.as_bytes());
+        self.crash_reports
+            .record_answer(peer, message.incarnation, message.reported_crashes);
         self.suspect_inquiry.record_answer(peer, is_aware);
         self.update_inquiry(now);
     }
@@ -63,6 +64,40 @@
         }
     }
 
+    /// Asks an instance for the crashes that it has reported while this one did not hear it. One question at a time bounds
+    /// the answers after a cut of many links.
+    pub(crate) fn ask_for_missed_crashes(&mut self) {
+        let Some(peer) = self.crash_reports.next_missed() else {
+            return;
+        };
+        if let Some(peer) = self.peers.get(peer) {
+            let address = peer.address;
+            log::info!(
+                instance = peer.heartbeat.instance.as_str();
+                "suspects: Reports of crashes were missed, asking for them."
+            );
+            self.shared.metrics.count(CounterName::SuspectQuestions);
+            self.send_suspect_step(Vec::new(), SuspectStep::Question, address);
+        }
+    }
+
+    /// Applies the refused requests that the store has kept over a restart of all instances. How long ago they crashed an
+    /// upstream is unknown.
+    pub(crate) fn apply_refused(&mut self, requests: &[StoredRequest]) {
+        let now = self.shared.clock.now();
+        let told: Vec<KnownSuspect> = requests
+            .iter()
+            .map(|request| KnownSuspect {
+                fingerprint: request.fingerprint,
+                upstreams: request.upstreams.clone(),
+                age_ms: 0,
+            })
+            .collect();
+        self.record_suspects(&told, now);
+        self.suspect_inquiry.record_store();
+        self.update_inquiry(now);
+    }
+
     fn record_suspects(&mut self, told: &[KnownSuspect], now: MonotonicTime) {
         for suspect in told {
             let crashed_at = now - Duration::from_millis(suspect.age_ms.into());
@@ -90,6 +125,6 @@
             SuspectStep::UnawareAnswer
         };
         let suspects = suspects.into_iter().map(encode).collect();
-        self.send_told_suspects(suspects, step, to);
+        self.send_suspect_step(suspects, step, to);
     }
 }
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -113,6 +113,9 @@
     /// Whether the sender asks for these requests or answers such a question.
     #[prost(enumeration = "SuspectStep", tag = "33")]
     pub suspect_step: i32,
+    /// The number of crashes of requests that the sender has reported since its start.
+    #[prost(uint32, tag = "34")]
+    pub reported_crashes: u32,
     /// What the sender has and uses; `None` if its settings do not state it.
     #[prost(message, optional, tag = "31")]
     pub capacity: Option<CapacityReport>,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -95,7 +95,8 @@
     CallerLimits, RawAccount, RawPlan, RawPool, RawRoute, RawTarget, RouteKind, UnreadableParts,
     UnreadableRoute,
 };
-pub use recovery::crash_table::{CrashTable, CrashedRequest};
+pub use recovery::crash_reports::{CrashReports, ReportCount};
+pub use recovery::crash_table::{CrashTable, CrashedRequest, MAX_STORED_REQUESTS, StoredRequest};
 pub use recovery::evacuation_list::EvacuationList;
 pub use recovery::outage_evidence::OutageEvidence;
 pub use recovery::plan_freshness::PlanFreshness;
--- a/crates/steering/src/recovery/crash_table.rs
+++ b/crates/steering/src/recovery/crash_table.rs
@@ -17,6 +17,8 @@
 const CRASH_RETENTION: Duration = Duration::from_mins(5);
 /// Maximum number of tracked requests.
 const MAX_FINGERPRINTS: usize = 10_000;
+/// Maximum number of refused requests that the store keeps for a restart of all instances.
+pub const MAX_STORED_REQUESTS: usize = 64;
 
 #[derive(Debug, Clone, Default)]
 struct CrashRecord {
@@ -35,6 +37,15 @@
     pub age: Duration,
 }
 
+/// A refused request, as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Short hashes of as many upstreams that crashed as lead to the refusal.
+    pub upstreams: Vec<u32>,
+}
+
 /// Crashed runs by the fingerprint of the request.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTable {
@@ -74,6 +85,24 @@
         suspects
     }
 
+    /// Returns the latest refused requests for the store, ordered by their fingerprints.
+    #[must_use]
+    pub fn stored_requests(&self, now: MonotonicTime) -> Vec<StoredRequest> {
+        let suspects = self.suspects(now);
+        let refused = suspects
+            .into_iter()
+            .filter(|suspect| suspect.upstreams.len() >= BLOCK_THRESHOLD);
+        let mut stored: Vec<StoredRequest> = refused
+            .take(MAX_STORED_REQUESTS)
+            .map(|suspect| StoredRequest {
+                fingerprint: suspect.fingerprint,
+                upstreams: suspect.upstreams[..BLOCK_THRESHOLD].to_vec(),
+            })
+            .collect();
+        stored.sort_unstable_by_key(|request| request.fingerprint);
+        stored
+    }
+
     /// Removes a request that was answered. Returns whether it was tracked.
     pub fn remove(&mut self, fingerprint: u64) -> bool {
         self.crashes.remove(&fingerprint).is_some()
--- a/crates/steering/src/recovery/mod.rs
+++ b/crates/steering/src/recovery/mod.rs
@@ -1,5 +1,6 @@
 //! What holds while instances stop, the store is away or requests crash upstreams.
 
+pub(crate) mod crash_reports;
 pub(crate) mod crash_table;
 pub(crate) mod evacuation_list;
 pub(crate) mod outage_evidence;
--- a/crates/steering/src/recovery/suspect_inquiry.rs
+++ b/crates/steering/src/recovery/suspect_inquiry.rs
@@ -18,9 +18,10 @@
 /// How the question for the crash suspects ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InquiryEnd {
-    /// An instance that knows the suspects has answered, or there is no instance to ask.
+    /// An instance that knows the suspects has answered.
     Answered,
-    /// Every other instance has answered that it does not know them either.
+    /// Every other instance has answered that it does not know them either, or there is none. What the store keeps of them
+    /// is known.
     KnownToNone,
     /// No answer came in time.
     TimedOut,
@@ -32,6 +33,8 @@
     started_at: MonotonicTime,
     others_known_since: Option<MonotonicTime>,
     is_answered: bool,
+    /// Whether the refused requests that the store keeps are known.
+    has_read_store: bool,
     /// Instances that have answered that they do not know the suspects.
     unaware: HashSet<u64>,
     end: Option<InquiryEnd>,
@@ -46,6 +49,7 @@
             started_at: now,
             others_known_since: None,
             is_answered: false,
+            has_read_store: false,
             unaware: HashSet::new(),
             end: is_first_start.then_some(InquiryEnd::Answered),
         }
@@ -66,6 +70,11 @@
         }
     }
 
+    /// Records that the refused requests in the store were read.
+    pub fn record_store(&mut self) {
+        self.has_read_store = true;
+    }
+
     /// Ends the inquiry if that is possible, and returns how it ended when it does. `others` are the other registered
     /// instances; `None` while they are not known.
     pub fn update(&mut self, others: Option<&[u64]>, now: MonotonicTime) -> Option<InquiryEnd> {
@@ -79,10 +88,11 @@
         let is_answer_late = self
             .others_known_since
             .is_some_and(|since| is_late(since, ANSWER_TIMEOUT));
-        self.end = if self.is_answered || others.is_some_and(<[u64]>::is_empty) {
+        let is_none_aware =
+            others.is_some_and(|others| others.iter().all(|peer| self.unaware.contains(peer)));
+        self.end = if self.is_answered {
             Some(InquiryEnd::Answered)
-        } else if others.is_some_and(|others| others.iter().all(|peer| self.unaware.contains(peer)))
-        {
+        } else if is_none_aware && self.has_read_store {
             Some(InquiryEnd::KnownToNone)
         } else if is_answer_late || is_late(self.started_at, START_TIMEOUT) {
             Some(InquiryEnd::TimedOut)
