soak: returns of the store are checked for what instances already knew

Change: just before each return an upstream leaves or is removed and the changing key is granted or withdrawn, after the last copy. The plan and the upstreams that each instance uses are read then. Until the upstream is ready again or the instance is started again, no request through it may run at an upstream that it had stopped using; its plan never goes back to an earlier version; 8 s after the last fault every process that runs is registered as such. What an earlier return lost is written again before the next one. The draws come from a sequence of their own; the sequence of the other faults is unchanged, the times of the returns are not.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! timing of the machine.
 
 mod planned_work;
+mod return_checks;
 mod soak_callers;
 mod soak_checks;
 mod soak_faults;
--- a/crates/soak/src/soak_checks.rs
+++ b/crates/soak/src/soak_checks.rs
@@ -137,6 +137,34 @@
         /// Time in milliseconds from the end of the bound to the run.
         late_ms: u128,
     },
+    /// A request reached an upstream that its instance knew to be leaving or removed before a return of the store.
+    #[error("{attempt_id} ran at {upstream} {after_ms} ms after {instance} had stopped using it")]
+    UsedAfterReturn {
+        /// Attempt id of the request.
+        attempt_id: String,
+        /// Id of the upstream.
+        upstream: String,
+        /// Name of the instance.
+        instance: String,
+        /// Time in milliseconds from when the instance is known not to use the upstream to the run.
+        after_ms: u128,
+    },
+    /// An instance put an earlier version of the configuration in force after a return of the store.
+    #[error("{instance} went back from version {before} of the configuration to {after}")]
+    PlanReverted {
+        /// Name of the instance.
+        instance: String,
+        /// Version before the return.
+        before: u64,
+        /// Version after it.
+        after: u64,
+    },
+    /// The store lacks the registration of a running instance after all faults had ended.
+    #[error("{instance} is not registered as the process that runs")]
+    NotRegistered {
+        /// Name of the instance.
+        instance: String,
+    },
     /// A process of the fleet ended although no signal asked it to, or not as the signal asked.
     #[error("{instance} ended by itself: {status}")]
     EndedByItself {
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -30,8 +30,18 @@
     pub upstream: SignedUpstream,
     /// Relay whose address is registered for the daemons.
     pub relay: FaultRelay,
-    /// State in its latest registration.
-    state: &'static str,
+    /// State in its latest registration; `None` if it is removed.
+    state: Option<&'static str>,
+    /// Times of its registrations as ready.
+    pub ready_at: Vec<Instant>,
+}
+
+impl RelayedUpstream {
+    /// Returns whether the upstream is registered as ready.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state == Some("ready")
+    }
 }
 
 /// Daemon that reaches the store through a relay of its own.
@@ -43,6 +53,8 @@
     pub options: EntryOptions,
     /// Relay between the daemon and the store.
     pub store_relay: FaultRelay,
+    /// Times at which its processes were started.
+    pub started_at: Vec<Instant>,
     /// Whether the process is stopped by `SIGSTOP`.
     pub is_paused: bool,
     /// Signal that ends the process, if one was sent. `SIGKILL` counts before `SIGTERM`.
@@ -104,7 +116,8 @@
             fleet.upstreams.push(RelayedUpstream {
                 upstream,
                 relay,
-                state: "ready",
+                state: None,
+                ready_at: Vec::new(),
             });
             fleet.register(index, "ready");
         }
@@ -118,6 +131,7 @@
                 process: None,
                 options,
                 store_relay,
+                started_at: Vec::new(),
                 is_paused: false,
                 end_signal: None,
             });
@@ -174,14 +188,27 @@
 
     /// Registers an upstream in the store with the address of its relay and the state `state`.
     pub fn register(&mut self, index: usize, state: &'static str) {
-        self.upstreams[index].state = state;
+        let relayed = &mut self.upstreams[index];
+        relayed.state = Some(state);
+        if relayed.is_ready() {
+            relayed.ready_at.push(Instant::now());
+        }
+        self.write_registration(index);
+    }
+
+    /// Removes the registration of an upstream.
+    pub fn remove_upstream(&mut self, index: usize) {
+        self.upstreams[index].state = None;
         self.write_registration(index);
     }
 
     fn write_registration(&self, index: usize) {
         let relayed = &self.upstreams[index];
         let id = relayed.upstream.id();
-        register_upstream(&self.store, id, relayed.relay.address(), relayed.state);
+        match relayed.state {
+            Some(state) => register_upstream(&self.store, id, relayed.relay.address(), state),
+            None => self.store.remove("servers", id),
+        }
     }
 
     /// Writes the latest version of the configuration and all registrations of upstreams again.
@@ -196,6 +223,7 @@
     pub fn start_instance(&mut self, index: usize) -> Result<(), SoakError> {
         let instance = &mut self.instances[index];
         let options = instance.options.clone();
+        instance.started_at.push(Instant::now());
         let process = EntryInstance::start(&self.program, &self.folder, options)?;
         instance.process = Some(process);
         instance.options.is_first_start = false;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -113,7 +113,8 @@
             ))
         }));
     }
-    let faults = inject_faults(&mut fleet, plan).await?;
+    let mut return_draw = ReturnDraw::new(plan.seed);
+    let faults = inject_faults(&mut fleet, plan, &mut return_draw).await?;
     fleet.write_config(true);
     fleet.clear_faults().await?;
     let faults_cleared_at = Instant::now();
@@ -122,6 +123,10 @@
         fleet.restart_ended()?;
         tokio::time::sleep(RESTART_POLL_INTERVAL).await;
     }
+    let mut return_checks = return_draw.into_checks();
+    if plan.profile == SoakProfile::StoreReturns {
+        return_checks.check_registrations(&fleet).await;
+    }
     let final_window_start = Instant::now();
     tokio::time::sleep(FINAL_WINDOW).await;
     stop.store(true, Ordering::Relaxed);
@@ -146,6 +151,7 @@
         let departures = fleet.departures();
         violations.extend(check_planned_work(&outcomes, &runs, departures));
     }
+    violations.extend(return_checks.finish(&fleet, &outcomes, &runs));
     violations.extend_from_slice(fleet.unexpected_ends());
     let final_outcomes = outcomes
         .iter()
@@ -165,12 +171,15 @@
 }
 
 /// Injects faults, or takes planned steps, for the duration of the plan. Returns their descriptions for the report.
-async fn inject_faults(fleet: &mut SoakFleet, plan: SoakPlan) -> Result<Vec<String>, SoakError> {
+async fn inject_faults(
+    fleet: &mut SoakFleet,
+    plan: SoakPlan,
+    return_draw: &mut ReturnDraw,
+) -> Result<Vec<String>, SoakError> {
     let mut rng = Rng::with_seed(plan.seed);
     let mut faults = Vec::new();
     // A sequence of its own keeps the other faults of each seed as they are.
     let mut silence_rng = Rng::with_seed(!plan.seed);
-    let mut return_draw = ReturnDraw::new(plan.seed);
     if plan.profile == SoakProfile::StoreReturns {
         fleet.store.state_eras();
     }
@@ -199,9 +208,9 @@
         let pause_end = Instant::now() + pause;
         while Instant::now() < pause_end {
             tokio::time::sleep(RETURN_POLL_INTERVAL.min(pause)).await;
-            return_draw.perform_due(fleet);
+            return_draw.perform_due(fleet).await;
         }
     }
-    return_draw.finish(fleet);
+    return_draw.finish(fleet).await;
     Ok(faults)
 }
