--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,9 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CostExposure, CrashTable, DemandTable, EvacuationList, InstanceRoom, InstanceView, LimitTable,
+    CostExposure, CrashReports, CrashTable, DemandTable, EvacuationList, LimitTable,
     OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
-    weigh_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -25,7 +24,7 @@
 use crate::plan_lag::PlanLag;
 use crate::queue_exchange::QueueUpdates;
 use crate::reader_role::ListPositions;
-use crate::shared_state::{FleetView, SharedState};
+use crate::shared_state::SharedState;
 use crate::slot_reservation::wake_queued;
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::store_return::StoreEra;
@@ -54,6 +53,9 @@
     pub(crate) quotas: AccountQuotas,
     pub(crate) crash_table: CrashTable,
     pub(crate) suspect_inquiry: SuspectInquiry,
+    pub(crate) crash_reports: CrashReports,
+    /// The number of crashes that this instance has reported.
+    pub(crate) reported_crashes: u32,
     pub(crate) plan: Option<Arc<SteeringPlan>>,
     pub(crate) heartbeat_number: u64,
     pub(crate) sent_heartbeats: VecDeque<SentHeartbeat>,
@@ -101,6 +103,7 @@
         let home = shared.home;
         let is_first_start = shared.settings.is_first_start;
         let suspect_inquiry = SuspectInquiry::new(is_first_start, shared.clock.now());
+        let crash_reports = CrashReports::new(is_first_start, shared.clock.now());
         let retries_full_from = if is_first_start {
             MonotonicTime::default()
         } else {
@@ -125,6 +128,8 @@
             members: MemberList::default(),
             crash_table: CrashTable::default(),
             suspect_inquiry,
+            crash_reports,
+            reported_crashes: 0,
             plan: None,
             // A random start, so that the numbers of an earlier process are not mistaken for those of this one.
             heartbeat_number: fastrand::u64(..1 << 48),
@@ -218,6 +223,7 @@
                 }
             }
             ControlEvent::EraSettled { era } => self.prove_settled_era(era),
+            ControlEvent::RefusedRead { requests } => self.apply_refused(&requests),
             ControlEvent::Shutdown => self.leave_fleet(),
         }
     }
@@ -283,6 +289,7 @@
         self.observe_store_outage();
         self.observe_plan_lag(now);
         self.update_inquiry(now);
+        self.ask_for_missed_crashes();
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
@@ -304,6 +311,9 @@
             self.shared.affinity_table.expire(now);
             let members = &self.members;
             self.peers.expire(now, |hash| members.contains_hash(hash));
+            let peers = &self.peers;
+            self.crash_reports
+                .retain(|hash| peers.get(hash).is_some() || members.contains_hash(hash));
             self.remove_silent_members(now);
         }
     }
@@ -332,32 +342,4 @@
             }
         }
     }
-
-    /// Returns the hashes of the names of the live instances, this one included.
-    fn live_hashes(&self, now: MonotonicTime) -> Vec<u64> {
-        let live = self.peers.live(now).map(|(hash, _)| hash);
-        live.chain([self.shared.own_hash]).collect()
-    }
-
-    pub(crate) fn publish_fleet(&self, now: MonotonicTime) {
-        let own_view = InstanceView {
-            address: self.shared.settings.entry,
-            domain: self.shared.home.domain,
-            region: self.shared.home.region,
-            is_accepting: self.shared.is_accepting(),
-            room: self.shared.own_room(),
-        };
-        let mut instances = self.peers.views(now);
-        instances.push(own_view);
-        let hashes = self.live_hashes(now);
-        let registered: Vec<u64> = self.members.hashes().collect();
-        let sharing = sharing_instances(&hashes, &registered);
-        let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
-        self.shared.fleet.store(Arc::new(FleetView {
-            instances,
-            weights: weigh_instances(&rooms),
-            hashes,
-            sharing_instances: sharing,
-        }));
-    }
 }
--- a/crates/entry/src/fleet_registration.rs
+++ b/crates/entry/src/fleet_membership.rs
@@ -1,18 +1,47 @@
-//! The registrations of the instances in the store: that of this one, and those of others that have ended.
+//! Registers this instance, removes the registrations of silent ones, and publishes the live instances.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_steering::{InstanceRoom, InstanceView, sharing_instances, weigh_instances};
 
 use crate::control_loop::ControlLoop;
 use crate::member_list::{register, unregister};
+use crate::shared_state::FleetView;
 
 /// A registered instance that sends no heartbeat for this long is removed from the store by another one.
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(15);
 
 impl ControlLoop {
-    /// Registers this instance in the store.
+    /// Returns the hashes of the names of the live instances, this one included.
+    pub(crate) fn live_hashes(&self, now: MonotonicTime) -> Vec<u64> {
+        let live = self.peers.live(now).map(|(hash, _)| hash);
+        live.chain([self.shared.own_hash]).collect()
+    }
+
+    pub(crate) fn publish_fleet(&self, now: MonotonicTime) {
+        let own_view = InstanceView {
+            address: self.shared.settings.entry,
+            domain: self.shared.home.domain,
+            region: self.shared.home.region,
+            is_accepting: self.shared.is_accepting(),
+            room: self.shared.own_room(),
+        };
+        let mut instances = self.peers.views(now);
+        instances.push(own_view);
+        let hashes = self.live_hashes(now);
+        let registered: Vec<u64> = self.members.hashes().collect();
+        let sharing = sharing_instances(&hashes, &registered);
+        let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
+        self.shared.fleet.store(Arc::new(FleetView {
+            instances,
+            weights: weigh_instances(&rooms),
+            hashes,
+            sharing_instances: sharing,
+        }));
+    }
+
     pub(crate) fn start_registration(&mut self) {
         self.is_registering = true;
         let shared = Arc::clone(&self.shared);
@@ -31,7 +60,6 @@
         }
     }
 
-    /// Tells the other instances that this one stops, and removes its registration.
     pub(crate) fn leave_fleet(&mut self) {
         self.publish_fleet(self.shared.clock.now());
         self.pending.hurry();
