transport: a request can bound the time for a new connection

Change: `ReusePolicy` has the time after which a new connection is given up, 600 ms as before unless a request asks for less.

--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -35,25 +35,41 @@
 /// The size to which the buffer of a connection may grow. It holds a head of the longest length.
 const MAX_BUFFER_BYTES: usize = MAX_HEAD_BYTES + 8 * 1024;
 
-/// Which connections a request may use, by the time for which they have been idle.
+/// Which connections a request may use, by the time for which they have been idle, and how long a new one may take.
 #[derive(Debug, Clone, Copy)]
 pub struct ReusePolicy {
     /// The longest idle time of a reused connection; `None` always opens a new connection.
     pub max_idle: Option<Duration>,
+    /// The time after which a new connection is given up.
+    pub connect_timeout: Duration,
 }
 
 impl ReusePolicy {
     /// For requests that may be retried.
     pub const RETRYABLE: Self = Self {
         max_idle: Some(MAX_IDLE),
+        connect_timeout: CONNECT_TIMEOUT,
     };
     /// For requests that must not be retried. The idle time is short, because a connection that breaks during the
     /// exchange leaves the request's outcome unknown.
     pub const NON_RETRYABLE: Self = Self {
         max_idle: Some(Duration::from_secs(3)),
+        connect_timeout: CONNECT_TIMEOUT,
     };
     /// For upstreams whose idle connections are suspected to be broken.
-    pub const NEW_CONNECTION: Self = Self { max_idle: None };
+    pub const NEW_CONNECTION: Self = Self {
+        max_idle: None,
+        connect_timeout: CONNECT_TIMEOUT,
+    };
+
+    /// Returns the policy with a new connection given up after `timeout`, if that is earlier.
+    #[must_use]
+    pub fn connecting_within(self, timeout: Duration) -> Self {
+        Self {
+            connect_timeout: self.connect_timeout.min(timeout),
+            ..self
+        }
+    }
 }
 
 /// Why no response head was received for a request.
@@ -207,7 +223,7 @@
             .and_then(|max_idle| self.take_idle(now, max_idle));
         let mut connection = match idle {
             Some(connection) => connection,
-            None => match self.connect().await {
+            None => match self.connect(policy.connect_timeout).await {
                 Ok(connection) => connection,
                 Err(error) => {
                     log::debug!("entry: Connecting to {} failed: {error}", self.address);
@@ -276,9 +292,9 @@
         None
     }
 
-    async fn connect(&self) -> Result<Box<UpstreamConnection>, ConnectError> {
+    async fn connect(&self, timeout: Duration) -> Result<Box<UpstreamConnection>, ConnectError> {
         let connecting = TcpStream::connect(self.address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
+        let stream = tokio::time::timeout(timeout, connecting).await??;
         stream.set_nodelay(true)?;
         let read_allowance = ReadAllowance::default();
         let limited = LimitedStream::new(stream, read_allowance.clone());
@@ -299,7 +315,7 @@
 
 #[derive(Debug, thiserror::Error)]
 enum ConnectError {
-    #[error("no answer within {} ms", CONNECT_TIMEOUT.as_millis())]
+    #[error("no answer in time")]
     Timeout(#[from] tokio::time::error::Elapsed),
     #[error("{0}")]
     Io(#[from] std::io::Error),
