entry, steering: refusals at once where no upstream that suits the request is expected to have room

Cause: the expected turn counted the completions of the whole pool. After an attempt that was refused or not connected, it waited for a fifth of its time more. No turn before the bound: refused at once, also when a turn could not be used. A released slot wakes requests that its upstream suits. Connections of contended pools are given up when a refusal is due. After an attempt a request waits until a warm answer would miss its deadline. Weights of accounts are divided over the instances by demand. New: refusal_milliseconds, refused_late_total.

--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -62,6 +62,8 @@
     RefusedAtOnce,
     /// Requests refused after a wait in the fair queue.
     RefusedAfterWait,
+    /// Requests to contended pools that were refused for lack of room after more than half of their objective.
+    RefusedLate,
     /// Requests that were started before the previous one on their connection was answered.
     EarlyStarts,
     /// Answers that were ready before those before them on their connection.
@@ -72,7 +74,7 @@
     CrashRefusals,
 }
 
-const COUNTERS: [(CounterName, &str); 27] = [
+const COUNTERS: [(CounterName, &str); 28] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -102,6 +104,7 @@
     ),
     (CounterName::RefusedAtOnce, "refused_at_once_total"),
     (CounterName::RefusedAfterWait, "refused_after_wait_total"),
+    (CounterName::RefusedLate, "refused_late_total"),
     (CounterName::EarlyStarts, "early_starts_total"),
     (CounterName::EarlyAnswers, "early_answers_held_total"),
     (CounterName::EarlyTakenBack, "early_taken_back_total"),
@@ -156,6 +159,8 @@
     pub latency: LatencyHistogram,
     /// The time that requests spent in the queue of a pool.
     pub waits: LatencyHistogram,
+    /// The time until requests to contended pools are refused for lack of room.
+    pub refusals: LatencyHistogram,
 }
 
 /// The values of the gauges at the time of a scrape.
@@ -188,6 +193,7 @@
             placements: (0..regions).map(|_| Default::default()).collect(),
             latency: LatencyHistogram::default(),
             waits: LatencyHistogram::default(),
+            refusals: LatencyHistogram::default(),
         }
     }
 
@@ -269,6 +275,7 @@
             writeln!(text, "coltsfootkeel_{name} {value}")?;
         }
         self.latency.write(text, "request_milliseconds")?;
-        self.waits.write(text, "wait_milliseconds")
+        self.waits.write(text, "wait_milliseconds")?;
+        self.refusals.write(text, "refusal_milliseconds")
     }
 }
--- a/crates/entry/src/entry_snapshot.rs
+++ b/crates/entry/src/entry_snapshot.rs
@@ -7,9 +7,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use coltsfootkeel_model::{AccountKey, Arena, PoolKey, RegionKey, RouteKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    AverageTime, CacheEstimator, CompletionRate, DemandDivision, FairQueue, OfferedWork, QueueLoad,
-    QuotaBudget, RegionSpread, RequestQueue, RetryBudget, ReturnSchedule, ServiceTimes,
-    SpillBudget, SteeringPlan, UpstreamState,
+    AverageTime, CacheEstimator, CompetingRequests, CompletionRate, DemandDivision, FairQueue,
+    OfferedWork, QueueLoad, QuotaBudget, RegionSpread, RequestQueue, RetryBudget, ReturnSchedule,
+    ServiceTimes, SpillBudget, SteeringPlan, UpstreamState,
 };
 use coltsfootkeel_transport::UpstreamClient;
 use tokio::sync::oneshot;
@@ -67,12 +67,14 @@
     pub states_cost: Arc<AtomicBool>,
     /// What the settings ask for.
     pub switches: PoolSwitches,
-    /// The requests that wait for a free slot while the upstreams state the cost of work.
+    /// The requests that wait for a free slot while the pool is contended.
     pub fair_queue: Arc<FairQueue<SignalSender>>,
     /// The rate at which this instance completes requests.
     pub completions: Arc<CompletionRate>,
     /// What waits at the other instances.
     pub others: Arc<ArcSwap<QueueLoad>>,
+    /// The upstreams for which it waits.
+    pub competing_elsewhere: Arc<ArcSwap<CompetingRequests>>,
     /// When refused callers return.
     pub returns: Arc<ReturnSchedule>,
     /// The work that callers offer, counted if the pool is divided by demand.
--- a/crates/entry/src/fair_wait.rs
+++ b/crates/entry/src/fair_wait.rs
@@ -1,12 +1,15 @@
-//! Reserves an upstream's slot for a request of a pool whose room changes many times a second. While none is available,
-//! the request waits in the fair queue of the pool, unless its turn is not expected in time.
+//! Reserves an upstream's slot for a request of a contended pool: its room changes many times a second, or the settings
+//! state that callers compete for it. While no slot is available, the request waits in the fair queue of the pool, unless
+//! its turn at the upstreams that suit it is not expected in time.
 
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
+use coltsfootkeel_model::{AccountKey, UpstreamKey};
 use coltsfootkeel_steering::{
-    FairQueue, QueueLoad, QueueTicket, QueuedRequest, RequestClass, max_queue_wait, stable_hash,
-    turn_time, wait_until,
+    FairQueue, ForecastCandidate, QueueLoad, QueueTicket, QueuedRequest, RequestClass,
+    UpstreamRoom, UpstreamSet, ahead_of_all, expected_turn, max_queue_wait, short_hash,
+    stable_hash, turn_time, wait_until,
 };
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -18,7 +21,8 @@
 use crate::request_context::RequestContext;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
+use crate::upstream_candidates::{CandidateView, is_allowed};
+use crate::upstream_choice::{SlotReservation, reserve_slot};
 
 impl RequestFlow {
     /// Reserves a slot at an upstream that can answer in time. Waits for one while the turn of the request is expected
@@ -34,43 +38,74 @@
         let pool = self.context.listed_pool().state.clone();
         let mut request = queued_request(&self.context);
         if !self.tried.is_empty() {
-            // An upstream has had the request, so a refusal is not what holds it longest.
-            request.until = request.since + max_wait(&self.context);
+            // An attempt has taken the time for a prompt refusal, so a late answer is worth more to the caller.
+            request.until = request.since + late_wait(&self.context);
         }
         if self.tried.is_empty() {
             pool.fair_queue.shares.count_arrival(request.class.rank);
         }
+        let mut rooms = None;
+        if !pool.fair_queue.is_next(&request) {
+            // It may still be next among the requests that compete for the same upstreams.
+            rooms = Some(self.set_suitable(&mut request));
+        }
         if pool.fair_queue.is_next(&request)
             && let Some(reservation) = reserve_slot(&self.context, &self.tried)
         {
             pool.fair_queue.count_served(&request);
             return Ok(reservation);
         }
-        let expected_wait = expected_wait(&self.context, &request);
-        let allowed_wait = request.until.since(request.since);
-        if expected_wait.max(time_until_send(&self.context)) > allowed_wait {
-            self.context
-                .shared
-                .metrics
-                .count(CounterName::RefusedAtOnce);
+        let rooms = rooms.unwrap_or_else(|| self.set_suitable(&mut request));
+        let metrics = &self.context.shared.metrics;
+        if !self.has_turn_in_time(&request, &rooms) {
+            metrics.count(CounterName::RefusedAtOnce);
             return Err(RejectKind::NoCapacity);
         }
-        self.context.shared.metrics.count(CounterName::Waits);
+        metrics.count(CounterName::Waits);
         let found = self.wait_for_turn(&pool, request).await;
         let waited = self.context.shared.clock.now().since(request.since);
         request_log.waited += waited;
-        self.context.shared.metrics.waits.add(waited);
+        metrics.waits.add(waited);
         if let Ok(Some(_)) = found {
             pool.fair_queue.count_served(&request);
         } else {
-            self.context
-                .shared
-                .metrics
-                .count(CounterName::RefusedAfterWait);
+            metrics.count(CounterName::RefusedAfterWait);
         }
         found?.ok_or(RejectKind::NoCapacity)
     }
 
+    /// Finds the upstreams that suit a request, and returns the room that they have for it.
+    fn set_suitable(&self, request: &mut QueuedRequest) -> Vec<UpstreamRoom<UpstreamKey>> {
+        let rooms = suitable_rooms(&self.context, &self.tried);
+        request.suitable = upstream_set(&self.context, &rooms);
+        rooms
+    }
+
+    /// Returns whether a request has its turn at one of the upstreams that suit it before it stops to wait, if it begins to
+    /// wait now.
+    fn has_turn_in_time(
+        &self,
+        request: &QueuedRequest,
+        rooms: &[UpstreamRoom<UpstreamKey>],
+    ) -> bool {
+        let pool = self.context.listed_pool();
+        let upstreams = pool_size(&self.context);
+        let own = pool.state.fair_queue.competing(&request.suitable);
+        let others = pool.state.competing_elsewhere.load();
+        let others = others.count(&request.suitable, upstreams);
+        let ahead = pool.state.fair_queue.count_ahead(request);
+        let ahead = ahead_of_all(ahead, own, others);
+        let longest = request.until.since(request.since);
+        time_until_send(&self.context) <= longest && expected_turn(rooms, ahead, longest).is_some()
+    }
+
+    /// Returns whether a request that could not use its turn is still expected to get a slot before it stops to wait.
+    fn may_get_slot(&self, request: &QueuedRequest) -> bool {
+        let rooms = suitable_rooms(&self.context, &self.tried);
+        let longest = request.until.since(self.context.shared.clock.now());
+        expected_turn(&rooms, 0.0, longest).is_some()
+    }
+
     async fn wait_for_turn(
         &self,
         pool: &PoolState,
@@ -95,6 +130,9 @@
             if let Some(reservation) = reserve_slot(&self.context, &self.tried) {
                 return Ok(Some(reservation));
             }
+            if !self.may_get_slot(&request) {
+                return Ok(None);
+            }
         }
     }
 }
@@ -131,7 +169,46 @@
             max_wait(context),
             now,
         ),
+        suitable: UpstreamSet::all(pool_size(context)),
+    }
+}
+
+fn pool_size(context: &RequestContext) -> u32 {
+    u32::try_from(context.listed_pool().upstreams.len()).unwrap_or(u32::MAX)
+}
+
+/// Returns the upstreams that suit the request and are not in `tried`, with the room that they have for it.
+fn suitable_rooms(
+    context: &RequestContext,
+    tried: &[UpstreamKey],
+) -> Vec<UpstreamRoom<UpstreamKey>> {
+    let now = context.shared.clock.now();
+    let Some(view) = CandidateView::new(context, tried, now) else {
+        return Vec::new();
+    };
+    let candidates = view.suitable().map(|key| ForecastCandidate {
+        candidate: view.candidate(key, context.snapshot.upstreams[key].state.load(now)),
+        closed_for: view.closed_for(key),
+    });
+    view.placement_request(false).forecast_room(candidates)
+}
+
+/// Returns the set of these upstreams: all of the pool if the object may be placed at a new one.
+fn upstream_set(context: &RequestContext, rooms: &[UpstreamRoom<UpstreamKey>]) -> UpstreamSet {
+    if rooms.iter().any(|room| !room.is_warm) {
+        return UpstreamSet::all(pool_size(context));
     }
+    let hashes = rooms.iter().map(|room| {
+        let state = &context.snapshot.upstreams[room.key].state;
+        short_hash(state.hash)
+    });
+    UpstreamSet::listed(hashes)
+}
+
+/// Returns how long a request may wait if a warm answer may come as late as its deadline.
+fn late_wait(context: &RequestContext) -> Duration {
+    let warm = context.home_time_estimate().warm;
+    context.remaining().saturating_sub(warm)
 }
 
 /// Returns how long a request may wait for its answer to be of use.
@@ -140,28 +217,25 @@
     max_queue_wait(context.objective_left(), context.remaining(), warm)
 }
 
-/// Returns the rate that is agreed with the account; the mean of all accounts where none is agreed.
+/// Returns the part of the account's agreed rate that falls to this instance by the demand at all instances, so that an
+/// account gets one share however many instances it sends through; the mean of all accounts where no rate is agreed.
 fn account_weight(context: &RequestContext) -> f64 {
-    let plan = &context.snapshot.plan;
-    let own = context
-        .account
-        .and_then(|key| plan.accounts[key].rate_per_s);
-    own.unwrap_or_else(|| {
-        let rates = plan
-            .accounts
-            .iter()
-            .filter_map(|(_, account)| account.rate_per_s);
-        let (count, sum) = rates.fold((0.0, 0.0), |(count, sum), rate| (count + 1.0, sum + rate));
+    let snapshot = &context.snapshot;
+    let weight = |key: AccountKey| {
+        let rate_per_s = snapshot.plan.accounts[key].rate_per_s?;
+        let fraction = snapshot.quotas[key].as_ref()?.demand_fraction();
+        Some(rate_per_s * fraction)
+    };
+    context.account.and_then(weight).unwrap_or_else(|| {
+        let weights = snapshot.plan.accounts.iter();
+        let weights = weights.filter_map(|(key, _)| weight(key));
+        let (count, sum) = weights.fold((0.0, 0.0), |(count, sum), weight| {
+            (count + 1.0, sum + weight)
+        });
         if count > 0.0 { sum / count } else { 1.0 }
     })
 }
 
-/// Returns the expected time until a request has its turn.
-fn expected_wait(context: &RequestContext, request: &QueuedRequest) -> Duration {
-    let ahead = context.listed_pool().state.fair_queue.count_ahead(request);
-    pool_turn_time(context, request.since).mul_f64(ahead + 1.0)
-}
-
 /// Returns the time between two turns in the queue of this instance.
 pub(crate) fn pool_turn_time(context: &RequestContext, now: MonotonicTime) -> Duration {
     let pool = &context.listed_pool().state;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -50,6 +50,7 @@
 mod store_updates;
 mod store_watch;
 mod suspect_exchange;
+mod upstream_candidates;
 mod upstream_choice;
 mod upstream_exchange;
 mod upstream_registry;
--- a/crates/entry/src/limit_delays.rs
+++ b/crates/entry/src/limit_delays.rs
@@ -7,7 +7,7 @@
 use coltsfootkeel_steering::UpstreamLimit;
 
 use crate::request_context::RequestContext;
-use crate::upstream_choice::is_allowed;
+use crate::upstream_candidates::is_allowed;
 
 /// Counts the request as demand for the upstreams with a rate limit in its region, by which the instances divide the
 /// limits.
--- a/crates/entry/src/request_flow.rs
+++ b/crates/entry/src/request_flow.rs
@@ -25,7 +25,8 @@
 use crate::request_context::{AccountCharge, RequestContext, body_length};
 use crate::request_log::RequestLog;
 use crate::shared_state::SharedState;
-use crate::upstream_choice::{SlotReservation, is_avoidance_suspended};
+use crate::upstream_candidates::is_avoidance_suspended;
+use crate::upstream_choice::SlotReservation;
 use crate::upstream_exchange::{ExchangeOutcome, UpstreamAnswer};
 use coltsfootkeel_transport::InFlightGuard;
 
@@ -301,6 +302,9 @@
             drop(in_flight_guard);
             return Ok(deliver_failure(*failure));
         }
+        if kind == RejectKind::NoCapacity && self.context.listed_pool().state.is_contended() {
+            self.count_refusal();
+        }
         let retry_after = if kind == RejectKind::Stopping {
             STOPPING_RETRY_AFTER
         } else {
@@ -318,6 +322,16 @@
         })
     }
 
+    /// Counts how long the request was held before it is refused for lack of room.
+    fn count_refusal(&self) {
+        let shared = &self.context.shared;
+        let held = shared.clock.now().since(self.context.arrived);
+        shared.metrics.refusals.add(held);
+        if held * 2 > self.context.route_plan().objective {
+            shared.metrics.count(CounterName::RefusedLate);
+        }
+    }
+
     fn deliver(
         &self,
         answer: UpstreamAnswer,
--- a/crates/entry/src/request_wait.rs
+++ b/crates/entry/src/request_wait.rs
@@ -14,7 +14,8 @@
 use crate::rejection::RejectKind;
 use crate::request_flow::RequestFlow;
 use crate::request_log::RequestLog;
-use crate::upstream_choice::{SlotReservation, is_allowed, reserve_slot};
+use crate::upstream_candidates::is_allowed;
+use crate::upstream_choice::{SlotReservation, reserve_slot};
 
 /// The lowest number of slots for which a wait is estimated.
 const MIN_EFFECTIVE_SLOTS: f64 = 0.1;
--- a/crates/entry/src/spread_updates.rs
+++ b/crates/entry/src/spread_updates.rs
@@ -7,7 +7,7 @@
 use crate::control_loop::ControlLoop;
 use crate::entry_snapshot::{EntrySnapshot, ListedPool, PoolSpread};
 use crate::shared_state::SharedState;
-use crate::upstream_choice::AVOIDED_LIMIT_DIVISOR;
+use crate::upstream_candidates::AVOIDED_LIMIT_DIVISOR;
 
 /// Change of the own region's share since the last log line about it, above which another one is written. It bounds the
 /// lines while a share moves.
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -95,6 +95,9 @@
         .collect()
 }
 
+/// The largest number of upstreams by which the dump lists waiting requests.
+const LISTED_UPSTREAMS: usize = 16;
+
 /// Returns what waits in the fair queue of each pool, here and at the other instances.
 fn dump_queues(shared: &SharedState, snapshot: &EntrySnapshot) -> Value {
     let now = shared.clock.now();
@@ -103,6 +106,7 @@
         let others = pool.state.others.load();
         let queue = json!({
             "waiting_by_rank": summary.waiting,
+            "waiting_by_upstream": summary.competing.heaviest(LISTED_UPSTREAMS),
             "oldest_wait_ms": summary.oldest_wait.as_millis(),
             "completed_per_s": pool.state.completions.per_s(),
             "waiting_elsewhere": others.waiting,
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -9,16 +9,16 @@
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_model::{RegionKey, UpstreamKey};
+use coltsfootkeel_model::UpstreamKey;
 use coltsfootkeel_steering::{
-    LoadView, PlacementDecision, PlacementReason, PlacementRequest, RecentUpstreams, RegionSet,
-    UpstreamCandidate, UpstreamState, cold_send_interval, combine_hashes, short_hash,
+    LoadView, PlacementDecision, PlacementReason, UpstreamState, cold_send_interval, short_hash,
 };
 
-use crate::entry_snapshot::{ListedUpstream, PoolState, QueueSignal};
+use crate::entry_snapshot::{PoolState, QueueSignal};
 use crate::limit_delays::count_limited_demand;
 use crate::request_context::RequestContext;
 use crate::shared_state::PlacementReport;
+use crate::upstream_candidates::{CandidateView, reuse_distance};
 
 /// A slot at an upstream that is reserved for one request. Dropping it frees the slot and wakes queued requests of the
 /// pool.
@@ -109,7 +109,20 @@
 impl Drop for SlotReservation {
     fn drop(&mut self) {
         self.state.end_request();
-        wake_queued(&self.pool, WOKEN_PER_RELEASE);
+        wake_for_upstream(&self.pool, &self.state);
+    }
+}
+
+/// Wakes the first requests in the queue of a pool that may use a slot which an upstream has released.
+fn wake_for_upstream(pool: &PoolState, state: &UpstreamState) {
+    if pool.fair_queue.is_empty() {
+        wake_queued(pool, WOKEN_PER_RELEASE);
+        return;
+    }
+    let upstream = short_hash(state.hash);
+    for sender in pool.fair_queue.pop_suited(upstream, WOKEN_PER_RELEASE) {
+        // Sending fails if the request has ended in the meantime and dropped the receiver.
+        let _ = sender.send(QueueSignal::Turn);
     }
 }
 
@@ -126,59 +139,29 @@
     }
 }
 
-/// Upstreams are no longer avoided after failures when more than one in this many of the pool's upstreams is avoided.
-pub const AVOIDED_LIMIT_DIVISOR: usize = 3;
-
-/// The upstreams that are candidates for a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CandidateTier {
-    /// Upstreams that are neither avoided after failures nor unreachable.
-    Healthy,
-    /// All reachable upstreams. Used when too many of the pool are avoided after failures.
-    Reachable,
-    /// All upstreams. Used when no healthy one is left.
-    All,
-}
-
 /// Reserves a slot at the best upstream that is not in `tried`. Returns `None` if the request has to wait: no candidate
 /// can answer in time, or the best one is in its cold start and may not receive a request from this instance yet.
 pub fn reserve_slot(context: &RequestContext, tried: &[UpstreamKey]) -> Option<SlotReservation> {
     let now = context.shared.clock.now();
-    let recent = context
-        .object
-        .map(|object| context.shared.affinity_table.upstreams(object, now))
-        .unwrap_or_default();
-    let tier = candidate_tier(context, tried, now);
-    let region = assigned_region(context, tier, now)?;
+    let view = CandidateView::new(context, tried, now)?;
     let spill_budget = &context.listed_pool().state.spill_budget;
-    let slot_time = context.listed_pool().state.slot_time.get();
-    let request = PlacementRequest {
-        slot_time: slot_time.unwrap_or(context.home_time_estimate().cold),
-        objective: context.route_plan().objective,
-        objective_left: context.objective_left(),
-        deadline_left: context.remaining(),
-        may_migrate: may_be_hedged(context),
-        // The retry budget bounds how many requests try another upstream.
-        may_change_region: !tried.is_empty() || spill_budget.has_spill(),
-    };
-    let is_eligible = |key: &UpstreamKey| is_eligible(context, *key, tried, tier, now);
-    count_limited_demand(context, region);
+    let request = view.placement_request(may_be_hedged(context));
+    count_limited_demand(context, view.region);
     let choose = |load: fn(&UpstreamState, MonotonicTime) -> LoadView| {
-        let upstreams = context.listed_pool().upstreams.iter().copied();
-        let candidates = upstreams.filter(is_eligible).map(|key| {
+        let candidates = view.eligible().map(|key| {
             let load = load(&context.snapshot.upstreams[key].state, now);
-            candidate(context, key, region, &recent, load)
+            view.candidate(key, load)
         });
         request.choose(candidates)
     };
-    let decision = choose_untried(context, region, is_eligible)
+    let decision = choose_untried(context, &view)
         .or_else(|| choose(UpstreamState::load))
         .or_else(|| {
-            let has_room = states_cost(context) && is_half_idle(context, is_eligible);
+            let has_room = states_cost(context) && is_half_idle(context, &view);
             has_room.then(|| choose(UpstreamState::observed_load))?
         })?;
     let state = &context.snapshot.upstreams[decision.key].state;
-    let reuse_distance = reuse_distance(state, &recent);
+    let reuse_distance = reuse_distance(state, &view.recent);
     if !state.rate_limit.claim(now) {
         return None;
     }
@@ -219,8 +202,7 @@
 /// none or if its cold answer would miss the deadline.
 fn choose_untried(
     context: &RequestContext,
-    region: RegionKey,
-    is_eligible: impl Fn(&UpstreamKey) -> bool,
+    view: &CandidateView,
 ) -> Option<PlacementDecision<UpstreamKey>> {
     if !context.route_plan().is_idempotent() {
         return None;
@@ -229,11 +211,14 @@
     // Few upstreams are untried, so the cheap check comes first.
     let is_untried = |key: &UpstreamKey| {
         let state = state(*key);
-        state.is_untried() && state.info.region == region && state.in_flight() == 0
+        state.is_untried() && state.info.region == view.region && state.in_flight() == 0
     };
-    let mut upstreams = context.listed_pool().upstreams.iter().copied();
-    let key = upstreams.find(|key| is_untried(key) && is_eligible(key))?;
-    let cold = context.time_estimate(region).cold;
+    let mut upstreams = context.listed_pool().upstreams.iter();
+    if !upstreams.any(is_untried) {
+        return None;
+    }
+    let key = view.eligible().find(is_untried)?;
+    let cold = context.time_estimate(view.region).cold;
     (cold <= context.remaining()).then_some(PlacementDecision {
         key,
         reason: PlacementReason::Untried,
@@ -245,29 +230,6 @@
     })
 }
 
-/// Returns the region that the spread of the route assigns to the object. Returns `None` if no upstream may run the
-/// request.
-fn assigned_region(
-    context: &RequestContext,
-    tier: CandidateTier,
-    now: MonotonicTime,
-) -> Option<RegionKey> {
-    let mut open = RegionSet::NONE;
-    for key in &context.listed_pool().upstreams {
-        let listed = &context.snapshot.upstreams[*key];
-        let region = listed.state.info.region;
-        if !open.contains(region)
-            && is_allowed(context, listed)
-            && is_in_tier(&listed.state, tier, now)
-        {
-            open = open.with(region);
-        }
-    }
-    context
-        .spread()?
-        .region(context.placement_hash, |region| open.contains(region))
-}
-
 /// Returns whether upstreams of the request's pool state the present cost of work.
 fn states_cost(context: &RequestContext) -> bool {
     let pool = &context.listed_pool().state;
@@ -276,121 +238,16 @@
 
 /// Returns whether the requests that all instances have in flight leave half of the slots free, so that reports which
 /// say that no upstream has room are wrong.
-fn is_half_idle(context: &RequestContext, is_eligible: impl Fn(&UpstreamKey) -> bool) -> bool {
-    let upstreams = context.listed_pool().upstreams.iter();
+fn is_half_idle(context: &RequestContext, view: &CandidateView) -> bool {
     let (mut in_flight, mut slots) = (0, 0);
-    for key in upstreams.filter(|key| is_eligible(key)) {
-        let state = &context.snapshot.upstreams[*key].state;
+    for key in view.eligible() {
+        let state = &context.snapshot.upstreams[key].state;
         in_flight += state.in_flight();
         slots += state.info.slots;
     }
     in_flight * 2 < slots
 }
 
-fn candidate_tier(
-    context: &RequestContext,
-    tried: &[UpstreamKey],
-    now: MonotonicTime,
-) -> CandidateTier {
-    let mut upstreams = context.listed_pool().upstreams.iter();
-    let is_healthy = |key: &UpstreamKey| {
-        let listed = &context.snapshot.upstreams[*key];
-        is_allowed(context, listed) && !tried.contains(key) && is_healthy(&listed.state, now)
-    };
-    if !upstreams.any(is_healthy) {
-        CandidateTier::All
-    } else if is_avoidance_suspended(context, now) {
-        CandidateTier::Reachable
-    } else {
-        CandidateTier::Healthy
-    }
-}
-
-/// Returns whether so many upstreams of the pool are avoided that requests must use them: the remaining ones would be
-/// overloaded, and requests would lose their warm upstreams.
-pub fn is_avoidance_suspended(context: &RequestContext, now: MonotonicTime) -> bool {
-    let upstreams = context.listed_pool().upstreams.iter();
-    let allowed = upstreams
-        .map(|key| &context.snapshot.upstreams[*key])
-        .filter(|listed| is_allowed(context, listed));
-    let (mut all, mut avoided) = (0, 0);
-    for listed in allowed {
-        all += 1;
-        avoided += usize::from(listed.state.is_avoided(now) && !listed.state.is_unreachable());
-    }
-    avoided * AVOIDED_LIMIT_DIVISOR > all
-}
-
-fn is_healthy(state: &UpstreamState, now: MonotonicTime) -> bool {
-    !state.is_avoided(now) && !state.is_unreachable()
-}
-
-fn is_in_tier(state: &UpstreamState, tier: CandidateTier, now: MonotonicTime) -> bool {
-    match tier {
-        CandidateTier::Healthy => is_healthy(state, now),
-        CandidateTier::Reachable => !state.is_unreachable(),
-        CandidateTier::All => true,
-    }
-}
-
-/// Returns whether the upstream accepts new requests and is in a region where this request may run.
-pub fn is_allowed(context: &RequestContext, listed: &ListedUpstream) -> bool {
-    listed.state.is_usable()
-        && !listed.state.is_address_reused()
-        && context.regions.contains(listed.state.info.region)
-}
-
-fn is_eligible(
-    context: &RequestContext,
-    key: UpstreamKey,
-    tried: &[UpstreamKey],
-    tier: CandidateTier,
-    now: MonotonicTime,
-) -> bool {
-    let listed = &context.snapshot.upstreams[key];
-    let state = &listed.state;
-    is_allowed(context, listed)
-        && !tried.contains(&key)
-        && !state.is_full(now)
-        && is_in_tier(state, tier, now)
-        && (!state.is_in_cold_start(now) || state.next_cold_send.get() <= now)
-        && state.rate_limit.time_until_send(now).is_zero()
-}
-
-fn candidate(
-    context: &RequestContext,
-    key: UpstreamKey,
-    assigned_region: RegionKey,
-    recent: &RecentUpstreams,
-    load: LoadView,
-) -> UpstreamCandidate<UpstreamKey> {
-    let state = &context.snapshot.upstreams[key].state;
-    let capacity = context
-        .listed_pool()
-        .state
-        .cache_estimator
-        .estimated_capacity();
-    UpstreamCandidate {
-        key,
-        rendezvous_hash: combine_hashes(context.placement_hash, state.hash),
-        is_assigned_region: state.info.region == assigned_region,
-        times: context.time_estimate(state.info.region),
-        in_flight: load.in_flight,
-        slots: state.info.slots,
-        is_warm: reuse_distance(state, recent).is_some_and(|others| others < capacity),
-        is_cache_full: state.objects_in_use() >= capacity,
-        slowness: load.slowness,
-        cost_factor: load.cost_factor,
-    }
-}
-
-/// Returns the number of other objects that an upstream handled after it last handled the object of `recent`; `None` if
-/// `recent` does not contain the upstream.
-fn reuse_distance(state: &UpstreamState, recent: &RecentUpstreams) -> Option<usize> {
-    let used_at = recent.last_used_ms(state.hash)?;
-    Some(state.count_used_since(used_at))
-}
-
 /// Starts the next interval in which this instance may send one request to a cold upstream. Returns whether the request
 /// may be sent now.
 fn reserve_cold_interval(
--- a/crates/entry/src/upstream_exchange.rs
+++ b/crates/entry/src/upstream_exchange.rs
@@ -9,7 +9,7 @@
     write_upstream_head,
 };
 use coltsfootkeel_counters::{ByteBudget, MonotonicTime};
-use coltsfootkeel_steering::{LimitStatement, UpstreamState};
+use coltsfootkeel_steering::{LimitStatement, UpstreamState, longest_hold};
 use coltsfootkeel_transport::{
     BodyStart, ReusePolicy, SendFailure, UpstreamBody, UpstreamConnection,
 };
@@ -104,6 +104,21 @@
     pub is_repeated: bool,
 }
 
+/// The shortest time after which a connection to an upstream of a contended pool is given up.
+const MIN_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Returns the time after which a connection to an upstream of a contended pool is given up: early enough for another
+/// upstream to answer within the objective, or for a refusal before half of it. Returns `None` in other pools.
+fn connect_timeout(context: &RequestContext) -> Option<Duration> {
+    if !context.listed_pool().state.is_contended() {
+        return None;
+    }
+    let objective = context.route_plan().objective;
+    let held = context.shared.clock.now().since(context.arrived);
+    let left = longest_hold(objective).saturating_sub(held);
+    Some(left.max(MIN_CONNECT_TIMEOUT))
+}
+
 /// Sends a request to one upstream and reads the answer, or its beginning if it is long.
 pub async fn exchange(
     context: &RequestContext,
@@ -116,6 +131,10 @@
     } else {
         reuse_policy(context, listed, now)
     };
+    let policy = match connect_timeout(context) {
+        Some(timeout) => policy.connecting_within(timeout),
+        None => policy,
+    };
     let deadline = Instant::from_std(context.shared.clock.instant_of(request.deadline));
     let may_reuse = request
         .body_bytes
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -39,5 +39,5 @@
     LimitKind, LoanGrant, LoanRequest, LoanReturn, PeerBody, PeerFrame, ReplayBegin, ReplayFinish,
     ReplayOutcome, ReplayVerdict, SeatAnswer, SeatProbe, SuspectClearance, SuspectNotice,
 };
-pub use queue_messages::{PoolQueue, RankQueue};
+pub use queue_messages::{PoolQueue, RankQueue, UpstreamQueue};
 pub use spent_messages::{KnownSuspect, SuspectStep};
--- a/crates/protocol/src/queue_messages.rs
+++ b/crates/protocol/src/queue_messages.rs
@@ -17,6 +17,9 @@
     /// The completed requests in thousandths of a request per second.
     #[prost(uint32, tag = "4")]
     pub completed_milli: u32,
+    /// The upstreams for which most of them wait because few suit them.
+    #[prost(message, repeated, tag = "5")]
+    pub upstreams: Vec<UpstreamQueue>,
 }
 
 /// The waiting requests of one rank.
@@ -29,3 +32,14 @@
     #[prost(uint32, tag = "2")]
     pub waiting: u32,
 }
+
+/// The waiting requests that few upstreams suit, at one of them.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct UpstreamQueue {
+    /// The short hash of the upstream's id.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// The waiting requests in thousandths. A request that several upstreams suit counts at each with its part.
+    #[prost(uint32, tag = "2")]
+    pub waiting_milli: u32,
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -58,7 +58,8 @@
 pub use hashing::{combine_hashes, stable_hash};
 pub use limits::limit_sharers::sharing_instances;
 pub use limits::limit_table::{LimitReport, LimitTable, SendingInstance};
-pub use limits::quota_bucket::{QuotaBucket, QuotaBudget, QuotaExcess, QuotaLimit, QuotaReport};
+pub use limits::quota_bucket::{QuotaBucket, QuotaExcess, QuotaLimit, QuotaReport};
+pub use limits::quota_budget::QuotaBudget;
 pub use limits::rate_limit::{
     InvalidRate, LimitStatement, RateLimit, UpstreamLimit, UpstreamSignals,
 };
@@ -80,13 +81,18 @@
 pub use placement::cache_estimator::{CacheEstimator, RecentObjects};
 pub use placement::placement_decision::{PlacementDecision, PlacementReason};
 pub use placement::placement_request::{PlacementRequest, UpstreamCandidate};
+pub use placement::room_forecast::{ForecastCandidate, UpstreamRoom, expected_turn};
 pub use placement::spill_budget::SpillBudget;
 pub use plan::{
     AccountPlan, KeyDigest, PlanMatch, PoolPlan, RoutePlan, SteeringPlan, WeightedPool,
 };
+pub use queue::account_queues::{QueuedRequest, RequestClass};
+pub use queue::competing_requests::{CompetingRequests, UpstreamSet, ahead_of_all};
 pub use queue::early_start::{EarlyRequest, MAX_EARLY_BYTES, MAX_EARLY_REQUESTS};
-pub use queue::expected_room::{CompletionRate, QueueLoad, ReturnSchedule, turn_time, wait_until};
-pub use queue::fair_queue::{FairQueue, QueueSummary, QueueTicket, QueuedRequest, RequestClass};
+pub use queue::expected_room::{
+    CompletionRate, QueueLoad, ReturnSchedule, longest_hold, turn_time, wait_until,
+};
+pub use queue::fair_queue::{FairQueue, QueueSummary, QueueTicket};
 pub use queue::rank_shares::RankShares;
 pub use queue::request_queue::{
     QueuePosition, RequestQueue, max_queue_wait, queue_priority, retry_after,
--- a/crates/steering/src/limits/quota_bucket.rs
+++ b/crates/steering/src/limits/quota_bucket.rs
@@ -9,13 +9,13 @@
 //! tokens once, however the demand changes after the cut.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
 
-/// Balance units per request.
-const UNITS_PER_REQUEST: i64 = 1_000;
+use crate::limits::quota_budget::{QuotaBudget, UNITS_PER_REQUEST};
+
 /// Fraction of the tokens in the bucket that all instances together spend between two reports. Reports arrive one
 /// period and one network delay late, and the same tokens are spent again in that time.
 const SPEND_FRACTION: f64 = 0.35;
@@ -32,58 +32,6 @@
 /// Weight of the latest period in the moving average of the demand.
 const DEMAND_SMOOTHING_FACTOR: f64 = 0.25;
 
-/// This instance's current share of an account's quota, spent by the request threads.
-#[derive(Debug, Default)]
-pub struct QuotaBudget {
-    balance: AtomicI64,
-    overdraft_limit: AtomicI64,
-    admitted: AtomicU64,
-    requested: AtomicU64,
-    has_headroom: AtomicBool,
-}
-
-impl QuotaBudget {
-    /// Counts a request that arrives, whether it is admitted or not.
-    pub fn count_demand(&self) {
-        self.requested.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Returns whether the account is well within its limit, so that a request that is refused now may be admitted
-    /// after the next refill.
-    #[must_use]
-    pub fn has_headroom(&self) -> bool {
-        self.has_headroom.load(Ordering::Relaxed)
-    }
-
-    /// Admits one request unless the balance is used up.
-    pub fn try_admit(&self) -> bool {
-        let min_balance = -self.overdraft_limit.load(Ordering::Relaxed);
-        let taken = self
-            .balance
-            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |balance| {
-                // The last request may leave a debt; otherwise a share below one request would never admit any.
-                (balance > min_balance).then_some(balance - UNITS_PER_REQUEST)
-            });
-        let is_admitted = taken.is_ok();
-        if is_admitted {
-            self.admitted.fetch_add(1, Ordering::Relaxed);
-        }
-        is_admitted
-    }
-
-    /// Reverts the admission of a request that was not sent to any upstream.
-    pub fn refund(&self) {
-        self.balance.fetch_add(UNITS_PER_REQUEST, Ordering::AcqRel);
-        self.admitted.fetch_sub(1, Ordering::Relaxed);
-    }
-
-    /// Returns the number of requests admitted since the process started, without refunded ones.
-    #[must_use]
-    pub fn admitted(&self) -> u64 {
-        self.admitted.load(Ordering::Relaxed)
-    }
-}
-
 /// Rate limit of an account over all instances.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaLimit {
@@ -354,6 +302,7 @@
         let (heard_instances, unreported) = (heard_instances as f64, unreported as f64);
         let remote_demand = self.remote_demand + unreported * demand;
         self.local_fraction = demand / (demand + remote_demand);
+        budget.set_demand_fraction(self.local_fraction * heard_fraction);
         let debt_fraction = self.tokens.min(0.0)
             / (self.limit.rate_per_s * heard_fraction * DEBT_REPAYMENT_TIME.as_secs_f64());
         let steady_spend = refill * (1.0 + debt_fraction).max(0.0);
--- a/crates/steering/src/load/upstream_state.rs
+++ b/crates/steering/src/load/upstream_state.rs
@@ -346,10 +346,11 @@
         self.avoided_until.get() > now
     }
 
-    /// Returns whether the upstream refused a request because it was full within the last `FULL_BACKOFF`.
+    /// Returns the time for which the upstream still counts as full; zero if it refused no request because it was full
+    /// within the last `FULL_BACKOFF`.
     #[must_use]
-    pub fn is_full(&self, now: MonotonicTime) -> bool {
-        self.full_until.get() > now
+    pub fn full_for(&self, now: MonotonicTime) -> Duration {
+        self.full_until.get().since(now)
     }
 
     /// Returns whether the last attempt or health check failed to reach the upstream, so that a health check must
--- a/crates/steering/src/placement/mod.rs
+++ b/crates/steering/src/placement/mod.rs
@@ -4,4 +4,6 @@
 pub(crate) mod cache_estimator;
 pub(crate) mod placement_decision;
 pub(crate) mod placement_request;
+pub(crate) mod region_candidates;
+pub(crate) mod room_forecast;
 pub(crate) mod spill_budget;
--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -12,19 +12,20 @@
 use crate::load::service_times::TimeEstimate;
 use crate::load::upstream_state::LoadView;
 use crate::placement::placement_decision::{PlacementDecision, PlacementReason};
+use crate::placement::region_candidates::RegionCandidates;
 
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
-const MAX_WARM_QUEUE_FRACTION: f64 = 0.8;
+pub(super) const MAX_WARM_QUEUE_FRACTION: f64 = 0.8;
 /// Longest queue of an upstream, as a fraction of its slots, at which it still receives objects that are cold there.
-const MAX_COLD_QUEUE_FRACTION: f64 = 0.25;
+pub(super) const MAX_COLD_QUEUE_FRACTION: f64 = 0.25;
 /// Load of region and upstream, in requests per slot, below which an object may migrate to an upstream that it prefers.
 const MIGRATION_LOAD_LIMIT: f64 = 0.6;
 /// Load of the region, in requests per slot, below which an object whose warm upstreams are all late is placed at one more
 /// upstream, and below which a new object may be placed at an upstream with a full cache.
-const EXPANSION_LOAD_LIMIT: f64 = 0.75;
+pub(super) const EXPANSION_LOAD_LIMIT: f64 = 0.75;
 /// Load of the region, in requests per slot, below which an object is placed at one more upstream if none of its warm upstreams
 /// is close enough to meet the objective.
-const NEARBY_EXPANSION_LOAD_LIMIT: f64 = 0.95;
+pub(super) const NEARBY_EXPANSION_LOAD_LIMIT: f64 = 0.95;
 /// Fraction of the objective within which an upstream must be able to return a warm answer to count as nearby. The rest
 /// covers the round trip between caller and instance, and answers that take longer than usual.
 const NEARBY_OBJECTIVE_FRACTION: f64 = 0.8;
@@ -82,26 +83,26 @@
 /// Position of an upstream in the preference order of an object. Upstreams that can meet the objective with a warm
 /// answer come first.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-struct UpstreamRank {
-    is_nearby: bool,
-    score: f64,
+pub(super) struct UpstreamRank {
+    pub(super) is_nearby: bool,
+    pub(super) score: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
-struct RankedCandidate<K> {
-    key: K,
-    rank: UpstreamRank,
-    is_warm: bool,
+pub(super) struct RankedCandidate<K> {
+    pub(super) key: K,
+    pub(super) rank: UpstreamRank,
+    pub(super) is_warm: bool,
     /// Expected time until the response, including the queue.
-    expected: Duration,
+    pub(super) expected: Duration,
     /// Expected time in the queue of the upstream.
     queue_delay: Duration,
     /// Expected time to a warm answer without queueing.
-    warm_time: Duration,
-    is_assigned_region: bool,
+    pub(super) warm_time: Duration,
+    pub(super) is_assigned_region: bool,
     /// Requests in flight per slot.
-    load: f64,
-    is_cache_full: bool,
+    pub(super) load: f64,
+    pub(super) is_cache_full: bool,
     /// Factor by which responses take longer because of the stated cost of work.
     cost_factor: f64,
 }
@@ -212,13 +213,16 @@
     /// Load pattern: upstreams were slow and are idle now. The estimates recover only if requests are sent, so a
     /// request serves as a probe if at least half of its objective is left and its deadline is at least two objectives
     /// away.
-    fn is_probe<K>(&self, candidate: &RankedCandidate<K>) -> bool {
+    pub(super) fn is_probe<K>(&self, candidate: &RankedCandidate<K>) -> bool {
         let has_time = self.deadline_left >= self.objective * 2;
         candidate.queue_delay.is_zero() && has_time && self.objective_left * 2 >= self.objective
     }
 
     /// Returns the candidate with its rank, its estimated queue delay and response time.
-    fn rank_candidate<K: Copy>(&self, candidate: &UpstreamCandidate<K>) -> RankedCandidate<K> {
+    pub(super) fn rank_candidate<K: Copy>(
+        &self,
+        candidate: &UpstreamCandidate<K>,
+    ) -> RankedCandidate<K> {
         let service_time = if candidate.is_warm {
             candidate.times.warm
         } else {
@@ -295,107 +299,11 @@
 
 impl<K> RankedCandidate<K> {
     /// Returns whether work takes much longer than usual on the machine of the upstream for the moment.
-    fn is_busy(&self) -> bool {
+    pub(super) fn is_busy(&self) -> bool {
         self.cost_factor > SLOWNESS_THRESHOLD
     }
 }
 
-/// The best candidate of each class in the assigned region or in all others.
-struct RegionCandidates<K> {
-    /// The first in the preference order among the warm candidates that meet the objective; those that are not busy go
-    /// first.
-    warm_in_time: Option<RankedCandidate<K>>,
-    /// The fastest among the warm candidates that miss the objective but have a free slot.
-    warm_late: Option<RankedCandidate<K>>,
-    /// The first in the preference order among the candidates where the object is cold. Nearby candidates with free
-    /// cache space go first.
-    cold: Option<RankedCandidate<K>>,
-    /// The first in the preference order, whatever its load.
-    preferred: Option<RankedCandidate<K>>,
-    has_warm: bool,
-    has_nearby_warm: bool,
-    in_flight: u32,
-    slots: u32,
-}
-
-impl<K> Default for RegionCandidates<K> {
-    fn default() -> Self {
-        Self {
-            warm_in_time: None,
-            warm_late: None,
-            cold: None,
-            preferred: None,
-            has_warm: false,
-            has_nearby_warm: false,
-            in_flight: 0,
-            slots: 0,
-        }
-    }
-}
-
-impl<K: Copy> RegionCandidates<K> {
-    fn count(&mut self, candidate: &UpstreamCandidate<K>) {
-        self.in_flight += candidate.in_flight;
-        self.slots += candidate.slots;
-    }
-
-    /// Returns the number of requests in flight per slot.
-    fn load(&self) -> f64 {
-        f64::from(self.in_flight) / f64::from(self.slots.max(1))
-    }
-
-    fn add(&mut self, candidate: RankedCandidate<K>, objective_left: Duration) {
-        let is_preferred = |best: &Option<RankedCandidate<K>>| {
-            best.as_ref().is_none_or(|best| candidate.rank > best.rank)
-        };
-        if is_preferred(&self.preferred) {
-            self.preferred = Some(candidate);
-        }
-        if !candidate.is_warm {
-            let order = |candidate: &RankedCandidate<K>| {
-                (
-                    candidate.rank.is_nearby,
-                    !candidate.is_busy(),
-                    !candidate.is_cache_full,
-                    candidate.rank.score,
-                )
-            };
-            let is_better = |cold: &RankedCandidate<K>| order(&candidate) > order(cold);
-            if candidate.load < 1.0 + MAX_COLD_QUEUE_FRACTION
-                && self.cold.as_ref().is_none_or(is_better)
-            {
-                self.cold = Some(candidate);
-            }
-            return;
-        }
-        self.has_warm = true;
-        self.has_nearby_warm |= candidate.rank.is_nearby;
-        if candidate.expected <= objective_left && candidate.load < 1.0 + MAX_WARM_QUEUE_FRACTION {
-            let order = |warm: &RankedCandidate<K>| (!warm.is_busy(), warm.rank);
-            let is_better = |warm: &RankedCandidate<K>| order(&candidate) > order(warm);
-            if self.warm_in_time.as_ref().is_none_or(is_better) {
-                self.warm_in_time = Some(candidate);
-            }
-        } else if candidate.load < 1.0 {
-            // A late answer has little value, so it must not delay requests that can still meet their objective.
-            let is_faster = |late: &RankedCandidate<K>| candidate.expected < late.expected;
-            if self.warm_late.as_ref().is_none_or(is_faster) {
-                self.warm_late = Some(candidate);
-            }
-        }
-    }
-
-    /// Returns why an object that is warm nowhere is placed at `cold`.
-    fn new_reason(&self, cold: &RankedCandidate<K>) -> PlacementReason {
-        let is_later = |preferred: RankedCandidate<K>| preferred.rank > cold.rank;
-        if self.preferred.is_some_and(is_later) {
-            PlacementReason::Overflow
-        } else {
-            PlacementReason::New
-        }
-    }
-}
-
 /// Returns a late candidate with its reason.
 fn late<K>(candidate: Option<RankedCandidate<K>>) -> Option<(RankedCandidate<K>, PlacementReason)> {
     candidate.map(|late| (late, PlacementReason::Late))
--- a/crates/steering/src/queue/expected_room.rs
+++ b/crates/steering/src/queue/expected_room.rs
@@ -60,7 +60,13 @@
     max_wait: Duration,
     now: MonotonicTime,
 ) -> MonotonicTime {
-    (now + max_wait).min(arrived + objective.mul_f64(HELD_FRACTION))
+    (now + max_wait).min(arrived + longest_hold(objective))
+}
+
+/// Returns how long a request may be held before it is refused.
+#[must_use]
+pub fn longest_hold(objective: Duration) -> Duration {
+    objective.mul_f64(HELD_FRACTION)
 }
 
 /// Completions of one pool at this instance, counted by request threads and averaged by the control thread.
