--- a/crates/entry/src/slot_reservation.rs
+++ b/crates/entry/src/slot_reservation.rs
@@ -5,15 +5,11 @@
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::UpstreamKey;
-use coltsfootkeel_steering::{LoadView, PlacementDecision, UpstreamState};
+use coltsfootkeel_steering::{LoadView, PlacementDecision, UpstreamState, short_hash};
 
 use crate::entry_snapshot::{PoolState, QueueSignal};
 use crate::request_context::RequestContext;
 
-/// The number of queued requests that are woken when a slot is released. The first one may need another upstream that
-/// has no free slot yet.
-const WOKEN_PER_RELEASE: usize = 2;
-
 /// A slot at an upstream that is reserved for one request. Dropping it frees the slot and wakes queued requests of the
 /// pool.
 #[derive(Debug)]
@@ -37,8 +33,11 @@
     pool: PoolState,
 }
 
+/// The number of queued requests that are woken when a slot is released. The first one may need another upstream that
+/// has no free slot yet.
+const WOKEN_PER_RELEASE: usize = 2;
+
 impl SlotReservation {
-    /// Reserves the slot that `decision` selects.
     pub(crate) fn new(
         context: &RequestContext,
         decision: PlacementDecision<UpstreamKey>,
@@ -100,7 +99,20 @@
 impl Drop for SlotReservation {
     fn drop(&mut self) {
         self.state.end_request();
-        wake_queued(&self.pool, WOKEN_PER_RELEASE);
+        wake_for_upstream(&self.pool, &self.state);
+    }
+}
+
+/// Wakes the first requests in the queue of a pool that may use a slot which an upstream has released.
+fn wake_for_upstream(pool: &PoolState, state: &UpstreamState) {
+    if pool.fair_queue.is_empty() {
+        wake_queued(pool, WOKEN_PER_RELEASE);
+        return;
+    }
+    let upstream = short_hash(state.hash);
+    for sender in pool.fair_queue.pop_suited(upstream, WOKEN_PER_RELEASE) {
+        // Sending fails if the request has ended in the meantime and dropped the receiver.
+        let _ = sender.send(QueueSignal::Turn);
     }
 }
 
--- a/crates/steering/src/limits/quota_bucket.rs
+++ b/crates/steering/src/limits/quota_bucket.rs
@@ -301,6 +301,7 @@
         let (heard_instances, unreported) = (heard_instances as f64, unreported as f64);
         let remote_demand = self.remote_demand + unreported * demand;
         self.local_fraction = demand / (demand + remote_demand);
+        budget.set_demand_fraction(self.local_fraction * heard_fraction);
         let debt_fraction = self.tokens.min(0.0)
             / (self.limit.rate_per_s * heard_fraction * DEBT_REPAYMENT_TIME.as_secs_f64());
         let steady_spend = refill * (1.0 + debt_fraction).max(0.0);
--- a/crates/steering/src/limits/quota_budget.rs
+++ b/crates/steering/src/limits/quota_budget.rs
@@ -24,6 +24,8 @@
     admitted: AtomicU64,
     requested: AtomicU64,
     has_headroom: AtomicBool,
+    /// The bits of an `f64`.
+    demand_fraction: AtomicU64,
 }
 
 impl QuotaBudget {
@@ -72,6 +74,20 @@
         self.requested.load(Ordering::Relaxed)
     }
 
+    /// Returns the part of the account's demand that arrives at this instance, which is also its part of the account's
+    /// weight where callers compete. Of an instance that others no longer hear, the part before counts; the parts of all
+    /// are one in sum. Returns 1 before the first refill.
+    #[must_use]
+    pub fn demand_fraction(&self) -> f64 {
+        let fraction = f64::from_bits(self.demand_fraction.load(Ordering::Relaxed));
+        if fraction > 0.0 { fraction } else { 1.0 }
+    }
+
+    pub(crate) fn set_demand_fraction(&self, fraction: f64) {
+        self.demand_fraction
+            .store(fraction.to_bits(), Ordering::Relaxed);
+    }
+
     /// Replaces the share of the last period by that of the next one.
     pub(crate) fn refill(&self, refill: BudgetRefill) {
         self.overdraft_limit
--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -12,21 +12,26 @@
 use crate::load::load_view::LoadView;
 use crate::load::service_times::TimeEstimate;
 use crate::placement::placement_decision::{PlacementDecision, PlacementReason};
-use crate::placement::region_candidates::{
-    RankedCandidate, RegionCandidates, SLOWNESS_THRESHOLD, UpstreamRank,
-};
+use crate::placement::region_candidates::RegionCandidates;
 
+/// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
+pub(super) const MAX_WARM_QUEUE_FRACTION: f64 = 0.8;
+/// Longest queue of an upstream, as a fraction of its slots, at which it still receives objects that are cold there.
+pub(super) const MAX_COLD_QUEUE_FRACTION: f64 = 0.25;
 /// Load of region and upstream, in requests per slot, below which an object may migrate to an upstream that it prefers.
 const MIGRATION_LOAD_LIMIT: f64 = 0.6;
 /// Load of the region, in requests per slot, below which an object whose warm upstreams are all late is placed at one more
 /// upstream, and below which a new object may be placed at an upstream with a full cache.
-const EXPANSION_LOAD_LIMIT: f64 = 0.75;
+pub(super) const EXPANSION_LOAD_LIMIT: f64 = 0.75;
 /// Load of the region, in requests per slot, below which an object is placed at one more upstream if none of its warm upstreams
 /// is close enough to meet the objective.
-const NEARBY_EXPANSION_LOAD_LIMIT: f64 = 0.95;
+pub(super) const NEARBY_EXPANSION_LOAD_LIMIT: f64 = 0.95;
 /// Fraction of the objective within which an upstream must be able to return a warm answer to count as nearby. The rest
 /// covers the round trip between caller and instance, and answers that take longer than usual.
 const NEARBY_OBJECTIVE_FRACTION: f64 = 0.8;
+/// Slowness above which an upstream has a lower weight. Smaller values may be random variation, which must not change
+/// the preference order.
+const SLOWNESS_THRESHOLD: f64 = 1.6;
 
 /// An upstream that is eligible for a request.
 #[derive(Debug, Clone, Copy)]
@@ -75,6 +80,33 @@
     pub may_change_region: bool,
 }
 
+/// Position of an upstream in the preference order of an object. Upstreams that can meet the objective with a warm
+/// answer come first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub(super) struct UpstreamRank {
+    pub(super) is_nearby: bool,
+    pub(super) score: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RankedCandidate<K> {
+    pub(super) key: K,
+    pub(super) rank: UpstreamRank,
+    pub(super) is_warm: bool,
+    /// Expected time until the response, including the queue.
+    pub(super) expected: Duration,
+    /// Expected time in the queue of the upstream.
+    queue_delay: Duration,
+    /// Expected time to a warm answer without queueing.
+    pub(super) warm_time: Duration,
+    pub(super) is_assigned_region: bool,
+    /// Requests in flight per slot.
+    pub(super) load: f64,
+    pub(super) is_cache_full: bool,
+    /// Factor by which responses take longer because of the stated cost of work.
+    cost_factor: f64,
+}
+
 impl PlacementRequest {
     /// Returns the candidate's position in the preference order within its region: weighted rendezvous hashing over
     /// slots and slowness.
@@ -110,7 +142,7 @@
             } else {
                 &mut others
             };
-            region.count(candidate.in_flight, candidate.slots);
+            region.count(&candidate);
             region.add(self.rank_candidate(&candidate), self.objective_left);
         }
         let preferred = assigned.preferred.or(others.preferred)?.key;
@@ -181,13 +213,16 @@
     /// Load pattern: upstreams were slow and are idle now. The estimates recover only if requests are sent, so a
     /// request serves as a probe if at least half of its objective is left and its deadline is at least two objectives
     /// away.
-    fn is_probe<K>(&self, candidate: &RankedCandidate<K>) -> bool {
+    pub(super) fn is_probe<K>(&self, candidate: &RankedCandidate<K>) -> bool {
         let has_time = self.deadline_left >= self.objective * 2;
         candidate.queue_delay.is_zero() && has_time && self.objective_left * 2 >= self.objective
     }
 
     /// Returns the candidate with its rank, its estimated queue delay and response time.
-    fn rank_candidate<K: Copy>(&self, candidate: &UpstreamCandidate<K>) -> RankedCandidate<K> {
+    pub(super) fn rank_candidate<K: Copy>(
+        &self,
+        candidate: &UpstreamCandidate<K>,
+    ) -> RankedCandidate<K> {
         let service_time = if candidate.is_warm {
             candidate.times.warm
         } else {
@@ -262,6 +297,13 @@
     }
 }
 
+impl<K> RankedCandidate<K> {
+    /// Returns whether work takes much longer than usual on the machine of the upstream for the moment.
+    pub(super) fn is_busy(&self) -> bool {
+        self.cost_factor > SLOWNESS_THRESHOLD
+    }
+}
+
 /// Returns a late candidate with its reason.
 fn late<K>(candidate: Option<RankedCandidate<K>>) -> Option<(RankedCandidate<K>, PlacementReason)> {
     candidate.map(|late| (late, PlacementReason::Late))
--- a/crates/steering/src/placement/region_candidates.rs
+++ b/crates/steering/src/placement/region_candidates.rs
@@ -1,68 +1,28 @@
-//! The best upstreams of a region for a request, by class.
+//! The best candidates of a region for one request.
 
 use std::time::Duration;
 
 use crate::placement::placement_decision::PlacementReason;
-
-/// Longest queue of an upstream, as a fraction of its slots, at which it still receives requests for its warm objects.
-const MAX_WARM_QUEUE_FRACTION: f64 = 0.8;
-/// Longest queue of an upstream, as a fraction of its slots, at which it still receives objects that are cold there.
-const MAX_COLD_QUEUE_FRACTION: f64 = 0.25;
-/// Slowness above which an upstream has a lower weight. Smaller values may be random variation, which must not change
-/// the preference order.
-pub(crate) const SLOWNESS_THRESHOLD: f64 = 1.6;
-
-/// Position of an upstream in the preference order of an object. Upstreams that can meet the objective with a warm
-/// answer come first.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-pub(crate) struct UpstreamRank {
-    pub(crate) is_nearby: bool,
-    pub(crate) score: f64,
-}
-
-/// An upstream with what its choice depends on.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RankedCandidate<K> {
-    pub(crate) key: K,
-    pub(crate) rank: UpstreamRank,
-    pub(crate) is_warm: bool,
-    /// Expected time until the response, including the queue.
-    pub(crate) expected: Duration,
-    /// Expected time in the queue of the upstream.
-    pub(crate) queue_delay: Duration,
-    /// Expected time to a warm answer without queueing.
-    pub(crate) warm_time: Duration,
-    pub(crate) is_assigned_region: bool,
-    /// Requests in flight per slot.
-    pub(crate) load: f64,
-    pub(crate) is_cache_full: bool,
-    /// Factor by which responses take longer because of the stated cost of work.
-    pub(crate) cost_factor: f64,
-}
-
-impl<K> RankedCandidate<K> {
-    /// Returns whether work takes much longer than usual on the machine of the upstream for the moment.
-    pub(crate) fn is_busy(&self) -> bool {
-        self.cost_factor > SLOWNESS_THRESHOLD
-    }
-}
+use crate::placement::placement_request::{
+    MAX_COLD_QUEUE_FRACTION, MAX_WARM_QUEUE_FRACTION, RankedCandidate, UpstreamCandidate,
+};
 
 /// The best candidate of each class in the assigned region or in all others.
-pub(crate) struct RegionCandidates<K> {
+pub(super) struct RegionCandidates<K> {
     /// The first in the preference order among the warm candidates that meet the objective; those that are not busy go
     /// first.
-    pub(crate) warm_in_time: Option<RankedCandidate<K>>,
+    pub(super) warm_in_time: Option<RankedCandidate<K>>,
     /// The fastest among the warm candidates that miss the objective but have a free slot.
-    pub(crate) warm_late: Option<RankedCandidate<K>>,
+    pub(super) warm_late: Option<RankedCandidate<K>>,
     /// The first in the preference order among the candidates where the object is cold. Nearby candidates with free
     /// cache space go first.
-    pub(crate) cold: Option<RankedCandidate<K>>,
+    pub(super) cold: Option<RankedCandidate<K>>,
     /// The first in the preference order, whatever its load.
-    pub(crate) preferred: Option<RankedCandidate<K>>,
-    pub(crate) has_warm: bool,
-    pub(crate) has_nearby_warm: bool,
-    pub(crate) in_flight: u32,
-    pub(crate) slots: u32,
+    pub(super) preferred: Option<RankedCandidate<K>>,
+    pub(super) has_warm: bool,
+    pub(super) has_nearby_warm: bool,
+    in_flight: u32,
+    slots: u32,
 }
 
 impl<K> Default for RegionCandidates<K> {
@@ -81,19 +41,17 @@
 }
 
 impl<K: Copy> RegionCandidates<K> {
-    /// Counts an upstream of the region with its requests in flight.
-    pub(crate) fn count(&mut self, in_flight: u32, slots: u32) {
-        self.in_flight += in_flight;
-        self.slots += slots;
+    pub(super) fn count(&mut self, candidate: &UpstreamCandidate<K>) {
+        self.in_flight += candidate.in_flight;
+        self.slots += candidate.slots;
     }
 
     /// Returns the number of requests in flight per slot.
-    pub(crate) fn load(&self) -> f64 {
+    pub(super) fn load(&self) -> f64 {
         f64::from(self.in_flight) / f64::from(self.slots.max(1))
     }
 
-    /// Keeps the candidate in each class where it is the best one.
-    pub(crate) fn add(&mut self, candidate: RankedCandidate<K>, objective_left: Duration) {
+    pub(super) fn add(&mut self, candidate: RankedCandidate<K>, objective_left: Duration) {
         let is_preferred = |best: &Option<RankedCandidate<K>>| {
             best.as_ref().is_none_or(|best| candidate.rank > best.rank)
         };
@@ -135,7 +93,7 @@
     }
 
     /// Returns why an object that is warm nowhere is placed at `cold`.
-    pub(crate) fn new_reason(&self, cold: &RankedCandidate<K>) -> PlacementReason {
+    pub(super) fn new_reason(&self, cold: &RankedCandidate<K>) -> PlacementReason {
         let is_later = |preferred: RankedCandidate<K>| preferred.rank > cold.rank;
         if self.preferred.is_some_and(is_later) {
             PlacementReason::Overflow
