steering: the loads up to which an upstream takes a request are a function of their own

Cause: `upstream_room` decided on limits, rates and room in one long function. Change: `room_limit` returns the loads of upstream and region; no change of what is decided.

--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -104,7 +104,7 @@
     pub(super) load: f64,
     pub(super) is_cache_full: bool,
     /// Factor by which responses take longer because of the stated cost of work.
-    cost_factor: f64,
+    pub(super) cost_factor: f64,
 }
 
 impl PlacementRequest {
--- a/crates/steering/src/placement/room_forecast.rs
+++ b/crates/steering/src/placement/room_forecast.rs
@@ -45,6 +45,14 @@
     pub closed_for: Duration,
 }
 
+/// Requests per slot up to which an upstream takes a request.
+#[derive(Debug, Clone, Copy)]
+struct RoomLimit {
+    upstream_load: f64,
+    /// The same for its region, where the request needs idle slots.
+    region_load: Option<f64>,
+}
+
 impl PlacementRequest {
     /// Returns the upstreams that suit the request with their room. Without any, no upstream is expected to answer in time.
     pub fn forecast_room<K: Copy>(
@@ -89,52 +97,70 @@
         if candidate.expected > self.deadline_left && !self.is_probe(candidate) {
             return None;
         }
+        let limit = self.room_limit(candidate, region)?;
         let slots = f64::from(entry.candidate.slots.max(1));
         // Little's law: the requests in flight divided by the time for which each is in flight are completed per second.
         let completed_per_slot = region.load().max(1.0);
         let factor = entry.candidate.slowness * entry.candidate.cost_factor;
-        let mut turn_time = self
+        let turn_time = self
             .slot_time
             .mul_f64(factor / (slots * completed_per_slot));
-        let below = |limit: f64| (slots * limit).ceil() - f64::from(entry.candidate.in_flight);
-        let idle_below = |limit: f64| (limit - region.load()) * slots;
-        let free = if candidate.is_warm {
-            // The work may cost as usual again when the request has its turn.
-            let usual = candidate
-                .expected
-                .div_f64(entry.candidate.cost_factor.max(1.0));
-            let is_in_time = usual <= self.objective_left;
-            below(if is_in_time {
-                1.0 + MAX_WARM_QUEUE_FRACTION
-            } else {
-                1.0
-            })
-        } else if region.has_warm {
-            if candidate.is_cache_full || candidate.warm_time > self.objective_left {
-                return None;
-            }
-            let adds_nearby = candidate.rank.is_nearby && !region.has_nearby_warm;
-            turn_time *= COMPLETIONS_PER_IDLE_SLOT;
-            let limit = if adds_nearby {
-                NEARBY_EXPANSION_LOAD_LIMIT
-            } else {
-                EXPANSION_LOAD_LIMIT
-            };
-            below(1.0).min(idle_below(limit))
-        } else if candidate.is_cache_full {
-            turn_time *= COMPLETIONS_PER_IDLE_SLOT;
-            below(1.0 + MAX_COLD_QUEUE_FRACTION).min(idle_below(EXPANSION_LOAD_LIMIT))
-        } else {
-            below(1.0 + MAX_COLD_QUEUE_FRACTION)
-        };
-        Some(UpstreamRoom {
+        let free = (slots * limit.upstream_load).ceil() - f64::from(entry.candidate.in_flight);
+        let room = UpstreamRoom {
             key: candidate.key,
             is_warm: candidate.is_warm,
             free,
             turn_time,
             closed_for: entry.closed_for,
+        };
+        Some(match limit.region_load {
+            None => room,
+            Some(region_load) => UpstreamRoom {
+                free: free.min((region_load - region.load()) * slots),
+                turn_time: turn_time * COMPLETIONS_PER_IDLE_SLOT,
+                ..room
+            },
         })
     }
+
+    /// Returns the loads up to which an upstream takes the request; `None` if it does not at any load.
+    fn room_limit<K: Copy>(
+        &self,
+        candidate: &RankedCandidate<K>,
+        region: &RegionCandidates<K>,
+    ) -> Option<RoomLimit> {
+        let limit = |upstream_load, region_load| {
+            Some(RoomLimit {
+                upstream_load,
+                region_load,
+            })
+        };
+        if candidate.is_warm {
+            // The work may cost as usual again when the request has its turn.
+            let usual = candidate.expected.div_f64(candidate.cost_factor.max(1.0));
+            let is_in_time = usual <= self.objective_left;
+            let queue = if is_in_time {
+                MAX_WARM_QUEUE_FRACTION
+            } else {
+                0.0
+            };
+            return limit(1.0 + queue, None);
+        }
+        if !region.has_warm {
+            let region_load = candidate.is_cache_full.then_some(EXPANSION_LOAD_LIMIT);
+            return limit(1.0 + MAX_COLD_QUEUE_FRACTION, region_load);
+        }
+        if candidate.is_cache_full || candidate.warm_time > self.objective_left {
+            return None;
+        }
+        let adds_nearby = candidate.rank.is_nearby && !region.has_nearby_warm;
+        let region_load = if adds_nearby {
+            NEARBY_EXPANSION_LOAD_LIMIT
+        } else {
+            EXPANSION_LOAD_LIMIT
+        };
+        limit(1.0, Some(region_load))
+    }
 }
 
 /// Returns whether a request may have its turn within `longest`, see [`expected_turn`].
