--- a/crates/steering/src/limits/quota_bucket.rs
+++ b/crates/steering/src/limits/quota_bucket.rs
@@ -28,6 +28,8 @@
 /// Fraction of the burst from which the bucket has headroom: an instance need not repay its debt between two reports,
 /// because the other instances receive its spending with the next report.
 const HEADROOM_FRACTION: f64 = 0.5;
+/// Fraction of the permitted excess that a restart of all instances hands out.
+const INITIAL_EXCESS_FRACTION: f64 = 0.25;
 /// Weight of the latest period in the moving average of the demand.
 const DEMAND_SMOOTHING_FACTOR: f64 = 0.25;
 
@@ -62,11 +64,12 @@
 
 impl QuotaExcess {
     /// Returns the initial tokens of the bucket at a restart. An instance that starts while others run, or after all
-    /// were stopped, has no record of the tokens already spent, so it starts with half of the permitted excess.
+    /// were stopped, has no record of the tokens already spent, so it starts with a part of the permitted excess. All
+    /// instances may restart more than once in a window, and late reports take their part of the excess too.
     #[must_use]
     pub fn initial_tokens(&self, limit: QuotaLimit) -> f64 {
         let allowed = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
-        f64::midpoint(allowed * self.tolerance, self.slack)
+        (allowed * self.tolerance + self.slack) * INITIAL_EXCESS_FRACTION
     }
 }
 
