entry, steering: the readers of the store confirm the plan one after the other

Cause: keys_are_accepted_in_an_outage_for_all failed once with 503 at load average 20. It was reproduced once in three runs at load average 32 while the ages of the plan were read ten times a second: 503 after 3.19 s of the outage, at the moment in which the age of the plan reached the 3.5 s from which keys are refused. The age at the begin of the outage was up to 1.3 s, because the readers that receive a change together began all later watches together; the evidence of the outage for all took 1.8 s more on a quiet machine, and 2.5 s there. Ruled out: that one instance stands still (0.7 to 2.5 s by SIGSTOP at one instance, 0.7 and 1.2 s at all: no refusal; 1.5 and 2 s at all: refusals, as the bound asks for). Change: after a watch that follows a change, a reader waits a part of the usual time that depends on its rank, so that the four end their watches of the configuration 0.3 s apart. It costs a call of each reader after a change of the configuration or of its rank. Not mended: the evidence itself takes as long as before. The message of the assertion now has the state of the instance.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -9,7 +9,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
     CostExposure, CrashReports, CrashTable, DemandTable, EvacuationList, LimitTable,
-    OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
+    OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, reader_rank, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -279,7 +279,7 @@
         }
         let reader_role = &self.shared.reader_role;
         let has_other_reader = self.peers.has_steady_reader(MIN_READING_TIME, era, now);
-        reader_role.set_reader(self.is_selected_reader(now));
+        reader_role.set_rank(self.reader_rank(now));
         reader_role.set_other_reader(has_other_reader);
         if !reader_role.is_reader() && !has_other_reader {
             // No live instance reads the list of upstreams, so an outage of the store in which entries expire would not
@@ -331,10 +331,10 @@
         }
     }
 
-    fn is_selected_reader(&self, now: MonotonicTime) -> bool {
+    fn reader_rank(&self, now: MonotonicTime) -> Option<usize> {
         let readers = self.peers.reader_candidates(now);
         let failing = self.peers.failing_readers(now);
-        is_store_reader(self.shared.own_hash, readers, failing)
+        reader_rank(self.shared.own_hash, readers, failing)
     }
 
     /// Updates the recently used objects of each upstream, and the estimate of how many an upstream caches.
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -43,21 +43,25 @@
         kind: ObjectKind::Config,
         wait: Duration::from_millis(1_200),
         batch_delay: Duration::ZERO,
+        is_spread: true,
     },
     WatchConfig {
         kind: ObjectKind::Upstreams,
         wait: Duration::from_millis(2_400),
         batch_delay: Duration::from_millis(150),
+        is_spread: false,
     },
     WatchConfig {
         kind: ObjectKind::Evacuations,
         wait: Duration::from_millis(2_400),
         batch_delay: Duration::ZERO,
+        is_spread: false,
     },
     WatchConfig {
         kind: ObjectKind::Instances,
         wait: Duration::from_secs(8),
         batch_delay: Duration::from_millis(300),
+        is_spread: false,
     },
 ];
 /// File descriptors that are reserved for files, the store, other instances and upstreams.
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -86,6 +86,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ReaderState {
     is_reader: bool,
+    /// The place among the readers; kept while this instance is none.
+    rank: usize,
     /// Whether another instance reads the lists of the store.
     has_other_reader: bool,
     failing: FailingKinds,
@@ -126,6 +128,7 @@
         Self {
             state: watch::Sender::new(ReaderState {
                 is_reader: true,
+                rank: 0,
                 has_other_reader: false,
                 failing: FailingKinds::default(),
                 plan_versions: PlanVersions::default(),
@@ -138,13 +141,22 @@
 }
 
 impl ReaderRole {
-    /// Sets whether this instance is one of the few that watch the store for all.
-    pub fn set_reader(&self, is_reader: bool) {
-        if self.state.borrow().is_reader == is_reader {
-            return;
+    /// Sets the place of this instance among the few that watch the store for all; `None` if it is not one of them.
+    pub fn set_rank(&self, rank: Option<usize>) {
+        let is_reader = rank.is_some();
+        if self.state.borrow().is_reader != is_reader {
+            log::info!(is_reader; "store: The role of this instance as a reader for the others has changed.");
         }
-        log::info!(is_reader; "store: The role of this instance as a reader for the others has changed.");
-        self.change(|state| state.is_reader = is_reader);
+        self.change(|state| {
+            state.is_reader = is_reader;
+            state.rank = rank.unwrap_or(state.rank);
+        });
+    }
+
+    /// Returns the latest place of this instance among the readers.
+    #[must_use]
+    pub fn rank(&self) -> usize {
+        self.state.borrow().rank
     }
 
     /// Sets whether another instance reads the lists of the store.
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -7,7 +7,7 @@
 
 use coltsfootkeel_adapter::{ObjectKind, StoreClient, WatchAnswer};
 use coltsfootkeel_counters::MonotonicTime;
-use coltsfootkeel_steering::{PositionRange, StorePosition};
+use coltsfootkeel_steering::{PositionRange, StorePosition, spread_wait};
 use coltsfootkeel_transport::{AnswerFailure, CallError};
 
 use crate::control_event::ControlEvent;
@@ -70,6 +70,8 @@
     pub wait: Duration,
     /// The pause after a change, so that the next watch returns several changes together.
     pub batch_delay: Duration,
+    /// Whether the readers end their watches one after the other, see [`spread_wait`].
+    pub is_spread: bool,
 }
 
 /// Lists and watches a kind until the process ends.
@@ -136,6 +138,8 @@
         let mut is_after_change = false;
         let mut is_abandoned = false;
         let mut was_reader = false;
+        // The rank for which the end of this watch is already apart from those of the other readers.
+        let mut spread_rank = None;
         loop {
             let due = self.wait_until_due(position).await;
             // Other instances may have sent the changes up to a later position.
@@ -163,8 +167,13 @@
             was_reader = cause == ReadCause::OwnWatch;
             // What is written again after a return of the store is complete only some time later.
             let is_settled = !self.shared.freshness.is_unsettled();
+            let rank = Some(self.shared.reader_role.rank());
             let wait = if is_after_change || is_first_watch || !is_settled {
+                spread_rank = None;
                 WAIT_AFTER_CHANGE.min(self.config.wait)
+            } else if self.config.is_spread && spread_rank != rank {
+                spread_rank = rank;
+                spread_wait(self.shared.reader_role.rank(), self.config.wait)
             } else {
                 self.config.wait
             };
--- a/crates/entry/tests/relayed_heartbeats.rs
+++ b/crates/entry/tests/relayed_heartbeats.rs
@@ -16,6 +16,11 @@
 const DOMAINS: [&str; 3] = ["a-1", "a-2", "b-1"];
 /// Time within which a change of the configuration must be in force.
 const CHANGE_BOUND: Duration = Duration::from_millis(2_500);
+/// Time in which the ages of the plan are observed, and the begin of the next watches is awaited.
+const OBSERVED_TIME: Duration = Duration::from_secs(4);
+/// The median age in milliseconds is half of the time between two confirmations, a quarter of a watch of 1.2 s, and the way
+/// of a heartbeat. It does not depend on single delays, as the longest age does.
+const MAX_MEDIAN_AGE_MS: u64 = 550;
 
 async fn start(name: &'static str) -> PlatformFleet {
     let mut fleet = PlatformFleet::start(FleetSetup {
@@ -75,6 +80,36 @@
     wait_until_known(&fleet, 0..last, last).await;
 }
 
+/// Returns the median over time of the age of the oldest confirmation of the plan in the fleet, in milliseconds.
+async fn median_plan_age(fleet: &PlatformFleet) -> u64 {
+    let mut ages = Vec::new();
+    let started = Instant::now();
+    while started.elapsed() < OBSERVED_TIME {
+        let mut oldest = 0;
+        for instance in 0..INSTANCES {
+            let age = fleet.state(instance).await["plan_age_ms"].as_u64();
+            oldest = oldest.max(age.unwrap());
+        }
+        ages.push(oldest);
+        sleep(Duration::from_millis(50)).await;
+    }
+    ages.sort_unstable();
+    ages[ages.len() / 2]
+}
+
+/// Guards against keys that are refused at the begin of an outage of the store, because all readers confirm the plan at the
+/// same time and the outage finds it a full watch old: the evidence of the outage takes some time.
+#[tokio::test(flavor = "multi_thread")]
+async fn readers_confirm_the_plan_one_after_the_other() {
+    let fleet = start("relayed-ages").await;
+    wait_until_known(&fleet, 0..INSTANCES, INSTANCES).await;
+    // All readers receive the change, and begin their next watches together.
+    fleet.write_plan(2, &[SHOP_KEY]);
+    sleep(OBSERVED_TIME).await;
+    let age = median_plan_age(&fleet).await;
+    assert!(age < MAX_MEDIAN_AGE_MS, "{age} ms");
+}
+
 /// Guards against keys that are refused in an outage of the store, because the evidence of other failure domains is missing,
 /// and against an instance that takes its own isolation for an outage.
 #[tokio::test(flavor = "multi_thread")]
@@ -95,8 +130,10 @@
             assert_ne!(
                 answer.status,
                 503,
-                "{instance} after {:?}",
-                started.elapsed()
+                "{instance} after {:?}: {:?}, {}",
+                started.elapsed(),
+                answer.body,
+                fleet.state(instance).await
             );
         }
         sleep(Duration::from_millis(300)).await;
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -105,7 +105,7 @@
     ERA_SETTLING_PERIOD, EraChange, EraProgress, KnownPlans, PlacedReport, ReportOrder, StoredPlan,
 };
 pub use recovery::store_position::{PositionRange, StorePosition, replaces_list};
-pub use recovery::store_readers::{ReaderCandidate, is_store_reader};
+pub use recovery::store_readers::{ReaderCandidate, reader_rank, spread_wait};
 pub use recovery::suspect_inquiry::{InquiryEnd, SuspectInquiry};
 pub use regions::demand_division::{DemandDivision, divide_demand};
 pub use regions::demand_table::{DemandTable, InstanceReport, PoolDemand, RegionRoom};
--- a/crates/steering/tests/store_readers.rs
+++ b/crates/steering/tests/store_readers.rs
@@ -1,6 +1,8 @@
 //! Selection of the instances that watch the lists in the store.
 
-use coltsfootkeel_steering::{ReaderCandidate, is_store_reader, stable_hash};
+use std::time::Duration;
+
+use coltsfootkeel_steering::{ReaderCandidate, reader_rank, spread_wait, stable_hash};
 
 fn candidate(instance: u64) -> ReaderCandidate {
     ReaderCandidate {
@@ -63,7 +65,7 @@
         let reads = |own: &u32| {
             let others = (0..case.instances)
                 .filter(|other| (case.receives_from)(*own, *other) && (case.reaches_store)(*other));
-            is_store_reader(hash(*own), others.map(hash).map(candidate), 0)
+            reader_rank(hash(*own), others.map(hash).map(candidate), 0).is_some()
         };
         let readers = (0..case.instances).filter(reads).count();
         assert!(
@@ -80,7 +82,7 @@
     let hashes: Vec<u64> = (0..12_u32)
         .map(|index| stable_hash(&index.to_le_bytes()))
         .collect();
-    let reads = |own: &&u64| is_store_reader(**own, hashes.iter().copied().map(candidate), 0);
+    let reads = |own: &&u64| reader_rank(**own, hashes.iter().copied().map(candidate), 0).is_some();
     let refused: Vec<u64> = hashes.iter().filter(reads).copied().collect();
     let remaining = || {
         hashes
@@ -88,7 +90,8 @@
             .filter(|hash| !refused.contains(hash))
             .copied()
     };
-    let replacing = remaining().filter(|own| is_store_reader(*own, remaining().map(candidate), 0));
+    let replacing =
+        remaining().filter(|own| reader_rank(*own, remaining().map(candidate), 0).is_some());
     assert_eq!(replacing.count(), refused.len());
 }
 
@@ -126,7 +129,7 @@
         for _ in 0..case.max_rounds {
             let others = working.clone();
             working.retain(|own| {
-                !is_store_reader(*own, others.iter().copied().map(candidate), failing)
+                reader_rank(*own, others.iter().copied().map(candidate), failing).is_none()
             });
             failing += others.len() - working.len();
         }
@@ -149,10 +152,28 @@
                 is_reading: is_reading(*instance),
             })
         };
-        let is_reader = |own: &&u64| is_store_reader(**own, candidates(), failing);
+        let is_reader = |own: &&u64| reader_rank(**own, candidates(), failing).is_some();
         working.iter().filter(is_reader).copied().collect()
     };
     let first = readers(&|_| false);
     assert!(first.len() > 4);
     assert_eq!(readers(&|instance| first.contains(&instance)).len(), 4);
 }
+
+/// Guards against readers that confirm the plan at the same time, so that an outage finds it a full watch old.
+#[test]
+fn readers_end_their_watches_one_after_the_other() {
+    let hashes: Vec<u64> = (0..36_u32)
+        .map(|index| stable_hash(&index.to_le_bytes()))
+        .collect();
+    let rank = |own: &u64| reader_rank(*own, hashes.iter().copied().map(candidate), 0);
+    let mut ranks: Vec<usize> = hashes.iter().filter_map(rank).collect();
+    ranks.sort_unstable();
+    let wait = Duration::from_millis(1_200);
+    let ends: Vec<u128> = ranks
+        .iter()
+        .map(|rank| spread_wait(*rank, wait).as_millis())
+        .collect();
+    assert_eq!(ends, [300, 600, 900, 1_200]);
+    assert_eq!(spread_wait(5, wait), Duration::from_millis(600));
+}
