soak, entry: a process that never listed a removed upstream is not bound by the removal

By the log of entry-0, it was killed and started again after u-3 had been removed and before the store returned with it: no list that it had read contained u-3, so it could only take the upstream for a new one. The check took "not in the list" for "known as removed". In the test of affinity partitions, a slow machine writes the partitions before all objects are placed (failed once at load average 57). Change: an upstream that is not in the list counts as known only if the same process has listed it before. An upstream that is in the list and not used counts as before. The test waits until all 40 objects are in the partitions.

--- a/crates/entry/tests/store_eras.rs
+++ b/crates/entry/tests/store_eras.rs
@@ -22,6 +22,9 @@
 const CHANGE_BOUND: Duration = Duration::from_millis(2_500);
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 const PARTITIONS: usize = 4;
+/// Objects that are placed, and the digits of an entry in a partition.
+const OBJECTS: usize = 40;
+const ENTRY_DIGITS: usize = 24;
 /// Time within which the owners have written the affinity partitions of a settled era: a period of writes, and more on a
 /// busy machine.
 const PARTITIONS_WITHIN: Duration = Duration::from_secs(15);
@@ -340,7 +343,7 @@
 async fn affinity_partitions_are_written_again() {
     let fleet = start("era-affinity", 2, 2).await;
     let copy = fleet.store.copy();
-    for number in 0..40 {
+    for number in 0..OBJECTS {
         let id = format!("object-{number}");
         let request = shop_request(Method::GET, "/previews/1", &id, SHOP_KEY);
         assert_eq!(fleet.call(0, &request).await.unwrap().status, 200);
@@ -354,12 +357,13 @@
                 let spec = fleet.store.spec("warm-places", name);
                 spec.is_some_and(|spec| spec["settled_era"] == era)
             };
-            if names.len() == PARTITIONS && names.iter().all(is_settled) {
-                let specs = names.iter();
-                let specs = specs.map(|name| fleet.store.spec("warm-places", name).unwrap());
-                return specs
-                    .map(|spec| spec["places"].clone())
-                    .collect::<Vec<Value>>();
+            let specs = names.iter();
+            let specs = specs.filter_map(|name| fleet.store.spec("warm-places", name));
+            let places: Vec<Value> = specs.map(|spec| spec["places"].clone()).collect();
+            let texts = places.iter().filter_map(Value::as_str);
+            let is_complete = texts.map(str::len).sum::<usize>() == OBJECTS * ENTRY_DIGITS;
+            if names.len() == PARTITIONS && names.iter().all(is_settled) && is_complete {
+                return places;
             }
             assert!(started.elapsed() < PARTITIONS_WITHIN, "{names:?}");
             sleep(POLL_PERIOD).await;
--- a/crates/soak/src/return_checks.rs
+++ b/crates/soak/src/return_checks.rs
@@ -1,6 +1,6 @@
 //! Checks what instances knew before a return of the store against what they do after it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use coltsfootkeel_standins::{CallRequest, call_once};
@@ -33,12 +33,31 @@
 /// What the instances knew before returns of the store, and the violations found since.
 #[derive(Debug, Default)]
 pub struct ReturnChecks {
+    /// The upstreams that each process has listed, by its incarnation.
+    listed: HashSet<(u64, usize)>,
     departures: Vec<KnownDeparture>,
     plans: Vec<KnownPlan>,
     violations: Vec<GuaranteeViolation>,
 }
 
 impl ReturnChecks {
+    /// Records which upstreams the instances list. Call it before an upstream leaves.
+    pub async fn record_listed(&mut self, fleet: &SoakFleet) {
+        for instance in 0..fleet.instances.len() {
+            let Some(state) = read_state(fleet, instance).await else {
+                continue;
+            };
+            let Some(incarnation) = state["incarnation"].as_u64() else {
+                continue;
+            };
+            for (upstream, relayed) in fleet.upstreams.iter().enumerate() {
+                if listed_upstream(&state, relayed.upstream.id()).is_some() {
+                    self.listed.insert((incarnation, upstream));
+                }
+            }
+        }
+    }
+
     /// Records what the instances know. Call it just before a return.
     pub async fn record(&mut self, fleet: &SoakFleet) {
         self.plans.clear();
@@ -46,11 +65,18 @@
             let Some(state) = read_state(fleet, instance).await else {
                 continue;
             };
-            self.plans.extend(known_plan(instance, &state));
+            let Some(plan) = known_plan(instance, &state) else {
+                continue;
+            };
+            self.plans.push(plan);
             let known_at = Instant::now();
             for (upstream, relayed) in fleet.upstreams.iter().enumerate() {
-                let is_known = !relayed.is_ready() && !uses_upstream(&state, relayed.upstream.id());
-                if is_known {
+                // A process that never listed a removed upstream takes it for a new one.
+                let is_known = match listed_upstream(&state, relayed.upstream.id()) {
+                    Some(listed) => listed["usable"] == false,
+                    None => self.listed.contains(&(plan.incarnation, upstream)),
+                };
+                if is_known && !relayed.is_ready() {
                     self.departures.push(KnownDeparture {
                         upstream,
                         instance,
@@ -165,11 +191,7 @@
     })
 }
 
-fn uses_upstream(state: &Value, id: &str) -> bool {
-    let upstreams = state["plan"]["upstreams"].as_array();
-    upstreams.is_none_or(|upstreams| {
-        upstreams
-            .iter()
-            .any(|upstream| upstream["id"] == id && upstream["usable"] == true)
-    })
+fn listed_upstream<'a>(state: &'a Value, id: &str) -> Option<&'a Value> {
+    let mut upstreams = state["plan"]["upstreams"].as_array()?.iter();
+    upstreams.find(|upstream| upstream["id"] == id)
 }
--- a/crates/soak/src/store_returns.rs
+++ b/crates/soak/src/store_returns.rs
@@ -77,6 +77,7 @@
         }
         // What an earlier return lost is written again in time.
         self.finish(fleet).await;
+        self.checks.record_listed(fleet).await;
         let change = self.change_before_return(fleet).await;
         self.checks.record(fleet).await;
         let instance = self.rng.usize(..fleet.instances.len());
