steering, entry, protocol: look-ups weigh processors and connections, and leave out lost domains

Cause: a heartbeat reported requests in progress and used memory alone, so an instance whose processors or connections were nearly used up got as many callers as before. An instance that heard nobody named only itself. The instances of a lost domain were left out one after the other, each after the timeout of its own heartbeats.

An instance that hears nobody names those it heard last, up to 30 s, without those that announced a stop. A domain of which three quarters of the instances, three at least, are overdue is left out of look-ups at once; not while more than half of all are overdue, nor for the time in which the control thread did not run. All of it only where links or processors differ by more than two, as before. Publishing the fleet moves from the control loop to a module of its own.

--- a/crates/entry/src/capacity_reports.rs
+++ b/crates/entry/src/capacity_reports.rs
@@ -15,7 +15,10 @@
         memory_mb: whole(capacity.memory_mb),
         descriptors: whole(capacity.descriptors),
         in_flight: room.usage.in_flight,
-        used_milli: whole(room.usage.used_part * 1_000.0),
+        used_milli: whole(room.usage.memory_part * 1_000.0),
+        processor_milli: whole(room.usage.processor_part * 1_000.0),
+        connection_milli: whole(room.usage.connection_part * 1_000.0),
+        in_flight_milli: whole(room.usage.average_in_flight * 1_000.0),
     })
 }
 
@@ -34,7 +37,10 @@
         }),
         usage: InstanceUsage {
             in_flight: report.in_flight,
-            used_part: f64::from(report.used_milli) / 1_000.0,
+            average_in_flight: f64::from(report.in_flight_milli) / 1_000.0,
+            memory_part: f64::from(report.used_milli) / 1_000.0,
+            processor_part: f64::from(report.processor_milli) / 1_000.0,
+            connection_part: f64::from(report.connection_milli) / 1_000.0,
         },
     }
 }
--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -8,9 +8,8 @@
 use coltsfootkeel_adapter::StoreClient;
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    CostExposure, CrashTable, DemandTable, EvacuationList, InstanceRoom, InstanceView, LimitTable,
-    OutageEvidence, QuotaExcess, SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
-    weigh_instances,
+    CostExposure, CrashTable, DemandTable, EvacuationList, LimitTable, OutageEvidence, QuotaExcess,
+    SteeringPlan, SuspectInquiry, is_store_reader, sharing_instances,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -18,6 +17,7 @@
 use crate::account_quotas::AccountQuotas;
 use crate::control_event::ControlEvent;
 use crate::entry_snapshot::{ListedUpstream, PoolSwitches};
+use crate::fleet_view::FleetObserver;
 use crate::health_check::check_upstream;
 use crate::heartbeat_sending::{PendingReports, SentHeartbeat};
 use crate::limit_log::LimitLog;
@@ -26,7 +26,7 @@
 use crate::plan_lag::PlanLag;
 use crate::queue_exchange::QueueUpdates;
 use crate::reader_role::ListPositions;
-use crate::shared_state::{FleetView, SharedState};
+use crate::shared_state::SharedState;
 use crate::snapshot_builder::SnapshotBuilder;
 use crate::store_return::StoreEra;
 use crate::upstream_choice::wake_queued;
@@ -90,6 +90,7 @@
     pub(crate) cost_exposures: HashMap<String, CostExposure>,
     pub(crate) queue_updates: QueueUpdates,
     pub(crate) demand_table: DemandTable,
+    pub(crate) fleet_observer: FleetObserver,
     pub(crate) is_registering: bool,
 }
 
@@ -156,6 +157,7 @@
             cost_exposures: HashMap::new(),
             queue_updates: QueueUpdates::default(),
             demand_table,
+            fleet_observer: FleetObserver::default(),
             is_registering: false,
         }
     }
@@ -301,6 +303,7 @@
         self.observe_store_outage();
         self.observe_plan_lag(now);
         self.update_inquiry(now);
+        self.measure_usage(now);
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
@@ -351,34 +354,6 @@
         }
     }
 
-    /// Returns the hashes of the names of the live instances, this one included.
-    fn live_hashes(&self, now: MonotonicTime) -> Vec<u64> {
-        let live = self.peers.live(now).map(|(hash, _)| hash);
-        live.chain([self.shared.own_hash]).collect()
-    }
-
-    fn publish_fleet(&self, now: MonotonicTime) {
-        let own_view = InstanceView {
-            address: self.shared.settings.entry,
-            domain: self.shared.home.domain,
-            region: self.shared.home.region,
-            is_accepting: self.shared.is_accepting(),
-            room: self.shared.own_room(),
-        };
-        let mut instances = self.peers.views(now);
-        instances.push(own_view);
-        let hashes = self.live_hashes(now);
-        let registered: Vec<u64> = self.members.hashes().collect();
-        let sharing = sharing_instances(&hashes, &registered);
-        let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
-        self.shared.fleet.store(Arc::new(FleetView {
-            instances,
-            weights: weigh_instances(&rooms),
-            hashes,
-            sharing_instances: sharing,
-        }));
-    }
-
     /// Starts health checks of upstreams that are unreachable or suspected to be, and of those in `requested_checks`.
     fn start_checks(&mut self, now: MonotonicTime) {
         let mut due: Vec<(ListedUpstream, String)> = Vec::new();
--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coltsfootkeel_model::{Arena, RegionKey};
-use coltsfootkeel_steering::PlacementReason;
+use coltsfootkeel_steering::{InstanceRoom, PlacementReason};
 
 /// Upper bounds of the latency buckets in milliseconds.
 const LATENCY_BOUNDS_MS: [u64; 12] = [
@@ -46,6 +46,10 @@
     LookUps,
     /// Look-ups that weighed the instances.
     WeightedLookUps,
+    /// Look-ups that named the instances heard last, because none was heard.
+    CutOffLookUps,
+    /// Failure domains that were left out of look-ups because their instances fell silent together.
+    LostDomains,
     /// Calls to the store, failed ones included.
     StoreCalls,
     /// Calls to the store that failed.
@@ -72,7 +76,7 @@
     CrashRefusals,
 }
 
-const COUNTERS: [(CounterName, &str); 27] = [
+const COUNTERS: [(CounterName, &str); 29] = [
     (CounterName::Requests, "requests_total"),
     (CounterName::Answers, "answers_total"),
     (CounterName::Refusals, "refusals_total"),
@@ -91,6 +95,8 @@
     (CounterName::ForeignAnswers, "foreign_answers_total"),
     (CounterName::LookUps, "look_ups_total"),
     (CounterName::WeightedLookUps, "weighted_look_ups_total"),
+    (CounterName::CutOffLookUps, "cut_off_look_ups_total"),
+    (CounterName::LostDomains, "lost_domains_total"),
     (CounterName::StoreCalls, "store_calls_total"),
     (CounterName::StoreFailures, "store_failures_total"),
     (CounterName::StoreReturns, "store_returns_total"),
@@ -177,6 +183,8 @@
     pub limited_upstreams: usize,
     /// Live instances, this one included.
     pub instances: usize,
+    /// What this instance uses.
+    pub room: InstanceRoom,
 }
 
 impl EntryMetrics {
@@ -248,6 +256,7 @@
             writeln!(text, "# TYPE coltsfootkeel_{name} counter")?;
             writeln!(text, "coltsfootkeel_{name} {value}")?;
         }
+        let usage = gauges.room.usage;
         let values = [
             ("plan_version", gauges.plan_version.to_string()),
             (
@@ -263,6 +272,8 @@
             ("usable_upstreams", gauges.usable_upstreams.to_string()),
             ("limited_upstreams", gauges.limited_upstreams.to_string()),
             ("live_instances", gauges.instances.to_string()),
+            ("processor_used", format!("{:.3}", usage.processor_part)),
+            ("connections_used", format!("{:.3}", usage.connection_part)),
         ];
         for (name, value) in values {
             writeln!(text, "# TYPE coltsfootkeel_{name} gauge")?;
--- a/crates/entry/src/entry_program.rs
+++ b/crates/entry/src/entry_program.rs
@@ -60,9 +60,7 @@
         batch_delay: Duration::from_millis(300),
     },
 ];
-/// File descriptors that are reserved for files, the store, other instances and upstreams.
-const RESERVED_DESCRIPTORS: usize = 1_000;
-/// The limit of connections for readiness checks, look-ups and diagnostics, and the lowest limit for callers.
+/// The limit of connections for readiness checks, look-ups and diagnostics.
 const INTERNAL_CONNECTIONS: usize = 400;
 /// How long after the stop signal new connections are accepted: callers with a cached look-up still arrive in this
 /// time.
@@ -123,10 +121,9 @@
     let shared = SharedState::new(settings, topology, incarnation, events);
     let shared = Arc::new(shared.ok_or(unknown_domain)?);
     let (mut stop_signals, reload_signal) = listen_for_signals()?;
-    let stop = ListenerStop::default();
     let start = async {
         start_control(&shared, event_queue).await?;
-        start_listeners(&shared, &stop).await
+        start_listeners(&shared).await
     };
     tokio::select! {
         started = start => started?,
@@ -144,7 +141,7 @@
         "process: Started."
     );
     stop_signals.received().await;
-    shut_down(&shared, &stop).await;
+    shut_down(&shared).await;
     log::info!("process: Stopped.");
     Ok(())
 }
@@ -183,13 +180,14 @@
     }
 }
 
-async fn start_listeners(shared: &Arc<SharedState>, stop: &ListenerStop) -> Result<(), StartError> {
+async fn start_listeners(shared: &Arc<SharedState>) -> Result<(), StartError> {
     let settings = &shared.settings;
     let caller_listener = listen(settings.entry, "callers").await?;
     let service = Arc::new(CallerService::new(Arc::clone(shared)));
     let state = Arc::clone(shared);
     let limits = move || caller_limits(&state);
-    tokio::spawn(serve(caller_listener, service, limits, stop.clone()));
+    let stop = shared.caller_listener.clone();
+    tokio::spawn(serve(caller_listener, service, limits, stop));
     let internal_addresses = HashSet::from([settings.ready, settings.lookup]);
     for address in internal_addresses {
         let listener = listen(address, "look-ups and readiness checks").await?;
@@ -213,12 +211,7 @@
 fn caller_limits(shared: &SharedState) -> ListenerLimits {
     let snapshot = shared.snapshot.load();
     let limits = snapshot.as_ref().map(|snapshot| snapshot.plan.limits);
-    let descriptors = shared.settings.max_descriptors;
-    let connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-    listener_limits(
-        limits.unwrap_or_default(),
-        connections.max(INTERNAL_CONNECTIONS),
-    )
+    listener_limits(limits.unwrap_or_default(), shared.max_connections())
 }
 
 fn listener_limits(limits: CallerLimits, max_connections: usize) -> ListenerLimits {
@@ -270,7 +263,8 @@
 
 /// Shuts down without interrupting a request: look-ups first direct callers to other instances, and the listener closes
 /// after callers have stopped arriving.
-async fn shut_down(shared: &Arc<SharedState>, stop: &ListenerStop) {
+async fn shut_down(shared: &Arc<SharedState>) {
+    let stop = &shared.caller_listener;
     log::info!("process: Stopping.");
     shared.begin_shutdown();
     shared.send_event(ControlEvent::Shutdown);
--- a/crates/entry/src/http_services.rs
+++ b/crates/entry/src/http_services.rs
@@ -91,6 +91,9 @@
             return select_instances(query, &fleet.instances, MAX_LOOKUP_ADDRESSES);
         };
         self.shared.metrics.count(CounterName::WeightedLookUps);
+        if fleet.is_cut_off {
+            self.shared.metrics.count(CounterName::CutOffLookUps);
+        }
         // A panic elsewhere leaves counts that are at most off by one answer.
         let mut handed_out = self
             .handed_out
@@ -184,7 +187,8 @@
             limited_upstreams: count_upstreams(&|state| {
                 state.rate_limit.limit(steady_now).is_some()
             }),
-            instances: self.shared.fleet.load().hashes.len(),
+            instances: self.shared.instance_count(),
+            room: self.shared.own_room(),
         };
         let regions = &self.shared.topology.regions;
         let text = self.shared.metrics.render(gauges, regions);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod entry_program;
 mod entry_snapshot;
 mod fair_wait;
+mod fleet_view;
 mod health_check;
 mod heartbeat_sending;
 mod heartbeat_socket;
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -8,7 +8,8 @@
 use coltsfootkeel_model::{DomainKey, RegionKey};
 use coltsfootkeel_protocol::FleetHeartbeat;
 use coltsfootkeel_steering::{
-    FleetTopology, HeartbeatPeriods, InstanceView, ReaderCandidate, stable_hash,
+    DomainSilence, FleetTopology, HeardInstance, HeartbeatPeriods, InstanceRoom, InstanceView,
+    KnownInstance, ReaderCandidate, stable_hash,
 };
 
 use crate::capacity_reports::reported_room;
@@ -41,28 +42,26 @@
 pub struct PeerTable {
     peers: HashMap<u64, PeerState>,
     own_domain: DomainKey,
-    near_timeout: Duration,
-    far_timeout: Duration,
+    periods: HeartbeatPeriods,
+    domain_silence: DomainSilence,
 }
 
 impl PeerTable {
     /// Creates an empty table of an instance in the failure domain `own_domain`.
     #[must_use]
     pub fn new(own_domain: DomainKey) -> Self {
-        let periods = HeartbeatPeriods::new(0, 0);
         Self {
             peers: HashMap::new(),
             own_domain,
-            near_timeout: periods.near_timeout(),
-            far_timeout: periods.far_timeout(),
+            periods: HeartbeatPeriods::new(0, 0),
+            domain_silence: DomainSilence::default(),
         }
     }
 
-    /// Sets the times without a heartbeat after which instances no longer count as live. They are left out of look-ups,
-    /// and their requests in flight no longer count.
+    /// Sets the times between heartbeats, from which follows after which time without one instances no longer count as
+    /// live. They are left out of look-ups, and their requests in flight no longer count.
     pub fn set_periods(&mut self, periods: HeartbeatPeriods) {
-        self.near_timeout = periods.near_timeout();
-        self.far_timeout = periods.far_timeout();
+        self.periods = periods;
     }
 
     /// Records a heartbeat. Returns the hash of its sender, or `None` if a newer heartbeat was received before or if
@@ -111,31 +110,71 @@
 
     /// Returns the live instances: those whose latest heartbeat is recent enough.
     pub fn live(&self, now: MonotonicTime) -> impl Iterator<Item = (u64, &PeerState)> {
-        let timeout = |peer: &PeerState| {
-            if peer.domain == self.own_domain {
-                self.near_timeout
-            } else {
-                self.far_timeout
-            }
-        };
         self.peers
             .iter()
-            .filter(move |(_, peer)| now.since(peer.received_at) < timeout(peer))
+            .filter(move |(_, peer)| now.since(peer.received_at) < self.timeout(peer))
             .map(|(hash, peer)| (*hash, peer))
     }
 
+    fn timeout(&self, peer: &PeerState) -> Duration {
+        if peer.domain == self.own_domain {
+            self.periods.near_timeout()
+        } else {
+            self.periods.far_timeout()
+        }
+    }
+
     /// Returns the live instances as candidates for look-ups.
     #[must_use]
     pub fn views(&self, now: MonotonicTime) -> Vec<InstanceView> {
-        self.live(now)
-            .map(|(_, peer)| InstanceView {
-                address: peer.entry,
-                domain: peer.domain,
-                region: peer.region,
-                room: reported_room(&peer.heartbeat),
-                is_accepting: peer.heartbeat.is_open && !peer.heartbeat.is_leaving,
+        self.live(now).map(|(_, peer)| view(peer)).collect()
+    }
+
+    /// Returns what the instances in the table have and use, by the hashes of their names.
+    pub fn rooms(&self) -> impl Iterator<Item = (u64, InstanceRoom)> {
+        let peers = self.peers.iter();
+        peers.map(|(hash, peer)| (*hash, reported_room(&peer.heartbeat)))
+    }
+
+    /// Returns all instances in the table as candidates for look-ups, and observes which failure domains fall silent.
+    pub fn observe_instances(&mut self, now: MonotonicTime) -> Vec<KnownInstance> {
+        let peers = self.peers.values();
+        let mut known: Vec<KnownInstance> = peers
+            .map(|peer| KnownInstance {
+                view: view(peer),
+                silence: now.since(peer.received_at),
+                timeout: self.timeout(peer),
+                is_lost: false,
             })
-            .collect()
+            .collect();
+        // Instances that fell silent long before do not belong to the same loss.
+        let mut observed: Vec<&mut KnownInstance> = known
+            .iter_mut()
+            .filter(|known| known.view.is_accepting && known.silence < known.timeout * 2)
+            .collect();
+        let heard: Vec<HeardInstance> = observed
+            .iter()
+            .map(|known| HeardInstance {
+                domain: known.view.domain,
+                heard_at: now - known.silence,
+                period: self.longest_period(known.view.domain),
+            })
+            .collect();
+        let is_lost = self.domain_silence.observe(&heard, now);
+        for (known, is_lost) in observed.iter_mut().zip(is_lost) {
+            known.is_lost = is_lost;
+        }
+        known
+    }
+
+    /// Returns the longest time between two heartbeats of an instance of `domain`. Those of other domains wait for the next
+    /// heartbeat of the instance that passes them on.
+    fn longest_period(&self, domain: DomainKey) -> Duration {
+        if domain == self.own_domain || self.periods.is_full_mesh {
+            self.periods.near
+        } else {
+            self.periods.far + self.periods.near
+        }
     }
 
     /// Returns the live instances that can watch the store for the others.
@@ -180,3 +219,13 @@
         loads
     }
 }
+
+fn view(peer: &PeerState) -> InstanceView {
+    InstanceView {
+        address: peer.entry,
+        domain: peer.domain,
+        region: peer.region,
+        room: reported_room(&peer.heartbeat),
+        is_accepting: peer.heartbeat.is_open && !peer.heartbeat.is_leaving,
+    }
+}
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -1,7 +1,7 @@
 //! The state that request threads and the control thread share: published snapshots, atomics and queues.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -12,7 +12,7 @@
     AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceRoom, InstanceUsage,
     InstanceView, InstanceWeight, PlanFreshness, RetryLimit, stable_hash,
 };
-use coltsfootkeel_transport::ProcessClock;
+use coltsfootkeel_transport::{ListenerStop, ProcessClock};
 use crossbeam_queue::ArrayQueue;
 use tokio::sync::{Notify, mpsc};
 
@@ -29,7 +29,10 @@
 /// The part of the memory limit that bytes of requests and answers may take. The rest is for connections, the tables of
 /// the control thread, and memory that the allocator keeps.
 const KEPT_MEMORY_DIVISOR: u64 = 4;
-
+/// File descriptors that are reserved for files, the store, other instances and upstreams.
+const RESERVED_DESCRIPTORS: usize = 1_000;
+/// The lowest limit of callers' connections.
+const MIN_CONNECTIONS: usize = 400;
 /// The assumed round trip to another region before the first measurement.
 const DEFAULT_ROUND_TRIP: Duration = Duration::from_millis(40);
 
@@ -72,6 +75,8 @@
     /// The hashes of the instances that share limits, the live and the registered ones; empty until the registered
     /// instances are known.
     pub sharing_instances: Vec<u64>,
+    /// Whether no other instance is heard, so that `instances` has those heard last.
+    pub is_cut_off: bool,
 }
 
 /// The state that is shared by all threads.
@@ -124,6 +129,12 @@
     pub kept_bytes: Arc<ByteBudget>,
     /// Requests of callers in progress.
     pub in_flight: Arc<AtomicU64>,
+    /// The average of the used part of the processors in thousandths.
+    pub processor_milli: AtomicU32,
+    /// The average of the requests in progress in thousandths.
+    pub in_flight_milli: AtomicU32,
+    /// The listener for callers, which counts their connections.
+    pub caller_listener: ListenerStop,
     /// The counters and histograms of the process.
     pub metrics: EntryMetrics,
     /// The sender of events to the control thread.
@@ -179,6 +190,9 @@
             quota_refilled: Notify::new(),
             kept_bytes: Arc::new(ByteBudget::new(kept_bytes)),
             in_flight: Arc::default(),
+            processor_milli: AtomicU32::new(0),
+            in_flight_milli: AtomicU32::new(0),
+            caller_listener: ListenerStop::default(),
             metrics,
             events,
             is_stopping: AtomicBool::new(false),
@@ -280,18 +294,31 @@
     #[must_use]
     pub fn own_room(&self) -> InstanceRoom {
         let in_flight = self.in_flight.load(Ordering::Acquire);
+        let max_kept = self.settings.memory_bytes / KEPT_MEMORY_DIVISOR;
+        let connections = self.caller_listener.open_connections();
         #[expect(clippy::cast_precision_loss)]
-        let used_part = self.kept_bytes.taken() as f64
-            / (self.settings.memory_bytes / KEPT_MEMORY_DIVISOR).max(1) as f64;
+        let part = |used: u64, bound: u64| used as f64 / bound.max(1) as f64;
+        let milli = |value: &AtomicU32| f64::from(value.load(Ordering::Relaxed)) / 1_000.0;
         InstanceRoom {
             capacity: self.settings.capacity,
             usage: InstanceUsage {
                 in_flight: u32::try_from(in_flight).unwrap_or(u32::MAX),
-                used_part,
+                memory_part: part(self.kept_bytes.taken(), max_kept),
+                average_in_flight: milli(&self.in_flight_milli),
+                processor_part: milli(&self.processor_milli),
+                connection_part: part(connections as u64, self.max_connections() as u64),
             },
         }
     }
 
+    /// Returns the largest number of open connections of callers.
+    #[must_use]
+    pub fn max_connections(&self) -> usize {
+        let descriptors = self.settings.max_descriptors;
+        let connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        connections.max(MIN_CONNECTIONS)
+    }
+
     /// Returns the retry limit of all instances together.
     #[must_use]
     pub fn retry_limit(&self) -> RetryLimit {
--- a/crates/entry/src/state_dump.rs
+++ b/crates/entry/src/state_dump.rs
@@ -27,6 +27,9 @@
                 "address": instance.address,
                 "open": instance.is_accepting,
                 "in_flight": instance.room.usage.in_flight,
+                "memory_used": instance.room.usage.memory_part,
+                "processor_used": instance.room.usage.processor_part,
+                "connections_used": instance.room.usage.connection_part,
                 "size": weights.map(|weights| weights[index].size),
                 "weight": weights.map(|weights| weights[index].weight),
             })
@@ -44,6 +47,7 @@
         "plan_age_ms": plan_age.as_millis(),
         "in_flight": shared.in_flight.load(Ordering::Acquire),
         "instances": instances,
+        "cut_off": fleet.is_cut_off,
         "plan": snapshot.as_ref().map(|snapshot| dump_plan(shared, snapshot)),
     })
 }
--- a/crates/protocol/src/capacity_messages.rs
+++ b/crates/protocol/src/capacity_messages.rs
@@ -23,4 +23,13 @@
     /// The used part of the memory for requests in thousandths.
     #[prost(uint32, tag = "6")]
     pub used_milli: u32,
+    /// The used part of the processors in thousandths.
+    #[prost(uint32, tag = "7")]
+    pub processor_milli: u32,
+    /// The open connections of callers per connection that may be open, in thousandths.
+    #[prost(uint32, tag = "8")]
+    pub connection_milli: u32,
+    /// The average of the requests of callers in progress in thousandths.
+    #[prost(uint32, tag = "9")]
+    pub in_flight_milli: u32,
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -53,6 +53,7 @@
 mod upstream_record;
 
 pub use atomic_time::AtomicTime;
+pub use fleet::domain_silence::{DomainSilence, HeardInstance};
 pub use fleet::heartbeat_routes::{HeartbeatPeer, HeartbeatPeriods, select_relays};
 pub use fleet::peer_contacts::PeerContacts;
 pub use hashing::{combine_hashes, stable_hash};
@@ -73,7 +74,9 @@
 pub use lookup::instance_capacity::{
     InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
 };
+pub use lookup::known_instances::{KnownInstance, nameable_instances};
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances, select_weighted};
+pub use lookup::usage_meter::{AverageUsage, UsageMeter, UsageReading};
 pub use placement::affinity_table::{
     AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
 };
--- a/crates/steering/src/lookup/instance_capacity.rs
+++ b/crates/steering/src/lookup/instance_capacity.rs
@@ -5,10 +5,16 @@
 
 /// Factor by which links or processors have to differ for instances to be weighed.
 const MIN_DIFFERENCE: f64 = 2.0;
-/// Used part of the memory for requests above which an instance gets fewer callers.
-const MAX_CALM_USAGE: f64 = 0.5;
-/// Requests per size, relative to the mean, above which an instance gets fewer callers.
-const MAX_CALM_LOAD: f64 = 1.5;
+/// Used part of the memory for requests above which an instance gets fewer callers. One large answer takes much of it.
+const MAX_CALM_MEMORY: f64 = 0.5;
+/// Used part of the processors above which an instance gets fewer callers.
+const MAX_CALM_PROCESSOR: f64 = 0.8;
+/// Used part of the connections above which an instance gets fewer callers.
+const MAX_CALM_CONNECTIONS: f64 = 0.8;
+/// Average requests by which the loads of instances may differ by chance.
+const TOLERATED_REQUESTS: f64 = 0.25;
+/// Upper bound of the factor on the weight of an instance with a low load.
+const MAX_IDLE_FACTOR: f64 = 1.25;
 /// Lower bound of the factor on the weight of an instance that is in use. Callers that it keeps show when it recovers.
 const MIN_FREE_FACTOR: f64 = 0.1;
 
@@ -30,8 +36,14 @@
 pub struct InstanceUsage {
     /// Requests of callers in progress.
     pub in_flight: u32,
+    /// Average of the requests of callers in progress.
+    pub average_in_flight: f64,
     /// Used part of the memory for requests, from zero to one.
-    pub used_part: f64,
+    pub memory_part: f64,
+    /// Used part of the processors. It may exceed one for a short time.
+    pub processor_part: f64,
+    /// Open connections of callers per connection that may be open, from zero to one.
+    pub connection_part: f64,
 }
 
 /// An instance with its weight in look-ups.
@@ -64,10 +76,7 @@
     }
     let size = |room: &InstanceRoom| room.capacity.map_or(1.0, |own| relative_size(own, &known));
     let sizes: Vec<f64> = rooms.iter().map(size).collect();
-    let in_flight: f64 = rooms
-        .iter()
-        .map(|room| f64::from(room.usage.in_flight))
-        .sum();
+    let in_flight: f64 = rooms.iter().map(|room| room.usage.average_in_flight).sum();
     let mean_load = in_flight / sizes.iter().sum::<f64>();
     let weigh = |(room, size): (&InstanceRoom, &f64)| InstanceWeight {
         size: *size,
@@ -105,10 +114,14 @@
 
 /// Returns the factor on the weight of an instance by what is free there.
 fn free_factor(usage: InstanceUsage, size: f64, mean_load: f64) -> f64 {
-    let free_part = (1.0 - usage.used_part) / (1.0 - MAX_CALM_USAGE);
-    let load = f64::from(usage.in_flight) / size;
-    // One request more or less at a small instance is no overload.
-    let calm_load = MAX_CALM_LOAD * mean_load + 1.0 / size;
-    let load_part = calm_load / load.max(calm_load);
-    free_part.min(load_part).clamp(MIN_FREE_FACTOR, 1.0)
+    let free_part = |used: f64, max_calm: f64| (1.0 - used) / (1.0 - max_calm);
+    let load = (usage.average_in_flight + TOLERATED_REQUESTS) / size;
+    let usual_load = mean_load + TOLERATED_REQUESTS / size;
+    // The load follows the weight after seconds. The root keeps the two from swinging.
+    let load_factor = (usual_load / load).sqrt();
+    let free_part = free_part(usage.memory_part, MAX_CALM_MEMORY)
+        .min(free_part(usage.processor_part, MAX_CALM_PROCESSOR))
+        .min(free_part(usage.connection_part, MAX_CALM_CONNECTIONS))
+        .min(1.0);
+    (free_part * load_factor).clamp(MIN_FREE_FACTOR, MAX_IDLE_FACTOR)
 }
--- a/crates/steering/src/lookup/lookup_selection.rs
+++ b/crates/steering/src/lookup/lookup_selection.rs
@@ -150,13 +150,13 @@
     }
 }
 
-/// Returns the requests in progress per size; with one more request, so that idle domains can be compared.
+/// Returns the average requests in progress per size; with one more request, so that idle domains can be compared.
 fn load_per_size(candidates: &[LookupCandidate]) -> f64 {
     let in_flight = candidates
         .iter()
-        .map(|candidate| candidate.view.room.usage.in_flight);
+        .map(|candidate| candidate.view.room.usage.average_in_flight);
     let size: f64 = candidates.iter().map(|candidate| candidate.size).sum();
-    (1.0 + f64::from(in_flight.sum::<u32>())) / size.max(f64::MIN_POSITIVE)
+    (1.0 + in_flight.sum::<f64>()) / size.max(f64::MIN_POSITIVE)
 }
 
 /// Returns the chance of each candidate to be named. The heaviest one is always named, so that chances are in proportion to
--- a/crates/steering/tests/weighted_look_ups.rs
+++ b/crates/steering/tests/weighted_look_ups.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_model::{ArenaKey, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
     HandedOut, InstanceCapacity, InstanceRoom, InstanceUsage, InstanceView, LookupQuery, RegionSet,
-    combine_hashes, select_weighted, weigh_instances,
+    UsageMeter, UsageReading, combine_hashes, select_weighted, weigh_instances,
 };
 
 const LARGE: InstanceCapacity = InstanceCapacity {
@@ -24,16 +24,67 @@
     descriptors: 4_100.0,
 };
 
-fn room(capacity: InstanceCapacity, in_flight: u32, used_part: f64) -> InstanceRoom {
+fn room(capacity: InstanceCapacity, in_flight: u32, memory_part: f64) -> InstanceRoom {
     InstanceRoom {
         capacity: Some(capacity),
         usage: InstanceUsage {
             in_flight,
-            used_part,
+            average_in_flight: in_flight.into(),
+            memory_part,
+            ..InstanceUsage::default()
         },
     }
 }
 
+/// Returns a large instance that uses parts of its processors and connections.
+fn busy_room(processor_part: f64, connection_part: f64) -> InstanceRoom {
+    let mut room = room(LARGE, 0, 0.0);
+    room.usage.processor_part = processor_part;
+    room.usage.connection_part = connection_part;
+    room
+}
+
+/// Returns a small and a large instance that are idle, and another one.
+fn beside_idle(other: InstanceRoom) -> Vec<InstanceRoom> {
+    vec![room(SMALL, 0, 0.0), room(LARGE, 0, 0.0), other]
+}
+
+struct ReadingCase {
+    name: &'static str,
+    /// Processor time in milliseconds after each 100 ms of a process with a fifth of a core.
+    used_ms: fn(u64) -> u64,
+    used: f64,
+}
+
+/// Guards against a short peak that makes an instance look busy, and against a busy one that looks free.
+#[test]
+fn usage_is_averaged() {
+    let case = |name, used_ms: fn(u64) -> u64, used| ReadingCase {
+        name,
+        used_ms,
+        used,
+    };
+    let cases = [
+        case("idle", |_| 0, 0.0),
+        case("busy for long", |reading| reading * 20, 1.0),
+        case("a peak of 100 ms", |reading| reading / 100 * 20, 0.05),
+    ];
+    for case in cases {
+        let mut meter = UsageMeter::default();
+        let mut used = 0.0;
+        for reading in 1..=100 {
+            let now = MonotonicTime::from_millis(reading * 100);
+            let reading = UsageReading {
+                processor_time: Duration::from_millis((case.used_ms)(reading)),
+                processors: 0.2,
+                in_flight: 0,
+            };
+            used = meter.update(reading, now).processor_part;
+        }
+        assert!((used - case.used).abs() < 0.02, "{}: {used}", case.name);
+    }
+}
+
 struct WeightCase {
     name: &'static str,
     rooms: Vec<InstanceRoom>,
@@ -78,6 +129,26 @@
             ],
             ratio: Some(0.2),
         },
+        WeightCase {
+            name: "nine tenths of the processors are used",
+            rooms: beside_idle(busy_room(0.9, 0.0)),
+            ratio: Some(0.5),
+        },
+        WeightCase {
+            name: "the processors are overloaded",
+            rooms: beside_idle(busy_room(1.3, 0.0)),
+            ratio: Some(0.1),
+        },
+        WeightCase {
+            name: "half of processors and connections is used",
+            rooms: beside_idle(busy_room(0.5, 0.5)),
+            ratio: Some(1.0),
+        },
+        WeightCase {
+            name: "nearly all connections are used",
+            rooms: beside_idle(busy_room(0.0, 0.95)),
+            ratio: Some(0.25),
+        },
         WeightCase {
             name: "many requests are in progress",
             rooms: vec![
@@ -245,6 +316,7 @@
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let in_flight = load.round() as u32;
             view.room.usage.in_flight = in_flight;
+            view.room.usage.average_in_flight = load;
         }
     }
 
