steering, entry: slack of retries, cold starts and limited upstreams are split by size

Cause: look-ups bring an instance of eight times the size as many more requests, but the slack of the retry budget, the starts of cold upstreams and the right to send to an upstream with a rate limit went to all instances in even parts. Those of the small instances were unused.

Change: parts follow the sizes of the instances that share limits, known from their heartbeats; one whose capacity is not known counts as one of mean size. Senders to cold and to limited upstreams are drawn by weighted rendezvous hashing; among senders to a limited upstream the rate is split by demand as before. With equal sizes the parts and the order of the draw are as before.

Tests: `cold_send_interval`, `InstanceDemand` and `SendingInstance` take sizes, so the existing calls in tests/rate_share.rs, tests/limit_table.rs and tests/retry_and_cold_limits.rs pass equal ones; their bounds are unchanged.

Result: the new cases (a fifth of the instances eight times as large) keep the bounds of cold and limited upstreams; the parts add up to the limit.

--- a/crates/entry/src/fleet_view.rs
+++ b/crates/entry/src/fleet_view.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
 use coltsfootkeel_steering::{
-    InstanceRoom, InstanceView, KnownInstance, UsageMeter, UsageReading,
+    InstanceRoom, InstanceView, KnownInstance, SharerSizes, UsageMeter, UsageReading,
     nameable_instances, sharing_instances, weigh_instances,
 };
 use nix::time::{ClockId, clock_gettime};
@@ -50,7 +50,7 @@
             .store(milli(average.in_flight), Ordering::Relaxed);
     }
 
-    /// Publishes the instances to the threads that answer look-ups.
+    /// Publishes the instances to the threads that answer look-ups and that spend shares of limits.
     pub(crate) fn publish_fleet(&mut self, now: MonotonicTime) {
         let sizes = self.known_sizes();
         let known = self.peers.observe_instances(now);
@@ -65,6 +65,11 @@
         let registered: Vec<u64> = self.members.hashes().collect();
         let sharing = sharing_instances(&hashes, &registered);
         let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
+        let sharer_sizes = if sizes.is_empty() {
+            SharerSizes::default()
+        } else {
+            SharerSizes::new(&sharing, &sizes)
+        };
         if !sizes.is_empty() {
             self.log_lost_domains(&known);
         }
@@ -74,6 +79,7 @@
             weights: weigh_instances(&rooms),
             hashes,
             sharing_instances: sharing,
+            sharer_sizes,
             is_cut_off,
         }));
     }
--- a/crates/entry/src/limit_division.rs
+++ b/crates/entry/src/limit_division.rs
@@ -53,9 +53,11 @@
             return;
         }
         let shared = &self.shared;
+        let fleet = shared.fleet.load();
         let own = SendingInstance {
             hash: shared.own_hash,
             region: Some(shared.home.region),
+            size: fleet.sharer_sizes.relative_size(shared.own_hash),
         };
         let topology = &shared.topology;
         let registered = self.members.iter().map(|(_, member)| {
@@ -64,6 +66,7 @@
             SendingInstance {
                 hash: member.hash,
                 region,
+                size: fleet.sharer_sizes.relative_size(member.hash),
             }
         });
         let others: Vec<SendingInstance> = registered
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -10,7 +10,7 @@
 use coltsfootkeel_model::{Arena, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
     AffinityTable, AtomicTime, CrashTable, FleetTopology, GraceTimes, InstanceRoom, InstanceUsage,
-    InstanceView, InstanceWeight, PlanFreshness, RetryLimit, stable_hash,
+    InstanceView, InstanceWeight, PlanFreshness, RetryLimit, SharerSizes, stable_hash,
 };
 use coltsfootkeel_transport::{ListenerStop, ProcessClock};
 use crossbeam_queue::ArrayQueue;
@@ -75,6 +75,8 @@
     /// The hashes of the instances that share limits, the live and the registered ones; empty until the registered
     /// instances are known.
     pub sharing_instances: Vec<u64>,
+    /// The sizes of `sharing_instances`.
+    pub sharer_sizes: SharerSizes,
     /// Whether no other instance is heard, so that `instances` has those heard last.
     pub is_cut_off: bool,
 }
@@ -319,13 +321,15 @@
         connections.max(MIN_CONNECTIONS)
     }
 
-    /// Returns the retry limit of all instances together.
+    /// Returns the retry limit of all instances together, with the slack that it would have if all were of this
+    /// instance's size.
     #[must_use]
     pub fn retry_limit(&self) -> RetryLimit {
         let bounds = self.bounds.load();
+        let size = self.fleet.load().sharer_sizes.relative_size(self.own_hash);
         RetryLimit {
             ratio: bounds.retry_ratio,
-            slack: bounds.retry_slack,
+            slack: bounds.retry_slack * size,
         }
     }
 
--- a/crates/entry/src/upstream_choice.rs
+++ b/crates/entry/src/upstream_choice.rs
@@ -407,6 +407,7 @@
         state.hash,
         context.shared.own_hash,
         &fleet.sharing_instances,
+        &fleet.sharer_sizes,
         cold_per_s,
     );
     let Some(interval) = interval else {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -65,6 +65,7 @@
 };
 pub use limits::rate_share::{InstanceDemand, limited_send_interval};
 pub use limits::retry_budget::{RetryBudget, RetryLimit};
+pub use limits::sharer_sizes::SharerSizes;
 pub use load::cold_pacing::cold_send_interval;
 pub use load::load_report::{InvalidReport, LoadReport, RawLoadReport};
 pub use load::reported_load::{CostExposure, PredictedTimes, ReportedLoad, TimedReport};
--- a/crates/steering/src/limits/limit_table.rs
+++ b/crates/steering/src/limits/limit_table.rs
@@ -33,12 +33,14 @@
 }
 
 /// An instance that may send requests to upstreams.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SendingInstance {
     /// Hash of its name.
     pub hash: u64,
     /// Region of its failure domain; `None` if it is not known.
     pub region: Option<RegionKey>,
+    /// Its size relative to the mean; one if instances are about equal.
+    pub size: f64,
 }
 
 /// Demand for one upstream that has a rate limit, or had one until recently.
@@ -153,6 +155,7 @@
         let demand = |instance: &SendingInstance, per_s| InstanceDemand {
             instance: instance.hash,
             is_near: instance.region == Some(state.info.region),
+            size: instance.size,
             per_s,
         };
         let other_demands: Vec<InstanceDemand> = others
--- a/crates/steering/src/limits/mod.rs
+++ b/crates/steering/src/limits/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod rate_limit;
 pub(crate) mod rate_share;
 pub(crate) mod retry_budget;
+pub(crate) mod sharer_sizes;
--- a/crates/steering/src/limits/rate_share.rs
+++ b/crates/steering/src/limits/rate_share.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::hashing::combine_hashes;
+use crate::hashing::{combine_hashes, weighted_rank};
 use crate::limits::rate_limit::RateLimit;
 
 /// Fraction of a limit that is the least demand of an instance, so that the first requests of one with little demand
@@ -25,6 +25,8 @@
     pub instance: u64,
     /// Whether the instance is in the region of the upstream, where most requests for it arrive.
     pub is_near: bool,
+    /// Size of the instance relative to the mean; one if instances are about equal.
+    pub size: f64,
     /// Requests per second for which the upstream was a candidate; `None` if the instance has not reported any.
     pub per_s: Option<f64>,
 }
@@ -34,7 +36,7 @@
 /// the same demand as this one.
 ///
 /// Each sending instance may send one request at once after a pause, so their number is limited. They are selected by
-/// region and rendezvous hash and not by demand: whenever the selection changed, further instances would send their first
+/// region and rendezvous hash, weighted by size, and not by demand: whenever the selection changed, further instances would send their first
 /// request at once.
 #[must_use]
 pub fn limited_send_interval(
@@ -47,12 +49,16 @@
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let senders = (per_s * BURST_PERIOD_S + BURST_REQUESTS) as usize;
     let rank = |sender: &InstanceDemand| {
-        let weight = combine_hashes(upstream, sender.instance);
-        (sender.is_near, weight)
+        let hash = combine_hashes(upstream, sender.instance);
+        (!sender.is_near, weighted_rank(hash, sender.size))
+    };
+    let compare = |first: &InstanceDemand, second: &InstanceDemand| {
+        let (first, second) = (rank(first), rank(second));
+        first.0.cmp(&second.0).then(first.1.total_cmp(&second.1))
     };
     let mut ranked: Vec<&InstanceDemand> = others.iter().collect();
-    ranked.sort_unstable_by_key(|other| std::cmp::Reverse(rank(other)));
-    let preceding = ranked.partition_point(|other| rank(other) > rank(&own));
+    ranked.sort_unstable_by(|first, second| compare(first, second));
+    let preceding = ranked.partition_point(|other| compare(other, &own).is_lt());
     if preceding >= senders {
         return None;
     }
--- a/crates/steering/tests/limit_table.rs
+++ b/crates/steering/tests/limit_table.rs
@@ -27,6 +27,7 @@
         identity: SendingInstance {
             hash,
             region: Some(region),
+            size: 1.0,
         },
         table: LimitTable::default(),
         upstream: UpstreamState::new(
--- a/crates/steering/tests/rate_share.rs
+++ b/crates/steering/tests/rate_share.rs
@@ -29,6 +29,7 @@
         .map(|(index, per_s)| InstanceDemand {
             instance: index as u64,
             is_near: index < 3,
+            size: 1.0,
             per_s: *per_s,
         })
         .collect();
@@ -231,3 +232,28 @@
     // Another instance sends a request every quarter of a second, so a refused caller need not wait for this one.
     assert_eq!(upstream.retry_delay(at(5_000)), Duration::from_millis(250));
 }
+
+/// Guards against small instances that get the right to send while the requests arrive at the large ones, and against more
+/// senders than the limit allows.
+#[test]
+fn large_instances_send_to_a_limited_upstream() {
+    let instance = |index: u64| InstanceDemand {
+        instance: index,
+        is_near: true,
+        size: if index < 8 { 8.0 } else { 1.0 },
+        per_s: Some(1.0),
+    };
+    let all: Vec<InstanceDemand> = (0..40).map(instance).collect();
+    let mut rate_sum = 0.0;
+    let mut large_senders = 0;
+    for own in &all {
+        let others = all.iter().copied().filter(|other| other != own);
+        let others: Vec<InstanceDemand> = others.collect();
+        if let Some(interval) = limited_send_interval(rate(6.0), UPSTREAM, *own, &others) {
+            rate_sum += 1.0 / interval.as_secs_f64();
+            large_senders += u32::from(own.instance < 8);
+        }
+    }
+    assert!(rate_sum < 6.01, "{rate_sum} a second");
+    assert!((4..=8).contains(&large_senders), "{large_senders}");
+}
--- a/crates/steering/tests/retry_and_cold_limits.rs
+++ b/crates/steering/tests/retry_and_cold_limits.rs
@@ -1,10 +1,11 @@
 //! Limits that every instance enforces without messages: retries and requests to cold upstreams.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_steering::{
-    AtomicTime, RetryBudget, RetryLimit, cold_send_interval, sharing_instances,
+    AtomicTime, RetryBudget, RetryLimit, SharerSizes, cold_send_interval, sharing_instances,
 };
 
 struct RetryCase {
@@ -162,6 +163,8 @@
     name: &'static str,
     instances: u64,
     cold_per_s: f64,
+    /// Size of every fifth instance relative to the others.
+    large: f64,
     /// Maximum number of requests in any second according to the requirements.
     max_requests: f64,
 }
@@ -175,29 +178,40 @@
             name: "seven instances",
             instances: 7,
             cold_per_s: 7.9,
+            large: 1.0,
             max_requests: 7.9 * 1.5 + 5.0,
         },
         ColdCase {
             name: "more instances than requests per second",
             instances: 36,
             cold_per_s: 4.5,
+            large: 1.0,
             max_requests: 4.5 * 1.5 + 8.0,
         },
         ColdCase {
             name: "less than one request a second",
             instances: 7,
             cold_per_s: 0.5,
+            large: 1.0,
             max_requests: 0.5 * 1.5 + 5.0,
         },
+        ColdCase {
+            name: "a fifth of the instances eight times as large",
+            instances: 60,
+            cold_per_s: 10.0,
+            large: 8.0,
+            max_requests: 10.0 * 1.5 + 8.0,
+        },
     ];
     for case in cases {
         let hashes: Vec<u64> = (0..case.instances).map(|index| index * 7_919).collect();
         let next_sends: Vec<AtomicTime> = hashes.iter().map(|_| AtomicTime::default()).collect();
+        let sizes = every_fifth_large(&hashes, case.large);
         let mut sent = Vec::new();
         for now_ms in (0..4_000).step_by(10) {
             let now = MonotonicTime::from_millis(now_ms);
             for (own, next_send) in hashes.iter().zip(&next_sends) {
-                let interval = cold_send_interval(77, *own, &hashes, case.cold_per_s);
+                let interval = cold_send_interval(77, *own, &hashes, &sizes, case.cold_per_s);
                 if interval.is_some_and(|interval| next_send.claim_if_due(now, interval)) {
                     sent.push(now_ms);
                 }
@@ -218,6 +232,31 @@
     }
 }
 
+/// Returns sizes of which every fifth is `large` times the others.
+fn every_fifth_large(hashes: &[u64], large: f64) -> SharerSizes {
+    let size = |(index, hash): (usize, &u64)| {
+        let size = if index % 5 == 0 { large } else { 1.0 };
+        (*hash, size)
+    };
+    let known: HashMap<u64, f64> = hashes.iter().enumerate().map(size).collect();
+    SharerSizes::new(hashes, &known)
+}
+
+/// Guards against large instances that run out of retries while those of the small ones are unused, and against parts that add
+/// up to more than the limit.
+#[test]
+fn parts_of_limits_follow_the_sizes() {
+    let hashes: Vec<u64> = (0..10).collect();
+    for large in [1.0, 8.0] {
+        let sizes = every_fifth_large(&hashes, large);
+        let sum: f64 = hashes.iter().map(|hash| sizes.relative_size(*hash)).sum();
+        assert!((sum - 10.0).abs() < 0.01, "{large}: {sum}");
+        let ratio = sizes.relative_size(0) / sizes.relative_size(1);
+        assert!((ratio - large).abs() < 0.01, "{large}: {ratio}");
+    }
+    assert!((SharerSizes::default().relative_size(0) - 1.0).abs() < 0.01);
+}
+
 struct SharersCase {
     name: &'static str,
     live: &'static [u64],
@@ -259,7 +298,8 @@
         let instances = sharing_instances(case.live, case.registered);
         assert_eq!(instances, case.instances, "{}", case.name);
     }
-    assert_eq!(cold_send_interval(77, 3, &[], 7.9), None);
+    let sizes = SharerSizes::default();
+    assert_eq!(cold_send_interval(77, 3, &[], &sizes, 7.9), None);
 }
 
 /// Guards against two threads that both claim the same due action.
