steering, entry: an instance that is cut off with others names what it heard last

The cut-off instance also took its own domain, and the other one of its region, for lost, 0.4 s after the cut: heartbeats within a domain are six times as frequent, so they are overdue before half of all are.

Its own domain is not observed for a loss.

Result: the case "one of six is cut off with it" of tests/lost_instances.rs.

--- a/crates/entry/src/entry_metrics.rs
+++ b/crates/entry/src/entry_metrics.rs
@@ -46,7 +46,7 @@
     LookUps,
     /// Look-ups that weighed the instances.
     WeightedLookUps,
-    /// Look-ups that named the instances heard last, because none was heard.
+    /// Look-ups that named also the instances heard last, because few were heard.
     CutOffLookUps,
     /// Failure domains that were left out of look-ups because their instances fell silent together.
     LostDomains,
--- a/crates/entry/src/fleet_view.rs
+++ b/crates/entry/src/fleet_view.rs
@@ -8,8 +8,8 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
 use coltsfootkeel_steering::{
-    InstanceRoom, InstanceView, KnownInstance, SharerSizes, UsageMeter, UsageReading,
-    nameable_instances, sharing_instances, weigh_instances,
+    InstanceRoom, InstanceView, KnownInstance, NameableInstances, SharerSizes,
+    UsageMeter, UsageReading, nameable_instances, sharing_instances, weigh_instances,
 };
 use nix::time::{ClockId, clock_gettime};
 
@@ -54,14 +54,17 @@
     pub(crate) fn publish_fleet(&mut self, now: MonotonicTime) {
         let sizes = self.known_sizes();
         let known = self.peers.observe_instances(now);
-        let mut instances = if sizes.is_empty() {
-            self.peers.views(now)
+        let mut nameable = if sizes.is_empty() {
+            NameableInstances {
+                views: self.peers.views(now),
+                is_cut_off: false,
+            }
         } else {
             nameable_instances(&known)
         };
+        nameable.views.push(self.own_view());
+        let (instances, is_cut_off) = (nameable.views, nameable.is_cut_off);
         let hashes = self.live_hashes(now);
-        let is_cut_off = !instances.is_empty() && hashes.len() == 1;
-        instances.push(self.own_view());
         let registered: Vec<u64> = self.members.hashes().collect();
         let sharing = sharing_instances(&hashes, &registered);
         let rooms: Vec<InstanceRoom> = instances.iter().map(|view| view.room).collect();
@@ -125,7 +128,7 @@
     fn log_cut_off(&mut self, is_cut_off: bool) {
         let was_cut_off = std::mem::replace(&mut self.fleet_observer.is_cut_off, is_cut_off);
         if is_cut_off && !was_cut_off {
-            log::warn!("look-ups: No other instance is heard, naming those heard last.");
+            log::warn!("look-ups: Few other instances are heard, also naming those heard last.");
         } else if was_cut_off && !is_cut_off {
             log::info!("look-ups: No longer naming instances that are not heard.");
         }
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -147,17 +147,20 @@
                 is_lost: false,
             })
             .collect();
-        // Instances that fell silent long before do not belong to the same loss.
-        let mut observed: Vec<&mut KnownInstance> = known
-            .iter_mut()
-            .filter(|known| known.view.is_accepting && known.silence < known.timeout * 2)
-            .collect();
+        // Instances that fell silent long before do not belong to the same loss. If those of the own domain do, this one
+        // is cut off from them.
+        let is_observed = |known: &&mut KnownInstance| {
+            known.view.is_accepting
+                && known.silence < known.timeout * 2
+                && known.view.domain != self.own_domain
+        };
+        let mut observed: Vec<&mut KnownInstance> = known.iter_mut().filter(is_observed).collect();
         let heard: Vec<HeardInstance> = observed
             .iter()
             .map(|known| HeardInstance {
                 domain: known.view.domain,
                 heard_at: now - known.silence,
-                period: self.longest_period(known.view.domain),
+                period: self.longest_period(),
             })
             .collect();
         let is_lost = self.domain_silence.observe(&heard, now);
@@ -167,10 +170,10 @@
         known
     }
 
-    /// Returns the longest time between two heartbeats of an instance of `domain`. Those of other domains wait for the next
-    /// heartbeat of the instance that passes them on.
-    fn longest_period(&self, domain: DomainKey) -> Duration {
-        if domain == self.own_domain || self.periods.is_full_mesh {
+    /// Returns the longest time between two heartbeats of an instance of another domain. They wait for the next heartbeat of
+    /// the instance that passes them on.
+    fn longest_period(&self) -> Duration {
+        if self.periods.is_full_mesh {
             self.periods.near
         } else {
             self.periods.far + self.periods.near
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -77,7 +77,7 @@
     pub sharing_instances: Vec<u64>,
     /// The sizes of `sharing_instances`.
     pub sharer_sizes: SharerSizes,
-    /// Whether no other instance is heard, so that `instances` has those heard last.
+    /// Whether few other instances are heard, so that `instances` has also those heard last.
     pub is_cut_off: bool,
 }
 
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -75,7 +75,7 @@
 pub use lookup::instance_capacity::{
     InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
 };
-pub use lookup::known_instances::{KnownInstance, nameable_instances};
+pub use lookup::known_instances::{KnownInstance, NameableInstances, nameable_instances};
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances, select_weighted};
 pub use lookup::usage_meter::{AverageUsage, UsageMeter, UsageReading};
 pub use placement::affinity_table::{
--- a/crates/steering/tests/lost_instances.rs
+++ b/crates/steering/tests/lost_instances.rs
@@ -114,7 +114,7 @@
         let is_held_up = (START_MS..START_MS + case.held_up_ms).contains(&now_ms);
         for (index, heard) in heard_ms.iter_mut().enumerate() {
             let phase_ms = index as u64 * 3 % (PERIOD_MS / STEP_MS) * STEP_MS;
-            let is_due = (now_ms + phase_ms) % PERIOD_MS == 0;
+            let is_due = (now_ms + phase_ms).is_multiple_of(PERIOD_MS);
             let is_late = case
                 .received_after_ms
                 .is_some_and(|after| now_ms >= START_MS + after);
@@ -158,6 +158,15 @@
 /// Silence of each instance in milliseconds, and whether it accepted requests in its last heartbeat.
 type Silences = &'static [(u64, bool)];
 
+const CUT_WITH_ANOTHER: Silences = &[
+    (100, true),
+    (3_000, true),
+    (3_100, true),
+    (3_200, true),
+    (3_300, true),
+    (3_400, true),
+];
+
 struct NamedCase {
     name: &'static str,
     silences: Silences,
@@ -181,6 +190,11 @@
         case("one stopped before", &[(5_000, true), (5_300, false)], &[0]),
         case("half a minute", &[(30_000, true), (30_400, true)], &[]),
         case("nobody was ever heard", &[], &[]),
+        case(
+            "one of six is cut off with it",
+            CUT_WITH_ANOTHER,
+            &[0, 1, 2, 3, 4, 5],
+        ),
     ];
     let address =
         |index: usize| SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).unwrap()));
@@ -199,7 +213,10 @@
         };
         let known: Vec<KnownInstance> = case.silences.iter().enumerate().map(known).collect();
         let accepting = |view: &InstanceView| view.is_accepting;
-        let views = nameable_instances(&known).into_iter().filter(accepting);
+        let views = nameable_instances(&known)
+            .views
+            .into_iter()
+            .filter(accepting);
         let named: Vec<SocketAddr> = views.map(|view| view.address).collect();
         let expected: Vec<SocketAddr> = case.named.iter().copied().map(address).collect();
         assert_eq!(named, expected, "{}", case.name);
