steering, entry: the division by demand starts from the even shares

At second 19 those of chc took the level of all regions for 0.97, those of wlg for 0.71: chc sent away requests while half of its slots were idle (0.40 busy), and akl filled up to 0.88 (0.71 without the division). Ruled out: objects that are loaded again (5,692 first runs at an upstream with, 5,773 without) and swings.

Change: all demand is averaged over 1 s. The division keeps the even shares and moves only what would exceed 0.8 of a region's room, or 1.1 times the demand per room of all in overload. The even shares are a module that the spread without a division uses too; its results are unchanged.

Tests: the table of tests/demand_division.rs states the shares and levels of the new rule, with one case more (the region's callers rise); the first rule kept all requests at home below 0.55 of the room. The bounds on load, change and turns under waves, shifts, late and lost reports are unchanged and hold.

--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -121,7 +121,7 @@
                 is_divided: shared.settings.is_divided_by_demand,
             },
         );
-        let demand_table = DemandTable::new(home.region, shared.topology.regions.len());
+        let demand_table = DemandTable::new(shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(is_first_start, excess),
             shared,
--- a/crates/entry/src/demand_updates.rs
+++ b/crates/entry/src/demand_updates.rs
@@ -6,8 +6,8 @@
 use coltsfootkeel_model::{Arena, PoolKey, RegionKey};
 use coltsfootkeel_protocol::{DemandReport, FleetHeartbeat};
 use coltsfootkeel_steering::{
-    InstanceReport, PoolDemand, RegionRoom, RegionSet, UpstreamState, divide_demand, short_hash,
-    stable_hash,
+    FleetTopology, InstanceReport, PoolDemand, RegionRoom, RegionSet, RegionSize, UpstreamState,
+    divide_demand, short_hash, stable_hash,
 };
 
 use crate::control_loop::ControlLoop;
@@ -71,7 +71,8 @@
         let present = region_rooms(&self.shared, snapshot, key, now);
         let rooms = self.demand_table.average_rooms(hash, &present, now);
         let demands = self.demand_table.demands(hash);
-        let division = divide_demand(self.shared.home.region, &demands, &rooms)?;
+        let sizes = region_sizes(&self.shared.topology, &rooms);
+        let division = divide_demand(self.shared.home.region, &demands, &sizes)?;
         let sum = |demands: &Vec<PoolDemand>| demands.iter().map(|demand| demand.slots).sum();
         Some(PoolDivision {
             division,
@@ -81,6 +82,24 @@
     }
 }
 
+/// Returns the rooms with the numbers of failure domains.
+fn region_sizes(
+    topology: &FleetTopology,
+    rooms: &Arena<RegionKey, f64>,
+) -> Arena<RegionKey, RegionSize> {
+    let mut sizes: Arena<RegionKey, RegionSize> = rooms
+        .iter()
+        .map(|(_, room)| RegionSize {
+            slots: *room,
+            domains: 0,
+        })
+        .collect();
+    for (_, domain) in topology.domains.iter() {
+        sizes[domain.region].domains += 1;
+    }
+    sizes
+}
+
 fn pool_hash(snapshot: &EntrySnapshot, key: PoolKey) -> u32 {
     short_hash(stable_hash(snapshot.plan.pools[key].name.as_bytes()))
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -112,6 +112,7 @@
 pub use recovery::suspect_inquiry::{InquiryEnd, SuspectInquiry};
 pub use regions::demand_division::{DemandDivision, divide_demand};
 pub use regions::demand_table::{DemandTable, InstanceReport, PoolDemand, RegionRoom};
+pub use regions::even_shares::RegionSize;
 pub use regions::offered_work::{OfferedTotal, OfferedWork};
 pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
--- a/crates/steering/src/regions/demand_table.rs
+++ b/crates/steering/src/regions/demand_table.rs
@@ -11,11 +11,8 @@
 use crate::regions::offered_work::OfferedTotal;
 use crate::regions::topology::RegionSet;
 
-/// Time over which the demand at an instance, and a rise of a region's demand, are averaged.
+/// Time over which the demand at an instance, and that of a region, are averaged.
 const DEMAND_AVERAGING_TIME: Duration = Duration::from_secs(1);
-/// Time over which a fall of the own region's demand is averaged. Demand that rises again is faster than shares may move, so
-/// a region takes back only what it can give away in time.
-const OWN_FALL_TIME: Duration = Duration::from_secs(16);
 /// Time over which the ratio of a region's room to its slots is averaged. A busy neighbour slows an upstream for a part of
 /// it.
 const ROOM_AVERAGING_TIME: Duration = Duration::from_secs(2);
@@ -62,7 +59,6 @@
 /// The demand of all regions for all pools, and the room of the pools.
 #[derive(Debug)]
 pub struct DemandTable {
-    own_region: RegionKey,
     own: Vec<CountedWork>,
     regions: Arena<RegionKey, Vec<PoolDemand>>,
     rooms: Vec<RoomRatio>,
@@ -73,11 +69,10 @@
 }
 
 impl DemandTable {
-    /// Creates a table without demand for an instance in `own_region`, one of `regions` regions.
+    /// Creates a table without demand for `regions` regions.
     #[must_use]
-    pub fn new(own_region: RegionKey, regions: usize) -> Self {
+    pub fn new(regions: usize) -> Self {
         Self {
-            own_region,
             own: Vec::new(),
             regions: (0..regions).map(|_| Vec::new()).collect(),
             rooms: Vec::new(),
@@ -138,7 +133,6 @@
         }
         let elapsed = now.since(std::mem::replace(&mut self.summed_at, now));
         let weight = averaging_weight(elapsed, DEMAND_AVERAGING_TIME);
-        let own_fall_weight = averaging_weight(elapsed, OWN_FALL_TIME);
         let keys: Vec<RegionKey> = self.regions.keys().collect();
         for region in keys {
             let mut reported = reports
@@ -157,8 +151,6 @@
             for average in averages.iter_mut() {
                 let sum = sums.iter().find(|sum| is_same_class(sum, average));
                 let slots = sum.map_or(0.0, |sum| sum.slots);
-                let is_own_fall = region == self.own_region && slots < average.slots;
-                let weight = if is_own_fall { own_fall_weight } else { weight };
                 average.slots += (slots - average.slots) * weight;
             }
             for sum in sums {
--- a/crates/steering/src/regions/mod.rs
+++ b/crates/steering/src/regions/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod demand_division;
 pub(crate) mod demand_table;
+pub(crate) mod even_shares;
 pub(crate) mod offered_work;
 pub(crate) mod region_spread;
 pub(crate) mod topology;
--- a/crates/steering/src/regions/region_spread.rs
+++ b/crates/steering/src/regions/region_spread.rs
@@ -15,14 +15,11 @@
 
 use crate::hashing::{combine_hashes, unit_interval};
 use crate::regions::demand_division::DemandDivision;
+use crate::regions::even_shares::{MAX_LOCAL_SHARE, RegionSize, even_shares};
 
-/// Largest share of the callers' region. The rest keeps the times of the other regions measured.
-const MAX_LOCAL_SHARE: f64 = 0.95;
 /// Factor on the odds of the callers' region for requests with large bodies, which cost more bytes and several round
 /// trips to another region.
 const LARGE_BODY_ODDS_FACTOR: f64 = 5.0;
-/// Part of a region's slots that counts as free for the callers of other regions if its own callers need all of them.
-const MIN_SPARE_FRACTION: f64 = 0.1;
 /// Factor on the weight of a region whose warm answers are too late.
 const FAR_REGION_FACTOR: f64 = 0.02;
 /// Fraction of the objective within which a region must be able to return a warm answer. The rest covers the round trip
@@ -221,21 +218,16 @@
 /// Returns the weight of each region in the target: the callers' region serves what its slots allow, and the others the
 /// rest by their spare slots.
 fn weights(input: &SpreadInput, relief: &Arena<RegionKey, f64>) -> Arena<RegionKey, f64> {
-    let slots_per_domain = slots_per_domain(input.loads);
-    let is_local = |region: RegionKey| region == input.local_region;
-    let local_share = local_share(&input.loads[input.local_region], slots_per_domain);
-    let others = input.loads.iter().filter(|(region, _)| !is_local(*region));
-    let total_spare: f64 = others
-        .map(|(_, load)| spare_slots(load, slots_per_domain))
-        .sum();
+    let sizes = input.loads.iter().map(|(_, load)| RegionSize {
+        slots: load.slots.into(),
+        domains: load.domains,
+    });
+    let even = even_shares(input.local_region, &sizes.collect());
     let weight = |region: RegionKey| {
-        let share = if !is_local(region) {
-            let spare = spare_slots(&input.loads[region], slots_per_domain);
-            (1.0 - local_share) * spare / total_spare.max(1.0)
-        } else if input.has_large_bodies {
-            local_share * LARGE_BODY_ODDS_FACTOR
+        let share = if region == input.local_region && input.has_large_bodies {
+            even[region] * LARGE_BODY_ODDS_FACTOR
         } else {
-            local_share
+            even[region]
         };
         share * reach_factor(input, region) * relief[region]
     };
@@ -280,27 +272,6 @@
     }
 }
 
-/// Returns the slots of the pool per failure domain. The callers of each domain are assumed to need as many.
-fn slots_per_domain(loads: &Arena<RegionKey, RegionLoad>) -> f64 {
-    let slots: u32 = loads.iter().map(|(_, load)| load.slots).sum();
-    let domains: u32 = loads.iter().map(|(_, load)| load.domains).sum();
-    f64::from(slots) / f64::from(domains.max(1))
-}
-
-/// Returns the fraction of its callers' requests that a region serves itself.
-fn local_share(load: &RegionLoad, slots_per_domain: f64) -> f64 {
-    let needed = slots_per_domain * f64::from(load.domains);
-    let served = f64::from(load.slots) / needed.max(1.0);
-    served.min(MAX_LOCAL_SHARE)
-}
-
-/// Returns the slots of a region that its own callers leave to those of other regions.
-fn spare_slots(load: &RegionLoad, slots_per_domain: f64) -> f64 {
-    let slots = f64::from(load.slots);
-    let needed = slots_per_domain * f64::from(load.domains);
-    (slots - needed).max(slots * MIN_SPARE_FRACTION)
-}
-
 /// Returns the relief factor of a region after `elapsed`: it falls while the region is overloaded and another one has
 /// free slots, and returns to 1 when the load has fallen.
 fn next_relief(
