steering, entry: weights follow the load of an instance, with room for variations at small ones

Look-ups name a small instance to so few callers that the count of handed-out answers at one look-up does not show a deviation, and as a caller's draw does not change, the callers that drew an instance by chance stay.

Change: a factor on the weight follows the load per share of an instance against that of its region within 8 s, computed by each look-up from the heartbeats. The share is the size less 0.8 of the root of the expected requests.

Tests: tests/weighted_look_ups.rs has a table for loads that stay off; its model applies the factor; cases and bounds as before.

--- a/crates/entry/src/fleet_view.rs
+++ b/crates/entry/src/fleet_view.rs
@@ -8,7 +8,7 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::DomainKey;
 use coltsfootkeel_steering::{
-    InstanceRoom, InstanceView, KnownInstance, NameableInstances, SharerSizes,
+    InstanceRoom, InstanceView, KnownInstance, LoadCorrection, NameableInstances, SharerSizes,
     UsageMeter, UsageReading, nameable_instances, sharing_instances, weigh_instances,
 };
 use nix::time::{ClockId, clock_gettime};
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct FleetObserver {
     usage_meter: UsageMeter,
+    load_correction: LoadCorrection,
     lost_domains: BTreeSet<DomainKey>,
     is_cut_off: bool,
 }
@@ -77,9 +78,14 @@
             self.log_lost_domains(&known);
         }
         self.log_cut_off(is_cut_off);
+        let mut weights = weigh_instances(&rooms);
+        if let Some(weights) = &mut weights {
+            let correction = &mut self.fleet_observer.load_correction;
+            correction.apply(&instances, weights, now);
+        }
         self.shared.fleet.store(Arc::new(FleetView {
             instances,
-            weights: weigh_instances(&rooms),
+            weights,
             hashes,
             sharing_instances: sharing,
             sharer_sizes,
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -76,6 +76,7 @@
     InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
 };
 pub use lookup::known_instances::{KnownInstance, NameableInstances, nameable_instances};
+pub use lookup::load_correction::LoadCorrection;
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances, select_weighted};
 pub use lookup::usage_meter::{AverageUsage, UsageMeter, UsageReading};
 pub use placement::affinity_table::{
--- a/crates/steering/src/lookup/instance_capacity.rs
+++ b/crates/steering/src/lookup/instance_capacity.rs
@@ -11,6 +11,9 @@
 const MAX_CALM_PROCESSOR: f64 = 0.8;
 /// Used part of the connections above which an instance gets fewer callers.
 const MAX_CALM_CONNECTIONS: f64 = 0.8;
+/// Part of the root of the expected requests that is kept free. Callers choose by chance, so the load of an instance
+/// varies with the root of its expected requests, which is more relative to its size at a small one.
+const HEADROOM: f64 = 0.8;
 /// Average requests by which the loads of instances may differ by chance.
 const TOLERATED_REQUESTS: f64 = 0.25;
 /// Upper bound of the factor on the weight of an instance with a low load.
@@ -51,7 +54,9 @@
 pub struct InstanceWeight {
     /// Scarcest resource relative to the mean of the fleet.
     pub size: f64,
-    /// Size, less what is in use beyond measure.
+    /// Size, less the room for variations of the load: what it should serve relative to others.
+    pub share: f64,
+    /// Share, less what is in use beyond measure.
     pub weight: f64,
 }
 
@@ -78,9 +83,13 @@
     let sizes: Vec<f64> = rooms.iter().map(size).collect();
     let in_flight: f64 = rooms.iter().map(|room| room.usage.average_in_flight).sum();
     let mean_load = in_flight / sizes.iter().sum::<f64>();
-    let weigh = |(room, size): (&InstanceRoom, &f64)| InstanceWeight {
-        size: *size,
-        weight: size * free_factor(room.usage, *size, mean_load),
+    let weigh = |(room, size): (&InstanceRoom, &f64)| {
+        let share = size * headroom_factor(*size, mean_load);
+        InstanceWeight {
+            size: *size,
+            share,
+            weight: share * free_factor(room.usage, *size, mean_load),
+        }
     };
     Some(rooms.iter().zip(&sizes).map(weigh).collect())
 }
@@ -112,6 +121,12 @@
     .fold(f64::INFINITY, f64::min)
 }
 
+/// Returns the factor on the weight of an instance that keeps room for variations of its load.
+fn headroom_factor(size: f64, mean_load: f64) -> f64 {
+    let expected = (size * mean_load).max(1.0);
+    1.0 / (1.0 + HEADROOM / expected.sqrt())
+}
+
 /// Returns the factor on the weight of an instance by what is free there.
 fn free_factor(usage: InstanceUsage, size: f64, mean_load: f64) -> f64 {
     let free_part = |used: f64, max_calm: f64| (1.0 - used) / (1.0 - max_calm);
--- a/crates/steering/tests/weighted_look_ups.rs
+++ b/crates/steering/tests/weighted_look_ups.rs
@@ -7,8 +7,9 @@
 use coltsfootkeel_counters::MonotonicTime;
 use coltsfootkeel_model::{ArenaKey, DomainKey, RegionKey};
 use coltsfootkeel_steering::{
-    HandedOut, InstanceCapacity, InstanceRoom, InstanceUsage, InstanceView, LookupQuery, RegionSet,
-    UsageMeter, UsageReading, combine_hashes, select_weighted, weigh_instances,
+    HandedOut, InstanceCapacity, InstanceRoom, InstanceUsage, InstanceView, LoadCorrection,
+    LookupQuery, RegionSet, UsageMeter, UsageReading, combine_hashes, select_weighted,
+    weigh_instances,
 };
 
 const LARGE: InstanceCapacity = InstanceCapacity {
@@ -181,6 +182,57 @@
     }
 }
 
+struct CorrectionCase {
+    name: &'static str,
+    /// Load of one small instance per that of the other small ones.
+    load: f64,
+    /// Bounds of its weight after 10 s per that of the other small ones.
+    weight: [f64; 2],
+}
+
+/// Guards against a small instance that keeps the callers which drew it by chance, and against one that stays idle.
+#[test]
+fn weights_follow_loads_that_stay_off() {
+    let case = |name, load, weight| CorrectionCase { name, load, weight };
+    let cases = [
+        case("as the others", 1.0, [0.9, 1.1]),
+        case("half more", 1.5, [0.4, 0.7]),
+        case("half", 0.5, [1.3, 2.5]),
+    ];
+    for case in cases {
+        let capacities = [LARGE, SMALL, SMALL, SMALL, SMALL, SMALL, SMALL];
+        let mut views: Vec<InstanceView> = (0..7).map(|index| view(index, true)).collect();
+        for (view, capacity) in views.iter_mut().zip(capacities) {
+            let load = if capacity == LARGE { 40.0 } else { 4.0 };
+            view.room = room(capacity, 0, 0.0);
+            view.room.usage.average_in_flight = load;
+        }
+        views[1].room.usage.average_in_flight *= case.load;
+        let rooms: Vec<InstanceRoom> = views.iter().map(|view| view.room).collect();
+        let mut correction = LoadCorrection::default();
+        let mut ratio = 0.0;
+        for tick in 0..100 {
+            let mut weights = weigh_instances(&rooms).expect("instances differ");
+            let now = MonotonicTime::from_millis(100 * tick);
+            correction.apply(&views, &mut weights, now);
+            ratio = weights[1].weight / weights[2].weight;
+        }
+        let [from, to] = case.weight;
+        assert!((from..=to).contains(&ratio), "{}: {ratio}", case.name);
+    }
+}
+
+/// Returns an instance; the first ten are in the first failure domain.
+fn view(index: u32, is_accepting: bool) -> InstanceView {
+    InstanceView {
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).unwrap())),
+        domain: DomainKey::from_index(usize::from(index >= 10)),
+        region: RegionKey::from_index(0),
+        is_accepting,
+        room: room(if index % 10 < 2 { LARGE } else { SMALL }, 0, 0.0),
+    }
+}
+
 struct SpreadCase {
     name: &'static str,
     /// Callers of each of the two failure domains.
@@ -193,18 +245,20 @@
     max_spread: f64,
 }
 
+const CALM: SpreadCase = SpreadCase {
+    name: "calm",
+    callers: [140, 140],
+    callers_per_address: 1,
+    lost: 0,
+    max_spread: 1.5,
+};
+
 /// Guards against small instances that are overloaded while large ones are idle: on a calm day, after a shift of 0.8 of
 /// one domain's callers, behind one gateway, and when a domain is lost.
 #[test]
 fn callers_spread_by_size() {
     let cases = [
-        SpreadCase {
-            name: "calm",
-            callers: [140, 140],
-            callers_per_address: 1,
-            lost: 0,
-            max_spread: 1.5,
-        },
+        CALM,
         SpreadCase {
             name: "a shift of callers in a burst",
             callers: [50, 430],
@@ -243,20 +297,13 @@
 /// Guards against callers that close their connections because an answer names other instances than the last one.
 #[test]
 fn a_caller_that_asks_again_gets_nearly_the_same_instances() {
-    let case = SpreadCase {
-        name: "calm",
-        callers: [140, 140],
-        callers_per_address: 1,
-        lost: 0,
-        max_spread: 1.5,
-    };
-    let mut model = LookupModel::new(&case);
+    let mut model = LookupModel::new(&CALM);
     for second in 0..30 {
-        model.run_second(second, &case);
+        model.run_second(second, &CALM);
     }
     let before = model.answers.clone();
     for second in 30..33 {
-        model.run_second(second, &case);
+        model.run_second(second, &CALM);
     }
     let (mut kept, mut all) = (0, 0);
     for (caller, answer) in &before {
@@ -275,21 +322,18 @@
 struct LookupModel {
     views: Vec<InstanceView>,
     handed_out: HandedOut,
+    correction: LoadCorrection,
     answers: HashMap<u32, Vec<SocketAddr>>,
 }
 
 impl LookupModel {
     fn new(case: &SpreadCase) -> Self {
-        let view = |index: u32| InstanceView {
-            address: SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).unwrap())),
-            domain: DomainKey::from_index(usize::from(index >= 10)),
-            region: RegionKey::from_index(0),
-            is_accepting: index >= case.lost,
-            room: room(if index % 10 < 2 { LARGE } else { SMALL }, 0, 0.0),
-        };
         Self {
-            views: (0..20).map(view).collect(),
+            views: (0..20)
+                .map(|index| view(index, index >= case.lost))
+                .collect(),
             handed_out: HandedOut::default(),
+            correction: LoadCorrection::default(),
             answers: HashMap::new(),
         }
     }
@@ -297,7 +341,8 @@
     fn run_second(&mut self, second: u32, case: &SpreadCase) {
         let now = MonotonicTime::default() + Duration::from_secs(second.into());
         let rooms: Vec<InstanceRoom> = self.views.iter().map(|view| view.room).collect();
-        let weights = weigh_instances(&rooms).expect("instances differ");
+        let mut weights = weigh_instances(&rooms).expect("instances differ");
+        self.correction.apply(&self.views, &mut weights, now);
         for caller in 0..case.callers.iter().sum::<u32>() {
             let domain = usize::from(caller >= case.callers[0]);
             let query = LookupQuery {
