--- a/crates/entry/src/control_loop.rs
+++ b/crates/entry/src/control_loop.rs
@@ -17,6 +17,7 @@
 use crate::account_quotas::AccountQuotas;
 use crate::control_event::ControlEvent;
 use crate::entry_snapshot::PoolSwitches;
+use crate::fleet_view::FleetObserver;
 use crate::heartbeat_sending::{PendingReports, SentHeartbeat};
 use crate::limit_log::LimitLog;
 use crate::member_list::MemberList;
@@ -87,6 +88,7 @@
     pub(crate) cost_exposures: HashMap<String, CostExposure>,
     pub(crate) queue_updates: QueueUpdates,
     pub(crate) demand_table: DemandTable,
+    pub(crate) fleet_observer: FleetObserver,
     pub(crate) is_registering: bool,
 }
 
@@ -118,7 +120,7 @@
                 is_divided: shared.settings.is_divided_by_demand,
             },
         );
-        let demand_table = DemandTable::new(home.region, shared.topology.regions.len());
+        let demand_table = DemandTable::new(shared.topology.regions.len());
         Self {
             quotas: AccountQuotas::new(is_first_start, excess),
             shared,
@@ -156,6 +158,7 @@
             cost_exposures: HashMap::new(),
             queue_updates: QueueUpdates::default(),
             demand_table,
+            fleet_observer: FleetObserver::default(),
             is_registering: false,
         }
     }
@@ -290,6 +293,7 @@
         self.observe_plan_lag(now);
         self.update_inquiry(now);
         self.ask_for_missed_crashes();
+        self.measure_usage(now);
         self.publish_fleet(now);
         self.send_heartbeats();
         self.start_checks(now);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -53,6 +53,7 @@
 mod upstream_record;
 
 pub use atomic_time::AtomicTime;
+pub use fleet::domain_silence::{DomainSilence, HeardInstance};
 pub use fleet::heartbeat_routes::{HeartbeatPeer, HeartbeatPeriods, select_relays};
 pub use fleet::peer_contacts::PeerContacts;
 pub use hashing::{combine_hashes, stable_hash};
@@ -65,6 +66,7 @@
 };
 pub use limits::rate_share::{InstanceDemand, limited_send_interval};
 pub use limits::retry_budget::{RetryBudget, RetryLimit};
+pub use limits::sharer_sizes::SharerSizes;
 pub use load::cold_pacing::cold_send_interval;
 pub use load::load_report::{InvalidReport, LoadReport, RawLoadReport};
 pub use load::load_view::LoadView;
@@ -75,7 +77,10 @@
 pub use lookup::instance_capacity::{
     InstanceCapacity, InstanceRoom, InstanceUsage, InstanceWeight, weigh_instances,
 };
+pub use lookup::known_instances::{KnownInstance, NameableInstances, nameable_instances};
+pub use lookup::load_correction::LoadCorrection;
 pub use lookup::lookup_selection::{InstanceView, LookupQuery, select_instances, select_weighted};
+pub use lookup::usage_meter::{AverageUsage, UsageMeter, UsageReading};
 pub use placement::affinity_table::{
     AffinityEntry, AffinityPartition, AffinityTable, RecentUpstreams, short_hash,
 };
@@ -117,6 +122,7 @@
 pub use recovery::suspect_inquiry::{InquiryEnd, SuspectInquiry};
 pub use regions::demand_division::{DemandDivision, divide_demand};
 pub use regions::demand_table::{DemandTable, InstanceReport, PoolDemand, RegionRoom};
+pub use regions::even_shares::RegionSize;
 pub use regions::offered_work::{OfferedTotal, OfferedWork};
 pub use regions::region_spread::{RegionLoad, RegionSpread, SpreadInput};
 pub use regions::topology::{FailureDomain, FleetTopology, MAX_REGIONS, RegionSet, TopologyError};
