steering, entry: no domain is taken for lost while the own one is silent

The own domain had been left out of the observation altogether.

Change: the own domain is observed again. It is never left out, and while most of it is overdue nothing is: its heartbeats are the most frequent, so an instance that is cut off misses them first.

--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -147,12 +147,9 @@
                 is_lost: false,
             })
             .collect();
-        // Instances that fell silent long before do not belong to the same loss. If those of the own domain do, this one
-        // is cut off from them.
+        // Instances that fell silent long before do not belong to the same loss.
         let is_observed = |known: &&mut KnownInstance| {
-            known.view.is_accepting
-                && known.silence < known.timeout * 2
-                && known.view.domain != self.own_domain
+            known.view.is_accepting && known.silence < known.timeout * 2
         };
         let mut observed: Vec<&mut KnownInstance> = known.iter_mut().filter(is_observed).collect();
         let heard: Vec<HeardInstance> = observed
@@ -160,20 +157,20 @@
             .map(|known| HeardInstance {
                 domain: known.view.domain,
                 heard_at: now - known.silence,
-                period: self.longest_period(),
+                period: self.longest_period(known.view.domain),
             })
             .collect();
-        let is_lost = self.domain_silence.observe(&heard, now);
+        let is_lost = self.domain_silence.observe(&heard, self.own_domain, now);
         for (known, is_lost) in observed.iter_mut().zip(is_lost) {
             known.is_lost = is_lost;
         }
         known
     }
 
-    /// Returns the longest time between two heartbeats of an instance of another domain. They wait for the next heartbeat of
-    /// the instance that passes them on.
-    fn longest_period(&self) -> Duration {
-        if self.periods.is_full_mesh {
+    /// Returns the longest time between two heartbeats of an instance of `domain`. Those of other domains wait for the next
+    /// heartbeat of the instance that passes them on.
+    fn longest_period(&self, domain: DomainKey) -> Duration {
+        if domain == self.own_domain || self.periods.is_full_mesh {
             self.periods.near
         } else {
             self.periods.far + self.periods.near
--- a/crates/steering/src/fleet/domain_silence.rs
+++ b/crates/steering/src/fleet/domain_silence.rs
@@ -49,8 +49,14 @@
 }
 
 impl DomainSilence {
-    /// Returns for each of the instances whether it is lost with its domain.
-    pub fn observe(&mut self, heard: &[HeardInstance], now: MonotonicTime) -> Vec<bool> {
+    /// Returns for each of the instances whether it is lost with its domain. Those of `own_domain`, in which this instance
+    /// is, never are: if they are overdue, this instance is cut off.
+    pub fn observe(
+        &mut self,
+        heard: &[HeardInstance],
+        own_domain: DomainKey,
+        now: MonotonicTime,
+    ) -> Vec<bool> {
         if now.since(self.observed_at) > MAX_OBSERVATION_GAP {
             // Heartbeats of the time in which this instance was held up may not be read yet.
             self.counted_from = now;
@@ -66,13 +72,16 @@
         };
         let all: Vec<SilentInstance> = heard.iter().enumerate().map(silent).collect();
         let mut is_lost = vec![false; heard.len()];
-        if count_overdue(&all) * 2 > all.len() {
-            return is_lost;
-        }
         let mut by_domain: BTreeMap<DomainKey, Vec<SilentInstance>> = BTreeMap::new();
         for (instance, silent) in heard.iter().zip(&all) {
             by_domain.entry(instance.domain).or_default().push(*silent);
         }
+        let own = by_domain.remove(&own_domain).unwrap_or_default();
+        let is_mostly_overdue =
+            |instances: &[SilentInstance]| count_overdue(instances) * 2 > instances.len();
+        if is_mostly_overdue(&all) || is_mostly_overdue(&own) {
+            return is_lost;
+        }
         let lost_domains = by_domain.into_values().filter(|domain| has_failed(domain));
         for silent in lost_domains.flatten() {
             is_lost[silent.index] = silent.periods > HEARD_PERIODS;
--- a/crates/steering/tests/lost_instances.rs
+++ b/crates/steering/tests/lost_instances.rs
@@ -136,7 +136,11 @@
                 period: Duration::from_millis(PERIOD_MS),
             })
             .collect();
-        let is_lost = silence.observe(&heard, MonotonicTime::from_millis(now_ms));
+        let is_lost = silence.observe(
+            &heard,
+            DomainKey::from_index(DOMAINS - 1),
+            MonotonicTime::from_millis(now_ms),
+        );
         let lost: Vec<usize> = (0..heard.len()).filter(|index| is_lost[*index]).collect();
         assert!(
             case.lost_within_ms.is_none() || lost.iter().all(|index| is_silent(*index)),
@@ -155,6 +159,46 @@
     None
 }
 
+struct CutCase {
+    name: &'static str,
+    /// Silence of the instances of the own domain, which send twice as often, in milliseconds.
+    own_silence_ms: u64,
+    is_lost: bool,
+}
+
+/// Guards against an instance that takes another domain for lost in the moment in which it is itself cut off.
+#[test]
+fn no_domain_is_lost_while_the_own_one_is_silent() {
+    let case = |name, own_silence_ms, is_lost| CutCase {
+        name,
+        own_silence_ms,
+        is_lost,
+    };
+    let cases = [
+        case("the other domain loses power", 100, true),
+        case("this instance is cut off", 450, false),
+    ];
+    for case in cases {
+        let own_domain = DomainKey::from_index(0);
+        let now = MonotonicTime::from_millis(START_MS);
+        let heard = |(domain, silence_ms, period_ms)| HeardInstance {
+            domain: DomainKey::from_index(domain),
+            heard_at: now - Duration::from_millis(silence_ms),
+            period: Duration::from_millis(period_ms),
+        };
+        let domains = [(0, case.own_silence_ms, 350), (1, 900, 700), (2, 500, 700)];
+        let all = [domains; 3].concat();
+        let heard: Vec<HeardInstance> = all.into_iter().map(heard).collect();
+        let mut silence = DomainSilence::default();
+        for observed_ms in (START_MS - 2_000..START_MS).step_by(100) {
+            silence.observe(&[], own_domain, MonotonicTime::from_millis(observed_ms));
+        }
+        let is_lost = silence.observe(&heard, own_domain, now);
+        assert_eq!(is_lost[1], case.is_lost, "{}", case.name);
+        assert!(!is_lost[0] && !is_lost[2], "{}", case.name);
+    }
+}
+
 /// Silence of each instance in milliseconds, and whether it accepted requests in its last heartbeat.
 type Silences = &'static [(u64, bool)];
 
