--- a/crates/entry/tests/process_start.rs
+++ b/crates/entry/tests/process_start.rs
@@ -20,9 +20,8 @@
 const STARTS: usize = 8;
 /// The signals are sent this much later from one start to the next, so that they arrive in different steps of the start.
 const SIGNAL_DELAY_STEP: Duration = Duration::from_micros(500);
-/// Time within which a process that is stopped must have ended, also on a machine that stands still for some seconds. The
-/// grace period of 6 s is the subject of other tests.
-const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// The grace period in the settings.
+const GRACE_PERIOD: Duration = Duration::from_secs(6);
 /// How long the settings file is incomplete, or a port is taken.
 const TROUBLE_TIME: Duration = Duration::from_millis(700);
 /// The signals that the platform sends, as a mask in `/proc/PID/status`.
@@ -95,7 +94,7 @@
             if let Some(status) = fleet.instances[index].exit_status().unwrap() {
                 break status;
             }
-            assert!(started.elapsed() < STOP_TIMEOUT, "{index} still runs");
+            assert!(started.elapsed() < GRACE_PERIOD, "{index} still runs");
             sleep(Duration::from_millis(10)).await;
         };
         assert!(status.success(), "{index}: {status}");
