--- a/crates/entry/src/affinity_persistence.rs
+++ b/crates/entry/src/affinity_persistence.rs
@@ -1,4 +1,5 @@
-//! Writes the affinity table and the requests that crash upstreams to the store, and reads them at the start of the process.
+//! Writes the affinity table and the requests that crash upstreams to the store, and reads them at the start of the
+//! process.
 //!
 //! Instances have no disks, and after a restart of all of them no peer could send the table. Without it every object
 //! would be sent to an upstream that is not warm for it, which takes several times as long.
--- a/crates/entry/src/control_heartbeats.rs
+++ b/crates/entry/src/control_heartbeats.rs
@@ -41,9 +41,9 @@
         }
     }
 
-    /// Measures the round trip of the heartbeat that the message echoes, and applies what the message confirms. Returns the
-    /// earliest time at which the message can have been sent, on the clock that includes suspension: a message that stayed
-    /// in the socket buffer while this process was suspended is as old as the suspension.
+    /// Measures the round trip of the heartbeat that the message echoes, and applies what the message confirms. Returns
+    /// the earliest time at which the message can have been sent, on the clock that includes suspension: a message that
+    /// stayed in the socket buffer while this process was suspended is as old as the suspension.
     fn apply_echo(&mut self, message: &FleetHeartbeat) -> Option<MonotonicTime> {
         let now = self.shared.clock.now();
         let echo_hold = Duration::from_micros(u64::from(message.echo_held_us));
--- a/crates/entry/src/fair_wait.rs
+++ b/crates/entry/src/fair_wait.rs
@@ -82,8 +82,8 @@
         rooms
     }
 
-    /// Returns whether a request has its turn at one of the upstreams that suit it before it stops to wait, if it begins to
-    /// wait now.
+    /// Returns whether a request has its turn at one of the upstreams that suit it before it stops to wait, if it
+    /// begins to wait now.
     fn has_turn_in_time(
         &self,
         request: &QueuedRequest,
--- a/crates/entry/src/fleet_view.rs
+++ b/crates/entry/src/fleet_view.rs
@@ -109,7 +109,8 @@
         }
     }
 
-    /// Returns the sizes of the known instances, live or not, by the hashes of their names. Empty if they are about equal.
+    /// Returns the sizes of the known instances, live or not, by the hashes of their names. Empty if they are about
+    /// equal.
     fn known_sizes(&self) -> HashMap<u64, f64> {
         let own = (self.shared.own_hash, self.shared.own_room());
         let (hashes, rooms): (Vec<u64>, Vec<InstanceRoom>) =
--- a/crates/entry/src/peer_table.rs
+++ b/crates/entry/src/peer_table.rs
@@ -167,8 +167,8 @@
         known
     }
 
-    /// Returns the longest time between two heartbeats of an instance of `domain`. Those of other domains wait for the next
-    /// heartbeat of the instance that passes them on.
+    /// Returns the longest time between two heartbeats of an instance of `domain`. Those of other domains wait for the
+    /// next heartbeat of the instance that passes them on.
     fn longest_period(&self, domain: DomainKey) -> Duration {
         if domain == self.own_domain || self.periods.is_full_mesh {
             self.periods.near
--- a/crates/entry/src/reader_role.rs
+++ b/crates/entry/src/reader_role.rs
@@ -118,7 +118,8 @@
             || self.newest.instances > self.applied.instances
     }
 
-    /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new era.
+    /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new
+    /// era.
     fn is_watch_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
         self.is_behind(kind, position) || position.era < self.era
     }
@@ -266,7 +267,8 @@
         self.state.borrow().is_behind(kind, position)
     }
 
-    /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new era.
+    /// Returns whether a watch that continues `position` misses a change that another instance has received, or a new
+    /// era.
     #[must_use]
     pub fn is_watch_behind(&self, kind: ObjectKind, position: StorePosition) -> bool {
         self.state.borrow().is_watch_behind(kind, position)
--- a/crates/entry/src/shared_state.rs
+++ b/crates/entry/src/shared_state.rs
@@ -280,9 +280,9 @@
         }
     }
 
-    /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan, knows which requests
-    /// crash upstreams and is not stopping. While the store is down for all, or has returned from an older copy, no other instance has a more recent plan, and routes without keys are
-    /// served.
+    /// Returns whether this instance accepts requests of callers: it has upstreams and a recent plan, knows which
+    /// requests crash upstreams and is not stopping. While the store is down for all, or has returned from an older
+    /// copy, no other instance has a more recent plan, and routes without keys are served.
     #[must_use]
     pub fn is_accepting(&self) -> bool {
         let snapshot = self.snapshot.load();
--- a/crates/entry/src/store_watch.rs
+++ b/crates/entry/src/store_watch.rs
@@ -25,16 +25,17 @@
 /// its own way to the store.
 const MAX_LONE_BACKOFF: Duration = Duration::from_secs(2);
 
-/// The longest pause of an instance that lacks a change which another one has received. A change of the upstreams must be in
-/// force soon after its way to the store is back.
+/// The longest pause of an instance that lacks a change which another one has received. A change of the upstreams must
+/// be in force soon after its way to the store is back.
 const MAX_BEHIND_BACKOFF: Duration = Duration::from_millis(700);
 
 /// The pause between the first list and the first watch. Instances that start together learn of each other in this time,
 /// and only a few of them watch. Their own list is watched at once.
 const FIRST_WATCH_DELAY: Duration = Duration::from_millis(500);
 
-/// The longest wait of the first watch of a new reader, and of a watch after one that returned changes. Such an answer confirms only the state at the start of
-/// the watch, so a short next watch keeps the age of the confirmed state from adding up over two waits.
+/// The longest wait of the first watch of a new reader, and of a watch after one that returned changes. Such an answer
+/// confirms only the state at the start of the watch, so a short next watch keeps the age of the confirmed state from
+/// adding up over two waits.
 const WAIT_AFTER_CHANGE: Duration = Duration::from_millis(400);
 
 /// The longest delay between the report of a change by another instance and reading it.
@@ -44,8 +45,8 @@
 /// heartbeats.
 const MAX_INSTANCES_DELAY: Duration = Duration::from_secs(2);
 
-/// The average time between the lists of two instances in a new era of the store. Each instance lists three kinds, and the
-/// store takes about two thousand reads per second of all instances together.
+/// The average time between the lists of two instances in a new era of the store. Each instance lists three kinds, and
+/// the store takes about two thousand reads per second of all instances together.
 const NEW_ERA_LIST_SPACING: Duration = Duration::from_millis(3);
 
 /// How long a watch may miss a change that another instance has received, before it counts as dead. A live watch
@@ -294,8 +295,8 @@
         let reader_role = &self.shared.reader_role;
         loop {
             reader_role.wait_until_watch_behind(kind, position).await;
-            // The random part spreads the calls of instances whose connections went silent at the same time. A change that
-            // the previous watch has returned may not be applied yet.
+            // The random part spreads the calls of instances whose connections went silent at the same time. A change
+            // that the previous watch has returned may not be applied yet.
             tokio::time::sleep(MAX_WATCH_LAG.mul_f64(1.0 + fastrand::f64())).await;
             if reader_role.is_watch_behind(kind, position) {
                 return;
@@ -314,7 +315,8 @@
         outage
     }
 
-    /// Records that the store answers, and the start of the period in which the list of upstreams is read without a failure.
+    /// Records that the store answers, and the start of the period in which the list of upstreams is read without a
+    /// failure.
     fn record_reading(&self, requested_at: MonotonicTime) {
         let probe = &self.shared.store_probe;
         probe.send_if_modified(StoreProbe::record_answer);
--- a/crates/entry/src/suspect_exchange.rs
+++ b/crates/entry/src/suspect_exchange.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Asks an instance for the crashes that it has reported while this one did not hear it. One question at a time bounds
-    /// the answers after a cut of many links.
+    /// Asks an instance for the crashes that it has reported while this one did not hear it. One question at a time
+    /// bounds the answers after a cut of many links.
     pub(crate) fn ask_for_missed_crashes(&mut self) {
         let Some(peer) = self.crash_reports.next_missed() else {
             return;
--- a/crates/entry/src/upstream_candidates.rs
+++ b/crates/entry/src/upstream_candidates.rs
@@ -118,8 +118,8 @@
 }
 
 impl<'a> CandidateView<'a> {
-    /// Creates the view of a request that is not sent to the upstreams in `tried` again. Returns `None` if no upstream may
-    /// run the request.
+    /// Creates the view of a request that is not sent to the upstreams in `tried` again. Returns `None` if no upstream
+    /// may run the request.
     #[must_use]
     pub fn new(
         context: &'a RequestContext,
@@ -174,8 +174,8 @@
         })
     }
 
-    /// Returns the time for which an upstream receives no request from this instance whatever its load: it has refused one
-    /// because it was full, is in its cold start, or states a rate limit.
+    /// Returns the time for which an upstream receives no request from this instance whatever its load: it has refused
+    /// one because it was full, is in its cold start, or states a rate limit.
     #[must_use]
     pub fn closed_for(&self, key: UpstreamKey) -> Duration {
         let state = &self.context.snapshot.upstreams[key].state;
--- a/crates/entry/tests/crash_suspects.rs
+++ b/crates/entry/tests/crash_suspects.rs
@@ -190,8 +190,8 @@
     }
 }
 
-/// Guards against an instance that lets a request crash upstreams although the others refuse it, because it was cut off when
-/// they reported the crashes. The first fleet learns which request it is, and the instance of the second is told.
+/// Guards against an instance that lets a request crash upstreams although the others refuse it, because it was cut off
+/// when they reported the crashes. The first fleet learns which request it is, and the instance of the second is told.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_that_has_missed_reports_is_told_of_them() {
     let fleet = start_crashing("crash-told", 1).await;
--- a/crates/entry/tests/faulty_answers.rs
+++ b/crates/entry/tests/faulty_answers.rs
@@ -269,8 +269,8 @@
     .into_bytes()
 }
 
-/// Guards against an answer that an upstream writes once more, late, on a connection that is in use again: the next caller
-/// would get the answer to another request.
+/// Guards against an answer that an upstream writes once more, late, on a connection that is in use again: the next
+/// caller would get the answer to another request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_copy_of_an_answer_reaches_no_caller() {
     let fleet = start_fleet("second-copy").await;
--- a/crates/entry/tests/relayed_heartbeats.rs
+++ b/crates/entry/tests/relayed_heartbeats.rs
@@ -18,8 +18,8 @@
 const CHANGE_BOUND: Duration = Duration::from_millis(2_500);
 /// Time in which the ages of the plan are observed, and the begin of the next watches is awaited.
 const OBSERVED_TIME: Duration = Duration::from_secs(4);
-/// The median age in milliseconds is half of the time between two confirmations, a quarter of a watch of 1.2 s, and the way
-/// of a heartbeat. It does not depend on single delays, as the longest age does.
+/// The median age in milliseconds is half of the time between two confirmations, a quarter of a watch of 1.2 s, and the
+/// way of a heartbeat. It does not depend on single delays, as the longest age does.
 const MAX_MEDIAN_AGE_MS: u64 = 550;
 
 async fn start(name: &'static str) -> PlatformFleet {
@@ -97,8 +97,8 @@
     ages[ages.len() / 2]
 }
 
-/// Guards against keys that are refused at the begin of an outage of the store, because all readers confirm the plan at the
-/// same time and the outage finds it a full watch old: the evidence of the outage takes some time.
+/// Guards against keys that are refused at the begin of an outage of the store, because all readers confirm the plan at
+/// the same time and the outage finds it a full watch old: the evidence of the outage takes some time.
 #[tokio::test(flavor = "multi_thread")]
 async fn readers_confirm_the_plan_one_after_the_other() {
     let fleet = start("relayed-ages").await;
@@ -110,8 +110,8 @@
     assert!(age < MAX_MEDIAN_AGE_MS, "{age} ms");
 }
 
-/// Guards against keys that are refused in an outage of the store, because the evidence of other failure domains is missing,
-/// and against an instance that takes its own isolation for an outage.
+/// Guards against keys that are refused in an outage of the store, because the evidence of other failure domains is
+/// missing, and against an instance that takes its own isolation for an outage.
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_accepted_in_an_outage_for_all() {
     let fleet = start("relayed-outage").await;
--- a/crates/entry/tests/store_eras.rs
+++ b/crates/entry/tests/store_eras.rs
@@ -77,9 +77,9 @@
     }
 }
 
-/// Guards against requests to upstreams that are draining or gone and look ready in the older copy, against upstreams that
-/// are dropped because the copy lacks them, and against changes that are missed because their revisions were given out
-/// before. The store returns twice.
+/// Guards against requests to upstreams that are draining or gone and look ready in the older copy, against upstreams
+/// that are dropped because the copy lacks them, and against changes that are missed because their revisions were given
+/// out before. The store returns twice.
 #[tokio::test(flavor = "multi_thread")]
 async fn upstreams_stay_as_known_until_they_register_again() {
     let fleet = start("era-upstreams", INSTANCES, 4).await;
@@ -264,8 +264,8 @@
     }
 }
 
-/// Guards against an instance that takes the store's later revisions for those that it has read, after it was cut from the
-/// store during the return.
+/// Guards against an instance that takes the store's later revisions for those that it has read, after it was cut from
+/// the store during the return.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_cut_from_the_store_hears_of_the_return() {
     let mut fleet = start("era-cut", 2, 2).await;
@@ -301,8 +301,8 @@
     assert_eq!(count_using(&fleet, fleet.upstreams[1].id()).await, 3);
 }
 
-/// Guards against a failure domain that is used although its evacuation was only lost by the store, or left unused because
-/// the copy precedes the end of the evacuation.
+/// Guards against a failure domain that is used although its evacuation was only lost by the store, or left unused
+/// because the copy precedes the end of the evacuation.
 #[tokio::test(flavor = "multi_thread")]
 async fn evacuations_stay_as_known_until_they_are_written_again() {
     let fleet = start("era-evacuations", 3, 1).await;
@@ -337,8 +337,8 @@
     assert_eq!(count_using(&fleet, upstream).await, 3);
 }
 
-/// Guards against objects that run on upstreams without them in their caches after a restart of all instances, because the
-/// affinity table in the store was lost by its return.
+/// Guards against objects that run on upstreams without them in their caches after a restart of all instances, because
+/// the affinity table in the store was lost by its return.
 #[tokio::test(flavor = "multi_thread")]
 async fn affinity_partitions_are_written_again() {
     let fleet = start("era-affinity", 2, 2).await;
--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -328,8 +328,8 @@
     time: Duration,
 }
 
-/// Counts the calls to the store in a period in which no instance becomes or ceases to be a reader and no call fails. On a
-/// busy machine, instances that are silent for a while are replaced as readers.
+/// Counts the calls to the store in a period in which no instance becomes or ceases to be a reader and no call fails.
+/// On a busy machine, instances that are silent for a while are replaced as readers.
 async fn count_calm_calls(fleet: &PlatformFleet) -> CalmCalls {
     for _ in 0..MAX_COUNTED_PERIODS {
         let started = Instant::now();
--- a/crates/protocol/src/fleet_heartbeat.rs
+++ b/crates/protocol/src/fleet_heartbeat.rs
@@ -187,8 +187,8 @@
     Regular = 0,
     /// A heartbeat to an instance of another failure domain, which passes it on to its domain and replies.
     Relay = 1,
-    /// The reply to a heartbeat from another failure domain. It proves to its receiver that the sender is not suspended, and
-    /// has a number that the receiver echoes.
+    /// The reply to a heartbeat from another failure domain. It proves to its receiver that the sender is not
+    /// suspended, and has a number that the receiver echoes.
     Reply = 2,
     /// The answer to a reply, which proves the same in the other direction.
     Acknowledgement = 3,
--- a/crates/steering/src/fleet/domain_silence.rs
+++ b/crates/steering/src/fleet/domain_silence.rs
@@ -1,7 +1,7 @@
 //! Detects failure domains whose instances fall silent together.
 //!
-//! Load pattern: a domain or region loses power under load. Each of its instances alone could be late, so they would be left
-//! out one after the other, and callers connect to dead ones meanwhile.
+//! Load pattern: a domain or region loses power under load. Each of its instances alone could be late, so they would be
+//! left out one after the other, and callers connect to dead ones meanwhile.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -49,8 +49,8 @@
 }
 
 impl DomainSilence {
-    /// Returns for each of the instances whether it is lost with its domain. Those of `own_domain`, in which this instance
-    /// is, never are: if they are overdue, this instance is cut off.
+    /// Returns for each of the instances whether it is lost with its domain. Those of `own_domain`, in which this
+    /// instance is, never are: if they are overdue, this instance is cut off.
     pub fn observe(
         &mut self,
         heard: &[HeardInstance],
--- a/crates/steering/src/hashing.rs
+++ b/crates/steering/src/hashing.rs
@@ -37,7 +37,8 @@
     numerator / 2f64.powi(MANTISSA_BITS.cast_signed())
 }
 
-/// Returns the rank of a hash among others, the lowest first: one with twice the weight is twice as likely to be the lowest.
+/// Returns the rank of a hash among others, the lowest first: one with twice the weight is twice as likely to be the
+/// lowest.
 pub(crate) fn weighted_rank(hash: u64, weight: f64) -> f64 {
     -unit_interval(hash).ln() / weight
 }
--- a/crates/steering/src/limits/quota_bucket.rs
+++ b/crates/steering/src/limits/quota_bucket.rs
@@ -225,9 +225,9 @@
 
     /// Sets aside the parts of instances that send no reports, unless that was done before.
     ///
-    /// A part is the average of the instance's part of the demand and of an equal one: the callers of an instance that has
-    /// ended send their requests to others. All parts of a cut fleet know nearly the same demands and calculate the same
-    /// fractions.
+    /// A part is the average of the instance's part of the demand and of an equal one: the callers of an instance that
+    /// has ended send their requests to others. All parts of a cut fleet know nearly the same demands and calculate the
+    /// same fractions.
     fn reserve(&mut self, peers: &[u64]) {
         let min_demand = self.min_demand();
         let own_demand = self.local_demand.max(min_demand);
--- a/crates/steering/src/limits/rate_share.rs
+++ b/crates/steering/src/limits/rate_share.rs
@@ -1,9 +1,9 @@
 //! Divides the rate limit of an upstream among the instances.
 //!
-//! Load pattern: an upstream takes few requests per second, fewer than there are instances, and most of the requests for
-//! it arrive at some of the instances. Each instance sends at intervals that follow from its part of the demand, so the
-//! sum of all rates is the limit. An instance that others no longer hear keeps its part: the others still count the demand
-//! that it reported last.
+//! Load pattern: an upstream takes few requests per second, fewer than there are instances, and most of the requests
+//! for it arrive at some of the instances. Each instance sends at intervals that follow from its part of the demand, so
+//! the sum of all rates is the limit. An instance that others no longer hear keeps its part: the others still count the
+//! demand that it reported last.
 
 use std::time::Duration;
 
@@ -36,8 +36,8 @@
 /// the same demand as this one.
 ///
 /// Each sending instance may send one request at once after a pause, so their number is limited. They are selected by
-/// region and rendezvous hash, weighted by size, and not by demand: whenever the selection changed, further instances would send their first
-/// request at once.
+/// region and rendezvous hash, weighted by size, and not by demand: whenever the selection changed, further instances
+/// would send their first request at once.
 #[must_use]
 pub fn limited_send_interval(
     limit: RateLimit,
--- a/crates/steering/src/limits/sharer_sizes.rs
+++ b/crates/steering/src/limits/sharer_sizes.rs
@@ -1,7 +1,7 @@
 //! The parts of limits that instances of different sizes get.
 //!
-//! Load pattern: look-ups bring a large instance eight times the requests of a small one. With even parts, the large one runs
-//! out of retries while those of the small ones are unused.
+//! Load pattern: look-ups bring a large instance eight times the requests of a small one. With even parts, the large
+//! one runs out of retries while those of the small ones are unused.
 
 use std::collections::HashMap;
 
--- a/crates/steering/src/lookup/known_instances.rs
+++ b/crates/steering/src/lookup/known_instances.rs
@@ -1,7 +1,7 @@
 //! Which of the known instances a look-up may name.
 //!
-//! Load pattern: links fail while callers keep asking. An instance that hears few or none still answers look-ups, and its callers
-//! need other addresses than its own.
+//! Load pattern: links fail while callers keep asking. An instance that hears few or none still answers look-ups, and
+//! its callers need other addresses than its own.
 
 use std::time::Duration;
 
@@ -35,8 +35,8 @@
     pub is_cut_off: bool,
 }
 
-/// Returns the instances that a look-up may name: the live ones in domains that are not lost. If few are live, this instance
-/// is rather cut off, and those are returned too that were live when the last of the others was heard.
+/// Returns the instances that a look-up may name: the live ones in domains that are not lost. If few are live, this
+/// instance is rather cut off, and those are returned too that were live when the last of the others was heard.
 #[must_use]
 pub fn nameable_instances(known: &[KnownInstance]) -> NameableInstances {
     let is_live = |known: &&KnownInstance| known.silence < known.timeout;
--- a/crates/steering/src/lookup/load_correction.rs
+++ b/crates/steering/src/lookup/load_correction.rs
@@ -1,7 +1,7 @@
 //! Corrects the weights of instances whose load stays above or below that of their region.
 //!
-//! Load pattern: a caller's draw depends on its address, so an instance that many callers draw by chance keeps them. A few
-//! callers more are a large part of the load of a small instance.
+//! Load pattern: a caller's draw depends on its address, so an instance that many callers draw by chance keeps them. A
+//! few callers more are a large part of the load of a small instance.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,8 +29,8 @@
 }
 
 impl LoadCorrection {
-    /// Updates the factors from the loads, and applies them to the weights of the `instances`. Those that are no longer among
-    /// them are forgotten.
+    /// Updates the factors from the loads, and applies them to the weights of the `instances`. Those that are no longer
+    /// among them are forgotten.
     pub fn apply(
         &mut self,
         instances: &[InstanceView],
--- a/crates/steering/src/lookup/lookup_selection.rs
+++ b/crates/steering/src/lookup/lookup_selection.rs
@@ -159,8 +159,8 @@
     (1.0 + in_flight.sum::<f64>()) / size.max(f64::MIN_POSITIVE)
 }
 
-/// Returns the chance of each candidate to be named. The heaviest one is always named, so that chances are in proportion to
-/// the weights.
+/// Returns the chance of each candidate to be named. The heaviest one is always named, so that chances are in
+/// proportion to the weights.
 fn naming_chances(candidates: &[LookupCandidate], max_addresses: usize) -> Vec<f64> {
     let weights = || candidates.iter().map(|candidate| candidate.weight);
     let total: f64 = weights().sum();
--- a/crates/steering/src/lookup/usage_meter.rs
+++ b/crates/steering/src/lookup/usage_meter.rs
@@ -1,7 +1,7 @@
 //! What an instance uses, averaged over time.
 //!
-//! Load pattern: a small instance has three requests in progress on average, and none or ten at one moment. Without an average,
-//! look-ups would follow the moment. Its processors are busy before its memory or its connections show it.
+//! Load pattern: a small instance has three requests in progress on average, and none or ten at one moment. Without an
+//! average, look-ups would follow the moment. Its processors are busy before its memory or its connections show it.
 
 use std::time::Duration;
 
--- a/crates/steering/src/placement/placement_request.rs
+++ b/crates/steering/src/placement/placement_request.rs
@@ -20,11 +20,11 @@
 pub(super) const MAX_COLD_QUEUE_FRACTION: f64 = 0.25;
 /// Load of region and upstream, in requests per slot, below which an object may migrate to an upstream that it prefers.
 const MIGRATION_LOAD_LIMIT: f64 = 0.6;
-/// Load of the region, in requests per slot, below which an object whose warm upstreams are all late is placed at one more
-/// upstream, and below which a new object may be placed at an upstream with a full cache.
+/// Load of the region, in requests per slot, below which an object whose warm upstreams are all late is placed at one
+/// more upstream, and below which a new object may be placed at an upstream with a full cache.
 pub(super) const EXPANSION_LOAD_LIMIT: f64 = 0.75;
-/// Load of the region, in requests per slot, below which an object is placed at one more upstream if none of its warm upstreams
-/// is close enough to meet the objective.
+/// Load of the region, in requests per slot, below which an object is placed at one more upstream if none of its warm
+/// upstreams is close enough to meet the objective.
 pub(super) const NEARBY_EXPANSION_LOAD_LIMIT: f64 = 0.95;
 /// Fraction of the objective within which an upstream must be able to return a warm answer to count as nearby. The rest
 /// covers the round trip between caller and instance, and answers that take longer than usual.
@@ -56,8 +56,8 @@
     pub is_cache_full: bool,
     /// Factor by which responses take longer than usual, apart from the stated cost; at least 1.
     pub slowness: f64,
-    /// Factor by which responses take longer because of the cost of work that the upstream states. It changes many times a
-    /// second, so it does not change the preference order of objects.
+    /// Factor by which responses take longer because of the cost of work that the upstream states. It changes many
+    /// times a second, so it does not change the preference order of objects.
     pub cost_factor: f64,
 }
 
--- a/crates/steering/src/placement/room_forecast.rs
+++ b/crates/steering/src/placement/room_forecast.rs
@@ -1,8 +1,8 @@
 //! Which upstreams suit a request that none of them can take now, and when each is expected to have room for it.
 //!
-//! Load pattern: an object is warm at a few upstreams whose queues are full, while others of the pool have room. The pool
-//! completes many requests per second, but the request gets a slot only at those few, or at a cold upstream once enough of
-//! the region is idle. The rules are those of [`PlacementRequest::choose`].
+//! Load pattern: an object is warm at a few upstreams whose queues are full, while others of the pool have room. The
+//! pool completes many requests per second, but the request gets a slot only at those few, or at a cold upstream once
+//! enough of the region is idle. The rules are those of [`PlacementRequest::choose`].
 
 use std::time::Duration;
 
@@ -54,7 +54,8 @@
 }
 
 impl PlacementRequest {
-    /// Returns the upstreams that suit the request with their room. Without any, no upstream is expected to answer in time.
+    /// Returns the upstreams that suit the request with their room. Without any, no upstream is expected to answer in
+    /// time.
     pub fn forecast_room<K: Copy>(
         &self,
         candidates: impl Iterator<Item = ForecastCandidate<K>>,
--- a/crates/steering/src/queue/account_queues.rs
+++ b/crates/steering/src/queue/account_queues.rs
@@ -242,9 +242,9 @@
         }
     }
 
-    /// Returns how many requests that compete with a new one have their turn before it, as seen from its account: of each
-    /// other account no more than its share in the same time. Requests that come later and go first are estimated from the
-    /// share of the turns that the account and the class had so far.
+    /// Returns how many requests that compete with a new one have their turn before it, as seen from its account: of
+    /// each other account no more than its share in the same time. Requests that come later and go first are estimated
+    /// from the share of the turns that the account and the class had so far.
     pub(super) fn count_ahead(
         &self,
         request: &QueuedRequest,
--- a/crates/steering/src/queue/expected_room.rs
+++ b/crates/steering/src/queue/expected_room.rs
@@ -51,8 +51,9 @@
     Duration::from_secs_f64(1.0 / (per_s * own_part).max(MIN_TURNS_PER_S))
 }
 
-/// Returns until when a request may wait that arrived at `arrived`: as long as `max_wait` from `now` on, but no longer than
-/// half of its objective in all, less the way to the caller, so that a caller that cannot be served learns it in time.
+/// Returns until when a request may wait that arrived at `arrived`: as long as `max_wait` from `now` on, but no longer
+/// than half of its objective in all, less the way to the caller, so that a caller that cannot be served learns it in
+/// time.
 #[must_use]
 pub fn wait_until(
     arrived: MonotonicTime,
--- a/crates/steering/src/queue/fair_queue.rs
+++ b/crates/steering/src/queue/fair_queue.rs
@@ -30,7 +30,8 @@
 #[derive(Debug)]
 pub struct FairQueue<W> {
     state: Mutex<FairState<W>>,
-    /// Number of waiting requests, including those that try to get a slot, so that requests need no lock while none waits.
+    /// Number of waiting requests, including those that try to get a slot, so that requests need no lock while none
+    /// waits.
     waiting: AtomicUsize,
     /// How often each rank is served.
     pub shares: RankShares,
@@ -70,8 +71,8 @@
         self.len() == 0
     }
 
-    /// Begins the wait of a request, behind the earlier ones of its account that are as urgent. A caller that returns after
-    /// a refusal goes before new ones.
+    /// Begins the wait of a request, behind the earlier ones of its account that are as urgent. A caller that returns
+    /// after a refusal goes before new ones.
     pub fn begin_wait(&self, request: QueuedRequest) -> QueueTicket {
         let mut state = self.lock();
         self.waiting.fetch_add(1, Ordering::Relaxed);
--- a/crates/steering/src/recovery/crash_reports.rs
+++ b/crates/steering/src/recovery/crash_reports.rs
@@ -1,8 +1,8 @@
 //! Finds the reports of crashed runs that this instance has missed.
 //!
 //! Load pattern: an instance is cut off, or loses a datagram, while a request crashes upstreams. The others refuse the
-//! request; this one lets it crash several more. Each instance counts the crashes that it has reported, so a receiver that
-//! has fewer knows whom to ask.
+//! request; this one lets it crash several more. Each instance counts the crashes that it has reported, so a receiver
+//! that has fewer knows whom to ask.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -38,8 +38,8 @@
 }
 
 impl CrashReports {
-    /// Creates the state of a process that starts at `now`. If all instances start for the first time, there is nothing to
-    /// ask for in the first seconds.
+    /// Creates the state of a process that starts at `now`. If all instances start for the first time, there is nothing
+    /// to ask for in the first seconds.
     #[must_use]
     pub fn new(is_first_start: bool, now: MonotonicTime) -> Self {
         let asks_from = if is_first_start {
--- a/crates/steering/src/recovery/store_probe.rs
+++ b/crates/steering/src/recovery/store_probe.rs
@@ -1,7 +1,7 @@
 //! Selects the task that calls the store again while calls to it fail.
 //!
-//! Load pattern: the store is away or turns some instances away for seconds. Each instance reads several kinds of objects,
-//! and a repeated call for each of them tells no more than one.
+//! Load pattern: the store is away or turns some instances away for seconds. Each instance reads several kinds of
+//! objects, and a repeated call for each of them tells no more than one.
 
 /// What a task does after a failed call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/steering/src/recovery/store_readers.rs
+++ b/crates/steering/src/recovery/store_readers.rs
@@ -8,8 +8,8 @@
 
 use crate::hashing::combine_hashes;
 
-/// Number of instances that watch at the same time while no call fails. An instance needs seconds to detect that its connection to the
-/// store is dead; the other readers report changes in the meantime.
+/// Number of instances that watch at the same time while no call fails. An instance needs seconds to detect that its
+/// connection to the store is dead; the other readers report changes in the meantime.
 const READER_COUNT: usize = 4;
 /// Hashed with each instance, so that the order in which instances become readers is independent of the orders that
 /// other modules derive from the same hashes.
@@ -24,7 +24,8 @@
     pub is_reading: bool,
 }
 
-/// Returns the place of the instance `own` among those that watch the store, from 0 on, or `None` if it is not one of them.
+/// Returns the place of the instance `own` among those that watch the store, from 0 on, or `None` if it is not one of
+/// them.
 /// `others` are the other candidates, and `failing` is the number of live instances whose calls to the store fail.
 ///
 /// The number of readers grows with each failing instance, so a few rounds of failures reach all instances of a large
@@ -51,8 +52,8 @@
 /// Returns the wait of the watch after which the reader with this rank ends its watches at other times than the other
 /// readers, when all of them begin it together.
 ///
-/// The end of a watch confirms the state for all instances. Readers that receive a change together would otherwise confirm
-/// it together from then on, and an outage would find it up to a full `wait` old.
+/// The end of a watch confirms the state for all instances. Readers that receive a change together would otherwise
+/// confirm it together from then on, and an outage would find it up to a full `wait` old.
 #[must_use]
 pub fn spread_wait(rank: usize, wait: Duration) -> Duration {
     #[expect(clippy::cast_precision_loss)]
--- a/crates/steering/src/recovery/suspect_inquiry.rs
+++ b/crates/steering/src/recovery/suspect_inquiry.rs
@@ -20,8 +20,8 @@
 pub enum InquiryEnd {
     /// An instance that knows the suspects has answered.
     Answered,
-    /// Every other instance has answered that it does not know them either, or there is none. What the store keeps of them
-    /// is known.
+    /// Every other instance has answered that it does not know them either, or there is none. What the store keeps of
+    /// them is known.
     KnownToNone,
     /// No answer came in time.
     TimedOut,
--- a/crates/steering/src/regions/demand_division.rs
+++ b/crates/steering/src/regions/demand_division.rs
@@ -1,10 +1,10 @@
 //! Divides the demand of all regions over the room of all regions.
 //!
-//! Load pattern: callers of several regions send in waves with other phases, and upstreams stand elsewhere than callers. A
-//! region that fills up has to spill before its callers are refused, and one with few callers has to take work. Objects that
-//! move to another region are loaded again there, so the division starts from the even shares, which do not change with the
-//! demand, and moves only what would exceed the room of a region. It depends on the offered work and not on what was
-//! sent, so its result does not change its input.
+//! Load pattern: callers of several regions send in waves with other phases, and upstreams stand elsewhere than
+//! callers. A region that fills up has to spill before its callers are refused, and one with few callers has to take
+//! work. Objects that move to another region are loaded again there, so the division starts from the even shares, which
+//! do not change with the demand, and moves only what would exceed the room of a region. It depends on the offered work
+//! and not on what was sent, so its result does not change its input.
 
 use coltsfootkeel_model::{Arena, RegionKey};
 
@@ -12,8 +12,8 @@
 use crate::regions::even_shares::{RegionSize, even_shares};
 use crate::regions::topology::RegionSet;
 
-/// Part of a region's room that is filled before requests are moved to other regions. Above it, the wait for one of the few
-/// slots of an upstream exceeds a round trip between regions.
+/// Part of a region's room that is filled before requests are moved to other regions. Above it, the wait for one of the
+/// few slots of an upstream exceeds a round trip between regions.
 const SPILL_LEVEL: f64 = 0.8;
 /// Excess over the common level of all regions that a region keeps in overload. Without it, each small change of the
 /// demand would move objects.
@@ -43,8 +43,8 @@
     free: Arena<RegionKey, f64>,
 }
 
-/// Returns the division for the callers of `local`; `regions` has the room of each region. Returns `None` if there is no room
-/// or no demand is known yet.
+/// Returns the division for the callers of `local`; `regions` has the room of each region. Returns `None` if there is
+/// no room or no demand is known yet.
 #[must_use]
 pub fn divide_demand(
     local: RegionKey,
--- a/crates/steering/src/regions/demand_table.rs
+++ b/crates/steering/src/regions/demand_table.rs
@@ -13,8 +13,8 @@
 
 /// Time over which the demand at an instance, and that of a region, are averaged.
 const DEMAND_AVERAGING_TIME: Duration = Duration::from_secs(1);
-/// Time over which the ratio of a region's room to its slots is averaged. A busy neighbour slows an upstream for a part of
-/// it.
+/// Time over which the ratio of a region's room to its slots is averaged. A busy neighbour slows an upstream for a part
+/// of it.
 const ROOM_AVERAGING_TIME: Duration = Duration::from_secs(2);
 /// Time from the first reported demand until the averages tell how large it is.
 const LEARNING_TIME: Duration = Duration::from_secs(4);
--- a/crates/steering/src/regions/even_shares.rs
+++ b/crates/steering/src/regions/even_shares.rs
@@ -19,8 +19,8 @@
     pub domains: u32,
 }
 
-/// Returns the shares for the callers of `local`: their region serves what its slots allow, and the others the rest by their
-/// spare slots.
+/// Returns the shares for the callers of `local`: their region serves what its slots allow, and the others the rest by
+/// their spare slots.
 pub(crate) fn even_shares(
     local: RegionKey,
     regions: &Arena<RegionKey, RegionSize>,
--- a/crates/steering/tests/fair_queue.rs
+++ b/crates/steering/tests/fair_queue.rs
@@ -73,9 +73,10 @@
     senders
 }
 
-/// Guards against a heavy account that fills the queue or gets a share at each instance, a rank that starves behind a more
-/// urgent one, an urgent rank that is served less than another, callers that gain by repeating at once, refusals after
-/// half of the objective, waits for room which others take, and slots that stay idle while requests wait that they suit.
+/// Guards against a heavy account that fills the queue or gets a share at each instance, a rank that starves behind a
+/// more urgent one, an urgent rank that is served less than another, callers that gain by repeating at once, refusals
+/// after half of the objective, waits for room which others take, and slots that stay idle while requests wait that
+/// they suit.
 #[test]
 fn competing_callers_get_their_shares() {
     let case = |name, heavy, urgent, is_impatient, usual_served| LoadCase {
--- a/crates/steering/tests/lost_instances.rs
+++ b/crates/steering/tests/lost_instances.rs
@@ -30,8 +30,8 @@
     lost_within_ms: Option<u64>,
 }
 
-/// Guards against look-ups that name a lost domain's instances until the last timeout, and against a domain that is left out
-/// because heartbeats are late, this instance did not run or is itself cut off.
+/// Guards against look-ups that name a lost domain's instances until the last timeout, and against a domain that is
+/// left out because heartbeats are late, this instance did not run or is itself cut off.
 #[test]
 fn instances_are_lost_with_their_domain() {
     let base = SilenceCase {
--- a/crates/steering/tests/rate_share.rs
+++ b/crates/steering/tests/rate_share.rs
@@ -233,8 +233,8 @@
     assert_eq!(upstream.retry_delay(at(5_000)), Duration::from_millis(250));
 }
 
-/// Guards against small instances that get the right to send while the requests arrive at the large ones, and against more
-/// senders than the limit allows.
+/// Guards against small instances that get the right to send while the requests arrive at the large ones, and against
+/// more senders than the limit allows.
 #[test]
 fn large_instances_send_to_a_limited_upstream() {
     let instance = |index: u64| InstanceDemand {
--- a/crates/steering/tests/retry_and_cold_limits.rs
+++ b/crates/steering/tests/retry_and_cold_limits.rs
@@ -242,8 +242,8 @@
     SharerSizes::new(hashes, &known)
 }
 
-/// Guards against large instances that run out of retries while those of the small ones are unused, and against parts that add
-/// up to more than the limit.
+/// Guards against large instances that run out of retries while those of the small ones are unused, and against parts
+/// that add up to more than the limit.
 #[test]
 fn parts_of_limits_follow_the_sizes() {
     let hashes: Vec<u64> = (0..10).collect();
--- a/crates/steering/tests/suspect_inquiry.rs
+++ b/crates/steering/tests/suspect_inquiry.rs
@@ -111,8 +111,8 @@
     is_missed: bool,
 }
 
-/// Guards against an instance that is never told of crashes because it was cut off, and against questions without a missed
-/// report.
+/// Guards against an instance that is never told of crashes because it was cut off, and against questions without a
+/// missed report.
 #[test]
 fn an_instance_asks_for_reports_that_it_has_missed() {
     let case = |name, heartbeats, is_missed| ReportCase {
--- a/crates/transport/src/frame_joining.rs
+++ b/crates/transport/src/frame_joining.rs
@@ -1,7 +1,7 @@
 //! Joins the small frames of a body that are ready at the same time.
 //!
-//! Load pattern: a peer sends a body in chunks of a byte. Each frame that is forwarded alone costs a chunk header and a part
-//! of a system call.
+//! Load pattern: a peer sends a body in chunks of a byte. Each frame that is forwarded alone costs a chunk header and a
+//! part of a system call.
 
 use std::task::{Context, Poll, ready};
 
--- a/crates/transport/src/frame_turns.rs
+++ b/crates/transport/src/frame_turns.rs
@@ -1,7 +1,7 @@
 //! Lets other requests run while the frames of a body arrive faster than they are handled.
 //!
-//! Load pattern: a peer sends a body without end in chunks of a byte. One read of the connection holds thousands of frames,
-//! so a task that takes frames as long as one is ready would hold its thread for tenths of a second.
+//! Load pattern: a peer sends a body without end in chunks of a byte. One read of the connection holds thousands of
+//! frames, so a task that takes frames as long as one is ready would hold its thread for tenths of a second.
 
 use std::task::{Context, Poll};
 
@@ -15,8 +15,8 @@
 }
 
 impl FrameTurn {
-    /// Polls for the next frame with `poll_frame`, unless the task has taken [`MAX_FRAMES_PER_TURN`] frames in a row. It is
-    /// then woken at once, behind the other tasks.
+    /// Polls for the next frame with `poll_frame`, unless the task has taken [`MAX_FRAMES_PER_TURN`] frames in a row.
+    /// It is then woken at once, behind the other tasks.
     pub(crate) fn poll<F>(
         &mut self,
         context: &mut Context<'_>,
