entry: the calls of a fleet with few readers are counted over 20 s

Cause: all_instances_apply_changes_that_few_of_them_watch allowed 40 calls in 5 s and counted 41 once. The four readers have 16 open watches, which end about 36 times in 5 s; each ends once more or less by the phase in which the count begins.

Change: the same rate is asserted over 20 s, in which these ends are about 143 and the bound is 160.

--- a/crates/entry/tests/store_following.rs
+++ b/crates/entry/tests/store_following.rs
@@ -52,12 +52,12 @@
 async fn all_instances_apply_changes_that_few_of_them_watch() {
     let fleet = start("few-readers").await;
     let calls = fleet.store.calls();
-    tokio::time::sleep(Duration::from_secs(5)).await;
+    tokio::time::sleep(4 * COUNTED_PERIOD).await;
     let calls = fleet.store.calls() - calls;
-    // An instance that watched every kind itself would make at least six calls: two for each of the three kinds whose
-    // watches wait 2.4 s.
-    let max_calls = INSTANCES * 5;
-    assert!(calls <= max_calls as u64, "{calls} calls in five seconds");
+    // An instance that watched every kind itself would make at least six calls in five seconds: two for each of the three
+    // kinds whose watches wait 2.4 s. Each of the readers' 16 watches may end once more or less in the counted time.
+    let max_calls = 4 * INSTANCES * 5;
+    assert!(calls <= max_calls as u64, "{calls} calls in 20 seconds");
     let address = fleet.upstreams[0].address();
     register_upstream(&fleet.store, "u-0", address, "draining");
     let drained_at = Instant::now();
